Lay the workspace: shared words, configuration model, the core's interface

The interface of the decision core comes first, because every other crate meets it: events and time in, actions out, messages between entry hosts one-way and typed. No behaviour yet.

--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,23 @@
+//! The decisions of one entry host.
+//!
+//! Time, events and a seed go in; actions come out. This crate knows nothing of IO, of
+//! threads, of the machine's clock or of randomness other than its seed, so the same
+//! code runs under the daemon, under scripted scenarios and under any other harness.
+//!
+//! The aggregate is [`EntryHost`]; each part it is made of (calls, upstreams, queue,
+//! claims, membership, adoption) keeps its own rules in a module of its own.
+
+mod action;
+mod entry_host;
+mod event;
+mod message;
+mod refusal;
+
+pub use action::{Action, Attempt};
+pub use entry_host::{EntryHost, HostSettings};
+pub use event::{
+    AnswerHead, AttemptEnd, CallHead, ConfigKey, ConfigReading, Event, FailureStage, HostList,
+    ListedHost, LoadReport, ProbeResult, PublishedValue, ReadOutcome,
+};
+pub use message::{Envelope, Heartbeat, PROTOCOL_VERSION, PeerMessage};
+pub use refusal::{Refusal, RefusalCause, RunOutcome};
--- /dev/null
+++ b/crates/domain/src/ids.rs
@@ -0,0 +1,148 @@
+//! Ids: names that operators write, and numbers that processes count up.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
+use std::sync::Arc;
+
+/// Longest name accepted, in bytes.
+pub const MAX_NAME_BYTES: usize = 128;
+
+/// Why a text is no id.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum IdError {
+    /// The text is empty.
+    Empty,
+    /// The text has more than [`MAX_NAME_BYTES`] bytes.
+    TooLong,
+    /// The text holds a character that is not printable ASCII, or is a space.
+    BadCharacter(char),
+}
+
+impl fmt::Display for IdError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            IdError::Empty => write!(f, "the name is empty: give it at least one character"),
+            IdError::TooLong => {
+                write!(f, "the name is too long: use at most {MAX_NAME_BYTES} bytes")
+            }
+            IdError::BadCharacter(c) => {
+                write!(f, "the name holds {c:?}: use printable ASCII without spaces")
+            }
+        }
+    }
+}
+
+impl std::error::Error for IdError {}
+
+fn check_name(text: &str) -> Result<(), IdError> {
+    match text.chars().find(|c| !c.is_ascii_graphic()) {
+        _ if text.is_empty() => Err(IdError::Empty),
+        _ if text.len() > MAX_NAME_BYTES => Err(IdError::TooLong),
+        Some(c) => Err(IdError::BadCharacter(c)),
+        None => Ok(()),
+    }
+}
+
+macro_rules! name_id {
+    ($($(#[$doc:meta])* $name:ident)*) => {$(
+        $(#[$doc])*
+        #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        #[serde(try_from = "String", into = "String")]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// The id as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = IdError;
+
+            fn from_str(text: &str) -> Result<$name, IdError> {
+                check_name(text)?;
+                Ok($name(text.into()))
+            }
+        }
+
+        impl TryFrom<String> for $name {
+            type Error = IdError;
+
+            fn try_from(text: String) -> Result<$name, IdError> {
+                text.parse()
+            }
+        }
+
+        impl From<$name> for String {
+            fn from(id: $name) -> String {
+                id.0.as_ref().to_owned()
+            }
+        }
+    )*};
+}
+
+name_id! {
+    /// An entry host, one run of the daemon on one machine.
+    HostId
+    /// A service that callers ask for.
+    ServiceName
+    /// One instance of a service.
+    UpstreamId
+    /// An availability zone.
+    ZoneName
+    /// A site: the fleet that shares one overlay.
+    SiteName
+    /// Whoever sends requests, as told by the platform's balancer.
+    CallerId
+    /// The caller's own name for a request that must not run twice.
+    IdempotencyKey
+}
+
+macro_rules! number_id {
+    ($($(#[$doc:meta])* $name:ident)*) => {$(
+        $(#[$doc])*
+        #[derive(
+            Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}", self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = ParseIntError;
+
+            fn from_str(text: &str) -> Result<$name, ParseIntError> {
+                text.parse().map($name)
+            }
+        }
+    )*};
+}
+
+number_id! {
+    /// One request of a caller, at one entry host.
+    CallId
+    /// One sending of a call to an upstream.
+    AttemptId
+    /// One probe of an upstream.
+    ProbeId
+    /// One slot lent by its lender.
+    LeaseId
+    /// One run of a process under a host id: greater after each start.
+    Incarnation
+    /// Version of a published value: greater after each write.
+    Version
+}
--- /dev/null
+++ b/crates/domain/src/lib.rs
@@ -0,0 +1,21 @@
+//! The words that every other crate shares: ids, sizes, rates and time.
+//!
+//! Each is a newtype, so that a number of slots can't be passed for a number of
+//! connections, and each reads and prints itself. This crate knows nothing of IO.
+
+mod ids;
+mod quantities;
+mod time;
+
+pub use ids::{
+    AttemptId, CallId, CallerId, HostId, IdError, IdempotencyKey, Incarnation, LeaseId, ProbeId,
+    ServiceName, SiteName, UpstreamId, Version, ZoneName,
+};
+pub use quantities::{ByteCount, Connections, ParseQuantityError, PerSecond, Share, Slots};
+pub use time::Millis;
+
+/// Hash map with a fast, unkeyed hasher, for keys that callers can't choose freely.
+pub type FastMap<K, V> = rustc_hash::FxHashMap<K, V>;
+
+/// Hash set with the same hasher as [`FastMap`].
+pub type FastSet<T> = rustc_hash::FxHashSet<T>;
