--- /dev/null
+++ b/crates/config/src/check.rs
@@ -0,0 +1,260 @@
+//! The rules that a whole configuration keeps.
+//!
+//! Types alone can't state them: most lie between several fields. Each rule notes a
+//! problem and goes on, so that one run finds all.
+
+use crate::field_path::FieldPath;
+use crate::model::{
+    HedgeSettings, HostLimits, MeasurementBudget, RetrySettings, Route, Service, SiteConfig,
+    Upstream,
+};
+use crate::problem::{Problem, ProblemKind, Source};
+use crate::route::RouteTable;
+use domain::{ByteCount, FastMap, FastSet, PerSecond, Share, ZoneName};
+use serde::Serialize;
+use serde_json::Value;
+use std::net::SocketAddr;
+
+/// Largest answer that may be held: one is held for each call in progress.
+pub const MAX_HELD_ANSWER_BYTES: ByteCount = ByteCount(1 << 20);
+
+impl SiteConfig {
+    /// All rules that the configuration breaks, none if it may be put in force.
+    pub fn check(&self) -> Vec<Problem> {
+        let mut report = Report::default();
+        check_zones(&mut report, &self.availability_zones);
+        check_limits(&mut report, &self.limits);
+        check_measurement(&mut report, &self.measurement);
+        check_retry(&mut report, &self.retry);
+        check_hedge(&mut report, &self.hedge);
+        for (name, service) in &self.services {
+            let place = FieldPath::of(["services", name.as_str()]);
+            check_service(&mut report, &place, service, self);
+        }
+        check_addresses(&mut report, self);
+        check_ambiguous_routes(&mut report, self);
+        report.problems
+    }
+}
+
+fn check_zones(report: &mut Report, zones: &[ZoneName]) {
+    let place = FieldPath::of(["availability_zones"]);
+    if zones.is_empty() {
+        report.note(place.clone(), ProblemKind::NoZone, "list the site's availability zones");
+    }
+    let mut seen = FastSet::default();
+    for (index, zone) in zones.iter().enumerate() {
+        if !seen.insert(zone) {
+            report.note(
+                place.index(index),
+                ProblemKind::DuplicateZone,
+                "list each availability zone once",
+            );
+        }
+    }
+}
+
+fn check_limits(report: &mut Report, limits: &HostLimits) {
+    let place = FieldPath::of(["limits"]);
+    report.not_zero(place.field("max_body_bytes"), limits.max_body_bytes.0);
+    report.not_zero(place.field("max_calls"), limits.max_calls);
+    report.not_zero(place.field("max_depth"), limits.max_depth);
+    if limits.held_answer_bytes > MAX_HELD_ANSWER_BYTES {
+        report.note(
+            place.field("held_answer_bytes"),
+            ProblemKind::AboveLimit,
+            format!("hold at most {MAX_HELD_ANSWER_BYTES} bytes; larger answers stream"),
+        );
+    }
+}
+
+fn check_measurement(report: &mut Report, measurement: &MeasurementBudget) {
+    let place = FieldPath::of(["measurement"]);
+    report.rate(place.field("probes_per_second"), measurement.probes_per_second);
+    report
+        .not_zero(place.field("control_bytes_per_second"), measurement.control_bytes_per_second.0);
+}
+
+fn check_retry(report: &mut Report, retry: &RetrySettings) {
+    let place = FieldPath::of(["retry"]);
+    report.not_zero(place.field("max_attempts"), retry.max_attempts);
+    report.share(place.field("budget_share"), retry.budget_share);
+}
+
+fn check_hedge(report: &mut Report, hedge: &HedgeSettings) {
+    let place = FieldPath::of(["hedge"]);
+    report.share(place.field("budget_share"), hedge.budget_share);
+    report.share(place.field("after_quantile"), hedge.after_quantile);
+}
+
+fn check_service(report: &mut Report, place: &FieldPath, service: &Service, site: &SiteConfig) {
+    if service.routes.is_empty() {
+        let remedy = "add a route, or remove the service";
+        report.note(place.field("routes"), ProblemKind::NoRoute, remedy);
+    }
+    if service.upstreams.is_empty() {
+        let remedy = "add an upstream, or remove the service";
+        report.note(place.field("upstreams"), ProblemKind::NoUpstream, remedy);
+    }
+    for (index, route) in service.routes.iter().enumerate() {
+        check_prefix(report, place.field("routes").index(index), route);
+    }
+    report.not_zero(place.field("deadline_ms"), service.deadline_ms.0);
+    report.share(place.field("eject_floor_share"), service.eject_floor_share);
+    check_service_probes(report, place.field("probes_per_second"), service, site);
+    for (id, upstream) in &service.upstreams {
+        let place = place.field("upstreams").field(id.as_str());
+        check_upstream(report, &place, upstream, &site.availability_zones);
+    }
+}
+
+fn check_service_probes(
+    report: &mut Report,
+    place: FieldPath,
+    service: &Service,
+    site: &SiteConfig,
+) {
+    let all = site.measurement.probes_per_second;
+    report.rate(place.clone(), service.probes_per_second);
+    if service.probes_per_second > all {
+        report.note_value(
+            place,
+            ProblemKind::ProbesAboveBudget,
+            service.probes_per_second,
+            format!("stay within measurement.probes_per_second, {all}, or raise that"),
+        );
+    }
+}
+
+fn check_prefix(report: &mut Report, place: FieldPath, route: &Route) {
+    let prefix = route.path_prefix.as_str();
+    let remedy = match prefix {
+        _ if !prefix.starts_with('/') => "begin it with '/'",
+        _ if prefix.contains(['?', '#', '\\']) => "leave out '?', '#' and '\\': it is a path only",
+        _ if !prefix.chars().all(|c| c.is_ascii_graphic()) => {
+            "percent-encode everything but printable ASCII"
+        }
+        "/" => return,
+        _ if RouteTable::segments(prefix).any(|segment| segment.is_empty()) => {
+            "leave out empty segments ('//')"
+        }
+        _ if RouteTable::has_dot_segment(prefix) => "leave out '.' and '..' segments",
+        _ => return,
+    };
+    report.note(place.field("path_prefix"), ProblemKind::BadPathPrefix, remedy);
+}
+
+fn check_upstream(report: &mut Report, place: &FieldPath, upstream: &Upstream, zones: &[ZoneName]) {
+    if upstream.slots.0 == 0 {
+        let remedy = "give it at least 1 slot, or set \"leaving\": true to keep work away";
+        report.note(place.field("slots"), ProblemKind::Zero, remedy);
+    }
+    match upstream.connections {
+        connections if connections.0 == 0 => {
+            let remedy = "state how many connections it accepts, at least its slots";
+            report.note(place.field("connections"), ProblemKind::Zero, remedy);
+        }
+        connections if connections.0 < upstream.slots.0 => report.note_value(
+            place.field("connections"),
+            ProblemKind::FewerConnectionsThanSlots,
+            connections,
+            format!("each slot needs a connection: state at least {}", upstream.slots),
+        ),
+        _ => {}
+    }
+    if !zones.contains(&upstream.availability_zone) {
+        let known: Vec<&str> = zones.iter().map(ZoneName::as_str).collect();
+        report.note_value(
+            place.field("availability_zone"),
+            ProblemKind::UnknownZone,
+            &upstream.availability_zone,
+            format!("use one of availability_zones ({}), or list it there", known.join(", ")),
+        );
+    }
+    if upstream.address.port() == 0 || upstream.address.ip().is_unspecified() {
+        let remedy = "state the IP address and port that it listens on";
+        report.note(place.field("address"), ProblemKind::UnusableAddress, remedy);
+    }
+}
+
+fn check_addresses(report: &mut Report, site: &SiteConfig) {
+    let mut owners: FastMap<SocketAddr, FieldPath> = FastMap::default();
+    for (name, service) in &site.services {
+        for (id, upstream) in &service.upstreams {
+            let place =
+                FieldPath::of(["services", name.as_str(), "upstreams", id.as_str(), "address"]);
+            match owners.get(&upstream.address) {
+                Some(owner) => report.note_value(
+                    place,
+                    ProblemKind::DuplicateAddress,
+                    upstream.address,
+                    format!("{owner} has it too: slots are counted per address, give each its own"),
+                ),
+                None => drop(owners.insert(upstream.address, place)),
+            }
+        }
+    }
+}
+
+fn check_ambiguous_routes(report: &mut Report, site: &SiteConfig) {
+    let mut owners = FastMap::default();
+    for (name, service) in &site.services {
+        for (index, route) in service.routes.iter().enumerate() {
+            let place = FieldPath::of(["services", name.as_str(), "routes"]).index(index);
+            let key = (RouteTable::normal_prefix(&route.path_prefix), route.method.as_str());
+            match owners.get(&key) {
+                Some(owner) => report.note_value(
+                    place,
+                    ProblemKind::AmbiguousRoute,
+                    route,
+                    format!("{owner} has the same method and path prefix: keep one of them"),
+                ),
+                None => drop(owners.insert(key, place)),
+            }
+        }
+    }
+}
+
+/// Problems found so far.
+#[derive(Debug, Default)]
+struct Report {
+    problems: Vec<Problem>,
+}
+
+impl Report {
+    fn note(&mut self, field: FieldPath, kind: ProblemKind, remedy: impl Into<String>) {
+        self.note_value(field, kind, Value::Null, remedy);
+    }
+
+    fn note_value(
+        &mut self,
+        field: FieldPath,
+        kind: ProblemKind,
+        value: impl Serialize,
+        remedy: impl Into<String>,
+    ) {
+        let value = serde_json::to_value(value).ok().filter(|value| !value.is_null());
+        let remedy = remedy.into();
+        self.problems.push(Problem { source: Source::Merged, field, kind, value, remedy });
+    }
+
+    fn not_zero(&mut self, field: FieldPath, value: impl Into<u64>) {
+        if value.into() == 0 {
+            self.note_value(field, ProblemKind::Zero, 0, "state at least 1");
+        }
+    }
+
+    fn share(&mut self, field: FieldPath, share: Share) {
+        if !(0.0..=1.0).contains(&share.0) {
+            let remedy = "state a share between 0 and 1, such as 0.1 for a tenth";
+            self.note_value(field, ProblemKind::ShareOutOfRange, share, remedy);
+        }
+    }
+
+    fn rate(&mut self, field: FieldPath, rate: PerSecond) {
+        if !rate.0.is_finite() || rate.0 < 0.0 {
+            let remedy = "state a rate of 0 or more a second";
+            self.note_value(field, ProblemKind::BadRate, rate, remedy);
+        }
+    }
+}
--- /dev/null
+++ b/crates/config/src/strict_json.rs
@@ -0,0 +1,97 @@
+//! JSON without silent losses.
+//!
+//! The usual parsers keep the last of two equal keys, and so would drop half of what an
+//! operator wrote. This reader notes every such key with its path.
+
+use crate::field_path::FieldPath;
+use serde::de::{DeserializeSeed, Deserializer, MapAccess, SeqAccess, Visitor};
+use serde_json::{Map, Number, Value};
+use std::fmt;
+
+/// A document and the keys that it states more than once.
+#[derive(Debug)]
+pub(crate) struct Document {
+    pub(crate) value: Value,
+    pub(crate) duplicate_keys: Vec<FieldPath>,
+}
+
+/// Reads a JSON text; later of equal keys are dropped and noted.
+pub(crate) fn read(text: &str) -> Result<Document, serde_json::Error> {
+    let mut duplicate_keys = Vec::new();
+    let mut parser = serde_json::Deserializer::from_str(text);
+    let reader = Reader { path: FieldPath::root(), duplicate_keys: &mut duplicate_keys };
+    let value = reader.deserialize(&mut parser)?;
+    parser.end()?;
+    Ok(Document { value, duplicate_keys })
+}
+
+struct Reader<'a> {
+    path: FieldPath,
+    duplicate_keys: &'a mut Vec<FieldPath>,
+}
+
+impl<'de> DeserializeSeed<'de> for Reader<'_> {
+    type Value = Value;
+
+    fn deserialize<D: Deserializer<'de>>(self, deserializer: D) -> Result<Value, D::Error> {
+        deserializer.deserialize_any(self)
+    }
+}
+
+impl<'de> Visitor<'de> for Reader<'_> {
+    type Value = Value;
+
+    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("a JSON value")
+    }
+
+    fn visit_unit<E>(self) -> Result<Value, E> {
+        Ok(Value::Null)
+    }
+
+    fn visit_bool<E>(self, value: bool) -> Result<Value, E> {
+        Ok(Value::Bool(value))
+    }
+
+    fn visit_u64<E>(self, value: u64) -> Result<Value, E> {
+        Ok(value.into())
+    }
+
+    fn visit_i64<E>(self, value: i64) -> Result<Value, E> {
+        Ok(value.into())
+    }
+
+    fn visit_f64<E>(self, value: f64) -> Result<Value, E> {
+        Ok(Number::from_f64(value).map_or(Value::Null, Value::Number))
+    }
+
+    fn visit_str<E>(self, value: &str) -> Result<Value, E> {
+        Ok(value.into())
+    }
+
+    fn visit_seq<A: SeqAccess<'de>>(self, mut access: A) -> Result<Value, A::Error> {
+        let mut items = Vec::new();
+        loop {
+            let path = self.path.index(items.len());
+            let reader = Reader { path, duplicate_keys: self.duplicate_keys };
+            match access.next_element_seed(reader)? {
+                Some(item) => items.push(item),
+                None => return Ok(Value::Array(items)),
+            }
+        }
+    }
+
+    fn visit_map<A: MapAccess<'de>>(self, mut access: A) -> Result<Value, A::Error> {
+        let mut fields = Map::new();
+        while let Some(name) = access.next_key::<String>()? {
+            let path = self.path.field(&name);
+            if fields.contains_key(&name) {
+                self.duplicate_keys.push(path.clone());
+            }
+            let reader = Reader { path, duplicate_keys: self.duplicate_keys };
+            let value = access.next_value_seed(reader)?;
+            fields.entry(name).or_insert(value);
+        }
+        Ok(Value::Object(fields))
+    }
+}
