Decide about calls, configuration and fleet in a core free of IO

A call is routed, waits in a line of its caller's own, takes a slot and is answered. A second sending needs the rule's leave or the proof that the first did not run; the proof is a count of attempts that may have run. Base and overlay move forward only. Local policies so far.

--- a/crates/core/src/entry_host.rs
+++ b/crates/core/src/entry_host.rs
@@ -1,9 +1,24 @@
 //! The aggregate: one entry host.
+//!
+//! It owns every part and routes events to them. The parts' rules stand in their own
+//! modules; what happens to calls stands in [`crate::calls`], what happens to
+//! configuration and fleet in [`crate::control`].
 
 use crate::action::Action;
+use crate::adoption::Adoption;
+use crate::call::{Call, LiveAttempt};
 use crate::event::Event;
-use domain::{HostId, Incarnation, Millis, SiteName, ZoneName};
+use crate::lifecycle::Lifecycle;
+use crate::membership::Membership;
+use crate::service::ServiceState;
+use config::{RouteTable, SiteConfig};
+use domain::{
+    AttemptId, CallId, FastMap, HostId, Incarnation, Millis, ServiceName, SiteName, ZoneName,
+};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
 
 /// What an entry host knows of itself from the start.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -16,30 +31,116 @@
     pub site: SiteName,
     /// Where it stands.
     pub availability_zone: ZoneName,
+    /// Time between failing readiness and the earliest end.
+    pub drain_notice_ms: Millis,
 }
 
 /// One entry host: events in, actions out.
 #[derive(Debug)]
 pub struct EntryHost {
-    settings: HostSettings,
+    pub(crate) settings: HostSettings,
+    pub(crate) rng: Pcg64Mcg,
+    pub(crate) lifecycle: Lifecycle,
+    pub(crate) adoption: Adoption,
+    pub(crate) membership: Membership,
+    pub(crate) in_force: Option<InForce>,
+    pub(crate) services: BTreeMap<ServiceName, ServiceState>,
+    pub(crate) calls: FastMap<CallId, Call>,
+    pub(crate) deadlines: BTreeSet<(Millis, CallId)>,
+    pub(crate) attempts: FastMap<AttemptId, LiveAttempt>,
+    pub(crate) last_attempt: AttemptId,
+    pub(crate) timers: Timers,
+}
+
+/// The configuration in force, prepared for use.
+#[derive(Debug)]
+pub(crate) struct InForce {
+    pub(crate) config: SiteConfig,
+    pub(crate) routes: RouteTable,
+}
+
+/// When the periodic work is due.
+#[derive(Debug)]
+pub(crate) struct Timers {
+    pub(crate) heartbeat_ms: Millis,
+    pub(crate) host_list_ms: Millis,
+    pub(crate) base_read_ms: Millis,
+    pub(crate) overlay_read_ms: Millis,
 }
 
 impl EntryHost {
     /// A host that has just started and knows only its settings.
-    pub fn new(settings: HostSettings, _seed: u64, _now_ms: Millis) -> EntryHost {
-        EntryHost { settings }
+    ///
+    /// It asks for everything else on its first [`Event::Tick`].
+    pub fn new(settings: HostSettings, seed: u64, now_ms: Millis) -> EntryHost {
+        EntryHost {
+            settings,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            lifecycle: Lifecycle::Running,
+            adoption: Adoption::default(),
+            membership: Membership::default(),
+            in_force: None,
+            services: BTreeMap::new(),
+            calls: FastMap::default(),
+            deadlines: BTreeSet::new(),
+            attempts: FastMap::default(),
+            last_attempt: AttemptId(0),
+            timers: Timers {
+                heartbeat_ms: now_ms,
+                host_list_ms: now_ms,
+                base_read_ms: now_ms,
+                overlay_read_ms: now_ms,
+            },
+        }
     }
 
     /// Takes one event at a point in time and appends what is to be done.
-    pub fn handle(&mut self, _now_ms: Millis, _event: Event, _actions: &mut Vec<Action>) {}
+    pub fn handle(&mut self, now_ms: Millis, event: Event, actions: &mut Vec<Action>) {
+        match event {
+            Event::CallArrived { call, head } => self.call_arrived(now_ms, call, head, actions),
+            Event::CallerGone { call } => self.caller_gone(now_ms, call, actions),
+            Event::AnswerReady { attempt, answer } => {
+                self.answer_ready(now_ms, attempt, answer, actions);
+            }
+            Event::AttemptEnded { attempt, end } => {
+                self.attempt_ended(now_ms, attempt, end, actions);
+            }
+            Event::ProbeEnded { .. } => {}
+            Event::PeerReceived { from, incarnation, message } => {
+                self.peer_received(now_ms, from, incarnation, message, actions);
+            }
+            Event::ConfigRead(reading) => self.config_read(now_ms, reading, actions),
+            Event::HostListRead(list) => self.host_list_read(list),
+            Event::StopRequested => self.stop_requested(now_ms, actions),
+            Event::Tick => self.tick(now_ms, actions),
+        }
+    }
 
     /// When the next [`Event::Tick`] is due at the latest.
     pub fn next_tick_ms(&self) -> Millis {
-        Millis::MAX
+        let expiry_ms = self.deadlines.first().map(|&(deadline_ms, _)| deadline_ms);
+        let timers = &self.timers;
+        timers
+            .heartbeat_ms
+            .min(timers.host_list_ms)
+            .min(timers.base_read_ms)
+            .min(timers.overlay_read_ms)
+            .min(expiry_ms.unwrap_or(Millis::MAX))
+    }
+
+    fn stop_requested(&mut self, now_ms: Millis, actions: &mut Vec<Action>) {
+        if self.lifecycle.request_stop(now_ms) {
+            actions.push(Action::SetReady(false));
+            self.send_heartbeats(now_ms, actions);
+        }
     }
 
-    /// Everything the host holds, for operators.
-    pub fn dump(&self) -> serde_json::Value {
-        serde_json::json!({ "settings": self.settings })
+    fn tick(&mut self, now_ms: Millis, actions: &mut Vec<Action>) {
+        self.expire_calls(now_ms, actions);
+        self.run_control_timers(now_ms, actions);
+        let notice_ms = self.settings.drain_notice_ms;
+        if self.lifecycle.end_if_done(now_ms, notice_ms, self.calls.len()) {
+            actions.push(Action::Exit);
+        }
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,16 +8,32 @@
 //! claims, membership, adoption) keeps its own rules in a module of its own.
 
 mod action;
+mod adoption;
+mod call;
+mod calls;
+mod choice;
+mod control;
+mod dump;
 mod entry_host;
 mod event;
+mod lifecycle;
+mod membership;
 mod message;
+mod queue;
 mod refusal;
+mod retry;
+mod service;
+mod upstream;
 
 pub use action::{Action, Attempt};
+pub use adoption::{RejectedPair, VersionPair};
+pub use dump::{ServiceDump, StateDump};
 pub use entry_host::{EntryHost, HostSettings};
 pub use event::{
     AnswerHead, AttemptEnd, CallHead, ConfigKey, ConfigReading, Event, FailureStage, HostList,
     ListedHost, LoadReport, ProbeResult, PublishedValue, ReadOutcome,
 };
+pub use lifecycle::Lifecycle;
 pub use message::{Envelope, Heartbeat, PROTOCOL_VERSION, PeerMessage};
 pub use refusal::{Refusal, RefusalCause, RunOutcome};
+pub use upstream::UpstreamState;
--- /dev/null
+++ b/crates/core/src/service.rs
@@ -0,0 +1,127 @@
+//! One service at this entry host: its upstreams, its queue and its budgets.
+
+use crate::choice::choose;
+use crate::queue::WaitQueue;
+use crate::retry::RetryBudget;
+use crate::upstream::UpstreamState;
+use config::{Policy, Service};
+use domain::{Millis, ServiceName, UpstreamId};
+use rand_pcg::Pcg64Mcg;
+
+/// Latency assumed before the first answer.
+const UNKNOWN_LATENCY_MS: f64 = 50.0;
+
+/// What this host holds of one service.
+#[derive(Debug)]
+pub struct ServiceState {
+    /// Its name.
+    pub name: ServiceName,
+    /// What is published of it.
+    pub published: Service,
+    /// Its upstreams, by id; removed ones stay while attempts are out.
+    pub upstreams: Vec<UpstreamState>,
+    /// Calls that wait for a slot.
+    pub queue: WaitQueue,
+    /// Retries left.
+    pub retries: RetryBudget,
+    /// Calls in progress, waiting ones included.
+    pub calls: usize,
+    turn: usize,
+}
+
+impl ServiceState {
+    /// A service not used before.
+    pub fn new(name: ServiceName, published: Service) -> ServiceState {
+        let mut service = ServiceState {
+            name,
+            published: published.clone(),
+            upstreams: Vec::new(),
+            queue: WaitQueue::default(),
+            retries: RetryBudget::default(),
+            calls: 0,
+            turn: 0,
+        };
+        service.republish(published);
+        service
+    }
+
+    /// Takes what the configuration in force says; attempts that are out stay counted.
+    pub fn republish(&mut self, published: Service) {
+        for state in &mut self.upstreams {
+            state.removed = true;
+        }
+        for (id, upstream) in &published.upstreams {
+            match self.upstreams.binary_search_by(|state| state.id.cmp(id)) {
+                Ok(at) => self.upstreams[at].republish(upstream.clone()),
+                Err(at) => {
+                    self.upstreams.insert(at, UpstreamState::new(id.clone(), upstream.clone()));
+                }
+            }
+        }
+        self.upstreams.retain(|state| !state.removed || state.in_flight > 0);
+        self.published = published;
+    }
+
+    /// The upstream of that id.
+    pub fn upstream_mut(&mut self, id: &UpstreamId) -> Option<&mut UpstreamState> {
+        let at = self.upstreams.binary_search_by(|state| state.id.cmp(id)).ok()?;
+        Some(&mut self.upstreams[at])
+    }
+
+    /// Whether any upstream may receive work, busy or not.
+    pub fn has_open_upstream(&self) -> bool {
+        self.upstreams.iter().any(UpstreamState::is_open)
+    }
+
+    /// Takes a slot of the upstream that the policy prefers, if one is free.
+    ///
+    /// Upstreams in `avoid` are taken only where no other is open at all.
+    pub fn take_slot(
+        &mut self,
+        policy: Policy,
+        avoid: &[UpstreamId],
+        rng: &mut Pcg64Mcg,
+    ) -> Option<UpstreamId> {
+        let open = self.eligible(avoid);
+        let index = choose(policy, &self.upstreams, &open, &mut self.turn, rng)?;
+        let upstream = &mut self.upstreams[index];
+        upstream.in_flight += 1;
+        Some(upstream.id.clone())
+    }
+
+    /// Time that `waiting` calls take to get a slot, from recent latency.
+    pub fn expected_wait_ms(&self, waiting: usize) -> Millis {
+        let open = self.upstreams.iter().filter(|upstream| upstream.is_open());
+        let slots: u32 = open.clone().map(|upstream| upstream.published.slots.0).sum();
+        let count = open.clone().count().max(1) as f64;
+        let total: f64 = open.map(|u| u.latency_ms.unwrap_or(UNKNOWN_LATENCY_MS)).sum();
+        let latency_ms = total / count;
+        let rounds = waiting as f64 / f64::from(slots.max(1));
+        Millis((latency_ms * rounds).ceil() as u64)
+    }
+
+    fn eligible(&self, avoid: &[UpstreamId]) -> Vec<usize> {
+        let open = |with_avoided: bool| {
+            let fits = move |state: &UpstreamState| {
+                state.is_open()
+                    && state.has_local_slot()
+                    && (with_avoided || !avoid.contains(&state.id))
+            };
+            self.upstreams
+                .iter()
+                .enumerate()
+                .filter(move |(_, state)| fits(state))
+                .map(|(index, _)| index)
+                .collect::<Vec<_>>()
+        };
+        let preferred = open(false);
+        match preferred.is_empty() && self.only_avoided_open(avoid) {
+            true => open(true),
+            false => preferred,
+        }
+    }
+
+    fn only_avoided_open(&self, avoid: &[UpstreamId]) -> bool {
+        self.upstreams.iter().filter(|state| state.is_open()).all(|state| avoid.contains(&state.id))
+    }
+}
--- /dev/null
+++ b/crates/core/tests/support/mod.rs
@@ -0,0 +1,126 @@
+//! A host with a small configuration, driven event by event.
+#![allow(clippy::unwrap_used, dead_code)]
+
+use config::RepeatRule;
+use decision_core::{
+    Action, AnswerHead, Attempt, CallHead, ConfigKey, ConfigReading, EntryHost, Event,
+    HostSettings, PublishedValue, ReadOutcome, Refusal,
+};
+use domain::{AttemptId, CallId, Incarnation, Millis, Version};
+
+/// Two upstreams with two slots each; `/order` runs at most once.
+pub const BASE: &str = r#"{
+    "availability_zones": ["a", "b"],
+    "policy": "load-aware",
+    "services": { "shop": {
+        "routes": [
+            { "path_prefix": "/read", "repeat": "idempotent" },
+            { "path_prefix": "/order", "repeat": "at-most-once" }
+        ],
+        "upstreams": {
+            "shop-1": { "address": "127.0.0.1:9001", "availability_zone": "a",
+                        "slots": 2, "connections": 20 },
+            "shop-2": { "address": "127.0.0.1:9002", "availability_zone": "b",
+                        "slots": 2, "connections": 20 }
+        }
+    } }
+}"#;
+
+/// The host and the actions of the last arrival.
+pub struct Bench {
+    pub host: EntryHost,
+}
+
+/// What an arrival led to.
+pub struct Arrival(pub Vec<Action>);
+
+impl Arrival {
+    pub fn attempt(&self) -> AttemptId {
+        self.send().unwrap().attempt
+    }
+
+    pub fn send(&self) -> Option<&Attempt> {
+        self.0.iter().find_map(|action| match action {
+            Action::Send(attempt) => Some(attempt),
+            _ => None,
+        })
+    }
+}
+
+impl Bench {
+    pub fn configured() -> Bench {
+        let settings = HostSettings {
+            host: "e1".parse().unwrap(),
+            incarnation: Incarnation(1),
+            site: "site".parse().unwrap(),
+            availability_zone: "a".parse().unwrap(),
+            drain_notice_ms: Millis(2000),
+        };
+        let mut bench = Bench { host: EntryHost::new(settings, 7, Millis::ZERO) };
+        bench.publish(ConfigKey::Base, 1, BASE);
+        bench.read(ConfigKey::Overlay, ReadOutcome::Missing);
+        bench
+    }
+
+    pub fn publish(&mut self, key: ConfigKey, version: u64, text: &str) -> Vec<Action> {
+        let value = PublishedValue { version: Version(version), text: text.to_owned() };
+        self.read(key, ReadOutcome::Value(value))
+    }
+
+    pub fn read(&mut self, key: ConfigKey, outcome: ReadOutcome) -> Vec<Action> {
+        self.handle(0, Event::ConfigRead(ConfigReading { key, outcome }))
+    }
+
+    pub fn arrive(&mut self, call: CallId, repeat: RepeatRule) -> Arrival {
+        let path = match repeat {
+            RepeatRule::Idempotent => "/read/1",
+            RepeatRule::AtMostOnce => "/order/1",
+        };
+        Arrival(self.handle(0, Event::CallArrived { call, head: head(path) }))
+    }
+
+    /// Takes all four slots.
+    pub fn fill_slots(&mut self) {
+        for call in 100..104 {
+            self.arrive(CallId(call), RepeatRule::Idempotent).attempt();
+        }
+    }
+
+    pub fn handle(&mut self, now_ms: u64, event: Event) -> Vec<Action> {
+        let mut actions = vec![];
+        self.host.handle(Millis(now_ms), event, &mut actions);
+        actions
+    }
+
+    pub fn tick(&mut self, now_ms: u64) -> Vec<Action> {
+        self.handle(now_ms, Event::Tick)
+    }
+}
+
+pub fn head(path: &str) -> CallHead {
+    CallHead {
+        caller: "desk".parse().unwrap(),
+        method: "POST".to_owned(),
+        path: path.to_owned(),
+        idempotency_key: None,
+        timeout_ms: None,
+        spent_attempts: 0,
+        depth: 0,
+        body_replayable: true,
+    }
+}
+
+pub fn answer(status: u16) -> AnswerHead {
+    AnswerHead { status, is_whole: true, not_run: false, load: None, leaving: false }
+}
+
+pub fn refused_answer() -> AnswerHead {
+    AnswerHead { not_run: true, ..answer(503) }
+}
+
+pub fn refusal_of(id: CallId, actions: &[Action]) -> Option<Refusal> {
+    actions.iter().find_map(|action| match action {
+        Action::Refuse { call, refusal } if *call == id => Some(*refusal),
+        _ => None,
+    })
+}
