--- a/crates/core/src/dump.rs
+++ b/crates/core/src/dump.rs
@@ -44,6 +44,11 @@
 }
 
 impl EntryHost {
+    /// Versions of the configuration in force, zero where there is none.
+    pub fn versions(&self) -> VersionPair {
+        self.adoption.in_force()
+    }
+
     /// Everything the host holds, for operators.
     pub fn dump(&self) -> StateDump<'_> {
         let services = self.services.values().map(|state| ServiceDump {
