Load generator, fleet of child processes, and cargo xtask demo

The main job needs to be shown end to end: callers' requests while an entry host restarts, an upstream drains and a configuration change lands. Arrivals are open-loop and latency counts from the intended time of sending; each answer is checked against its request, and the upstreams' ledgers tell what ran more than once.

Sending again on a closed connection was ruled out: only a refused connection moves to a second entry host. Fixed ports were ruled out: entry hosts listen on a loopback address of their own, whose ports no outgoing connection takes, so a restart gets them back.

Not run yet against the daemon: its binary does not exist in this tree.

--- /dev/null
+++ b/crates/fleet/src/site.rs
@@ -0,0 +1,226 @@
+//! A whole site: the platform's stand-ins, upstreams and entry hosts.
+
+use crate::binaries::Binaries;
+use crate::client::Client;
+use crate::entry_host::{EntryHostProcess, Settings};
+use crate::error::FleetError;
+use crate::plan::{ServicePlan, SitePlan};
+use crate::stand_in::{ConfigServiceProcess, HostListProcess, UpstreamProcess};
+use crate::wait::{LIMIT, wait_until};
+use decision_core::HostList;
+use domain::{HostId, UpstreamId, Version};
+use error_stack::{Report, ResultExt};
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use tempfile::TempDir;
+
+/// A running site. All of its processes are killed when it is dropped.
+#[derive(Debug)]
+pub struct Site {
+    /// What was planned.
+    pub plan: SitePlan,
+    /// The configuration service.
+    pub config_service: ConfigServiceProcess,
+    /// The host list.
+    pub host_list: HostListProcess,
+    /// Upstreams by id, as long as they run.
+    pub upstreams: BTreeMap<UpstreamId, UpstreamProcess>,
+    /// Entry hosts.
+    pub entry_hosts: Vec<EntryHostProcess>,
+    /// For requests to all of them.
+    pub client: Client,
+    /// Runs by request id, of upstreams that ended.
+    ended_ledgers: Vec<BTreeMap<String, u64>>,
+    list_version: Version,
+    binaries: Binaries,
+    dir: TempDir,
+}
+
+impl Site {
+    /// Starts everything, publishes base, empty overlay and host list, and waits until all
+    /// entry hosts are ready.
+    ///
+    /// # Errors
+    /// Something does not come up.
+    pub async fn start(binaries: Binaries, plan: SitePlan) -> Result<Site, Report<FleetError>> {
+        let dir = TempDir::with_prefix("jujubedeal-").change_context(FleetError::Files)?;
+        let config_service = ConfigServiceProcess::start(&binaries, dir.path()).await?;
+        let host_list = HostListProcess::start(&binaries, dir.path()).await?;
+        let mut site = Site {
+            plan,
+            config_service,
+            host_list,
+            upstreams: BTreeMap::new(),
+            entry_hosts: Vec::new(),
+            client: Client::new()?,
+            ended_ledgers: Vec::new(),
+            list_version: Version(0),
+            binaries,
+            dir,
+        };
+        site.start_upstreams().await?;
+        site.publish_base().await?;
+        site.publish_overlay(&serde_json::json!({})).await?;
+        site.start_entry_hosts().await?;
+        site.publish_host_list(&[]).await?;
+        site.all_ready().await?;
+        Ok(site)
+    }
+
+    /// Starts one more upstream of a service; the configuration does not name it yet.
+    ///
+    /// # Errors
+    /// It does not come up.
+    pub async fn start_upstream(
+        &mut self,
+        service: &ServicePlan,
+        index: u32,
+    ) -> Result<UpstreamId, Report<FleetError>> {
+        let id = service.upstream_id(index);
+        let upstream = UpstreamProcess::start(
+            &self.binaries,
+            self.dir.path(),
+            id.clone(),
+            &self.plan.zone(index),
+            &service.upstream,
+            self.plan.zone_delay_ms,
+            u64::from(index),
+        )
+        .await?;
+        self.upstreams.insert(id.clone(), upstream);
+        Ok(id)
+    }
+
+    /// Drains an upstream: SIGTERM, then its end; keeps its ledger.
+    ///
+    /// # Errors
+    /// It does not end well.
+    pub async fn drain_upstream(&mut self, id: &UpstreamId) -> Result<(), Report<FleetError>> {
+        let unknown = || FleetError::Unknown { name: id.to_string() };
+        let mut upstream = self.upstreams.remove(id).ok_or_else(unknown)?;
+        let ledger = upstream.drain(&self.client).await?;
+        self.ended_ledgers.push(ledger);
+        Ok(())
+    }
+
+    /// SIGTERM to an entry host; waits for exit code 0, starts it again on the same
+    /// addresses and waits until it is ready.
+    ///
+    /// # Errors
+    /// It does not end well or does not come up again.
+    pub async fn restart_entry_host(&mut self, index: usize) -> Result<(), Report<FleetError>> {
+        self.entry_hosts[index].process.stop().await?;
+        self.start_again(index).await
+    }
+
+    /// Starts an entry host again that has ended, and waits until it is ready.
+    ///
+    /// # Errors
+    /// It does not come up.
+    pub async fn start_again(&mut self, index: usize) -> Result<(), Report<FleetError>> {
+        let host = &mut self.entry_hosts[index];
+        host.restart(&self.binaries, self.dir.path()).await?;
+        self.ready(index).await
+    }
+
+    /// Publishes the base that follows from the plan and the upstreams that run.
+    ///
+    /// # Errors
+    /// It is not taken.
+    pub async fn publish_base(&self) -> Result<(), Report<FleetError>> {
+        let base = self.plan.base(&self.upstream_addresses());
+        self.config_service.publish_base(&self.client, &base).await
+    }
+
+    /// Publishes this site's overlay.
+    ///
+    /// # Errors
+    /// It is not taken.
+    pub async fn publish_overlay(
+        &self,
+        overlay: &impl Serialize,
+    ) -> Result<(), Report<FleetError>> {
+        self.config_service.publish_overlay(&self.client, &self.plan.site, overlay).await
+    }
+
+    /// Publishes the list of all entry hosts, some of them as leaving.
+    ///
+    /// # Errors
+    /// It is not taken.
+    pub async fn publish_host_list(
+        &mut self,
+        leaving: &[HostId],
+    ) -> Result<(), Report<FleetError>> {
+        self.list_version = Version(self.list_version.0 + 1);
+        let is_leaving = |host: &EntryHostProcess| leaving.contains(&host.settings.host);
+        let hosts = self.entry_hosts.iter().map(|h| h.listed(is_leaving(h))).collect();
+        let list = HostList { version: self.list_version, hosts };
+        self.host_list.publish(&self.client, &self.plan.site, &list).await
+    }
+
+    /// Waits until every entry host is ready.
+    ///
+    /// # Errors
+    /// One is not, for a long time.
+    pub async fn all_ready(&self) -> Result<(), Report<FleetError>> {
+        for index in 0..self.entry_hosts.len() {
+            self.ready(index).await?;
+        }
+        Ok(())
+    }
+
+    /// Where the upstreams listen.
+    pub fn upstream_addresses(&self) -> BTreeMap<UpstreamId, SocketAddr> {
+        self.upstreams.iter().map(|(id, upstream)| (id.clone(), upstream.address)).collect()
+    }
+
+    /// Runs by request id, of all upstreams, the drained ones included.
+    ///
+    /// # Errors
+    /// One does not answer.
+    pub async fn ledgers(&self) -> Result<Vec<BTreeMap<String, u64>>, Report<FleetError>> {
+        let mut ledgers = self.ended_ledgers.clone();
+        for upstream in self.upstreams.values() {
+            ledgers.push(upstream.ledger(&self.client).await?);
+        }
+        Ok(ledgers)
+    }
+
+    async fn ready(&self, index: usize) -> Result<(), Report<FleetError>> {
+        let host = &self.entry_hosts[index];
+        let condition = format!("{} is ready", host.settings.host);
+        wait_until(&condition, LIMIT, async || host.is_ready(&self.client).await)
+            .await
+            .attach_with(|| host.process.log_tail())
+    }
+
+    async fn start_upstreams(&mut self) -> Result<(), Report<FleetError>> {
+        for service in self.plan.services.clone() {
+            for index in 0..service.upstreams {
+                self.start_upstream(&service, index).await?;
+            }
+        }
+        Ok(())
+    }
+
+    async fn start_entry_hosts(&mut self) -> Result<(), Report<FleetError>> {
+        for index in 0..self.plan.entry_hosts {
+            let name = format!("e{}", index + 1);
+            let host = name.parse().map_err(|_| FleetError::Unknown { name })?;
+            let settings = Settings {
+                drain_notice_ms: self.plan.drain_notice_ms,
+                ..Settings::new(
+                    host,
+                    self.plan.site.clone(),
+                    self.plan.zone(index),
+                    self.config_service.address,
+                    self.host_list.address,
+                )
+            };
+            let host = EntryHostProcess::start(&self.binaries, self.dir.path(), settings).await?;
+            self.entry_hosts.push(host);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/stand_in.rs
@@ -0,0 +1,204 @@
+//! The stand-ins as processes.
+
+use crate::binaries::Binaries;
+use crate::client::Client;
+use crate::error::FleetError;
+use crate::plan::UpstreamPlan;
+use crate::process::{Process, ProcessSpec, Role};
+use crate::wait::LIMIT;
+use decision_core::HostList;
+use domain::{Millis, SiteName, UpstreamId, ZoneName};
+use error_stack::Report;
+use nix::sys::signal::Signal;
+use serde::Serialize;
+use std::collections::BTreeMap;
+use std::ffi::OsString;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+const LEDGER_PATH: &str = "/standin/runs";
+const FAULTS_PATH: &str = "/standin/faults";
+const LEDGER_POLL: Duration = Duration::from_millis(20);
+
+/// The configuration service's stand-in.
+#[derive(Debug)]
+pub struct ConfigServiceProcess {
+    /// The process.
+    pub process: Process,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+impl ConfigServiceProcess {
+    /// Starts it.
+    ///
+    /// # Errors
+    /// It does not come up.
+    pub async fn start(binaries: &Binaries, dir: &Path) -> Result<Self, Report<FleetError>> {
+        let process = start(binaries, dir, "config-service", ["config-service".into()])?;
+        let address = process.address(Role::Config).await?;
+        Ok(ConfigServiceProcess { process, address })
+    }
+
+    /// Publishes the base.
+    ///
+    /// # Errors
+    /// It is not taken.
+    pub async fn publish_base(
+        &self,
+        client: &Client,
+        base: &impl Serialize,
+    ) -> Result<(), Report<FleetError>> {
+        client.put(self.address, "/v1/values/base", base).await
+    }
+
+    /// Publishes a site's overlay.
+    ///
+    /// # Errors
+    /// It is not taken.
+    pub async fn publish_overlay(
+        &self,
+        client: &Client,
+        site: &SiteName,
+        overlay: &impl Serialize,
+    ) -> Result<(), Report<FleetError>> {
+        client.put(self.address, &format!("/v1/values/overlay/{site}"), overlay).await
+    }
+}
+
+/// The host list's stand-in.
+#[derive(Debug)]
+pub struct HostListProcess {
+    /// The process.
+    pub process: Process,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+impl HostListProcess {
+    /// Starts it.
+    ///
+    /// # Errors
+    /// It does not come up.
+    pub async fn start(binaries: &Binaries, dir: &Path) -> Result<Self, Report<FleetError>> {
+        let process = start(binaries, dir, "host-list", ["host-list".into()])?;
+        let address = process.address(Role::Hosts).await?;
+        Ok(HostListProcess { process, address })
+    }
+
+    /// Publishes a site's list.
+    ///
+    /// # Errors
+    /// It is not taken.
+    pub async fn publish(
+        &self,
+        client: &Client,
+        site: &SiteName,
+        list: &HostList,
+    ) -> Result<(), Report<FleetError>> {
+        client.put(self.address, &format!("/v1/hosts/{site}"), list).await
+    }
+}
+
+/// One upstream's stand-in.
+#[derive(Debug)]
+pub struct UpstreamProcess {
+    /// The process.
+    pub process: Process,
+    /// Its id.
+    pub id: UpstreamId,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+impl UpstreamProcess {
+    /// Starts it.
+    ///
+    /// # Errors
+    /// It does not come up.
+    pub async fn start(
+        binaries: &Binaries,
+        dir: &Path,
+        id: UpstreamId,
+        zone: &ZoneName,
+        plan: &UpstreamPlan,
+        zone_delay_ms: Millis,
+        seed: u64,
+    ) -> Result<UpstreamProcess, Report<FleetError>> {
+        let distribution = if plan.exponential { "exponential" } else { "fixed" };
+        let flags = [
+            ("--id", id.to_string()),
+            ("--zone", zone.to_string()),
+            ("--slots", plan.slots.to_string()),
+            ("--queue", plan.queue.to_string()),
+            ("--service-ms", plan.service_time_ms.0.to_string()),
+            ("--service-dist", distribution.to_owned()),
+            ("--cold-start-ms", plan.cold_start_ms.0.to_string()),
+            ("--zone-delay-ms", zone_delay_ms.0.to_string()),
+            ("--drain-notice-ms", plan.drain_notice_ms.0.to_string()),
+            ("--seed", seed.to_string()),
+        ];
+        let flags = flags.into_iter().flat_map(|(flag, value)| [flag.into(), value.into()]);
+        let args = std::iter::once("upstream".into()).chain(flags);
+        let process = start(binaries, dir, id.as_str(), args)?;
+        let address = process.address(Role::Upstream).await?;
+        Ok(UpstreamProcess { process, id, address })
+    }
+
+    /// How often it ran each request.
+    ///
+    /// # Errors
+    /// It does not answer.
+    pub async fn ledger(
+        &self,
+        client: &Client,
+    ) -> Result<BTreeMap<String, u64>, Report<FleetError>> {
+        client.json(self.address, LEDGER_PATH).await
+    }
+
+    /// Replaces all faults.
+    ///
+    /// # Errors
+    /// They are not taken.
+    pub async fn set_faults(
+        &self,
+        client: &Client,
+        faults: &impl Serialize,
+    ) -> Result<(), Report<FleetError>> {
+        client.post(self.address, FAULTS_PATH, faults).await
+    }
+
+    /// SIGTERM, then waits until it has drained and ended with code 0; returns its ledger
+    /// as it was when it stopped listening.
+    ///
+    /// # Errors
+    /// It does not end well, or its ledger could never be read.
+    pub async fn drain(
+        &mut self,
+        client: &Client,
+    ) -> Result<BTreeMap<String, u64>, Report<FleetError>> {
+        let mut ledger = self.ledger(client).await?;
+        self.process.signal(Signal::SIGTERM)?;
+        while let Ok(newer) = self.ledger(client).await {
+            ledger = newer;
+            tokio::time::sleep(LEDGER_POLL).await;
+        }
+        self.process.exited(LIMIT).await?;
+        Ok(ledger)
+    }
+}
+
+fn start(
+    binaries: &Binaries,
+    dir: &Path,
+    name: &str,
+    args: impl IntoIterator<Item = OsString>,
+) -> Result<Process, Report<FleetError>> {
+    let spec = ProcessSpec {
+        name: name.to_owned(),
+        program: binaries.stand_in.clone(),
+        args: args.into_iter().collect(),
+    };
+    Process::start(spec, dir)
+}
--- /dev/null
+++ b/xtask/src/error.rs
@@ -0,0 +1,32 @@
+//! Why a task failed.
+
+use std::fmt;
+
+/// The step that failed; the causes are attached.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TaskError {
+    /// The site did not come up.
+    Start,
+    /// A change of the site while it serves did not work.
+    Change,
+    /// The load could not be run.
+    Load,
+    /// The results could not be read or written.
+    Results,
+    /// Signals can't be received.
+    Signals,
+}
+
+impl fmt::Display for TaskError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            TaskError::Start => "the site did not come up: see the causes",
+            TaskError::Change => "a change under load did not work: see the causes",
+            TaskError::Load => "the load could not be run: see the causes",
+            TaskError::Results => "no results: see the causes",
+            TaskError::Signals => "signals can't be received: check the limits of the process",
+        })
+    }
+}
+
+impl std::error::Error for TaskError {}
--- /dev/null
+++ b/xtask/src/main.rs
@@ -0,0 +1,64 @@
+//! Repetitive work on the project.
+//!
+//! `cargo xtask demo` runs the main job end to end on loopback. Every process that is
+//! started belongs to a value that kills it when dropped, so errors, signals and panics
+//! leave none behind.
+
+mod demo;
+mod error;
+
+use clap::{Parser, Subcommand};
+use error::TaskError;
+use error_stack::{Report, ResultExt};
+use std::process::ExitCode;
+use tokio::signal::unix::{SignalKind, signal};
+
+const INTERRUPTED: u8 = 130;
+
+/// Repetitive work on the project.
+#[derive(Debug, Parser)]
+#[command(name = "xtask")]
+struct Args {
+    #[command(subcommand)]
+    task: Task,
+}
+
+#[derive(Debug, Subcommand)]
+enum Task {
+    /// Build and run the main job end to end: entry hosts, upstreams, callers, changes.
+    Demo(demo::Args),
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    let args = Args::parse();
+    let ended = tokio::select! {
+        ended = run(args.task) => ended,
+        ended = interrupted() => ended,
+    };
+    match ended {
+        Ok(code) => code,
+        Err(report) => {
+            eprintln!("{report:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn run(task: Task) -> Result<ExitCode, Report<TaskError>> {
+    match task {
+        Task::Demo(args) => demo::run(&args).await,
+    }
+}
+
+/// Ends when the process is told to stop.
+async fn interrupted() -> Result<ExitCode, Report<TaskError>> {
+    let mut interrupt = signal(SignalKind::interrupt()).change_context(TaskError::Signals)?;
+    let mut terminate = signal(SignalKind::terminate()).change_context(TaskError::Signals)?;
+    tokio::select! {
+        _ = interrupt.recv() => {}
+        _ = terminate.recv() => {}
+    }
+    eprintln!("xtask: stopped by a signal; all processes that it started are killed");
+    Ok(ExitCode::from(INTERRUPTED))
+}
