Add the daemon: IO around the decision core

Callers by salvo, upstreams by reqwest with everything it does by itself off, peers by jsonrpsee, the platform's readings, probes, operators' endpoints and metrics.

The core sits behind one lock; actions are carried out by channel sends and spawned tasks, and what they let go of is dropped after the lock. A gate in the request body is asked before the head is flushed, so an attempt whose deadline passed, or that was revoked, provably sent nothing.

--- a/crates/core/src/dump.rs
+++ b/crates/core/src/dump.rs
@@ -5,7 +5,7 @@
 use crate::lifecycle::Lifecycle;
 use crate::membership::Membership;
 use crate::upstream::UpstreamState;
-use config::SiteConfig;
+use config::{HostLimits, SiteConfig};
 use domain::ServiceName;
 use serde::Serialize;
 
@@ -49,6 +49,11 @@
         self.adoption.in_force()
     }
 
+    /// Limits in force, for whoever reads bodies; nothing before the first configuration.
+    pub fn limits(&self) -> Option<&HostLimits> {
+        self.in_force.as_ref().map(|in_force| &in_force.config.limits)
+    }
+
     /// Everything the host holds, for operators.
     pub fn dump(&self) -> StateDump<'_> {
         let services = self.services.values().map(|state| ServiceDump {
--- /dev/null
+++ b/crates/daemon/src/run.rs
@@ -0,0 +1,150 @@
+//! The process from start to stop.
+
+use crate::attempts::{self, AttemptSender};
+use crate::clock::Clock;
+use crate::driver::{Driver, Parts};
+use crate::error::{Role, StartError};
+use crate::metrics::Metrics;
+use crate::peers::{self, PeerLinks};
+use crate::platform::Platform;
+use crate::probes::Prober;
+use crate::settings::Settings;
+use crate::{calls, listen, operator};
+use decision_core::{EntryHost, Event};
+use domain::Incarnation;
+use error_stack::{Report, ResultExt};
+use salvo::Server;
+use salvo::conn::tcp::TcpAcceptor;
+use std::hash::{DefaultHasher, Hash, Hasher};
+use std::sync::Arc;
+use std::time::{SystemTime, UNIX_EPOCH};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+/// The process's listeners.
+#[derive(Debug)]
+struct Listeners {
+    caller: TcpListener,
+    peer: TcpListener,
+    operator: TcpListener,
+}
+
+/// Runs an entry host until it is stopped and has ended its work.
+///
+/// # Errors
+///
+/// If it can't start.
+pub async fn run(settings: Settings) -> Result<(), Report<StartError>> {
+    let signals = (stop_signal(SignalKind::terminate())?, stop_signal(SignalKind::interrupt())?);
+    let listeners = Listeners {
+        caller: listen::bind(Role::Caller, settings.caller_address)?,
+        peer: listen::bind(Role::Peer, settings.peer_address)?,
+        operator: listen::bind(Role::Operator, settings.operator_address)?,
+    };
+    let driver = driver(&settings)?;
+    tokio::spawn(Arc::clone(&driver).tick());
+    tokio::spawn(watch_signals(Arc::clone(&driver), signals));
+    driver.apply(Event::Tick);
+    serve(listeners, driver).await
+}
+
+fn stop_signal(kind: SignalKind) -> Result<Signal, Report<StartError>> {
+    signal(kind).change_context(StartError::Machine { what: "a signal handler" })
+}
+
+fn driver(settings: &Settings) -> Result<Arc<Driver>, Report<StartError>> {
+    let clock = Clock::start();
+    let incarnation = incarnation();
+    let metrics = Arc::new(Metrics::new()?);
+    let client = attempts::plain_client()?;
+    let (host, zone) = (&settings.host, &settings.availability_zone);
+    let parts = Parts {
+        sender: AttemptSender::new(client.clone(), clock, host, zone),
+        peers: PeerLinks::new(host.clone(), incarnation, Arc::clone(&metrics)),
+        platform: Platform::new(
+            attempts::plain_client()?,
+            settings.config_service,
+            settings.host_list,
+            host,
+            settings.site.clone(),
+        ),
+        prober: Prober::new(client, clock),
+        metrics,
+    };
+    let seed = seed(settings, incarnation);
+    let core = EntryHost::new(settings.core_settings(incarnation), seed, clock.now());
+    Ok(Driver::new(core, clock, parts))
+}
+
+/// Greater after each start, as long as the machine's date does not go back.
+fn incarnation() -> Incarnation {
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    Incarnation(u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX))
+}
+
+fn seed(settings: &Settings, incarnation: Incarnation) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    settings.host.hash(&mut hasher);
+    incarnation.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// The first signal asks the core to stop; a further one changes nothing.
+async fn watch_signals(driver: Arc<Driver>, (mut terminate, mut interrupt): (Signal, Signal)) {
+    let mut is_stopping = false;
+    loop {
+        let received = tokio::select! {
+            received = terminate.recv() => received,
+            received = interrupt.recv() => received,
+        };
+        match received {
+            None => return,
+            Some(()) if is_stopping => log::info!("calls: already stopping"),
+            Some(()) => {
+                log::info!("calls: stopping");
+                is_stopping = true;
+                driver.apply(Event::StopRequested);
+            }
+        }
+    }
+}
+
+async fn serve(listeners: Listeners, driver: Arc<Driver>) -> Result<(), Report<StartError>> {
+    let machine = StartError::Machine { what: "a listener" };
+    let caller = calls::server(acceptor(listeners.caller)?);
+    let caller_handle = caller.handle();
+    let operator = Server::new(acceptor(listeners.operator)?);
+    let operator_handle = operator.handle();
+    let peer = listeners.peer.into_std().change_context_lazy(|| machine.clone())?;
+    let peer_handle = peers::serve(peer, Arc::clone(&driver))?;
+
+    let mut exit = driver.exit();
+    let operator_router = operator::router(Arc::clone(&driver));
+    let operator_done = tokio::spawn(operator.try_serve(operator_router));
+    let mut caller_done = tokio::spawn(caller.try_serve(calls::router(Arc::clone(&driver))));
+
+    // The sender lives as long as the driver.
+    let _ = exit.wait_for(|is_over| *is_over).await;
+    log::info!("calls: closing the callers' listener");
+    caller_handle.stop_graceful(None);
+    tokio::select! {
+        _ = &mut caller_done => {}
+        () = driver.quiet() => {
+            // Only connections without a request are left.
+            caller_handle.stop_forceful();
+            let _ = caller_done.await;
+        }
+    }
+    let _ = peer_handle.stop();
+    operator_handle.stop_graceful(OPERATOR_STOP);
+    let _ = operator_done.await;
+    log::info!("calls: stopped");
+    Ok(())
+}
+
+/// Time that operators' requests get to end.
+const OPERATOR_STOP: std::time::Duration = std::time::Duration::from_secs(1);
+
+fn acceptor(listener: TcpListener) -> Result<TcpAcceptor, Report<StartError>> {
+    TcpAcceptor::try_from(listener).change_context(StartError::Machine { what: "a listener" })
+}
