--- a/crates/config/src/problem.rs
+++ b/crates/config/src/problem.rs
@@ -125,13 +125,20 @@
 
 impl std::error::Error for ConfigError {}
 
+impl Problem {
+    /// The problem in one line, under the document's name.
+    pub fn describe(&self, document: &str) -> String {
+        let Problem { field, kind, remedy, .. } = self;
+        match &self.value {
+            Some(value) => format!("{document}: {field}: {kind}, found {}: {remedy}", Shown(value)),
+            None => format!("{document}: {field}: {kind}: {remedy}"),
+        }
+    }
+}
+
 impl fmt::Display for Problem {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}: {}: {}", self.source, self.field, self.kind)?;
-        if let Some(value) = &self.value {
-            write!(f, ", found {}", Shown(value))?;
-        }
-        write!(f, ": {}", self.remedy)
+        f.write_str(&self.describe(&self.source.to_string()))
     }
 }
 
