Choose hosts for jobs by rendezvous hashing and notice pauses

Claims, lenders, probers and configuration watchers all need one host to be agreed on without asking.

Membership names the candidates: listed, live, not leaving. A jump of the clock between two events is noted as a pause.

--- a/crates/core/src/dump.rs
+++ b/crates/core/src/dump.rs
@@ -4,6 +4,7 @@
 use crate::entry_host::{EntryHost, HostSettings};
 use crate::lifecycle::Lifecycle;
 use crate::membership::Membership;
+use crate::pause::PauseWatch;
 use crate::upstream::UpstreamState;
 use config::SiteConfig;
 use domain::ServiceName;
@@ -24,6 +25,8 @@
     pub config: Option<&'a SiteConfig>,
     /// The fleet.
     pub membership: &'a Membership,
+    /// Pauses of this process.
+    pub pauses: &'a PauseWatch,
     /// Calls in progress.
     pub calls: usize,
     /// Services.
@@ -64,6 +67,7 @@
             rejected: self.adoption.rejected(),
             config: self.in_force.as_ref().map(|in_force| &in_force.config),
             membership: &self.membership,
+            pauses: &self.pauses,
             calls: self.calls.len(),
             services: services.collect(),
         }
--- a/crates/core/src/entry_host.rs
+++ b/crates/core/src/entry_host.rs
@@ -10,6 +10,7 @@
 use crate::event::Event;
 use crate::lifecycle::Lifecycle;
 use crate::membership::Membership;
+use crate::pause::PauseWatch;
 use crate::service::ServiceState;
 use config::{RouteTable, SiteConfig};
 use domain::{
@@ -43,6 +44,7 @@
     pub(crate) lifecycle: Lifecycle,
     pub(crate) adoption: Adoption,
     pub(crate) membership: Membership,
+    pub(crate) pauses: PauseWatch,
     pub(crate) in_force: Option<InForce>,
     pub(crate) services: BTreeMap<ServiceName, ServiceState>,
     pub(crate) calls: FastMap<CallId, Call>,
@@ -74,17 +76,18 @@
     /// It asks for everything else on its first [`Event::Tick`].
     pub fn new(settings: HostSettings, seed: u64, now_ms: Millis) -> EntryHost {
         EntryHost {
-            settings,
             rng: Pcg64Mcg::seed_from_u64(seed),
             lifecycle: Lifecycle::Running,
             adoption: Adoption::default(),
-            membership: Membership::default(),
+            membership: Membership::new(settings.host.clone()),
+            pauses: PauseWatch::new(now_ms),
             in_force: None,
             services: BTreeMap::new(),
             calls: FastMap::default(),
             deadlines: BTreeSet::new(),
             attempts: FastMap::default(),
             last_attempt: AttemptId(0),
+            settings,
             timers: Timers {
                 heartbeat_ms: now_ms,
                 host_list_ms: now_ms,
@@ -96,6 +99,7 @@
 
     /// Takes one event at a point in time and appends what is to be done.
     pub fn handle(&mut self, now_ms: Millis, event: Event, actions: &mut Vec<Action>) {
+        self.pauses.note_event(now_ms);
         match event {
             Event::CallArrived { call, head } => self.call_arrived(now_ms, call, head, actions),
             Event::CallerGone { call } => self.caller_gone(now_ms, call, actions),
@@ -130,6 +134,7 @@
 
     fn stop_requested(&mut self, now_ms: Millis, actions: &mut Vec<Action>) {
         if self.lifecycle.request_stop(now_ms) {
+            self.membership.leave();
             actions.push(Action::SetReady(false));
             self.send_heartbeats(now_ms, actions);
         }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,8 +19,10 @@
 mod lifecycle;
 mod membership;
 mod message;
+mod pause;
 mod queue;
 mod refusal;
+mod rendezvous;
 mod retry;
 mod service;
 mod upstream;
@@ -34,6 +36,9 @@
     ListedHost, LoadReport, ProbeResult, PublishedValue, ReadOutcome,
 };
 pub use lifecycle::Lifecycle;
+pub use membership::{Membership, Peer};
 pub use message::{Envelope, Heartbeat, PROTOCOL_VERSION, PeerMessage};
+pub use pause::PauseWatch;
 pub use refusal::{Refusal, RefusalCause, RunOutcome};
+pub use rendezvous::{Job, Role};
 pub use upstream::UpstreamState;
--- a/crates/core/src/membership.rs
+++ b/crates/core/src/membership.rs
@@ -5,7 +5,7 @@
 
 use crate::event::{HostList, ListedHost};
 use crate::message::Heartbeat;
-use domain::{FastMap, HostId, Incarnation, Millis};
+use domain::{FastMap, HostId, Incarnation, Millis, ZoneName};
 use serde::Serialize;
 
 /// Time between heartbeats.
@@ -25,13 +25,25 @@
 }
 
 /// The fleet as this host sees it.
-#[derive(Debug, Default, Serialize)]
+#[derive(Debug, Serialize)]
 pub struct Membership {
+    own: HostId,
+    own_leaving: bool,
     list: HostList,
     peers: FastMap<HostId, Peer>,
 }
 
 impl Membership {
+    /// A host that knows of no other.
+    pub fn new(own: HostId) -> Membership {
+        Membership { own, own_leaving: false, list: HostList::default(), peers: FastMap::default() }
+    }
+
+    /// Takes this host off the candidates for any job.
+    pub fn leave(&mut self) {
+        self.own_leaving = true;
+    }
+
     /// Takes the platform's list unless it is older than the one held.
     pub fn take_list(&mut self, list: HostList) {
         if list.version >= self.list.version {
@@ -69,13 +81,44 @@
         self.list.hosts.len().max(1)
     }
 
+    /// Hosts that may be given a job: listed, live and not leaving; sorted by id.
+    ///
+    /// This host is one of them, listed or not, until it leaves.
+    pub fn candidates(&self, now_ms: Millis) -> Vec<&HostId> {
+        let stays = |listed: &&ListedHost| !listed.leaving && !self.said_leaving(&listed.host);
+        let peers = self.listed_peers(&self.own).filter(stays).map(|listed| &listed.host);
+        let live = peers.filter(|host| self.is_live(now_ms, host));
+        let own = (!self.own_leaving).then_some(&self.own);
+        let mut hosts: Vec<&HostId> = live.chain(own).collect();
+        hosts.sort_unstable();
+        hosts
+    }
+
+    /// Those of [`Membership::candidates`] that are listed in an availability zone.
+    pub fn candidates_in(&self, now_ms: Millis, zone: &ZoneName) -> Vec<&HostId> {
+        let in_zone = |host: &HostId| {
+            self.listed(host).is_some_and(|listed| listed.availability_zone == *zone)
+        };
+        let mut hosts = self.candidates(now_ms);
+        hosts.retain(|host| in_zone(host));
+        hosts
+    }
+
     /// What is known of a peer.
     pub fn peer(&self, host: &HostId) -> Option<&Peer> {
         self.peers.get(host)
     }
 
-    /// Whether a peer was heard of lately.
+    /// Whether a host was heard of lately; this one always was.
     pub fn is_live(&self, now_ms: Millis, host: &HostId) -> bool {
-        self.peers.get(host).is_some_and(|peer| now_ms.since(peer.heard_ms) < PEER_SILENT_AFTER_MS)
+        *host == self.own
+            || self
+                .peers
+                .get(host)
+                .is_some_and(|peer| now_ms.since(peer.heard_ms) < PEER_SILENT_AFTER_MS)
+    }
+
+    fn said_leaving(&self, host: &HostId) -> bool {
+        self.peers.get(host).is_some_and(|peer| peer.heartbeat.leaving)
     }
 }
