Drive several hosts with scripted time in tests

One pump carries messages, readings and host lists between hosts of the core: delay, loss, doubling, cuts, pauses, restarts, a service that is down or stale at some readers, a list that lags. Calls and probes land in an outbox for the test to answer.

--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! A host with a small configuration, driven event by event.
 #![allow(clippy::unwrap_used, dead_code)]
 
+pub mod pump;
+
 use config::RepeatRule;
 use decision_core::{
     Action, AnswerHead, Attempt, CallHead, ConfigKey, ConfigReading, EntryHost, Event,
