Bound the work on a bad configuration

A published value may have a megabyte, and an entry host reads it between calls. The check listed all availability zones in each remedy and noted problems without end, so time and memory grew with the product of zones and upstreams (found by reading, not measured). Problems are now capped at 100, zones are looked up in a set, and paths are built only for what is noted.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -8,9 +8,9 @@
     HedgeSettings, HostLimits, MeasurementBudget, RetrySettings, Route, Service, SiteConfig,
     Upstream,
 };
-use crate::problem::{Problem, ProblemKind, Source};
+use crate::problem::{MAX_PROBLEMS, Problem, ProblemKind, Source};
 use crate::route::RouteTable;
-use domain::{ByteCount, FastMap, FastSet, PerSecond, Share, ZoneName};
+use domain::{ByteCount, FastMap, FastSet, PerSecond, ServiceName, Share, UpstreamId, ZoneName};
 use serde::Serialize;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -19,7 +19,7 @@
 pub const MAX_HELD_ANSWER_BYTES: ByteCount = ByteCount(1 << 20);
 
 impl SiteConfig {
-    /// All rules that the configuration breaks, none if it may be put in force.
+    /// Broken rules, at most [`MAX_PROBLEMS`]; none if the configuration may be put in force.
     pub fn check(&self) -> Vec<Problem> {
         let mut report = Report::default();
         check_zones(&mut report, &self.availability_zones);
@@ -27,9 +27,13 @@
         check_measurement(&mut report, &self.measurement);
         check_retry(&mut report, &self.retry);
         check_hedge(&mut report, &self.hedge);
+        let zones = self.availability_zones.iter().collect();
         for (name, service) in &self.services {
             let place = FieldPath::of(["services", name.as_str()]);
             check_service(&mut report, &place, service, self);
+            for (id, upstream) in &service.upstreams {
+                check_upstream(&mut report, &upstream_place(name, id), upstream, &zones);
+            }
         }
         check_addresses(&mut report, self);
         check_ambiguous_routes(&mut report, self);
@@ -102,10 +106,6 @@
     report.not_zero(place.field("deadline_ms"), service.deadline_ms.0);
     report.share(place.field("eject_floor_share"), service.eject_floor_share);
     check_service_probes(report, place.field("probes_per_second"), service, site);
-    for (id, upstream) in &service.upstreams {
-        let place = place.field("upstreams").field(id.as_str());
-        check_upstream(report, &place, upstream, &site.availability_zones);
-    }
 }
 
 fn check_service_probes(
@@ -144,7 +144,12 @@
     report.note(place.field("path_prefix"), ProblemKind::BadPathPrefix, remedy);
 }
 
-fn check_upstream(report: &mut Report, place: &FieldPath, upstream: &Upstream, zones: &[ZoneName]) {
+fn check_upstream(
+    report: &mut Report,
+    place: &FieldPath,
+    upstream: &Upstream,
+    zones: &FastSet<&ZoneName>,
+) {
     if upstream.slots.0 == 0 {
         let remedy = "give it at least 1 slot, or set \"leaving\": true to keep work away";
         report.note(place.field("slots"), ProblemKind::Zero, remedy);
@@ -163,12 +168,11 @@
         _ => {}
     }
     if !zones.contains(&upstream.availability_zone) {
-        let known: Vec<&str> = zones.iter().map(ZoneName::as_str).collect();
         report.note_value(
             place.field("availability_zone"),
             ProblemKind::UnknownZone,
             &upstream.availability_zone,
-            format!("use one of availability_zones ({}), or list it there", known.join(", ")),
+            "use one of availability_zones, or list it there",
         );
     }
     if upstream.address.port() == 0 || upstream.address.ip().is_unspecified() {
@@ -178,24 +182,29 @@
 }
 
 fn check_addresses(report: &mut Report, site: &SiteConfig) {
-    let mut owners: FastMap<SocketAddr, FieldPath> = FastMap::default();
+    let mut owners: FastMap<SocketAddr, (&ServiceName, &UpstreamId)> = FastMap::default();
     for (name, service) in &site.services {
         for (id, upstream) in &service.upstreams {
-            let place =
-                FieldPath::of(["services", name.as_str(), "upstreams", id.as_str(), "address"]);
-            match owners.get(&upstream.address) {
-                Some(owner) => report.note_value(
-                    place,
-                    ProblemKind::DuplicateAddress,
-                    upstream.address,
-                    format!("{owner} has it too: slots are counted per address, give each its own"),
+            let Some((other_name, other_id)) = owners.insert(upstream.address, (name, id)) else {
+                continue;
+            };
+            report.note_value(
+                upstream_place(name, id).field("address"),
+                ProblemKind::DuplicateAddress,
+                upstream.address,
+                format!(
+                    "{} has it too: slots are counted per address, give each its own",
+                    upstream_place(other_name, other_id),
                 ),
-                None => drop(owners.insert(upstream.address, place)),
-            }
+            );
         }
     }
 }
 
+fn upstream_place(service: &ServiceName, upstream: &UpstreamId) -> FieldPath {
+    FieldPath::of(["services", service.as_str(), "upstreams", upstream.as_str()])
+}
+
 fn check_ambiguous_routes(report: &mut Report, site: &SiteConfig) {
     let mut owners = FastMap::default();
     for (name, service) in &site.services {
@@ -233,6 +242,9 @@
         value: impl Serialize,
         remedy: impl Into<String>,
     ) {
+        if self.problems.len() >= MAX_PROBLEMS {
+            return;
+        }
         let value = serde_json::to_value(value).ok().filter(|value| !value.is_null());
         let remedy = remedy.into();
         self.problems.push(Problem { source: Source::Merged, field, kind, value, remedy });
--- a/crates/config/src/field_path.rs
+++ b/crates/config/src/field_path.rs
@@ -87,6 +87,12 @@
     }
 }
 
+impl From<Vec<Segment>> for FieldPath {
+    fn from(segments: Vec<Segment>) -> FieldPath {
+        FieldPath(segments)
+    }
+}
+
 impl From<&serde_path_to_error::Path> for FieldPath {
     fn from(path: &serde_path_to_error::Path) -> FieldPath {
         use serde_path_to_error::Segment as Step;
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -20,5 +20,5 @@
     CallerLimits, HedgeSettings, HostLimits, MeasurementBudget, Method, Policy, RepeatRule,
     RetrySettings, Route, Service, SiteConfig, Upstream,
 };
-pub use problem::{ConfigError, Problem, ProblemKind, Source};
+pub use problem::{ConfigError, MAX_PROBLEMS, Problem, ProblemKind, Source};
 pub use route::{RouteTable, RouteTarget};
--- a/crates/config/src/merge.rs
+++ b/crates/config/src/merge.rs
@@ -6,16 +6,13 @@
 
 use crate::field_path::FieldPath;
 use crate::model::SiteConfig;
-use crate::problem::{ConfigError, Problem, ProblemKind, Source};
+use crate::problem::{ConfigError, MAX_PROBLEMS, Problem, ProblemKind, Source};
 use crate::strict_json;
 use serde_json::{Map, Value};
 
 /// Longest text of a base or overlay: what the configuration service holds.
 pub const MAX_TEXT_BYTES: usize = 1_000_000;
 
-/// Problems reported at most; a document with more is not of this kind.
-const MAX_PROBLEMS: usize = 200;
-
 /// A checked configuration and what is odd about it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Merged {
--- a/crates/config/src/problem.rs
+++ b/crates/config/src/problem.rs
@@ -8,13 +8,16 @@
 use serde_json::Value;
 use std::fmt;
 
+/// Problems reported at most: an entry host must not work on a bad text for long.
+pub const MAX_PROBLEMS: usize = 100;
+
 /// Longest value that a message shows, in characters.
 const MAX_SHOWN_CHARS: usize = 80;
 
 /// A configuration that can't be put in force.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct ConfigError {
-    /// All that is wrong, at least one.
+    /// All that is wrong: at least one, at most [`MAX_PROBLEMS`] of each document.
     pub problems: Vec<Problem>,
 }
 
--- a/crates/config/src/strict_json.rs
+++ b/crates/config/src/strict_json.rs
@@ -3,7 +3,7 @@
 //! The usual parsers keep the last of two equal keys, and so would drop half of what an
 //! operator wrote. This reader notes every such key with its path.
 
-use crate::field_path::FieldPath;
+use crate::field_path::{FieldPath, Segment};
 use serde::de::{DeserializeSeed, Deserializer, MapAccess, SeqAccess, Visitor};
 use serde_json::{Map, Number, Value};
 use std::fmt;
@@ -17,19 +17,22 @@
 
 /// Reads a JSON text; later of equal keys are dropped and noted.
 pub(crate) fn read(text: &str) -> Result<Document, serde_json::Error> {
-    let mut duplicate_keys = Vec::new();
+    let mut place = Place::default();
     let mut parser = serde_json::Deserializer::from_str(text);
-    let reader = Reader { path: FieldPath::root(), duplicate_keys: &mut duplicate_keys };
-    let value = reader.deserialize(&mut parser)?;
+    let value = Reader(&mut place).deserialize(&mut parser)?;
     parser.end()?;
-    Ok(Document { value, duplicate_keys })
+    Ok(Document { value, duplicate_keys: place.duplicate_keys })
 }
 
-struct Reader<'a> {
-    path: FieldPath,
-    duplicate_keys: &'a mut Vec<FieldPath>,
+/// Where the reader stands, and what it noted on the way.
+#[derive(Debug, Default)]
+struct Place {
+    path: Vec<Segment>,
+    duplicate_keys: Vec<FieldPath>,
 }
 
+struct Reader<'a>(&'a mut Place);
+
 impl<'de> DeserializeSeed<'de> for Reader<'_> {
     type Value = Value;
 
@@ -72,9 +75,10 @@
     fn visit_seq<A: SeqAccess<'de>>(self, mut access: A) -> Result<Value, A::Error> {
         let mut items = Vec::new();
         loop {
-            let path = self.path.index(items.len());
-            let reader = Reader { path, duplicate_keys: self.duplicate_keys };
-            match access.next_element_seed(reader)? {
+            self.0.path.push(Segment::Index(items.len()));
+            let item = access.next_element_seed(Reader(self.0))?;
+            self.0.path.pop();
+            match item {
                 Some(item) => items.push(item),
                 None => return Ok(Value::Array(items)),
             }
@@ -84,12 +88,12 @@
     fn visit_map<A: MapAccess<'de>>(self, mut access: A) -> Result<Value, A::Error> {
         let mut fields = Map::new();
         while let Some(name) = access.next_key::<String>()? {
-            let path = self.path.field(&name);
+            self.0.path.push(Segment::Field(name.clone()));
             if fields.contains_key(&name) {
-                self.duplicate_keys.push(path.clone());
+                self.0.duplicate_keys.push(FieldPath::from(self.0.path.clone()));
             }
-            let reader = Reader { path, duplicate_keys: self.duplicate_keys };
-            let value = access.next_value_seed(reader)?;
+            let value = access.next_value_seed(Reader(self.0))?;
+            self.0.path.pop();
             fields.entry(name).or_insert(value);
         }
         Ok(Value::Object(fields))
--- a/crates/config/tests/merge.rs
+++ b/crates/config/tests/merge.rs
@@ -1,7 +1,7 @@
 //! What the merge takes and what it refuses, by table.
 #![allow(clippy::unwrap_used)]
 
-use config::{MAX_TEXT_BYTES, Problem, merge, merge_with_warnings};
+use config::{MAX_PROBLEMS, MAX_TEXT_BYTES, Problem, merge, merge_with_warnings};
 use rstest::rstest;
 
 const BASE: &str = r#"{
@@ -238,6 +238,20 @@
     check(&base, None, expected);
 }
 
+#[rstest]
+#[case::unknown_fields(
+    r#""slot": 1, "slots": 1, "connections": 1, "availability_zone": "msasani""#
+)]
+#[case::zero_slots(r#""slots": 0, "connections": 1, "availability_zone": "msasani""#)]
+fn problems_are_capped(#[case] fields: &str) {
+    let upstream = |n| format!(r#""u{n}": {{"address": "192.0.2.9:{n}", {fields}}}"#);
+    let upstreams: Vec<String> = (1..=MAX_PROBLEMS + 1).map(upstream).collect();
+    let overlay =
+        format!(r#"{{"services": {{"parts": {{"upstreams": {{{}}}}}}}}}"#, upstreams.join(","));
+    let error = merge(BASE, Some(&overlay)).unwrap_err();
+    assert_eq!(error.problems.len(), MAX_PROBLEMS);
+}
+
 #[test]
 fn problems_of_both_texts_are_collected() {
     let error = merge("{", Some("[]")).unwrap_err();
