--- a/crates/ctl/src/operator.rs
+++ b/crates/ctl/src/operator.rs
@@ -27,6 +27,13 @@
     ready: bool,
 }
 
+/// A process took the request to stop.
+#[derive(Debug, Serialize)]
+struct Draining {
+    operator: SocketAddr,
+    draining: bool,
+}
+
 /// An answer, whatever its status.
 #[derive(Debug)]
 struct Answer {
@@ -75,9 +82,9 @@
 
     /// Asks the process to stop gracefully; returns once it has taken the request.
     pub async fn drain(&self, format: Format) -> Result<Status, Report<CtlError>> {
-        let answer = self.ask(Method::POST, "/drain").await?.accepted("/drain")?;
-        let value = serde_json::from_str(&answer.body).unwrap_or(Value::Null);
-        format.print(&value, &format!("{} is draining", self.operator))?;
+        self.ask(Method::POST, "/drain").await?.accepted("/drain")?;
+        let draining = Draining { operator: self.operator, draining: true };
+        format.print(&draining, &format!("{} is draining", self.operator))?;
         Ok(Status::Done)
     }
 
--- a/crates/ctl/tests/process.rs
+++ b/crates/ctl/tests/process.rs
@@ -43,7 +43,7 @@
             (_, "GET", "/explain/call/a%20%2Fb") => res.render(Text::Json(r#"{"call": 7}"#)),
             (Mode::Serving, "POST", "/drain") => {
                 res.status_code(StatusCode::ACCEPTED);
-                res.render(Text::Json(r#"{"draining": true}"#));
+                res.render("draining\n");
             }
             (Mode::Starting, "POST", "/drain") => {
                 res.status_code(StatusCode::CONFLICT);
