Close the stand-ins' listening socket before a graceful stop

Cause: the HTTP server owns its acceptor until the last connection has ended, so during a graceful stop callers still connect into the backlog, wait, and are cut at the end. Ruled out: dropping the server's future, which cuts what is in flight. Now the listener hands out what has connected, closes, and only then the server stops.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod upstream;
 
 mod history;
+mod listener;
 mod server;
 
 pub use server::StartError;
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -1,8 +1,8 @@
 //! The HTTP server that every stand-in runs on.
 
+use crate::listener::{Closing, Listener};
 use error_stack::{Report, ResultExt};
 use salvo::conn::ConnCtrl;
-use salvo::conn::tcp::TcpAcceptor;
 use salvo::fuse::{FuseAction, FuseConfig};
 use salvo::http::{Request, Response, StatusCode};
 use salvo::server::ServerHandle;
@@ -10,16 +10,11 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use std::fmt;
-use std::io;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::net::TcpSocket;
 use tokio::task::JoinHandle;
 
-/// Connections that the system keeps until they are accepted.
-const ACCEPT_BACKLOG: u32 = 1024;
-
 /// Largest body of a request to a control path.
 const MAX_CONTROL_BYTES: usize = 4 << 20;
 
@@ -52,6 +47,7 @@
 #[derive(Debug)]
 pub(crate) struct Running {
     pub(crate) address: SocketAddr,
+    closing: Closing,
     control: ServerHandle,
     task: JoinHandle<()>,
 }
@@ -63,9 +59,10 @@
         goal: impl Handler,
         admits: impl Fn() -> bool + Send + Sync + 'static,
     ) -> Result<Running, Report<StartError>> {
-        let acceptor = bind(listen).change_context(StartError::Listen(listen))?;
-        let address = acceptor.local_addr().change_context(StartError::Listen(listen))?;
-        let mut server = Server::new(acceptor).fuse_policy(move |_: &_| match admits() {
+        let (listener, closing) =
+            Listener::bind(listen).change_context(StartError::Listen(listen))?;
+        let address = listener.address;
+        let mut server = Server::new(listener).fuse_policy(move |_: &_| match admits() {
             true => FuseAction::Accept(FuseConfig::disabled()),
             false => FuseAction::Reject,
         });
@@ -78,11 +75,12 @@
                 log::error!("server: stopped with an error: {error}");
             }
         });
-        Ok(Running { address, control, task })
+        Ok(Running { address, closing, control, task })
     }
 
     /// Stops listening and waits until the requests in progress have ended.
     pub(crate) async fn stop(&mut self, limit: Option<Duration>) {
+        self.closing.close().await;
         self.control.stop_graceful(limit);
         if let Err(error) = (&mut self.task).await {
             log::error!("server: its task failed: {error}");
@@ -96,18 +94,6 @@
     }
 }
 
-fn bind(listen: SocketAddr) -> io::Result<TcpAcceptor> {
-    let socket = match listen {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    socket.set_reuseaddr(true)?;
-    // Linux passes the option on to each accepted connection.
-    socket.set_nodelay(true)?;
-    socket.bind(listen)?;
-    TcpAcceptor::try_from(socket.listen(ACCEPT_BACKLOG)?)
-}
-
 /// Locks, also after a panic elsewhere: the stand-ins' state is never left half written.
 pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
