Confirm with peers before the first configuration, and move only forward

A host that had just started put in force whatever its reader gave, also where the service is stale there and peers are ahead. It now asks all listed peers first, with numbered questions so that a late answer says nothing, and starts when half of the listed hosts told what they have in force, or everybody answered; with a majority of any kind after 5 s, alone after 30 s, both settings.

Hosts that saw values in different orders could end on different pairs: a host that missed a version between two, the newer of which is bad, never asked for it. Hosts now keep a few versions, ask for what a peer has in force before what it has seen, and choose among the pairs at hand in a fixed order.

Reads of the configuration service no longer grow with the fleet: three live hosts over the availability zones watch, the rest poll at a rate fixed for the site. Heartbeats and news go to at most eight peers; what was heard of others is passed on. A message of a host that no list ever named is refused and counted.

A service that the configuration drops keeps its calls: those in flight end, those that wait are sent for 3 s more and then told that they did not run.

--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -258,7 +258,7 @@
     }
 
     /// Gives a call its final answer and cancels what is still out.
-    fn finish(&mut self, id: CallId, cause: RefusalCause, actions: &mut Vec<Action>) {
+    pub(crate) fn finish(&mut self, id: CallId, cause: RefusalCause, actions: &mut Vec<Action>) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         let outcome = call.outcome();
         let service = call.service.clone();
--- a/crates/core/src/dump.rs
+++ b/crates/core/src/dump.rs
@@ -1,13 +1,15 @@
 //! Everything an entry host holds, as operators see it.
 
-use crate::adoption::{RejectedPair, VersionPair};
+use crate::adoption::{ReadingFaults, RejectedPair, VersionPair};
+use crate::control::ControlState;
 use crate::entry_host::{EntryHost, HostSettings};
 use crate::lifecycle::Lifecycle;
 use crate::membership::Membership;
 use crate::pause::PauseWatch;
+use crate::traffic::ControlTraffic;
 use crate::upstream::UpstreamState;
 use config::{HostLimits, SiteConfig};
-use domain::ServiceName;
+use domain::{HostId, ServiceName};
 use serde::Serialize;
 
 /// State of one entry host at one moment.
@@ -19,8 +21,20 @@
     pub lifecycle: Lifecycle,
     /// Versions in force.
     pub versions: VersionPair,
-    /// The pair that was last refused.
-    pub rejected: Option<&'a RejectedPair>,
+    /// Newest versions seen.
+    pub newest: VersionPair,
+    /// The newest pair that was refused.
+    pub rejected: Option<RejectedPair>,
+    /// Readings that can't be right.
+    pub reading_faults: &'a ReadingFaults,
+    /// Peers with a pair in force that neither covers this host's nor is covered by it.
+    ///
+    /// They part for as long as no valid pair covers both: publish one.
+    pub parted_from: Vec<HostId>,
+    /// Readings and questions to peers.
+    pub control: &'a ControlState,
+    /// Messages between entry hosts.
+    pub traffic: &'a ControlTraffic,
     /// The configuration in force.
     pub config: Option<&'a SiteConfig>,
     /// The fleet.
@@ -69,7 +83,12 @@
             settings: &self.settings,
             lifecycle: self.lifecycle,
             versions: self.adoption.in_force(),
+            newest: self.adoption.newest(),
             rejected: self.adoption.rejected(),
+            reading_faults: self.adoption.faults(),
+            parted_from: self.parted_from(),
+            control: &self.control,
+            traffic: &self.traffic,
             config: self.in_force.as_ref().map(|in_force| &in_force.config),
             membership: &self.membership,
             pauses: &self.pauses,
@@ -77,4 +96,14 @@
             services: services.collect(),
         }
     }
+
+    fn parted_from(&self) -> Vec<HostId> {
+        let ours = self.adoption.in_force();
+        let is_parted = |theirs: VersionPair| !theirs.covers(ours) && !ours.covers(theirs);
+        let peers = self.membership.peers().into_iter();
+        peers
+            .filter(|(_, peer)| is_parted(peer.heartbeat.in_force()))
+            .map(|(host, _)| host.clone())
+            .collect()
+    }
 }
--- a/crates/core/src/entry_host.rs
+++ b/crates/core/src/entry_host.rs
@@ -7,11 +7,14 @@
 use crate::action::Action;
 use crate::adoption::Adoption;
 use crate::call::{Call, LiveAttempt};
+use crate::confirmation::StartLimits;
+use crate::control::ControlState;
 use crate::event::Event;
 use crate::lifecycle::Lifecycle;
 use crate::membership::Membership;
 use crate::pause::PauseWatch;
 use crate::service::ServiceState;
+use crate::traffic::ControlTraffic;
 use config::{RouteTable, SiteConfig};
 use domain::{
     AttemptId, CallId, FastMap, HostId, Incarnation, Millis, ServiceName, SiteName, ZoneName,
@@ -45,6 +48,8 @@
     pub(crate) adoption: Adoption,
     pub(crate) membership: Membership,
     pub(crate) pauses: PauseWatch,
+    pub(crate) control: ControlState,
+    pub(crate) traffic: ControlTraffic,
     pub(crate) in_force: Option<InForce>,
     pub(crate) services: BTreeMap<ServiceName, ServiceState>,
     pub(crate) calls: FastMap<CallId, Call>,
@@ -66,8 +71,6 @@
 pub(crate) struct Timers {
     pub(crate) heartbeat_ms: Millis,
     pub(crate) host_list_ms: Millis,
-    pub(crate) base_read_ms: Millis,
-    pub(crate) overlay_read_ms: Millis,
 }
 
 impl EntryHost {
@@ -81,6 +84,8 @@
             adoption: Adoption::default(),
             membership: Membership::new(settings.host.clone()),
             pauses: PauseWatch::new(now_ms),
+            control: ControlState::new(now_ms, settings.incarnation),
+            traffic: ControlTraffic::default(),
             in_force: None,
             services: BTreeMap::new(),
             calls: FastMap::default(),
@@ -88,18 +93,22 @@
             attempts: FastMap::default(),
             last_attempt: AttemptId(0),
             settings,
-            timers: Timers {
-                heartbeat_ms: now_ms,
-                host_list_ms: now_ms,
-                base_read_ms: now_ms,
-                overlay_read_ms: now_ms,
-            },
+            timers: Timers { heartbeat_ms: now_ms, host_list_ms: now_ms },
         }
     }
 
+    /// The same host with other limits for its start.
+    pub fn with_start_limits(mut self, limits: StartLimits) -> EntryHost {
+        self.control.limits = limits;
+        self
+    }
+
     /// Takes one event at a point in time and appends what is to be done.
     pub fn handle(&mut self, now_ms: Millis, event: Event, actions: &mut Vec<Action>) {
-        self.pauses.note_event(now_ms);
+        let before = actions.len();
+        if self.pauses.note_event(now_ms).is_some() {
+            self.after_pause(now_ms);
+        }
         match event {
             Event::CallArrived { call, head } => self.call_arrived(now_ms, call, head, actions),
             Event::CallerGone { call } => self.caller_gone(now_ms, call, actions),
@@ -114,10 +123,11 @@
                 self.peer_received(now_ms, from, incarnation, message, actions);
             }
             Event::ConfigRead(reading) => self.config_read(now_ms, reading, actions),
-            Event::HostListRead(list) => self.host_list_read(list),
+            Event::HostListRead(list) => self.host_list_read(now_ms, list, actions),
             Event::StopRequested => self.stop_requested(now_ms, actions),
             Event::Tick => self.tick(now_ms, actions),
         }
+        self.traffic.note_sent(&actions[before..]);
     }
 
     /// When the next [`Event::Tick`] is due at the latest.
@@ -127,8 +137,7 @@
         timers
             .heartbeat_ms
             .min(timers.host_list_ms)
-            .min(timers.base_read_ms)
-            .min(timers.overlay_read_ms)
+            .min(self.control.due_ms())
             .min(expiry_ms.unwrap_or(Millis::MAX))
     }
 
@@ -136,7 +145,7 @@
         if self.lifecycle.request_stop(now_ms) {
             self.membership.leave();
             actions.push(Action::SetReady(false));
-            self.send_heartbeats(now_ms, actions);
+            self.tell_all(now_ms, actions);
         }
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 mod call;
 mod calls;
 mod choice;
+mod confirmation;
 mod control;
 mod dump;
 mod entry_host;
@@ -25,10 +26,12 @@
 mod rendezvous;
 mod retry;
 mod service;
+mod traffic;
 mod upstream;
 
 pub use action::{Action, Attempt};
-pub use adoption::{RejectedPair, VersionPair};
+pub use adoption::{FaultyReading, ReadingFaults, RejectedPair, VersionPair};
+pub use confirmation::StartLimits;
 pub use dump::{ServiceDump, StateDump};
 pub use entry_host::{EntryHost, HostSettings};
 pub use event::{
@@ -36,9 +39,10 @@
     ListedHost, LoadReport, ProbeResult, PublishedValue, ReadOutcome,
 };
 pub use lifecycle::Lifecycle;
-pub use membership::{Membership, Peer};
-pub use message::{Envelope, Heartbeat, PROTOCOL_VERSION, PeerMessage};
+pub use membership::{MAX_NEWS_PEERS, Membership, Peer, heartbeat_offsets, news_offsets};
+pub use message::{Envelope, Heartbeat, MessageKind, PROTOCOL_VERSION, PeerMessage};
 pub use pause::PauseWatch;
 pub use refusal::{Refusal, RefusalCause, RunOutcome};
 pub use rendezvous::{Job, Role};
+pub use traffic::{ControlTraffic, RefusedSender};
 pub use upstream::UpstreamState;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -4,7 +4,8 @@
 //! driven message by message and a lost answer is nothing special. Every message may
 //! be lost, doubled, late or out of order.
 
-use crate::event::{ConfigKey, PublishedValue};
+use crate::adoption::VersionPair;
+use crate::event::{ConfigKey, HostList, PublishedValue};
 use domain::{HostId, Incarnation, Version};
 use serde::{Deserialize, Serialize};
 
@@ -35,6 +36,8 @@
     ConfigWanted {
         /// Which.
         key: ConfigKey,
+        /// The version that the sender heard of.
+        version: Version,
     },
     /// A published value.
     ConfigOffered {
@@ -43,16 +46,92 @@
         /// The value.
         value: PublishedValue,
     },
+    /// Asks what the receiver has in force.
+    VersionsWanted {
+        /// Comes back in the answer.
+        round: u64,
+    },
+    /// What the sender has in force, asked for.
+    Versions {
+        /// Of the question.
+        round: u64,
+        /// As in any heartbeat.
+        heartbeat: Heartbeat,
+    },
+    /// Asks for the host list.
+    HostListWanted,
+    /// The host list that the sender holds.
+    HostListOffered(HostList),
+}
+
+/// Kind of a message, to count by.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum MessageKind {
+    /// [`PeerMessage::Heartbeat`].
+    Heartbeat,
+    /// [`PeerMessage::ConfigWanted`] and [`PeerMessage::ConfigOffered`].
+    Config,
+    /// [`PeerMessage::VersionsWanted`] and [`PeerMessage::Versions`].
+    Versions,
+    /// [`PeerMessage::HostListWanted`] and [`PeerMessage::HostListOffered`].
+    HostList,
+}
+
+impl PeerMessage {
+    /// Its kind.
+    pub fn kind(&self) -> MessageKind {
+        match self {
+            PeerMessage::Heartbeat(_) => MessageKind::Heartbeat,
+            PeerMessage::ConfigWanted { .. } | PeerMessage::ConfigOffered { .. } => {
+                MessageKind::Config
+            }
+            PeerMessage::VersionsWanted { .. } | PeerMessage::Versions { .. } => {
+                MessageKind::Versions
+            }
+            PeerMessage::HostListWanted | PeerMessage::HostListOffered(_) => MessageKind::HostList,
+        }
+    }
 }
 
 /// The sender lives, and this is what it has.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
+///
+/// It is sent all the time, so what is as usual is left out.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct Heartbeat {
     /// Base in force, zero if none.
     pub base: Version,
     /// Overlay in force, zero if none.
     pub overlay: Version,
+    /// Newest versions seen, where they are not in force.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub newest: Option<VersionPair>,
+    /// Version of the host list held.
+    pub list: Version,
     /// Takes no new calls.
+    #[serde(skip_serializing_if = "is_false")]
     pub leaving: bool,
+    /// The configuration service did not answer it the last time.
+    #[serde(skip_serializing_if = "is_false")]
+    pub reads_fail: bool,
+    /// How long ago the sender heard of each listed host, see [`crate::Ages`].
+    #[serde(skip_serializing_if = "String::is_empty")]
+    pub ages: String,
+}
+
+impl Heartbeat {
+    /// Versions in force.
+    pub fn in_force(&self) -> VersionPair {
+        VersionPair { base: self.base, overlay: self.overlay }
+    }
+
+    /// Newest versions seen.
+    pub fn newest(&self) -> VersionPair {
+        self.newest.unwrap_or(self.in_force())
+    }
+}
+
+fn is_false(flag: &bool) -> bool {
+    !flag
 }
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -59,6 +59,7 @@
             drain_notice_ms: Millis(2000),
         };
         let mut bench = Bench { host: EntryHost::new(settings, 7, Millis::ZERO) };
+        bench.handle(0, Event::HostListRead(Some(pump::host_list(1, 1))));
         bench.publish(ConfigKey::Base, 1, BASE);
         bench.read(ConfigKey::Overlay, ReadOutcome::Missing);
         bench
