Count errors as load, and a report less the older it is

Cause: the fast-failing upstream looked idle: its latency was unknown and counted as 1 ms, and 3 to 6% of the calls got its errors. Now an unknown latency counts as the service's average and a failure as 20 usual latencies, fading by half every 2 s of silence so that it is tried again. A report counts in full only when fresh; what was sent since counts too. The model's limit now waits for a usual slot where that is faster than a straggler, so it is harder to reach than before.

--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -194,7 +194,7 @@
         let Some(call) = self.calls.get_mut(&id) else { return true };
         let Some(state) = self.services.get_mut(&call.service) else { return false };
         let policy = in_force.config.policy;
-        let Some(upstream) = state.take_slot(policy, &call.tried, &mut self.rng) else {
+        let Some(upstream) = state.take_slot(now_ms, policy, &call.tried, &mut self.rng) else {
             return false;
         };
         let Some(address) = state.upstream_mut(&upstream).map(|u| u.published.address) else {
--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -5,18 +5,26 @@
 
 use crate::upstream::UpstreamState;
 use config::Policy;
+use domain::Millis;
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 
 /// Upstreams looked at by the load-aware way.
 const LOAD_AWARE_CHOICES: usize = 3;
-/// Slots' worth of load that a sure failure counts as.
-const ERROR_PENALTY: f64 = 8.0;
+/// Latency assumed while no upstream of the service has answered.
+const UNKNOWN_LATENCY_MS: f64 = 50.0;
+/// Cost of a sure failure, as a multiple of the service's usual latency.
+const FAILURE_COST: f64 = 20.0;
+/// Silence after which errors count for half.
+const ERROR_HALF_LIFE_MS: f64 = 2000.0;
+/// Age, as a multiple of the usual latency, at which a report has lost most of its worth.
+const REPORT_MEMORY: f64 = 2.0;
 
 /// The upstream to send to, as an index; `None` if none of `open` is eligible.
 ///
 /// `open` holds the indices of upstreams that may receive the call.
 pub fn choose(
+    now_ms: Millis,
     policy: Policy,
     upstreams: &[UpstreamState],
     open: &[usize],
@@ -36,7 +44,8 @@
         }
         Policy::LoadAware | Policy::SlotLease => {
             let few = sample(open, LOAD_AWARE_CHOICES, rng);
-            best_of(&few, rng, |i| score(&upstreams[i]))
+            let usual = Usual::of(upstreams);
+            best_of(&few, rng, |i| usual.cost_ms(now_ms, &upstreams[i]))
         }
     };
     Some(index)
@@ -65,15 +74,42 @@
     best
 }
 
-/// Expected wait, in units of the upstream's usual latency: lower is better.
-fn score(upstream: &UpstreamState) -> f64 {
-    let slots = f64::from(upstream.published.slots.0.max(1));
-    let reported = match &upstream.load {
-        Some((_, load)) => f64::from(load.busy.0 + load.queued),
-        None => 0.0,
-    };
-    let busy = reported.max(f64::from(upstream.in_flight)) + 1.0;
-    let latency_ms = upstream.latency_ms.unwrap_or(1.0).max(1.0);
-    let load = (busy / slots) * latency_ms;
-    load * (1.0 + ERROR_PENALTY * upstream.error_share)
+/// What upstreams of a service are like on average.
+#[derive(Debug, Clone, Copy)]
+pub struct Usual {
+    latency_ms: f64,
+    requests: f64,
+}
+
+impl Usual {
+    /// The average over those that were heard of.
+    pub fn of(upstreams: &[UpstreamState]) -> Usual {
+        let latencies = upstreams.iter().filter_map(|upstream| upstream.latency_ms);
+        let requests = upstreams.iter().filter_map(|upstream| upstream.estimate.reported());
+        Usual {
+            latency_ms: average(latencies).unwrap_or(UNKNOWN_LATENCY_MS).max(1.0),
+            requests: average(requests).unwrap_or(0.0),
+        }
+    }
+
+    /// Expected time to an answer if a call goes there now, failures priced in.
+    pub fn cost_ms(&self, now_ms: Millis, upstream: &UpstreamState) -> f64 {
+        let slots = f64::from(upstream.published.slots.0.max(1));
+        let memory_ms = REPORT_MEMORY * self.latency_ms;
+        let there = upstream.estimate.requests(now_ms, self.requests, memory_ms);
+        let latency_ms = upstream.latency_ms.unwrap_or(self.latency_ms).max(1.0);
+        let load = (there + 1.0) / slots;
+        load * latency_ms + self.failure_cost_ms(now_ms, upstream)
+    }
+
+    fn failure_cost_ms(&self, now_ms: Millis, upstream: &UpstreamState) -> f64 {
+        let silence_ms = upstream.heard_ms.map_or(Millis::ZERO, |heard_ms| now_ms.since(heard_ms));
+        let still = (-silence_ms.as_f64() / ERROR_HALF_LIFE_MS).exp2();
+        upstream.error_share * still * FAILURE_COST * self.latency_ms
+    }
+}
+
+fn average(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let (sum, count) = values.fold((0.0, 0.0), |(sum, count), value| (sum + value, count + 1.0));
+    (count > 0.0).then(|| sum / count)
 }
--- /dev/null
+++ b/crates/core/src/estimate.rs
@@ -0,0 +1,46 @@
+//! How busy an upstream probably is.
+//!
+//! A report is true for about as long as a request takes: after that, others have come
+//! and gone and the report says little more than the average of the service does. So a
+//! report counts less the older it is, and what this host sent since counts in full.
+
+use crate::event::LoadReport;
+use domain::Millis;
+use serde::Serialize;
+
+/// Load reported by one upstream, and what was sent to it since.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct LoadEstimate {
+    reported: f64,
+    at_ms: Option<Millis>,
+    sent_since: u32,
+}
+
+impl LoadEstimate {
+    /// Notes a report.
+    pub fn note_report(&mut self, now_ms: Millis, report: LoadReport) {
+        self.reported = f64::from(report.busy.0 + report.queued);
+        self.at_ms = Some(now_ms);
+        self.sent_since = 0;
+    }
+
+    /// Notes that this host sent an attempt.
+    pub fn note_sent(&mut self) {
+        self.sent_since += 1;
+    }
+
+    /// Requests that are there: `usual` is what to expect without a report, `memory_ms`
+    /// the age at which a report has lost most of its worth.
+    pub fn requests(&self, now_ms: Millis, usual: f64, memory_ms: f64) -> f64 {
+        let worth = match self.at_ms {
+            Some(at_ms) => (-now_ms.since(at_ms).as_f64() / memory_ms.max(1.0)).exp(),
+            None => 0.0,
+        };
+        usual + (self.reported - usual) * worth + f64::from(self.sent_since)
+    }
+
+    /// What was last reported, if anything was.
+    pub fn reported(&self) -> Option<f64> {
+        self.at_ms.map(|_| self.reported)
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 mod control;
 mod dump;
 mod entry_host;
+mod estimate;
 mod event;
 mod lifecycle;
 mod membership;
--- a/crates/core/src/service.rs
+++ b/crates/core/src/service.rs
@@ -78,14 +78,16 @@
     /// Upstreams in `avoid` are taken only where no other is open at all.
     pub fn take_slot(
         &mut self,
+        now_ms: Millis,
         policy: Policy,
         avoid: &[UpstreamId],
         rng: &mut Pcg64Mcg,
     ) -> Option<UpstreamId> {
         let open = self.eligible(avoid);
-        let index = choose(policy, &self.upstreams, &open, &mut self.turn, rng)?;
+        let index = choose(now_ms, policy, &self.upstreams, &open, &mut self.turn, rng)?;
         let upstream = &mut self.upstreams[index];
         upstream.in_flight += 1;
+        upstream.estimate.note_sent();
         Some(upstream.id.clone())
     }
 
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -8,6 +8,7 @@
 use domain::{Millis, UpstreamId};
 use serde::Serialize;
 
+use crate::estimate::LoadEstimate;
 use crate::event::LoadReport;
 
 /// Weight of the newest sample in the moving averages.
@@ -28,6 +29,8 @@
     pub in_flight: u32,
     /// What it last said of its load, and when.
     pub load: Option<(Millis, LoadReport)>,
+    /// How busy it probably is.
+    pub estimate: LoadEstimate,
     /// Moving average of the time to an answer.
     pub latency_ms: Option<f64>,
     /// Moving average of failures, 0 to 1.
@@ -46,6 +49,7 @@
             said_leaving: false,
             in_flight: 0,
             load: None,
+            estimate: LoadEstimate::default(),
             latency_ms: None,
             error_share: 0.0,
             heard_ms: None,
@@ -74,6 +78,7 @@
         self.said_leaving |= leaving;
         if let Some(report) = load {
             self.load = Some((now_ms, report));
+            self.estimate.note_report(now_ms, report);
         }
     }
 
--- a/crates/model/src/sim.rs
+++ b/crates/model/src/sim.rs
@@ -407,15 +407,9 @@
 
     fn dispatch_central(&mut self, service: usize) {
         while !self.central[service].is_empty() {
-            let now_us = self.now_us;
-            let free = self.upstreams.iter().enumerate().filter(|(_, upstream)| {
-                upstream.service == service
-                    && upstream.health != Health::Failing
-                    && upstream.has_slot()
-            });
-            let best = free.min_by(|(_, a), (_, b)| a.factor(now_us).total_cmp(&b.factor(now_us)));
-            let Some((index, _)) = best else { return };
+            let Some(index) = self.best_for_central(service) else { return };
             let Some(call) = self.central[service].pop_front() else { return };
+            let now_us = self.now_us;
             let deadline_us = self.plan.deadline_ms * 1000;
             if self.calls.get(&call).is_none_or(|call| call.arrived_us + deadline_us < now_us) {
                 continue;
@@ -426,6 +420,21 @@
             }
         }
     }
+
+    /// The fastest upstream with a free slot, unless waiting for a usual one takes less time.
+    fn best_for_central(&self, service: usize) -> Option<usize> {
+        let factor = |index: &usize| self.upstreams[*index].factor(self.now_us);
+        let working = (0..self.upstreams.len()).filter(|&index| {
+            let upstream = &self.upstreams[index];
+            upstream.service == service && upstream.health != Health::Failing
+        });
+        let free = working.clone().filter(|&index| self.upstreams[index].has_slot());
+        let best = free.min_by(|a, b| factor(a).total_cmp(&factor(b)))?;
+        let usual = working.filter(|index| factor(index) <= 1.0).count();
+        let usual_slots = (usual * self.sizes.slots as usize).max(1) as f64;
+        let wait = (self.central[service].len() as f64) / usual_slots;
+        (factor(&best) <= 1.0 + wait).then_some(best)
+    }
 }
 
 impl Host {
