Look at all upstreams, and price the wait apart from the service time

Cause: of three random upstreams all may be stragglers or failing, about one call in a hundred at himal's sizes, and that is the p99. With fresh reports counting more than old ones the best of all no longer draws a herd. And the latency used for the price held the wait in it, so a full upstream was charged for its queue twice: now a sample is divided by the rounds of service expected when it was sent, and an idle straggler isn't cheaper than a usual upstream with a short queue.

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -90,6 +90,8 @@
     pub upstream: UpstreamId,
     /// When it left.
     pub sent_ms: Millis,
+    /// Rounds of service that it was expected to take.
+    pub rounds: f64,
     /// Whether its answer's head came.
     pub answered: bool,
 }
--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -9,6 +9,7 @@
 use crate::event::{AnswerHead, AttemptEnd, CallHead, FailureStage};
 use crate::queue::Admission;
 use crate::refusal::{Refusal, RefusalCause, RunOutcome};
+use crate::service::TakenSlot;
 use domain::{AttemptId, CallId, Millis, ServiceName};
 use rand::RngExt;
 
@@ -194,10 +195,8 @@
         let Some(call) = self.calls.get_mut(&id) else { return true };
         let Some(state) = self.services.get_mut(&call.service) else { return false };
         let policy = in_force.config.policy;
-        let Some(upstream) = state.take_slot(now_ms, policy, &call.tried, &mut self.rng) else {
-            return false;
-        };
-        let Some(address) = state.upstream_mut(&upstream).map(|u| u.published.address) else {
+        let taken = state.take_slot(now_ms, policy, &call.tried, &mut self.rng);
+        let Some(TakenSlot { upstream, address, rounds }) = taken else {
             return false;
         };
         if call.started == 0 {
@@ -221,6 +220,7 @@
             service: call.service.clone(),
             upstream,
             sent_ms: now_ms,
+            rounds,
             answered: false,
         };
         self.attempts.insert(attempt, live);
@@ -308,7 +308,11 @@
         upstream.note_report(now_ms, answer.load, answer.leaving);
         match answer.status >= FIRST_FAILURE_STATUS || answer.not_run {
             true => upstream.note_failure(),
-            false => upstream.note_success(now_ms.since(attempt.sent_ms)),
+            false => {
+                let latency_ms = now_ms.since(attempt.sent_ms);
+                upstream.estimate.note_latency(latency_ms, attempt.rounds);
+                upstream.note_success(latency_ms);
+            }
         }
     }
 
--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -3,21 +3,22 @@
 //! A closed set of policies: the baselines, and the load-aware way that the others are
 //! measured against and that slot leases fall back to.
 
+use crate::estimate::rounds;
 use crate::upstream::UpstreamState;
 use config::Policy;
 use domain::Millis;
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 
-/// Upstreams looked at by the load-aware way.
-const LOAD_AWARE_CHOICES: usize = 3;
-/// Latency assumed while no upstream of the service has answered.
-const UNKNOWN_LATENCY_MS: f64 = 50.0;
-/// Cost of a sure failure, as a multiple of the service's usual latency.
+/// Service time assumed while no upstream of the service has answered.
+const UNKNOWN_SERVICE_MS: f64 = 50.0;
+/// Rounds of service that a full upstream costs more than an empty one.
+const FILL_COST: f64 = 0.25;
+/// Cost of a sure failure, as a multiple of the service's usual service time.
 const FAILURE_COST: f64 = 20.0;
 /// Silence after which errors count for half.
 const ERROR_HALF_LIFE_MS: f64 = 2000.0;
-/// Age, as a multiple of the usual latency, at which a report has lost most of its worth.
+/// Age, as a multiple of the usual service time, at which a report has lost most of its worth.
 const REPORT_MEMORY: f64 = 2.0;
 
 /// The upstream to send to, as an index; `None` if none of `open` is eligible.
@@ -43,9 +44,8 @@
             best_of(&pair, rng, |i| f64::from(upstreams[i].in_flight))
         }
         Policy::LoadAware | Policy::SlotLease => {
-            let few = sample(open, LOAD_AWARE_CHOICES, rng);
             let usual = Usual::of(upstreams);
-            best_of(&few, rng, |i| usual.cost_ms(now_ms, &upstreams[i]))
+            best_of(open, rng, |i| usual.cost_ms(now_ms, &upstreams[i]))
         }
     };
     Some(index)
@@ -77,35 +77,47 @@
 /// What upstreams of a service are like on average.
 #[derive(Debug, Clone, Copy)]
 pub struct Usual {
-    latency_ms: f64,
+    service_ms: f64,
     requests: f64,
 }
 
 impl Usual {
     /// The average over those that were heard of.
     pub fn of(upstreams: &[UpstreamState]) -> Usual {
-        let latencies = upstreams.iter().filter_map(|upstream| upstream.latency_ms);
+        let times = upstreams.iter().filter_map(|upstream| upstream.estimate.service_ms());
         let requests = upstreams.iter().filter_map(|upstream| upstream.estimate.reported());
         Usual {
-            latency_ms: average(latencies).unwrap_or(UNKNOWN_LATENCY_MS).max(1.0),
+            service_ms: average(times).unwrap_or(UNKNOWN_SERVICE_MS).max(1.0),
             requests: average(requests).unwrap_or(0.0),
         }
     }
 
+    /// Rounds of service that a call takes there, its queue included.
+    pub fn rounds(&self, now_ms: Millis, upstream: &UpstreamState) -> f64 {
+        rounds(self.requests_at(now_ms, upstream), upstream.published.slots)
+    }
+
     /// Expected time to an answer if a call goes there now, failures priced in.
+    ///
+    /// Among upstreams with a free slot the emptier one is a little cheaper.
     pub fn cost_ms(&self, now_ms: Millis, upstream: &UpstreamState) -> f64 {
-        let slots = f64::from(upstream.published.slots.0.max(1));
-        let memory_ms = REPORT_MEMORY * self.latency_ms;
-        let there = upstream.estimate.requests(now_ms, self.requests, memory_ms);
-        let latency_ms = upstream.latency_ms.unwrap_or(self.latency_ms).max(1.0);
-        let load = (there + 1.0) / slots;
-        load * latency_ms + self.failure_cost_ms(now_ms, upstream)
+        let there = self.requests_at(now_ms, upstream);
+        let slots = upstream.published.slots;
+        let fill = (there + 1.0) / f64::from(slots.0.max(1));
+        let service_ms = upstream.estimate.service_ms().unwrap_or(self.service_ms).max(1.0);
+        let load = rounds(there, slots) + FILL_COST * fill;
+        load * service_ms + self.failure_cost_ms(now_ms, upstream)
+    }
+
+    fn requests_at(&self, now_ms: Millis, upstream: &UpstreamState) -> f64 {
+        let memory_ms = REPORT_MEMORY * self.service_ms;
+        upstream.estimate.requests(now_ms, self.requests, memory_ms)
     }
 
     fn failure_cost_ms(&self, now_ms: Millis, upstream: &UpstreamState) -> f64 {
         let silence_ms = upstream.heard_ms.map_or(Millis::ZERO, |heard_ms| now_ms.since(heard_ms));
         let still = (-silence_ms.as_f64() / ERROR_HALF_LIFE_MS).exp2();
-        upstream.error_share * still * FAILURE_COST * self.latency_ms
+        upstream.error_share * still * FAILURE_COST * self.service_ms
     }
 }
 
--- a/crates/core/src/estimate.rs
+++ b/crates/core/src/estimate.rs
@@ -5,15 +5,25 @@
 //! report counts less the older it is, and what this host sent since counts in full.
 
 use crate::event::LoadReport;
-use domain::Millis;
+use domain::{Millis, Slots};
 use serde::Serialize;
 
+/// Weight of the newest sample in the moving average of the service time.
+const SAMPLE_WEIGHT: f64 = 0.1;
+
 /// Load reported by one upstream, and what was sent to it since.
 #[derive(Debug, Clone, Default, Serialize)]
 pub struct LoadEstimate {
     reported: f64,
     at_ms: Option<Millis>,
     sent_since: u32,
+    service_ms: Option<f64>,
+}
+
+/// Rounds of service until a request that joins `there` others is done, each at full
+/// slots: one if a slot is free.
+pub fn rounds(there: f64, slots: Slots) -> f64 {
+    ((there + 1.0) / f64::from(slots.0.max(1))).max(1.0)
 }
 
 impl LoadEstimate {
@@ -39,6 +49,18 @@
         usual + (self.reported - usual) * worth + f64::from(self.sent_since)
     }
 
+    /// Notes the time to an answer, `rounds` of which were expected when it was sent.
+    pub fn note_latency(&mut self, latency_ms: Millis, rounds: f64) {
+        let sample = latency_ms.as_f64() / rounds.max(1.0);
+        let average = self.service_ms.unwrap_or(sample);
+        self.service_ms = Some(average + SAMPLE_WEIGHT * (sample - average));
+    }
+
+    /// Time that it takes for a request once it has a slot, if known.
+    pub fn service_ms(&self) -> Option<f64> {
+        self.service_ms
+    }
+
     /// What was last reported, if anything was.
     pub fn reported(&self) -> Option<f64> {
         self.at_ms.map(|_| self.reported)
--- a/crates/core/src/service.rs
+++ b/crates/core/src/service.rs
@@ -1,12 +1,13 @@
 //! One service at this entry host: its upstreams, its queue and its budgets.
 
-use crate::choice::choose;
+use crate::choice::{Usual, choose};
 use crate::queue::WaitQueue;
 use crate::retry::RetryBudget;
 use crate::upstream::UpstreamState;
 use config::{Policy, Service};
 use domain::{Millis, ServiceName, UpstreamId};
 use rand_pcg::Pcg64Mcg;
+use std::net::SocketAddr;
 
 /// Latency assumed before the first answer.
 const UNKNOWN_LATENCY_MS: f64 = 50.0;
@@ -29,6 +30,17 @@
     turn: usize,
 }
 
+/// A slot taken for an attempt.
+#[derive(Debug)]
+pub struct TakenSlot {
+    /// Whose.
+    pub upstream: UpstreamId,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Rounds of service that the attempt is expected to take.
+    pub rounds: f64,
+}
+
 impl ServiceState {
     /// A service not used before.
     pub fn new(name: ServiceName, published: Service) -> ServiceState {
@@ -82,13 +94,15 @@
         policy: Policy,
         avoid: &[UpstreamId],
         rng: &mut Pcg64Mcg,
-    ) -> Option<UpstreamId> {
+    ) -> Option<TakenSlot> {
         let open = self.eligible(avoid);
         let index = choose(now_ms, policy, &self.upstreams, &open, &mut self.turn, rng)?;
+        let rounds = Usual::of(&self.upstreams).rounds(now_ms, &self.upstreams[index]);
         let upstream = &mut self.upstreams[index];
         upstream.in_flight += 1;
         upstream.estimate.note_sent();
-        Some(upstream.id.clone())
+        let (id, address) = (upstream.id.clone(), upstream.published.address);
+        Some(TakenSlot { upstream: id, address, rounds })
     }
 
     /// Time that `waiting` calls take to get a slot, from recent latency.
