--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 mod control;
 mod dump;
 mod entry_host;
+mod estimate;
 mod event;
 mod lifecycle;
 mod membership;
