--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod host_list;
 pub mod upstream;
 
+mod connections;
 mod history;
 mod listener;
 mod server;
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -1,9 +1,9 @@
 //! The HTTP server that every stand-in runs on.
 
+use crate::connections::{Admission, Connections};
 use crate::listener::{Closing, Listener};
 use error_stack::{Report, ResultExt};
 use salvo::conn::ConnCtrl;
-use salvo::fuse::{FuseAction, FuseConfig};
 use salvo::http::{Request, Response, StatusCode};
 use salvo::server::ServerHandle;
 use salvo::{Handler, Router, Server};
@@ -48,6 +48,7 @@
 pub(crate) struct Running {
     pub(crate) address: SocketAddr,
     closing: Closing,
+    connections: Connections,
     control: ServerHandle,
     task: JoinHandle<()>,
 }
@@ -62,10 +63,9 @@
         let (listener, closing) =
             Listener::bind(listen).change_context(StartError::Listen(listen))?;
         let address = listener.address;
-        let mut server = Server::new(listener).fuse_policy(move |_: &_| match admits() {
-            true => FuseAction::Accept(FuseConfig::disabled()),
-            false => FuseAction::Reject,
-        });
+        let connections = Connections::default();
+        let admission = Admission { connections: connections.clone(), admits };
+        let mut server = Server::new(listener).fuse_policy(admission);
         // An idle connection stays open: only faults and a stop close it.
         server.http1_mut().header_read_timeout(None);
         let control = server.handle();
@@ -75,13 +75,14 @@
                 log::error!("server: stopped with an error: {error}");
             }
         });
-        Ok(Running { address, closing, control, task })
+        Ok(Running { address, closing, connections, control, task })
     }
 
     /// Stops listening and waits until the requests in progress have ended.
     pub(crate) async fn stop(&mut self, limit: Option<Duration>) {
         self.closing.close().await;
         self.control.stop_graceful(limit);
+        self.connections.close_silent();
         if let Err(error) = (&mut self.task).await {
             log::error!("server: its task failed: {error}");
         }
--- a/crates/standins/tests/upstream.rs
+++ b/crates/standins/tests/upstream.rs
@@ -10,6 +10,7 @@
 };
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
 const BODY: &[u8] = b"two reams of paper";
@@ -240,6 +241,8 @@
     let in_flight = tokio::spawn(request(&upstream, "in-flight").send());
     wait_until(|| upstream.load().queued == 1).await;
 
+    let _silent = TcpStream::connect(address).await.unwrap();
+
     upstream.start_leaving();
     assert_eq!(health(&upstream).await.1, r#"{"state":"leaving","busy":1,"queued":1}"#);
     let drain = tokio::spawn(upstream.drain());
