Test lower bounds of the upstream's times; reserve the ports that refuse

A port freed by a dropped server may be taken by another test: a bound socket that never listens refuses for as long as it lives. Times are tested by lower bounds only.

--- a/crates/standins/tests/balancer.rs
+++ b/crates/standins/tests/balancer.rs
@@ -9,6 +9,7 @@
 use standins::balancer::{self, BalancerHandle, BalancerSettings, Entry};
 use standins::upstream::{self, Answer, UpstreamFaults, UpstreamHandle, UpstreamSettings};
 use std::net::{Ipv4Addr, SocketAddr};
+use tokio::net::TcpSocket;
 
 const BODY: &[u8] = b"a pack of screws";
 const PADDING: ByteCount = ByteCount(300_000);
@@ -27,9 +28,12 @@
     balancer::start(BalancerSettings { listen, entries }).await.unwrap()
 }
 
-/// An address where nobody listens.
-async fn nowhere() -> SocketAddr {
-    host("gone").await.address
+/// A port that is taken and where nobody listens, as long as the socket lives.
+fn nowhere() -> (TcpSocket, SocketAddr) {
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).unwrap();
+    let address = socket.local_addr().unwrap();
+    (socket, address)
 }
 
 async fn send(balancer: &BalancerHandle, name: &str) -> reqwest::Result<reqwest::Response> {
@@ -59,9 +63,10 @@
 async fn ready_hosts_take_turns() {
     let (a, b) = (host("a").await, host("b").await);
     let unready = host("unready").await;
+    let (_socket, nowhere) = nowhere();
     let balancer = balance(vec![
         entry("a", a.address, a.address),
-        entry("unready", unready.address, nowhere().await),
+        entry("unready", unready.address, nowhere),
         entry("b", b.address, b.address),
     ])
     .await;
@@ -76,7 +81,8 @@
 async fn the_next_host_is_tried_when_none_listens() {
     let a = host("a").await;
     // It says that it is ready although nobody listens where it takes requests.
-    let gone = entry("gone", nowhere().await, a.address);
+    let (_socket, nowhere) = nowhere();
+    let gone = entry("gone", nowhere, a.address);
     let balancer = balance(vec![gone.clone(), entry("a", a.address, a.address)]).await;
     assert_eq!(outcome(&balancer, "r-1").await, "200 a");
     balancer.replace_entries(vec![gone]).await;
--- a/crates/standins/tests/process.rs
+++ b/crates/standins/tests/process.rs
@@ -29,7 +29,8 @@
 }
 
 fn terminate(process: &mut Process) -> Option<i32> {
-    let kill = Command::new("kill").arg(process.0.id().to_string()).status().unwrap();
+    let kill = format!("kill {}", process.0.id());
+    let kill = Command::new("sh").args(["-c", &kill]).status().unwrap();
     assert!(kill.success());
     process.0.wait().unwrap().code()
 }
--- a/crates/standins/tests/upstream.rs
+++ b/crates/standins/tests/upstream.rs
@@ -9,7 +9,7 @@
     self, Answer, Health, Load, RunLedger, UpstreamFaults, UpstreamHandle, UpstreamSettings,
 };
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
@@ -223,6 +223,40 @@
     assert_eq!(health(&upstream).await.1, r#"{"state":"serving","busy":2,"queued":0}"#);
 }
 
+fn slowed(text: &str) -> UpstreamFaults {
+    serde_json::from_str(text).unwrap()
+}
+
+/// Only lower bounds, which hold on a busy machine too.
+#[rstest]
+#[case::fixed(settings(), "{}", "kariakoo", 5)]
+#[case::slow(settings(), r#"{"slow_factor":8}"#, "kariakoo", 40)]
+#[case::stalled(settings(), r#"{"stall_ms":30}"#, "kariakoo", 35)]
+#[case::noisy(settings(), r#"{"noisy":{"every_ms":9,"for_ms":9,"factor":8}}"#, "kariakoo", 40)]
+#[case::cold(
+    UpstreamSettings { cold_start_ms: FOR_EVER_MS, ..settings() }, "{}", "kariakoo", 15
+)]
+#[case::same_zone(
+    UpstreamSettings { zone_delay_ms: FOR_EVER_MS, ..settings() }, "{}", "kariakoo", 5
+)]
+#[case::other_zone(
+    UpstreamSettings { zone_delay_ms: Millis(20), ..settings() }, "{}", "temeke", 45
+)]
+#[tokio::test]
+async fn work_takes_its_time(
+    #[case] settings: UpstreamSettings,
+    #[case] faults: &str,
+    #[case] entry_zone: &str,
+    #[case] at_least_ms: u64,
+) {
+    let upstream = upstream::start(settings).await.unwrap();
+    upstream.set_faults(slowed(faults));
+    let sent = Instant::now();
+    let answer = request(&upstream, "r-1").header("x-entry-zone", entry_zone).send().await.unwrap();
+    assert_eq!(answer.status(), StatusCode::OK);
+    assert!(sent.elapsed() >= Duration::from_millis(at_least_ms));
+}
+
 async fn refuses_connections(address: SocketAddr) -> bool {
     match client().get(format!("http://{address}/health")).send().await {
         Ok(_) => false,
