Prove starts, spread, membership and stops with several hosts

Faults that these tests found, each failing first: - Heartbeats to a stretch of the ring mix too slowly: of 60 hosts a host knew 31 as live, of 200 it knew 25. They now go to places far apart, and silence is judged after 6 s instead of 3 s in a fleet of 20 or more. - A heartbeat sent before the stop but arriving after it revived a leaving host as a candidate. Leaving now holds for the whole run. - The questions after a pause ended at once without an answer, because the wait was counted from the start of the process.

--- a/crates/core/src/confirmation.rs
+++ b/crates/core/src/confirmation.rs
@@ -106,9 +106,14 @@
         self.ask_ms
     }
 
+    /// Time since the questions began.
+    pub fn waited_ms(&self, now_ms: Millis) -> Millis {
+        now_ms.since(self.opened_ms)
+    }
+
     /// Whether it is time to do without the answers.
     pub fn is_given_up(&self, now_ms: Millis) -> bool {
-        now_ms.since(self.opened_ms) >= GIVE_UP_AFTER_MS
+        self.waited_ms(now_ms) >= GIVE_UP_AFTER_MS
     }
 
     /// Asks at once, unless questions left a moment ago.
--- a/crates/core/src/control/start.rs
+++ b/crates/core/src/control/start.rs
@@ -89,7 +89,7 @@
             None => Turnout::Few,
         };
         let limits = &self.control.limits;
-        let waited_ms = now_ms.since(self.control.started_ms);
+        let waited_ms = open.waited_ms(now_ms);
         let suffices = match turnout {
             Turnout::Enough => true,
             Turnout::Majority => waited_ms >= limits.majority_start_after_ms,
--- a/crates/core/src/control/state.rs
+++ b/crates/core/src/control/state.rs
@@ -88,8 +88,6 @@
 /// Readings, questions and pulls that are under way.
 #[derive(Debug, Serialize)]
 pub struct ControlState {
-    /// When the host started.
-    pub started_ms: Millis,
     /// When it may start without its peers.
     pub limits: StartLimits,
     /// Questions to the peers, while they are open.
@@ -110,7 +108,6 @@
     /// A host that starts now; it reads and asks at once.
     pub fn new(now_ms: Millis, incarnation: Incarnation) -> ControlState {
         ControlState {
-            started_ms: now_ms,
             limits: StartLimits::default(),
             confirmation: None,
             retired: BTreeMap::new(),
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -19,7 +19,11 @@
 /// Time between heartbeats.
 pub const HEARTBEAT_EVERY_MS: Millis = Millis(1000);
 /// Silence after which a peer is taken for dead.
-pub const PEER_SILENT_AFTER_MS: Millis = Millis(3000);
+const SILENT_AFTER_MS: Millis = Millis(3000);
+/// The same in a fleet where most is heard through others.
+const SILENT_AFTER_IN_LARGE_FLEET_MS: Millis = Millis(6000);
+/// Hosts from which on a fleet is large.
+const LARGE_FLEET: usize = 20;
 /// Hosts no longer listed that are remembered.
 const MAX_FORMER: usize = 256;
 
@@ -138,6 +142,8 @@
     }
 
     /// Takes what a peer said of itself; one of an earlier run is ignored.
+    ///
+    /// A run that was heard to leave stays so: an earlier message may come after.
     pub fn take_heartbeat(
         &mut self,
         now_ms: Millis,
@@ -150,7 +156,8 @@
         }
         self.note_heard(now_ms, from, incarnation);
         if let Some(peer) = self.peers.get_mut(from) {
-            peer.heartbeat = heartbeat;
+            let leaving = peer.heartbeat.leaving || heartbeat.leaving;
+            peer.heartbeat = Heartbeat { leaving, ..heartbeat };
         }
     }
 
@@ -232,9 +239,17 @@
         peers
     }
 
+    /// Silence after which a peer is taken for dead.
+    pub fn silent_after_ms(&self) -> Millis {
+        match self.list.hosts.len() {
+            LARGE_FLEET.. => SILENT_AFTER_IN_LARGE_FLEET_MS,
+            _ => SILENT_AFTER_MS,
+        }
+    }
+
     /// Whether a host was heard of lately; this one always was.
     pub fn is_live(&self, now_ms: Millis, host: &HostId) -> bool {
-        let heard = |heard_ms: &Millis| now_ms.since(*heard_ms) < PEER_SILENT_AFTER_MS;
+        let heard = |heard_ms: &Millis| now_ms.since(*heard_ms) < self.silent_after_ms();
         *host == self.own || self.heard_ms.get(host).is_some_and(heard)
     }
 
--- a/crates/core/src/membership/ring.rs
+++ b/crates/core/src/membership/ring.rs
@@ -34,10 +34,23 @@
 /// Places ahead on a ring of `peers` other hosts that get a heartbeat in this round.
 pub fn heartbeat_offsets(peers: usize, round: u64) -> Vec<usize> {
     let count = heartbeats_per_round(peers).min(peers);
-    let Some(start) = (round.wrapping_mul(count as u64)).checked_rem(peers as u64) else {
-        return Vec::new();
-    };
-    (0..count).map(|step| (start as usize + step) % peers + 1).collect()
+    let first = round.wrapping_mul(count as u64);
+    let stride = stride(peers as u64);
+    let place = |step: u64| first.wrapping_add(step).wrapping_mul(stride) % peers as u64;
+    (0..count as u64).map(|step| place(step) as usize + 1).collect()
+}
+
+/// A step that visits every place of a ring of that length, near its golden section.
+fn stride(length: u64) -> u64 {
+    let golden = (length as f64 * 0.618).round() as u64;
+    (golden.max(1)..).find(|&step| greatest_common_divisor(step, length) == 1).unwrap_or(1)
+}
+
+fn greatest_common_divisor(a: u64, b: u64) -> u64 {
+    match b {
+        0 => a,
+        _ => greatest_common_divisor(b, a % b),
+    }
 }
 
 fn heartbeats_per_round(peers: usize) -> usize {
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! A host with a small configuration, driven event by event.
 #![allow(clippy::unwrap_used, dead_code)]
 
+pub mod configs;
 pub mod pump;
 
 use config::RepeatRule;
@@ -51,6 +52,14 @@
 
 impl Bench {
     pub fn configured() -> Bench {
+        let mut bench = Bench::alone();
+        bench.publish(ConfigKey::Base, 1, BASE);
+        bench.read(ConfigKey::Overlay, ReadOutcome::Missing);
+        bench
+    }
+
+    /// The only host of its fleet, without a configuration.
+    pub fn alone() -> Bench {
         let settings = HostSettings {
             host: "e1".parse().unwrap(),
             incarnation: Incarnation(1),
@@ -60,8 +69,6 @@
         };
         let mut bench = Bench { host: EntryHost::new(settings, 7, Millis::ZERO) };
         bench.handle(0, Event::HostListRead(Some(pump::host_list(1, 1))));
-        bench.publish(ConfigKey::Base, 1, BASE);
-        bench.read(ConfigKey::Overlay, ReadOutcome::Missing);
         bench
     }
 
@@ -127,3 +134,13 @@
         _ => None,
     })
 }
+
+/// A fleet with base 1 in force everywhere, left alone for a while.
+pub fn fleet(count: usize, seed: u64) -> pump::Pump {
+    let mut pump = pump::Pump::new(count, seed);
+    pump.publish_first();
+    pump.start_all();
+    pump.run_for(25_000);
+    assert!(pump.processes.values().all(|process| process.ready));
+    pump
+}
