cargo xtask measure: policies side by side, added latency, the simulated limit

Policies have to be compared on running processes at the deployments' sizes. Each run starts a fresh site, so that no policy inherits another's leases or ejections; a change of the policy in a running site was ruled out for that reason.

The load generator's pace moved to a thread of its own: the runtime's timer rounds up to whole milliseconds.

A relay before the peers' listeners cuts half of the entry hosts from the others, and each half has a host list of its own that names the relays.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 mod metrics;
 mod plan;
 mod process;
+mod relay;
 mod site;
 mod stand_in;
 mod wait;
@@ -22,8 +23,11 @@
 pub use error::FleetError;
 pub use metrics::Metrics;
 pub use nix::sys::signal::Signal;
-pub use plan::{ServicePlan, SitePlan, UpstreamPlan};
+pub use plan::{Distribution, ServicePlan, SitePlan, UpstreamPlan};
 pub use process::{Listener, Process, ProcessSpec, Role};
+pub use relay::Relay;
 pub use site::Site;
-pub use stand_in::{ConfigServiceProcess, HostListProcess, UpstreamProcess};
+pub use stand_in::{
+    ConfigServiceProcess, Faults, HostListProcess, Noise, UpstreamProcess, UpstreamTotals,
+};
 pub use wait::{LIMIT, wait_until};
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -5,6 +5,7 @@
     Connections, Millis, PerSecond, ServiceName, Share, SiteName, Slots, UpstreamId, ZoneName,
 };
 use std::collections::BTreeMap;
+use std::fmt;
 use std::net::SocketAddr;
 
 /// Path under which requests of a service may be repeated.
@@ -28,6 +29,8 @@
     pub policy: Policy,
     /// One-way delay between availability zones, added by upstreams.
     pub zone_delay_ms: Millis,
+    /// Half of the entry hosts reach the other half over relays that can be cut.
+    pub relayed: bool,
     /// Services.
     pub services: Vec<ServicePlan>,
 }
@@ -54,20 +57,46 @@
     pub queue: u32,
     /// Mean service time.
     pub service_time_ms: Millis,
-    /// Service times are exponential rather than constant.
-    pub exponential: bool,
+    /// How service times are distributed.
+    pub distribution: Distribution,
     /// Time after the start in which work takes longer.
     pub cold_start_ms: Millis,
     /// Time from the notice that it is leaving until it stops listening.
     pub drain_notice_ms: Millis,
 }
 
+/// How service times are distributed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Distribution {
+    /// Always the mean.
+    Fixed,
+    /// Exponential.
+    Exponential,
+}
+
+impl fmt::Display for Distribution {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Distribution::Fixed => "fixed",
+            Distribution::Exponential => "exponential",
+        })
+    }
+}
+
 impl SitePlan {
     /// Availability zone of the member with this index.
     pub fn zone(&self, index: u32) -> ZoneName {
         self.availability_zones[index as usize % self.availability_zones.len()].clone()
     }
 
+    /// Which half the entry host with this index belongs to.
+    pub fn half(&self, index: u32) -> usize {
+        match self.relayed && index >= self.entry_hosts / 2 {
+            true => 1,
+            false => 0,
+        }
+    }
+
     /// The base to publish, with the addresses of the upstreams that were started.
     pub fn base(&self, addresses: &BTreeMap<UpstreamId, SocketAddr>) -> SiteConfig {
         let services = self
--- a/crates/fleet/src/process.rs
+++ b/crates/fleet/src/process.rs
@@ -17,6 +17,9 @@
 use tokio::process::{Child, ChildStdout, Command};
 use tokio::sync::watch;
 
+/// Each process is to stand for a small machine: dozens share this one.
+const WORKER_THREADS_VARIABLE: &str = "TOKIO_WORKER_THREADS";
+const WORKER_THREADS: &str = "2";
 const LOG_TAIL_LINES: usize = 20;
 
 /// What a listener is for, as a process prints it.
@@ -108,6 +111,7 @@
         let stderr = File::options().create(true).append(true).open(&log);
         let mut child = Command::new(&spec.program)
             .args(&spec.args)
+            .env(WORKER_THREADS_VARIABLE, WORKER_THREADS)
             .stdin(Stdio::null())
             .stdout(Stdio::piped())
             .stderr(stderr.change_context_lazy(fail)?)
@@ -129,6 +133,11 @@
         &self.name
     }
 
+    /// Process id, as long as it has not been waited for.
+    pub fn id(&self) -> Option<u32> {
+        self.child.id()
+    }
+
     /// Waits until the process listens in a role.
     ///
     /// # Errors
@@ -150,7 +159,7 @@
     /// The process has ended.
     pub fn signal(&self, signal: Signal) -> Result<(), Report<FleetError>> {
         let fail = || FleetError::Signal { process: self.name.clone() };
-        let id = self.child.id().ok_or_else(fail)?;
+        let id = self.id().ok_or_else(fail)?;
         kill(Pid::from_raw(id as i32), signal).change_context_lazy(fail)
     }
 
--- a/crates/fleet/src/site.rs
+++ b/crates/fleet/src/site.rs
@@ -5,11 +5,13 @@
 use crate::entry_host::{EntryHostProcess, Settings};
 use crate::error::FleetError;
 use crate::plan::{ServicePlan, SitePlan};
+use crate::relay::Relay;
 use crate::stand_in::{ConfigServiceProcess, HostListProcess, UpstreamProcess};
 use crate::wait::{LIMIT, wait_until};
-use decision_core::HostList;
+use decision_core::{HostList, ListedHost};
 use domain::{HostId, UpstreamId, Version};
 use error_stack::{Report, ResultExt};
+use futures_util::future::try_join_all;
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -22,14 +24,16 @@
     pub plan: SitePlan,
     /// The configuration service.
     pub config_service: ConfigServiceProcess,
-    /// The host list.
-    pub host_list: HostListProcess,
+    /// The host list; a second one serves the second half of a relayed site.
+    pub host_lists: Vec<HostListProcess>,
     /// Upstreams by id, as long as they run.
     pub upstreams: BTreeMap<UpstreamId, UpstreamProcess>,
     /// Entry hosts.
     pub entry_hosts: Vec<EntryHostProcess>,
     /// For requests to all of them.
     pub client: Client,
+    /// One for each entry host of a relayed site.
+    relays: Vec<Relay>,
     /// Runs by request id, of upstreams that ended.
     ended_ledgers: Vec<BTreeMap<String, u64>>,
     list_version: Version,
@@ -46,14 +50,18 @@
     pub async fn start(binaries: Binaries, plan: SitePlan) -> Result<Site, Report<FleetError>> {
         let dir = TempDir::with_prefix("jujubedeal-").change_context(FleetError::Files)?;
         let config_service = ConfigServiceProcess::start(&binaries, dir.path()).await?;
-        let host_list = HostListProcess::start(&binaries, dir.path()).await?;
+        let mut host_lists = vec![HostListProcess::start(&binaries, dir.path(), "hosts-1").await?];
+        if plan.relayed {
+            host_lists.push(HostListProcess::start(&binaries, dir.path(), "hosts-2").await?);
+        }
         let mut site = Site {
             plan,
             config_service,
-            host_list,
+            host_lists,
             upstreams: BTreeMap::new(),
             entry_hosts: Vec::new(),
             client: Client::new()?,
+            relays: Vec::new(),
             ended_ledgers: Vec::new(),
             list_version: Version(0),
             binaries,
@@ -77,17 +85,8 @@
         service: &ServicePlan,
         index: u32,
     ) -> Result<UpstreamId, Report<FleetError>> {
-        let id = service.upstream_id(index);
-        let upstream = UpstreamProcess::start(
-            &self.binaries,
-            self.dir.path(),
-            id.clone(),
-            &self.plan.zone(index),
-            &service.upstream,
-            self.plan.zone_delay_ms,
-            u64::from(index),
-        )
-        .await?;
+        let upstream = self.spawn_upstream(service, index).await?;
+        let id = upstream.id.clone();
         self.upstreams.insert(id.clone(), upstream);
         Ok(id)
     }
@@ -153,10 +152,17 @@
         leaving: &[HostId],
     ) -> Result<(), Report<FleetError>> {
         self.list_version = Version(self.list_version.0 + 1);
-        let is_leaving = |host: &EntryHostProcess| leaving.contains(&host.settings.host);
-        let hosts = self.entry_hosts.iter().map(|h| h.listed(is_leaving(h))).collect();
-        let list = HostList { version: self.list_version, hosts };
-        self.host_list.publish(&self.client, &self.plan.site, &list).await
+        for (half, host_list) in self.host_lists.iter().enumerate() {
+            let hosts = (0..self.entry_hosts.len()).map(|i| self.listed(i, half, leaving));
+            let list = HostList { version: self.list_version, hosts: hosts.collect() };
+            host_list.publish(&self.client, &self.plan.site, &list).await?;
+        }
+        Ok(())
+    }
+
+    /// Cuts the halves of a relayed site from each other, or connects them again.
+    pub fn cut_halves(&self, cut: bool) {
+        self.relays.iter().for_each(|relay| relay.set_cut(cut));
     }
 
     /// Waits until every entry host is ready.
@@ -187,6 +193,18 @@
         Ok(ledgers)
     }
 
+    /// How one half sees an entry host: its own half directly, the other over the relay.
+    fn listed(&self, index: usize, half: usize, leaving: &[HostId]) -> ListedHost {
+        let host = &self.entry_hosts[index];
+        let listed = host.listed(leaving.contains(&host.settings.host));
+        match self.relays.get(index) {
+            Some(relay) if self.plan.half(index as u32) != half => {
+                ListedHost { peer_address: relay.address, ..listed }
+            }
+            _ => listed,
+        }
+    }
+
     async fn ready(&self, index: usize) -> Result<(), Report<FleetError>> {
         let host = &self.entry_hosts[index];
         let condition = format!("{} is ready", host.settings.host);
@@ -197,30 +215,54 @@
 
     async fn start_upstreams(&mut self) -> Result<(), Report<FleetError>> {
         for service in self.plan.services.clone() {
-            for index in 0..service.upstreams {
-                self.start_upstream(&service, index).await?;
+            let starts = (0..service.upstreams).map(|index| self.spawn_upstream(&service, index));
+            for upstream in try_join_all(starts).await? {
+                self.upstreams.insert(upstream.id.clone(), upstream);
             }
         }
         Ok(())
     }
 
+    async fn spawn_upstream(
+        &self,
+        service: &ServicePlan,
+        index: u32,
+    ) -> Result<UpstreamProcess, Report<FleetError>> {
+        UpstreamProcess::start(
+            &self.binaries,
+            self.dir.path(),
+            service.upstream_id(index),
+            &self.plan.zone(index),
+            &service.upstream,
+            self.plan.zone_delay_ms,
+            u64::from(index),
+        )
+        .await
+    }
+
     async fn start_entry_hosts(&mut self) -> Result<(), Report<FleetError>> {
-        for index in 0..self.plan.entry_hosts {
-            let name = format!("e{}", index + 1);
-            let host = name.parse().map_err(|_| FleetError::Unknown { name })?;
-            let settings = Settings {
-                drain_notice_ms: self.plan.drain_notice_ms,
-                ..Settings::new(
-                    host,
-                    self.plan.site.clone(),
-                    self.plan.zone(index),
-                    self.config_service.address,
-                    self.host_list.address,
-                )
-            };
-            let host = EntryHostProcess::start(&self.binaries, self.dir.path(), settings).await?;
-            self.entry_hosts.push(host);
+        let starts = (0..self.plan.entry_hosts).map(|index| self.spawn_entry_host(index));
+        self.entry_hosts = try_join_all(starts).await?;
+        if self.plan.relayed {
+            let peers = self.entry_hosts.iter().map(|host| host.settings.peer_address);
+            self.relays = try_join_all(peers.map(Relay::start)).await?;
         }
         Ok(())
     }
+
+    async fn spawn_entry_host(&self, index: u32) -> Result<EntryHostProcess, Report<FleetError>> {
+        let name = format!("e{}", index + 1);
+        let host = name.parse().map_err(|_| FleetError::Unknown { name })?;
+        let settings = Settings {
+            drain_notice_ms: self.plan.drain_notice_ms,
+            ..Settings::new(
+                host,
+                self.plan.site.clone(),
+                self.plan.zone(index),
+                self.config_service.address,
+                self.host_lists[self.plan.half(index)].address,
+            )
+        };
+        EntryHostProcess::start(&self.binaries, self.dir.path(), settings).await
+    }
 }
--- a/crates/fleet/src/stand_in.rs
+++ b/crates/fleet/src/stand_in.rs
@@ -7,10 +7,10 @@
 use crate::process::{Process, ProcessSpec, Role};
 use crate::wait::LIMIT;
 use decision_core::HostList;
-use domain::{Millis, SiteName, UpstreamId, ZoneName};
+use domain::{Millis, Share, SiteName, UpstreamId, ZoneName};
 use error_stack::Report;
 use nix::sys::signal::Signal;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 use std::ffi::OsString;
 use std::net::SocketAddr;
@@ -18,6 +18,7 @@
 use std::time::Duration;
 
 const LEDGER_PATH: &str = "/standin/runs";
+const TOTALS_PATH: &str = "/standin/totals";
 const FAULTS_PATH: &str = "/standin/faults";
 const LEDGER_POLL: Duration = Duration::from_millis(20);
 
@@ -81,8 +82,12 @@
     ///
     /// # Errors
     /// It does not come up.
-    pub async fn start(binaries: &Binaries, dir: &Path) -> Result<Self, Report<FleetError>> {
-        let process = start(binaries, dir, "host-list", ["host-list".into()])?;
+    pub async fn start(
+        binaries: &Binaries,
+        dir: &Path,
+        name: &str,
+    ) -> Result<HostListProcess, Report<FleetError>> {
+        let process = start(binaries, dir, name, ["host-list".into()])?;
         let address = process.address(Role::Hosts).await?;
         Ok(HostListProcess { process, address })
     }
@@ -101,6 +106,52 @@
     }
 }
 
+/// Faults of an upstream's stand-in.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct Faults {
+    /// Part of the requests answered at once by an error.
+    pub fail_fast_share: Share,
+    /// Work takes this many times longer.
+    pub slow_factor: f64,
+    /// The load is reported as it was this long ago.
+    pub late_load_ms: Millis,
+    /// A neighbour on the same machine steals time now and then.
+    pub noisy: Option<Noise>,
+}
+
+impl Default for Faults {
+    fn default() -> Faults {
+        Faults {
+            fail_fast_share: Share(0.0),
+            slow_factor: 1.0,
+            late_load_ms: Millis::ZERO,
+            noisy: None,
+        }
+    }
+}
+
+/// A neighbour that steals time in regular bursts.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct Noise {
+    /// From the start of one burst to the start of the next.
+    pub every_ms: Millis,
+    /// Length of a burst.
+    pub for_ms: Millis,
+    /// Work that starts in a burst takes this many times longer.
+    pub factor: f64,
+}
+
+/// How many requests of each kind an upstream saw.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Deserialize)]
+pub struct UpstreamTotals {
+    /// Requests for work.
+    pub received: u64,
+    /// Of them, started to run.
+    pub started: u64,
+    /// Health checks.
+    pub health_calls: u64,
+}
+
 /// One upstream's stand-in.
 #[derive(Debug)]
 pub struct UpstreamProcess {
@@ -126,14 +177,13 @@
         zone_delay_ms: Millis,
         seed: u64,
     ) -> Result<UpstreamProcess, Report<FleetError>> {
-        let distribution = if plan.exponential { "exponential" } else { "fixed" };
         let flags = [
             ("--id", id.to_string()),
             ("--zone", zone.to_string()),
             ("--slots", plan.slots.to_string()),
             ("--queue", plan.queue.to_string()),
             ("--service-ms", plan.service_time_ms.0.to_string()),
-            ("--service-dist", distribution.to_owned()),
+            ("--service-dist", plan.distribution.to_string()),
             ("--cold-start-ms", plan.cold_start_ms.0.to_string()),
             ("--zone-delay-ms", zone_delay_ms.0.to_string()),
             ("--drain-notice-ms", plan.drain_notice_ms.0.to_string()),
@@ -157,6 +207,14 @@
         client.json(self.address, LEDGER_PATH).await
     }
 
+    /// How many requests of each kind it saw.
+    ///
+    /// # Errors
+    /// It does not answer.
+    pub async fn totals(&self, client: &Client) -> Result<UpstreamTotals, Report<FleetError>> {
+        client.json(self.address, TOTALS_PATH).await
+    }
+
     /// Replaces all faults.
     ///
     /// # Errors
@@ -164,7 +222,7 @@
     pub async fn set_faults(
         &self,
         client: &Client,
-        faults: &impl Serialize,
+        faults: &Faults,
     ) -> Result<(), Report<FleetError>> {
         client.post(self.address, FAULTS_PATH, faults).await
     }
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -8,6 +8,7 @@
 mod answer;
 mod central;
 mod ledger;
+mod pacer;
 mod plan;
 mod report;
 mod request;
@@ -16,7 +17,7 @@
 mod targets;
 
 pub use answer::{Answer, Verdict, judge};
-pub use central::{CentralQueue, CentralReport, ServiceTime, simulate};
+pub use central::{CentralPlan, CentralReport, CentralService, SlotGroup, simulate};
 pub use ledger::{Ledger, LedgerCheck, LedgerError, read_ledger};
 pub use plan::{Arrivals, Caller, LoadPlan, PlanError, RouteLoad, Stream};
 pub use report::{CallerReport, LatencyReport, LoadReport};
--- a/crates/load/src/run.rs
+++ b/crates/load/src/run.rs
@@ -1,6 +1,7 @@
 //! The run: sends each request at its time and waits for all answers.
 
 use crate::answer::{Answer, Verdict, judge};
+use crate::pacer::{Due, Pacer};
 use crate::plan::{LoadPlan, PlanError};
 use crate::report::{LoadReport, Tally};
 use crate::request::Request;
@@ -17,6 +18,8 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
+const MICROS_PER_MILLI: u64 = 1000;
+
 /// What a run gave.
 #[derive(Debug, Clone, PartialEq)]
 pub struct LoadOutcome {
@@ -123,41 +126,38 @@
     stop: impl Future<Output = ()>,
 ) -> Sent {
     let mut stop = pin!(stop);
-    let start = Instant::now();
     let mut sent = Sent { at_most_once: Vec::new(), span_ms: plan.span_ms() };
     let mut calls = JoinSet::new();
-    for (number, arrival) in schedule(plan).into_iter().enumerate() {
-        let due = start + Duration::from_micros(arrival.at_us);
-        tokio::select! {
+    let mut pacer = Pacer::start(schedule(plan));
+    let mut last_us = 0;
+    loop {
+        let due = tokio::select! {
             biased;
             () = &mut stop => {
-                sent.span_ms = Millis(arrival.at_us / 1000);
+                sent.span_ms = Millis(last_us / MICROS_PER_MILLI);
                 break;
             }
-            () = sleep_until(due) => {}
-        }
+            due = pacer.due.recv() => due,
+        };
+        let Some(Due { number, arrival, at }) = due else {
+            break;
+        };
+        last_us = arrival.at_us;
         let stream = &plan.streams[arrival.stream];
         let caller = &stream.callers[arrival.caller];
         let request = Request::new(run, number, caller, &stream.routes[arrival.route]);
         if request.at_most_once {
             sent.at_most_once.push(request.id.clone());
         }
-        let measured = arrival.at_us >= plan.warm_up_ms.0 * 1000;
+        let measured = arrival.at_us >= plan.warm_up_ms.0 * MICROS_PER_MILLI;
         let sender = Arc::clone(sender);
-        calls.spawn(async move { sender.call(request, due, measured).await });
+        calls.spawn(async move { sender.call(request, at.into(), measured).await });
         while calls.try_join_next().is_some() {}
     }
     while calls.join_next().await.is_some() {}
     sent
 }
 
-/// Waits without a detour over the timer when the time has come.
-async fn sleep_until(due: Instant) {
-    if due > Instant::now() {
-        tokio::time::sleep_until(due).await;
-    }
-}
-
 impl Sender {
     async fn call(&self, request: Request, due: Instant, measured: bool) {
         let give_up_ms = request.timeout_ms + self.grace_ms;
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -5,7 +5,9 @@
 use config::Policy;
 use domain::{ByteCount, CallerId, Connections, Millis, PerSecond, Share, Slots, UpstreamId};
 use error_stack::{Report, ResultExt};
-use fleet::{Binaries, LIMIT, Profile, ServicePlan, Site, SitePlan, UpstreamPlan, wait_until};
+use fleet::{
+    Binaries, Distribution, LIMIT, Profile, ServicePlan, Site, SitePlan, UpstreamPlan, wait_until,
+};
 use load::{
     Arrivals, Caller, Ledger, LedgerCheck, LoadOutcome, LoadPlan, LoadReport, RouteLoad, Stream,
     Target, Targets,
@@ -88,7 +90,7 @@
         connections: Connections(250),
         queue: 12,
         service_time_ms: Millis(5),
-        exponential: true,
+        distribution: Distribution::Exponential,
         cold_start_ms: Millis::ZERO,
         drain_notice_ms: Millis(2000),
     };
@@ -108,6 +110,7 @@
         drain_notice_ms: Millis(1000),
         policy: Policy::default(),
         zone_delay_ms: Millis(1),
+        relayed: false,
         services: vec![service("portal")?, service("parts")?],
     })
 }
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,11 +1,13 @@
 //! Repetitive work on the project.
 //!
-//! `cargo xtask demo` runs the main job end to end on loopback. Every process that is
+//! `cargo xtask demo` runs the main job end to end on loopback, `cargo xtask measure`
+//! compares policies on running processes. Every process that is
 //! started belongs to a value that kills it when dropped, so errors, signals and panics
 //! leave none behind.
 
 mod demo;
 mod error;
+mod measure;
 
 use clap::{Parser, Subcommand};
 use error::TaskError;
@@ -27,6 +29,8 @@
 enum Task {
     /// Build and run the main job end to end: entry hosts, upstreams, callers, changes.
     Demo(demo::Args),
+    /// Measure policies side by side on running processes.
+    Measure(measure::Args),
 }
 
 #[tokio::main]
@@ -48,6 +52,7 @@
 async fn run(task: Task) -> Result<ExitCode, Report<TaskError>> {
     match task {
         Task::Demo(args) => demo::run(&args).await,
+        Task::Measure(args) => measure::run(&args).await,
     }
 }
 
