Probe within the fleet's budget, keep leaving marks, eject and readmit

Cause: the core sent no probes, forgot who said it was leaving whenever the upstream was published again, and judged failures by a moving average alone.

Probes: divided by the hosts listed, with a settling time for hosts that join and for hosts that leave the list, so that hosts with different lists stay within the sum; buckets hold one probe and start empty. Leaving: a mark that goes only with a new publication or with direct evidence that is surely younger than the last word of leaving. Health: ejection with a floor, trial, ramp, backoff for shed requests, fewer slots for outliers in latency. Explain: typed reasons per upstream and a bounded trace of calls.

Ruled out: the largest count seen lately as the divisor (a list that grows then exceeds the budget while some hosts hold the shorter one).

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -94,4 +94,6 @@
     pub rounds: f64,
     /// Whether its answer's head came.
     pub answered: bool,
+    /// Whether that head was no failure.
+    pub good_answer: bool,
 }
--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -16,7 +16,7 @@
 /// Shortest time that a caller is told to stay away.
 const MIN_RETRY_AFTER_MS: u64 = 1000;
 /// Status from which an answer counts as the upstream's failure.
-const FIRST_FAILURE_STATUS: u16 = 500;
+pub(crate) const FIRST_FAILURE_STATUS: u16 = 500;
 
 impl EntryHost {
     pub(crate) fn call_arrived(
@@ -63,7 +63,7 @@
         }
         attempt.answered = true;
         let call_id = attempt.call;
-        self.note_answer(now_ms, id, &answer);
+        self.note_answer(now_ms, id, &answer, actions);
         let Some(call) = self.calls.get_mut(&call_id) else { return };
         if answer.not_run {
             call.note_not_run();
@@ -91,7 +91,7 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(attempt) = self.attempts.remove(&id) else { return };
-        self.free_slot(&attempt, end);
+        self.note_end(now_ms, &attempt, end);
         if let Some(call) = self.calls.get_mut(&attempt.call) {
             call.live.retain(|&live| live != id);
             if !attempt.answered && is_proof_of_not_run(end) {
@@ -222,6 +222,7 @@
             sent_ms: now_ms,
             rounds,
             answered: false,
+            good_answer: false,
         };
         self.attempts.insert(attempt, live);
         true
@@ -301,30 +302,6 @@
         }
     }
 
-    fn note_answer(&mut self, now_ms: Millis, id: AttemptId, answer: &AnswerHead) {
-        let Some(attempt) = self.attempts.get(&id) else { return };
-        let Some(state) = self.services.get_mut(&attempt.service) else { return };
-        let Some(upstream) = state.upstream_mut(&attempt.upstream) else { return };
-        upstream.note_report(now_ms, answer.load, answer.leaving);
-        match answer.status >= FIRST_FAILURE_STATUS || answer.not_run {
-            true => upstream.note_failure(),
-            false => {
-                let latency_ms = now_ms.since(attempt.sent_ms);
-                upstream.estimate.note_latency(latency_ms, attempt.rounds);
-                upstream.note_success(latency_ms);
-            }
-        }
-    }
-
-    fn free_slot(&mut self, attempt: &LiveAttempt, end: AttemptEnd) {
-        let Some(state) = self.services.get_mut(&attempt.service) else { return };
-        let Some(upstream) = state.upstream_mut(&attempt.upstream) else { return };
-        upstream.in_flight = upstream.in_flight.saturating_sub(1);
-        if matches!(end, AttemptEnd::Failed { .. }) {
-            upstream.note_failure();
-        }
-    }
-
     fn forget_if_over(&mut self, id: CallId) {
         let over = self
             .calls
--- a/crates/core/src/control/in_force.rs
+++ b/crates/core/src/control/in_force.rs
@@ -20,9 +20,9 @@
         for (name, service) in &config.services {
             self.control.retired.remove(name);
             match self.services.get_mut(name) {
-                Some(state) => state.republish(service.clone()),
+                Some(state) => state.republish(service.clone(), now_ms),
                 None => {
-                    let state = ServiceState::new(name.clone(), service.clone());
+                    let state = ServiceState::new(name.clone(), service.clone(), now_ms);
                     self.services.insert(name.clone(), state);
                 }
             }
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -55,6 +55,13 @@
             }
             PeerMessage::HostListWanted => self.host_list_wanted(&from, actions),
             PeerMessage::HostListOffered(list) => self.take_list(now_ms, list),
+            PeerMessage::UpstreamNews(news) => self.news_received(now_ms, &from, news),
+            PeerMessage::ServingWanted { upstream, nonce } => {
+                self.serving_wanted(now_ms, &from, upstream, nonce, actions);
+            }
+            PeerMessage::ServingSeen { upstream, nonce, ago_ms } => {
+                self.serving_seen(now_ms, &upstream, nonce, ago_ms);
+            }
         }
         self.advance_start(now_ms, actions);
     }
--- a/crates/core/src/dump.rs
+++ b/crates/core/src/dump.rs
@@ -5,7 +5,9 @@
 use crate::entry_host::{EntryHost, HostSettings};
 use crate::lifecycle::Lifecycle;
 use crate::membership::Membership;
+use crate::news::NewsCounts;
 use crate::pause::PauseWatch;
+use crate::probes::ProbesDump;
 use crate::traffic::ControlTraffic;
 use crate::upstream::UpstreamState;
 use config::{HostLimits, SiteConfig};
@@ -43,6 +45,10 @@
     pub pauses: &'a PauseWatch,
     /// Calls in progress.
     pub calls: usize,
+    /// Probes, and the hosts that share their budget.
+    pub probes: ProbesDump<'a>,
+    /// What news of upstreams cost.
+    pub news: NewsCounts,
     /// Services.
     pub services: Vec<ServiceDump<'a>>,
 }
@@ -93,6 +99,8 @@
             membership: &self.membership,
             pauses: &self.pauses,
             calls: self.calls.len(),
+            probes: self.probes.dump(self.now_ms),
+            news: self.news.counts(),
             services: services.collect(),
         }
     }
--- a/crates/core/src/entry_host.rs
+++ b/crates/core/src/entry_host.rs
@@ -10,9 +10,12 @@
 use crate::confirmation::StartLimits;
 use crate::control::ControlState;
 use crate::event::Event;
+use crate::explain::Trace;
 use crate::lifecycle::Lifecycle;
 use crate::membership::Membership;
+use crate::news::{News, ROUND_MS};
 use crate::pause::PauseWatch;
+use crate::probes::Probes;
 use crate::service::ServiceState;
 use crate::traffic::ControlTraffic;
 use config::{RouteTable, SiteConfig};
@@ -57,6 +60,11 @@
     pub(crate) attempts: FastMap<AttemptId, LiveAttempt>,
     pub(crate) last_attempt: AttemptId,
     pub(crate) timers: Timers,
+    pub(crate) probes: Probes,
+    pub(crate) news: News,
+    pub(crate) trace: Trace,
+    /// Time of the last event.
+    pub(crate) now_ms: Millis,
 }
 
 /// The configuration in force, prepared for use.
@@ -94,6 +102,10 @@
             last_attempt: AttemptId(0),
             settings,
             timers: Timers { heartbeat_ms: now_ms, host_list_ms: now_ms },
+            probes: Probes::default(),
+            news: News::default(),
+            trace: Trace::default(),
+            now_ms,
         }
     }
 
@@ -109,6 +121,14 @@
         if self.pauses.note_event(now_ms).is_some() {
             self.after_pause(now_ms);
         }
+        self.now_ms = now_ms;
+        let arrived = EntryHost::arriving_call(&event);
+        self.route(now_ms, event, actions);
+        self.trace_actions(now_ms, arrived, &actions[before..]);
+        self.traffic.note_sent(&actions[before..]);
+    }
+
+    fn route(&mut self, now_ms: Millis, event: Event, actions: &mut Vec<Action>) {
         match event {
             Event::CallArrived { call, head } => self.call_arrived(now_ms, call, head, actions),
             Event::CallerGone { call } => self.caller_gone(now_ms, call, actions),
@@ -118,16 +138,21 @@
             Event::AttemptEnded { attempt, end } => {
                 self.attempt_ended(now_ms, attempt, end, actions);
             }
-            Event::ProbeEnded { .. } => {}
+            Event::ProbeEnded { probe, result } => {
+                self.probe_ended(now_ms, probe, result, actions);
+            }
             Event::PeerReceived { from, incarnation, message } => {
+                self.note_peer(now_ms, &from);
                 self.peer_received(now_ms, from, incarnation, message, actions);
             }
             Event::ConfigRead(reading) => self.config_read(now_ms, reading, actions),
-            Event::HostListRead(list) => self.host_list_read(now_ms, list, actions),
+            Event::HostListRead(list) => {
+                self.probes.view.note_read(now_ms, &self.settings.host, list.as_ref());
+                self.host_list_read(now_ms, list, actions);
+            }
             Event::StopRequested => self.stop_requested(now_ms, actions),
             Event::Tick => self.tick(now_ms, actions),
         }
-        self.traffic.note_sent(&actions[before..]);
     }
 
     /// When the next [`Event::Tick`] is due at the latest.
@@ -138,6 +163,8 @@
             .heartbeat_ms
             .min(timers.host_list_ms)
             .min(self.control.due_ms())
+            .min(self.probes.due_ms)
+            .min(self.news.due_ms)
             .min(expiry_ms.unwrap_or(Millis::MAX))
     }
 
@@ -152,9 +179,35 @@
     fn tick(&mut self, now_ms: Millis, actions: &mut Vec<Action>) {
         self.expire_calls(now_ms, actions);
         self.run_control_timers(now_ms, actions);
+        self.run_probes(now_ms, actions);
+        self.run_health(now_ms, actions);
         let notice_ms = self.settings.drain_notice_ms;
         if self.lifecycle.end_if_done(now_ms, notice_ms, self.calls.len()) {
             actions.push(Action::Exit);
         }
     }
+
+    /// Counts a peer among the fleet, and tells it of leaving upstreams if it was silent.
+    fn note_peer(&mut self, now_ms: Millis, peer: &HostId) {
+        self.probes.view.note_peer(now_ms, peer);
+        if !self.membership.is_live(now_ms, peer) {
+            self.repeat_leaving(now_ms);
+        }
+    }
+
+    /// Weighs upstreams anew, tells peers, and sends what waited for an upstream's return.
+    fn run_health(&mut self, now_ms: Millis, actions: &mut Vec<Action>) {
+        if self.news.due_ms > now_ms {
+            return;
+        }
+        self.news.due_ms = now_ms + ROUND_MS;
+        self.send_news(now_ms, actions);
+        let names: Vec<ServiceName> = self.services.keys().cloned().collect();
+        for name in names {
+            if let Some(state) = self.services.get_mut(&name) {
+                state.settle_health(now_ms);
+            }
+            self.dispatch(now_ms, &name, actions);
+        }
+    }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,15 +18,24 @@
 mod entry_host;
 mod estimate;
 mod event;
+mod explain;
+mod fleet_view;
+mod health;
+mod leaving;
 mod lifecycle;
 mod membership;
 mod message;
+mod news;
+mod outcomes;
 mod pause;
+mod probe_budget;
+mod probes;
 mod queue;
 mod refusal;
 mod rendezvous;
 mod retry;
 mod service;
+mod service_health;
 mod traffic;
 mod upstream;
 
@@ -39,11 +48,23 @@
     AnswerHead, AttemptEnd, CallHead, ConfigKey, ConfigReading, Event, FailureStage, HostList,
     ListedHost, LoadReport, ProbeResult, PublishedValue, ReadOutcome,
 };
+pub use explain::{
+    CallDecision, CallStep, MAX_STEPS, SeenAtChoice, UpstreamExplanation, UpstreamReason,
+};
+pub use fleet_view::{FleetView, LIST_FRESH_MS, LIST_LAG_MS, SETTLE_MS};
+pub use health::{Condition, Health};
+pub use leaving::{HOLD_MS, LeavingMark, LeavingSource};
 pub use lifecycle::Lifecycle;
 pub use membership::{MAX_NEWS_PEERS, Membership, Peer, heartbeat_offsets, news_offsets};
-pub use message::{Envelope, Heartbeat, MessageKind, PROTOCOL_VERSION, PeerMessage};
+pub use message::{
+    Envelope, Heartbeat, MessageKind, PROTOCOL_VERSION, PeerMessage, UpstreamFact, UpstreamNews,
+    UpstreamNewsItem, UpstreamRef,
+};
+pub use news::{MAX_NEWS_ITEMS, NewsCounts};
 pub use pause::PauseWatch;
+pub use probes::ProbesDump;
 pub use refusal::{Refusal, RefusalCause, RunOutcome};
 pub use rendezvous::{Job, Role};
+pub use service_health::Strictness;
 pub use traffic::{ControlTraffic, RefusedSender};
 pub use upstream::UpstreamState;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -5,9 +5,10 @@
 //! be lost, doubled, late or out of order.
 
 use crate::adoption::VersionPair;
-use crate::event::{ConfigKey, HostList, PublishedValue};
-use domain::{HostId, Incarnation, Version};
+use crate::event::{ConfigKey, HostList, LoadReport, PublishedValue};
+use domain::{HostId, Incarnation, Millis, ServiceName, UpstreamId, Version};
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 
 /// Version of the messages; a host refuses others.
 pub const PROTOCOL_VERSION: u32 = 1;
@@ -62,6 +63,24 @@
     HostListWanted,
     /// The host list that the sender holds.
     HostListOffered(HostList),
+    /// What the sender learned of upstreams.
+    UpstreamNews(UpstreamNews),
+    /// Asks the prober of an upstream marked as leaving whether it serves again.
+    ServingWanted {
+        /// Which.
+        upstream: UpstreamRef,
+        /// Comes back in the answer.
+        nonce: u64,
+    },
+    /// The sender heard the upstream serving.
+    ServingSeen {
+        /// Which.
+        upstream: UpstreamRef,
+        /// That of the question.
+        nonce: u64,
+        /// How long before the answer the upstream was asked.
+        ago_ms: Millis,
+    },
 }
 
 /// Kind of a message, to count by.
@@ -76,6 +95,10 @@
     Versions,
     /// [`PeerMessage::HostListWanted`] and [`PeerMessage::HostListOffered`].
     HostList,
+    /// [`PeerMessage::UpstreamNews`].
+    UpstreamNews,
+    /// [`PeerMessage::ServingWanted`] and [`PeerMessage::ServingSeen`].
+    Serving,
 }
 
 impl PeerMessage {
@@ -90,6 +113,10 @@
                 MessageKind::Versions
             }
             PeerMessage::HostListWanted | PeerMessage::HostListOffered(_) => MessageKind::HostList,
+            PeerMessage::UpstreamNews(_) => MessageKind::UpstreamNews,
+            PeerMessage::ServingWanted { .. } | PeerMessage::ServingSeen { .. } => {
+                MessageKind::Serving
+            }
         }
     }
 }
@@ -135,3 +162,52 @@
 fn is_false(flag: &bool) -> bool {
     !flag
 }
+
+/// What the sender learned of upstreams.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct UpstreamNews {
+    /// At most [`crate::MAX_NEWS_ITEMS`]; more are ignored.
+    pub items: Vec<UpstreamNewsItem>,
+}
+
+/// One upstream and what the sender learned of it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct UpstreamNewsItem {
+    /// Which.
+    pub upstream: UpstreamRef,
+    /// How long ago the sender learned it.
+    pub ago_ms: Millis,
+    /// What.
+    pub fact: UpstreamFact,
+}
+
+/// An upstream as peers name it; its address tells instances of one id apart.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct UpstreamRef {
+    /// Its service.
+    pub service: ServiceName,
+    /// Its id.
+    pub id: UpstreamId,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// What can be learned of an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum UpstreamFact {
+    /// It said that it is leaving.
+    Leaving,
+    /// A probe found it serving.
+    Alive {
+        /// What it said of its load.
+        load: Option<LoadReport>,
+    },
+    /// A probe of it failed.
+    ProbeFailed,
+    /// The sender ejected it.
+    Ejected,
+}
--- /dev/null
+++ b/crates/core/src/news.rs
@@ -0,0 +1,218 @@
+//! What this host tells its peers of upstreams.
+//!
+//! The first word of a leaving upstream goes out at once and is repeated for
+//! [`REPEAT_MS`], as any message may be lost; everything else is told once, with the
+//! next round. Rounds spend from half of the control budget; where that is short, the
+//! oldest facts are dropped and only words of leaving may overdraw, by one round.
+
+use crate::action::Action;
+use crate::entry_host::EntryHost;
+use crate::leaving::LeavingSource;
+use crate::message::{PeerMessage, UpstreamFact, UpstreamNews, UpstreamNewsItem, UpstreamRef};
+use domain::{ByteCount, HostId, Millis, ServiceName, UpstreamId};
+use serde::Serialize;
+use std::collections::BTreeMap;
+
+/// Most items in one message; a receiver ignores more.
+pub const MAX_NEWS_ITEMS: usize = 16;
+/// Time for which a word of leaving is repeated.
+const REPEAT_MS: Millis = Millis(10_000);
+/// Time between rounds.
+pub(crate) const ROUND_MS: Millis = Millis(1_000);
+/// Part of the control budget that news may spend; heartbeats and the rest need the other.
+const BUDGET_SHARE: f64 = 0.5;
+/// Most that is saved up, in seconds of that part.
+const MAX_SAVED_SECS: f64 = 2.0;
+/// Bytes around the items of a message, on the wire.
+const FRAME_BYTES: usize = 160;
+
+/// An upstream of a service.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+struct Key {
+    service: ServiceName,
+    id: UpstreamId,
+}
+
+/// Something to be told once.
+#[derive(Debug, Clone, Copy)]
+struct Fact {
+    learned_ms: Millis,
+    fact: UpstreamFact,
+}
+
+/// News not yet told.
+#[derive(Debug, Default)]
+pub struct News {
+    /// The newest fact of each upstream.
+    facts: BTreeMap<Key, Fact>,
+    /// Upstreams whose leaving is repeated, and until when.
+    leaving: BTreeMap<Key, Millis>,
+    saved_bytes: f64,
+    filled_ms: Millis,
+    pub(crate) due_ms: Millis,
+    counts: NewsCounts,
+}
+
+/// What news cost so far.
+#[derive(Debug, Clone, Copy, Default, Serialize)]
+pub struct NewsCounts {
+    /// Bytes sent, frames included.
+    pub sent_bytes: u64,
+    /// Messages sent.
+    pub sent_messages: u64,
+    /// Facts dropped for want of budget.
+    pub dropped_facts: u64,
+}
+
+impl News {
+    /// What news cost so far.
+    pub fn counts(&self) -> NewsCounts {
+        self.counts
+    }
+
+    fn fill(&mut self, now_ms: Millis, budget: ByteCount) {
+        let per_second = budget.0 as f64 * BUDGET_SHARE;
+        let earned = per_second * now_ms.since(self.filled_ms).as_f64() / 1000.0;
+        self.saved_bytes = (self.saved_bytes + earned).min(per_second * MAX_SAVED_SECS);
+        self.filled_ms = now_ms;
+    }
+}
+
+impl EntryHost {
+    /// Notes something to be told with the next round.
+    pub(crate) fn note_news(
+        &mut self,
+        now_ms: Millis,
+        service: &ServiceName,
+        id: &UpstreamId,
+        fact: UpstreamFact,
+    ) {
+        let key = Key { service: service.clone(), id: id.clone() };
+        self.news.facts.insert(key, Fact { learned_ms: now_ms, fact });
+    }
+
+    /// Tells all peers at once that an upstream is leaving.
+    pub(crate) fn tell_leaving(
+        &mut self,
+        now_ms: Millis,
+        service: &ServiceName,
+        id: &UpstreamId,
+        actions: &mut Vec<Action>,
+    ) {
+        if let Some(state) = self.services.get_mut(service) {
+            state.settle_health(now_ms);
+        }
+        let key = Key { service: service.clone(), id: id.clone() };
+        self.news.leaving.insert(key, now_ms + REPEAT_MS);
+        self.send_news(now_ms, actions);
+    }
+
+    /// Repeats all words of leaving: a peer has come that may not have heard them.
+    pub(crate) fn repeat_leaving(&mut self, now_ms: Millis) {
+        for (name, state) in &self.services {
+            for upstream in state.upstreams.iter().filter(|upstream| upstream.leaving.is_some()) {
+                let key = Key { service: name.clone(), id: upstream.id.clone() };
+                self.news.leaving.insert(key, now_ms + REPEAT_MS);
+            }
+        }
+    }
+
+    /// Sends a round of news, as far as the budget goes.
+    pub(crate) fn send_news(&mut self, now_ms: Millis, actions: &mut Vec<Action>) {
+        let Some(in_force) = &self.in_force else { return };
+        self.news.fill(now_ms, in_force.config.measurement.control_bytes_per_second);
+        self.news.leaving.retain(|_, until_ms| now_ms < *until_ms);
+        let peers = self.membership.listed_peers(&self.settings.host).count();
+        let mut items = self.leaving_items(now_ms);
+        let urgent = items.len();
+        items.extend(self.fact_items(now_ms));
+        items.truncate(MAX_NEWS_ITEMS);
+        let saved_bytes = self.news.saved_bytes;
+        while items.len() > urgent && round_bytes(&items, peers) > saved_bytes {
+            items.pop();
+        }
+        let too_dear = saved_bytes <= 0.0 && peers > 0;
+        if items.is_empty() || too_dear {
+            return;
+        }
+        self.news.counts.dropped_facts +=
+            (self.news.facts.len() + urgent).saturating_sub(items.len()) as u64;
+        self.news.facts.clear();
+        self.news.saved_bytes -= round_bytes(&items, peers);
+        self.news.counts.sent_bytes += round_bytes(&items, peers) as u64;
+        self.news.counts.sent_messages += peers as u64;
+        let message = PeerMessage::UpstreamNews(UpstreamNews { items });
+        for peer in self.membership.listed_peers(&self.settings.host) {
+            actions.push(Action::SendPeer {
+                to: peer.host.clone(),
+                address: peer.peer_address,
+                message: message.clone(),
+            });
+        }
+    }
+
+    pub(crate) fn news_received(&mut self, now_ms: Millis, from: &HostId, news: UpstreamNews) {
+        for item in news.items.into_iter().take(MAX_NEWS_ITEMS) {
+            let learned_ms = now_ms - item.ago_ms;
+            let Some(state) = self.services.get_mut(&item.upstream.service) else { continue };
+            let Some(upstream) = state.upstream_mut(&item.upstream.id) else { continue };
+            if upstream.published.address != item.upstream.address {
+                continue;
+            }
+            match item.fact {
+                UpstreamFact::Leaving => {
+                    if upstream.believes_leaving(learned_ms) {
+                        upstream.mark_leaving(learned_ms, LeavingSource::Peer(from.clone()));
+                        state.settle_health(now_ms);
+                    }
+                }
+                UpstreamFact::Alive { load } => upstream.note_peer_report(learned_ms, load),
+                UpstreamFact::ProbeFailed | UpstreamFact::Ejected => {
+                    upstream.note_peer_report(learned_ms, None);
+                    upstream.health.suspect(now_ms);
+                }
+            }
+        }
+    }
+
+    /// How peers name an upstream.
+    pub(crate) fn upstream_ref(
+        &self,
+        service: &ServiceName,
+        id: &UpstreamId,
+    ) -> Option<UpstreamRef> {
+        let address = self.services.get(service)?.upstream(id)?.published.address;
+        Some(UpstreamRef { service: service.clone(), id: id.clone(), address })
+    }
+
+    fn leaving_items(&self, now_ms: Millis) -> Vec<UpstreamNewsItem> {
+        let mut newest_first: Vec<(&Key, &Millis)> = self.news.leaving.iter().collect();
+        newest_first.sort_by_key(|&(_, &until_ms)| std::cmp::Reverse(until_ms));
+        let items = newest_first.into_iter().filter_map(|(key, _)| {
+            let upstream = self.services.get(&key.service)?.upstream(&key.id)?;
+            let ago_ms = now_ms.since(upstream.leaving.as_ref()?.heard_ms);
+            self.item(key, ago_ms, UpstreamFact::Leaving)
+        });
+        items.take(MAX_NEWS_ITEMS).collect()
+    }
+
+    fn fact_items(&self, now_ms: Millis) -> Vec<UpstreamNewsItem> {
+        let mut newest_first: Vec<(&Key, &Fact)> = self.news.facts.iter().collect();
+        newest_first.sort_by_key(|(_, fact)| std::cmp::Reverse(fact.learned_ms));
+        let items = newest_first
+            .into_iter()
+            .filter_map(|(key, fact)| self.item(key, now_ms.since(fact.learned_ms), fact.fact));
+        items.collect()
+    }
+
+    fn item(&self, key: &Key, ago_ms: Millis, fact: UpstreamFact) -> Option<UpstreamNewsItem> {
+        let upstream = self.upstream_ref(&key.service, &key.id)?;
+        Some(UpstreamNewsItem { upstream, ago_ms, fact })
+    }
+}
+
+/// Bytes of a round to that many peers.
+fn round_bytes(items: &[UpstreamNewsItem], peers: usize) -> f64 {
+    let items_bytes = serde_json::to_string(items).map_or(0, |text| text.len());
+    ((FRAME_BYTES + items_bytes) * peers) as f64
+}
--- a/crates/core/src/service.rs
+++ b/crates/core/src/service.rs
@@ -1,6 +1,7 @@
 //! One service at this entry host: its upstreams, its queue and its budgets.
 
 use crate::choice::{Usual, choose};
+use crate::health::Health;
 use crate::queue::WaitQueue;
 use crate::retry::RetryBudget;
 use crate::upstream::UpstreamState;
@@ -42,8 +43,8 @@
 }
 
 impl ServiceState {
-    /// A service not used before.
-    pub fn new(name: ServiceName, published: Service) -> ServiceState {
+    /// A service not used before; its upstreams are taken for warm.
+    pub fn new(name: ServiceName, published: Service, now_ms: Millis) -> ServiceState {
         let mut service = ServiceState {
             name,
             published: published.clone(),
@@ -53,28 +54,42 @@
             calls: 0,
             turn: 0,
         };
-        service.republish(published);
+        service.republish(published, now_ms);
+        for upstream in &mut service.upstreams {
+            upstream.health = Health::steady();
+        }
         service
     }
 
     /// Takes what the configuration in force says; attempts that are out stay counted.
-    pub fn republish(&mut self, published: Service) {
+    ///
+    /// Upstreams that it names anew start cold.
+    pub fn republish(&mut self, published: Service, now_ms: Millis) {
         for state in &mut self.upstreams {
-            state.removed = true;
+            state.removed |= !published.upstreams.contains_key(&state.id);
         }
         for (id, upstream) in &published.upstreams {
+            let cold = Health::cold(now_ms, published.slow_start_ms);
             match self.upstreams.binary_search_by(|state| state.id.cmp(id)) {
-                Ok(at) => self.upstreams[at].republish(upstream.clone()),
+                Ok(at) => self.upstreams[at].republish(upstream.clone(), cold),
                 Err(at) => {
-                    self.upstreams.insert(at, UpstreamState::new(id.clone(), upstream.clone()));
+                    let state = UpstreamState::new(id.clone(), upstream.clone(), cold);
+                    self.upstreams.insert(at, state);
                 }
             }
         }
         self.upstreams.retain(|state| !state.removed || state.in_flight > 0);
         self.published = published;
+        self.settle_health(now_ms);
     }
 
     /// The upstream of that id.
+    pub fn upstream(&self, id: &UpstreamId) -> Option<&UpstreamState> {
+        let at = self.upstreams.binary_search_by(|state| state.id.cmp(id)).ok()?;
+        Some(&self.upstreams[at])
+    }
+
+    /// The upstream of that id, to be changed.
     pub fn upstream_mut(&mut self, id: &UpstreamId) -> Option<&mut UpstreamState> {
         let at = self.upstreams.binary_search_by(|state| state.id.cmp(id)).ok()?;
         Some(&mut self.upstreams[at])
@@ -95,7 +110,7 @@
         avoid: &[UpstreamId],
         rng: &mut Pcg64Mcg,
     ) -> Option<TakenSlot> {
-        let open = self.eligible(avoid);
+        let open = self.eligible(avoid, now_ms);
         let index = choose(now_ms, policy, &self.upstreams, &open, &mut self.turn, rng)?;
         let rounds = Usual::of(&self.upstreams).rounds(now_ms, &self.upstreams[index]);
         let upstream = &mut self.upstreams[index];
@@ -116,28 +131,22 @@
         Millis((latency_ms * rounds).ceil() as u64)
     }
 
-    fn eligible(&self, avoid: &[UpstreamId]) -> Vec<usize> {
-        let open = |with_avoided: bool| {
-            let fits = move |state: &UpstreamState| {
-                state.is_open()
-                    && state.has_local_slot()
-                    && (with_avoided || !avoid.contains(&state.id))
-            };
-            self.upstreams
-                .iter()
-                .enumerate()
-                .filter(move |(_, state)| fits(state))
-                .map(|(index, _)| index)
-                .collect::<Vec<_>>()
+    fn eligible(&self, avoid: &[UpstreamId], now_ms: Millis) -> Vec<usize> {
+        let strictness = self.strictness(now_ms);
+        let takes_work = |state: &UpstreamState| state.open_slots(now_ms, strictness) > 0;
+        let has_room =
+            |state: &UpstreamState| state.in_flight < state.open_slots(now_ms, strictness);
+        let with_room = |with_avoided: bool| {
+            let fits = |state: &UpstreamState| with_avoided || !avoid.contains(&state.id);
+            let states = self.upstreams.iter().enumerate();
+            let open = states.filter(|(_, state)| has_room(state) && fits(state));
+            open.map(|(index, _)| index).collect::<Vec<_>>()
         };
-        let preferred = open(false);
-        match preferred.is_empty() && self.only_avoided_open(avoid) {
-            true => open(true),
+        let preferred = with_room(false);
+        let mut working = self.upstreams.iter().filter(|state| takes_work(state));
+        match preferred.is_empty() && working.all(|state| avoid.contains(&state.id)) {
+            true => with_room(true),
             false => preferred,
         }
     }
-
-    fn only_avoided_open(&self, avoid: &[UpstreamId]) -> bool {
-        self.upstreams.iter().filter(|state| state.is_open()).all(|state| avoid.contains(&state.id))
-    }
 }
