Hold leaving marks against late words and lying health endpoints

Cause: a health endpoint that says serving all through a drain would have brought the upstream back after the hold; an unmarked peer that had only probed it could have vouched for it.

Only a call's answer or the end of a mark vouches now, and an endpoint that was never seen to change is believed after two minutes instead of half of one. Two serving probes in a row are kept apart by their sending times: repeated words of leaving, a few milliseconds younger by their way, reset a counter for ever (found by the case with a fifth of the messages lost).

--- a/crates/core/src/leaving.rs
+++ b/crates/core/src/leaving.rs
@@ -2,18 +2,21 @@
 //!
 //! Whoever hears it first tells its peers. No configuration and no message that comes
 //! late takes the mark back: it goes when the upstream is published anew (another
-//! address, or removed and added again), or when the upstream was heard serving at
-//! least [`HOLD_MS`] after it was last heard leaving. What counts as heard serving is a
-//! direct answer to something sent after that time; a peer's word counts only as the
-//! answer to this host's own question, whose time of asking bounds its age.
+//! address, or removed and added again), or when the upstream was heard serving long
+//! enough after it was last heard leaving. What counts as heard serving is a direct
+//! answer to something sent after that time; a peer's word counts only as the answer to
+//! this host's own question, whose time of asking bounds its age.
+//!
+//! Health endpoints mislead. One that went on saying "serving" all through the leaving is
+//! believed only after [`MISLED_HOLD_MS`]; one that was seen to change, after [`HOLD_MS`].
 
 use domain::{HostId, Millis};
 use serde::Serialize;
 
 /// Time after the last word of leaving before a word of serving may count.
 pub const HOLD_MS: Millis = Millis(30_000);
-/// Probes in a row that must find the upstream serving.
-const SERVING_PROBES: u32 = 2;
+/// The same where probes found the upstream serving all the time.
+pub const MISLED_HOLD_MS: Millis = Millis(120_000);
 /// Time between questions to the upstream's prober.
 const ASK_EVERY_MS: Millis = Millis(3_000);
 
@@ -38,7 +41,10 @@
     pub since_ms: Millis,
     /// When it was last said.
     pub heard_ms: Millis,
-    serving_probes: u32,
+    /// A probe since then found it leaving, or failed.
+    pub seen_down: bool,
+    /// First of the two probes in a row that must find it serving.
+    first_serving_ms: Option<Millis>,
     question: Option<Question>,
 }
 
@@ -52,13 +58,20 @@
 impl LeavingMark {
     /// A mark set now.
     pub fn new(heard_ms: Millis, source: LeavingSource) -> LeavingMark {
-        LeavingMark { source, since_ms: heard_ms, heard_ms, serving_probes: 0, question: None }
+        LeavingMark {
+            seen_down: source == LeavingSource::Probe,
+            source,
+            since_ms: heard_ms,
+            heard_ms,
+            first_serving_ms: None,
+            question: None,
+        }
     }
 
     /// It was said again.
-    pub fn renew(&mut self, heard_ms: Millis) {
+    pub fn renew(&mut self, heard_ms: Millis, source: &LeavingSource) {
         self.heard_ms = self.heard_ms.max(heard_ms);
-        self.serving_probes = 0;
+        self.seen_down |= *source == LeavingSource::Probe;
     }
 
     /// Whether a word of serving may count by now.
@@ -68,15 +81,20 @@
 
     /// Notes a probe that found the upstream serving. Returns whether the mark is to go.
     pub fn note_serving_probe(&mut self, sent_ms: Millis) -> bool {
-        if !self.is_held(sent_ms) {
-            self.serving_probes += 1;
+        let hold_ms = if self.seen_down { HOLD_MS } else { MISLED_HOLD_MS };
+        let counts = |sent_ms: Millis| sent_ms >= self.heard_ms + hold_ms;
+        if !counts(sent_ms) {
+            return false;
         }
-        self.serving_probes >= SERVING_PROBES
+        let is_second = self.first_serving_ms.is_some_and(counts);
+        self.first_serving_ms = Some(sent_ms);
+        is_second
     }
 
     /// Notes a probe that failed.
     pub fn note_failed_probe(&mut self) {
-        self.serving_probes = 0;
+        self.seen_down = true;
+        self.first_serving_ms = None;
     }
 
     /// Asks the prober if it is time. Returns whether the question is to be sent.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -53,7 +53,7 @@
 };
 pub use fleet_view::{FleetView, LIST_FRESH_MS, LIST_LAG_MS, SETTLE_MS};
 pub use health::{Condition, Health};
-pub use leaving::{HOLD_MS, LeavingMark, LeavingSource};
+pub use leaving::{HOLD_MS, LeavingMark, LeavingSource, MISLED_HOLD_MS};
 pub use lifecycle::Lifecycle;
 pub use membership::{MAX_NEWS_PEERS, Membership, Peer, heartbeat_offsets, news_offsets};
 pub use message::{
--- a/crates/core/src/outcomes.rs
+++ b/crates/core/src/outcomes.rs
@@ -29,7 +29,10 @@
         let sent_ms = attempt.sent_ms;
         let paused = self.pauses.resumed_ms() > Some(sent_ms);
         let source = answer.leaving.then_some(LeavingSource::Answer);
-        let first_word = upstream.note_report(now_ms, sent_ms, answer.load, source);
+        let first_word = upstream.note_report(now_ms, answer.load, source);
+        if !answer.leaving {
+            upstream.note_serving(sent_ms);
+        }
         let failed = answer.status >= FIRST_FAILURE_STATUS && !answer.not_run;
         attempt.good_answer = !failed && !answer.not_run;
         match answer.not_run {
--- a/crates/core/src/probes.rs
+++ b/crates/core/src/probes.rs
@@ -62,7 +62,7 @@
     New,
     /// Nobody has heard of it lately.
     Silent,
-    /// It said that it is leaving long enough ago to have been replaced.
+    /// It said that it is leaving: does its endpoint say so too, or serve again by now?
     Returning,
 }
 
@@ -132,12 +132,12 @@
         match result {
             ProbeResult::Alive { load, leaving: true, .. } => {
                 let source = Some(LeavingSource::Probe);
-                if upstream.note_report(now_ms, probe.sent_ms, load, source) {
+                if upstream.note_report(now_ms, load, source) {
                     self.tell_leaving(now_ms, &probe.service, &probe.upstream, actions);
                 }
             }
             ProbeResult::Alive { load, leaving: false, .. } => {
-                upstream.note_report(now_ms, probe.sent_ms, load, None);
+                upstream.note_report(now_ms, load, None);
                 upstream.health.note_probe_success(now_ms, probe.sent_ms, slow_start_ms);
                 note_serving(now_ms, probe.sent_ms, upstream, slow_start_ms);
                 let fact = UpstreamFact::Alive { load };
@@ -274,7 +274,8 @@
     };
     match &upstream.leaving {
         _ if upstream.removed || upstream.published.leaving => None,
-        Some(mark) if mark.is_held(now_ms) || probed_within(LEAVING_EVERY_MS) => None,
+        Some(_) if probed_within(LEAVING_EVERY_MS) => None,
+        Some(mark) if mark.seen_down && mark.is_held(now_ms) => None,
         Some(_) => Some(Need::Returning),
         None if upstream.health.is_on_trial(now_ms) => {
             (!probed_within(TRIAL_EVERY_MS)).then_some(Need::Trial)
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -44,7 +44,7 @@
     pub heard_ms: Option<Millis>,
     /// When this host last probed it.
     pub probed_ms: Option<Millis>,
-    /// Latest sending that it answered itself without saying that it is leaving.
+    /// Latest sending whose answer proves that it serves: a call, or what ended a leaving mark.
     pub serving_ms: Option<Millis>,
 }
 
@@ -117,13 +117,12 @@
         }
     }
 
-    /// Notes what the upstream said of itself in answer to something sent at `sent_ms`.
+    /// Notes what the upstream said of itself.
     ///
     /// Returns whether that is the first word of its leaving.
     pub fn note_report(
         &mut self,
         now_ms: Millis,
-        sent_ms: Millis,
         load: Option<LoadReport>,
         leaving: Option<LeavingSource>,
     ) -> bool {
@@ -134,18 +133,20 @@
         }
         match leaving {
             Some(source) => self.mark_leaving(now_ms, source),
-            None => {
-                self.serving_ms = self.serving_ms.max(Some(sent_ms));
-                false
-            }
+            None => false,
         }
     }
 
+    /// Notes that a call sent at that time was answered without a word of leaving.
+    pub fn note_serving(&mut self, sent_ms: Millis) {
+        self.serving_ms = self.serving_ms.max(Some(sent_ms));
+    }
+
     /// Marks it as leaving. Returns whether it was not marked before.
     pub fn mark_leaving(&mut self, heard_ms: Millis, source: LeavingSource) -> bool {
         match &mut self.leaving {
             Some(mark) => {
-                mark.renew(heard_ms);
+                mark.renew(heard_ms, &source);
                 false
             }
             None => {
--- /dev/null
+++ b/crates/core/tests/leaving.rs
@@ -0,0 +1,200 @@
+//! An upstream that is leaving gets no new work, and a late word never brings it back.
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use decision_core::{
+    ConfigKey, Event, HOLD_MS, MISLED_HOLD_MS, PeerMessage, SETTLE_MS, UpstreamFact, UpstreamNews,
+    UpstreamNewsItem, UpstreamRef,
+};
+use domain::{Incarnation, Millis};
+use rstest::rstest;
+use support::BASE;
+use support::pump::{Pump, host_id};
+use support::upstreams::{Manner, Site};
+
+const HOSTS: usize = 5;
+const GONE: &str = "shop-1";
+/// Time after the first word by which every host has stopped.
+const STOPPED_WITHIN_MS: u64 = 5_000;
+/// Time after the hold by which every host uses a replaced instance.
+const COMES_BACK_WITHIN_MS: u64 = 60_000;
+
+/// A fleet that has run for a while.
+fn site(lost_percent: u32) -> Site {
+    let mut pump = Pump::new(HOSTS, 5);
+    pump.publish(ConfigKey::Base, 1, BASE);
+    pump.start_all();
+    pump.network.lost_percent = lost_percent;
+    pump.network.doubled_percent = lost_percent;
+    let mut site = Site::new(pump, &[1, 2, 3, 4, 5]);
+    site.run_for(2_000);
+    site
+}
+
+/// The upstream says once that it is leaving, to one host; later answers don't.
+fn say_once(site: &mut Site) {
+    site.called = vec![1];
+    site.set(GONE, Manner::Leaves);
+    let words = |site: &Site| site.sent.iter().filter(|s| s.manner == Manner::Leaves).count();
+    while words(site) == 0 {
+        site.run_for(50);
+    }
+    site.set(GONE, Manner::Serves);
+    site.called = (1..=HOSTS).collect();
+}
+
+fn marked(site: &Site) -> usize {
+    (1..=HOSTS).filter(|&number| !site.state(number, GONE).is_open()).count()
+}
+
+#[rstest]
+#[case::reliable(0, &[], true)]
+#[case::half_lost_and_doubled(50, &[], true)]
+#[case::heals_within_seconds(0, &[3_000], true)]
+#[case::broken_peers_are_not_told(0, &[60_000], false)]
+fn every_host_stops_soon_after_the_first_word(
+    #[case] lost_percent: u32,
+    #[case] cut_ms: &[u64],
+    #[case] stops: bool,
+) {
+    let mut site = site(lost_percent);
+    if !cut_ms.is_empty() {
+        site.pump.cut(&[1], &[2, 3, 4, 5]);
+    }
+    say_once(&mut site);
+    let said_ms = site.pump.now_ms;
+    let healed_ms = cut_ms.first().copied().unwrap_or(0);
+    site.run_for(healed_ms.min(STOPPED_WITHIN_MS));
+    if healed_ms <= STOPPED_WITHIN_MS {
+        site.pump.heal();
+    }
+    let limit_ms = said_ms + Millis(STOPPED_WITHIN_MS + healed_ms.min(STOPPED_WITHIN_MS));
+    site.run_for(15_000);
+    assert_eq!(site.sent_since(GONE, limit_ms) == 0, stops);
+    assert_eq!(marked(&site) == HOSTS, stops);
+}
+
+#[rstest]
+#[case::by_configuration(|site: &mut Site| {
+    site.pump.publish(ConfigKey::Base, 2, &BASE.replacen("\"slots\": 2,", "\"slots\": 2, \"leaving\": true,", 1));
+})]
+#[case::by_removal(|site: &mut Site| {
+    site.pump.publish(ConfigKey::Base, 2, &without_gone());
+})]
+#[case::by_probes(|site: &mut Site| {
+    site.pump.run_for(SETTLE_MS.0 + 10_000);
+    site.set(GONE, Manner::Leaves);
+})]
+fn every_host_stops_whichever_tells_first(#[case] tell: fn(&mut Site)) {
+    let mut site = site(0);
+    site.called = vec![];
+    tell(&mut site);
+    site.run_for(20_000);
+    let told_ms = site.pump.now_ms;
+    site.called = (1..=HOSTS).collect();
+    site.run_for(3_000);
+    assert_eq!(site.sent_since(GONE, told_ms), 0);
+}
+
+fn without_gone() -> String {
+    let start = BASE.find("\"shop-1\"").unwrap();
+    let end = BASE.find("\"shop-2\"").unwrap();
+    format!("{}{}", &BASE[..start], &BASE[end..])
+}
+
+fn news(fact: UpstreamFact) -> PeerMessage {
+    let upstream = UpstreamRef {
+        service: "shop".parse().unwrap(),
+        id: GONE.parse().unwrap(),
+        address: "127.0.0.1:9001".parse().unwrap(),
+    };
+    let item = UpstreamNewsItem { upstream, ago_ms: Millis::ZERO, fact };
+    PeerMessage::UpstreamNews(UpstreamNews { items: vec![item] })
+}
+
+fn serving_seen(nonce: u64) -> PeerMessage {
+    let PeerMessage::UpstreamNews(news) = news(UpstreamFact::Leaving) else { unreachable!() };
+    let upstream = news.items[0].upstream.clone();
+    PeerMessage::ServingSeen { upstream, nonce, ago_ms: Millis::ZERO }
+}
+
+fn from_peer(message: PeerMessage) -> Event {
+    Event::PeerReceived { from: host_id(2), incarnation: Incarnation(1), message }
+}
+
+#[rstest]
+#[case::late_configuration(|site: &mut Site| {
+    site.pump.publish(ConfigKey::Base, 2, &BASE.replacen("\"slots\": 2", "\"slots\": 3", 1));
+})]
+#[case::late_news(|site: &mut Site| {
+    site.pump.inject(1, from_peer(news(UpstreamFact::Alive { load: None })));
+})]
+#[case::answer_to_no_question(|site: &mut Site| {
+    site.pump.inject(1, from_peer(serving_seen(0)));
+})]
+#[case::other_hosts_restart(|site: &mut Site| {
+    (2..=HOSTS).for_each(|number| site.pump.start(number));
+})]
+fn nothing_late_brings_it_back(#[case] late: fn(&mut Site)) {
+    let mut site = site(0);
+    site.set(GONE, Manner::Leaves);
+    site.run_for(5_000);
+    assert_eq!(marked(&site), HOSTS);
+    site.run_for(2 * HOLD_MS.0);
+    let told_ms = site.pump.now_ms;
+    late(&mut site);
+    site.run_for(200_000);
+    assert_eq!(site.sent_since(GONE, told_ms + Millis(STOPPED_WITHIN_MS)), 0);
+    assert_eq!(marked(&site), HOSTS);
+}
+
+#[rstest]
+#[case::endpoint_tells(0, Manner::Leaves, HOLD_MS)]
+#[case::endpoint_goes_down(0, Manner::Dead, HOLD_MS)]
+#[case::endpoint_lies(0, Manner::Serves, MISLED_HOLD_MS)]
+#[case::a_fifth_lost_and_doubled(20, Manner::Leaves, HOLD_MS)]
+fn a_replaced_instance_comes_back_in_bounded_time(
+    #[case] lost_percent: u32,
+    #[case] meanwhile: Manner,
+    #[case] hold_ms: Millis,
+) {
+    let mut site = site(lost_percent);
+    site.pump.run_for(SETTLE_MS.0);
+    say_once(&mut site);
+    let said_ms = site.pump.now_ms;
+    site.set(GONE, meanwhile);
+    site.run_for(20_000);
+    site.set(GONE, Manner::Serves);
+    site.run_for(hold_ms.0 - 21_000);
+    assert_eq!(marked(&site), HOSTS, "held for the whole time");
+    site.run_for(COMES_BACK_WITHIN_MS);
+    assert_eq!(marked(&site), 0);
+    assert!(site.sent_since(GONE, said_ms + hold_ms) > 0);
+}
+
+#[test]
+fn a_health_endpoint_that_lies_does_not_bring_it_back() {
+    let mut site = site(0);
+    site.pump.run_for(SETTLE_MS.0);
+    site.set(GONE, Manner::LeavesUnknownToProbes);
+    site.run_for(STOPPED_WITHIN_MS);
+    let stopped_ms = site.pump.now_ms;
+    site.run_for(MISLED_HOLD_MS.0 - STOPPED_WITHIN_MS - 1_000);
+    assert_eq!(site.sent_since(GONE, stopped_ms), 0);
+    assert_eq!(marked(&site), HOSTS);
+}
+
+#[rstest]
+#[case::another_address(&[BASE.replace("9001", "9003")])]
+#[case::removed_and_added(&[without_gone(), BASE.to_owned()])]
+fn published_anew_it_comes_back_at_once(#[case] texts: &[String]) {
+    let mut site = site(0);
+    say_once(&mut site);
+    site.run_for(5_000);
+    for (index, text) in texts.iter().enumerate() {
+        site.pump.publish(ConfigKey::Base, 2 + index as u64, text);
+        site.run_for(4_000);
+    }
+    assert_eq!(marked(&site), 0);
+}
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::unwrap_used, dead_code)]
 
 pub mod pump;
+pub mod upstreams;
 
 use config::RepeatRule;
 use decision_core::{
