--- a/crates/core/tests/leaving.rs
+++ b/crates/core/tests/leaving.rs
@@ -124,19 +124,19 @@
 }
 
 #[rstest]
-#[case::late_configuration(|site: &mut Site| {
+#[case::late_configuration(0, |site: &mut Site| {
     site.pump.publish(ConfigKey::Base, 2, &BASE.replacen("\"slots\": 2", "\"slots\": 3", 1));
 })]
-#[case::late_news(|site: &mut Site| {
+#[case::late_news(0, |site: &mut Site| {
     site.pump.inject(1, from_peer(news(UpstreamFact::Alive { load: None })));
 })]
-#[case::answer_to_no_question(|site: &mut Site| {
-    site.pump.inject(1, from_peer(serving_seen(0)));
+#[case::answer_to_another_question(0, |site: &mut Site| {
+    (1..=HOSTS).for_each(|number| site.pump.inject(number, from_peer(serving_seen(0))));
 })]
-#[case::other_hosts_restart(|site: &mut Site| {
+#[case::other_hosts_restart(STOPPED_WITHIN_MS, |site: &mut Site| {
     (2..=HOSTS).for_each(|number| site.pump.start(number));
 })]
-fn nothing_late_brings_it_back(#[case] late: fn(&mut Site)) {
+fn nothing_late_brings_it_back(#[case] within_ms: u64, #[case] late: fn(&mut Site)) {
     let mut site = site(0);
     site.set(GONE, Manner::Leaves);
     site.run_for(5_000);
@@ -145,7 +145,7 @@
     let told_ms = site.pump.now_ms;
     late(&mut site);
     site.run_for(200_000);
-    assert_eq!(site.sent_since(GONE, told_ms + Millis(STOPPED_WITHIN_MS)), 0);
+    assert_eq!(site.sent_since(GONE, told_ms + Millis(within_ms)), 0);
     assert_eq!(marked(&site), HOSTS);
 }
 
