Keep news within half of the control budget, words of leaving first

Cause: a round that told many leaving upstreams overdrew the budget by all of them again each time it was repeated; a word that came next waited for the debt.

Only words not yet told may overdraw now, by two seconds and one round, and a repetition is sent where it is affordable.

--- a/crates/core/src/news.rs
+++ b/crates/core/src/news.rs
@@ -2,8 +2,9 @@
 //!
 //! The first word of a leaving upstream goes out at once and is repeated for
 //! [`REPEAT_MS`], as any message may be lost; everything else is told once, with the
-//! next round. Rounds spend from half of the control budget; where that is short, the
-//! oldest facts are dropped and only words of leaving may overdraw, by one round.
+//! next round. Rounds spend from half of the control budget. Where that is short, the
+//! oldest facts wait or are replaced by newer ones, and repetitions are left out; only a
+//! word of leaving not yet told may overdraw, by [`MAX_SAVED_SECS`] and one round.
 
 use crate::action::Action;
 use crate::entry_host::EntryHost;
@@ -21,7 +22,7 @@
 pub(crate) const ROUND_MS: Millis = Millis(1_000);
 /// Part of the control budget that news may spend; heartbeats and the rest need the other.
 const BUDGET_SHARE: f64 = 0.5;
-/// Most that is saved up, in seconds of that part.
+/// Most that is saved up or overdrawn, in seconds of that part.
 const MAX_SAVED_SECS: f64 = 2.0;
 /// Bytes around the items of a message, on the wire.
 const FRAME_BYTES: usize = 160;
@@ -40,13 +41,21 @@
     fact: UpstreamFact,
 }
 
+/// A word of leaving.
+#[derive(Debug, Clone, Copy)]
+struct Repeat {
+    until_ms: Millis,
+    /// It went out once.
+    told: bool,
+}
+
 /// News not yet told.
 #[derive(Debug, Default)]
 pub struct News {
     /// The newest fact of each upstream.
     facts: BTreeMap<Key, Fact>,
-    /// Upstreams whose leaving is repeated, and until when.
-    leaving: BTreeMap<Key, Millis>,
+    /// Upstreams whose leaving is told.
+    leaving: BTreeMap<Key, Repeat>,
     saved_bytes: f64,
     filled_ms: Millis,
     pub(crate) due_ms: Millis,
@@ -60,7 +69,7 @@
     pub sent_bytes: u64,
     /// Messages sent.
     pub sent_messages: u64,
-    /// Facts dropped for want of budget.
+    /// Facts replaced by newer ones before they were told.
     pub dropped_facts: u64,
 }
 
@@ -70,11 +79,27 @@
         self.counts
     }
 
-    fn fill(&mut self, now_ms: Millis, budget: ByteCount) {
+    fn note_told(&mut self, items: &[UpstreamNewsItem]) {
+        for item in items {
+            let key = Key { service: item.upstream.service.clone(), id: item.upstream.id.clone() };
+            match item.fact {
+                UpstreamFact::Leaving => {
+                    if let Some(repeat) = self.leaving.get_mut(&key) {
+                        repeat.told = true;
+                    }
+                }
+                _ => drop(self.facts.remove(&key)),
+            }
+        }
+    }
+
+    /// Fills the budget. Returns how far it may be overdrawn.
+    fn fill(&mut self, now_ms: Millis, budget: ByteCount) -> f64 {
         let per_second = budget.0 as f64 * BUDGET_SHARE;
         let earned = per_second * now_ms.since(self.filled_ms).as_f64() / 1000.0;
         self.saved_bytes = (self.saved_bytes + earned).min(per_second * MAX_SAVED_SECS);
         self.filled_ms = now_ms;
+        per_second * MAX_SAVED_SECS
     }
 }
 
@@ -88,7 +113,8 @@
         fact: UpstreamFact,
     ) {
         let key = Key { service: service.clone(), id: id.clone() };
-        self.news.facts.insert(key, Fact { learned_ms: now_ms, fact });
+        let before = self.news.facts.insert(key, Fact { learned_ms: now_ms, fact });
+        self.news.counts.dropped_facts += u64::from(before.is_some());
     }
 
     /// Tells all peers at once that an upstream is leaving.
@@ -103,7 +129,8 @@
             state.settle_health(now_ms);
         }
         let key = Key { service: service.clone(), id: id.clone() };
-        self.news.leaving.insert(key, now_ms + REPEAT_MS);
+        let until_ms = now_ms + REPEAT_MS;
+        self.news.leaving.insert(key, Repeat { until_ms, told: false });
         self.send_news(now_ms, actions);
     }
 
@@ -112,7 +139,12 @@
         for (name, state) in &self.services {
             for upstream in state.upstreams.iter().filter(|upstream| upstream.leaving.is_some()) {
                 let key = Key { service: name.clone(), id: upstream.id.clone() };
-                self.news.leaving.insert(key, now_ms + REPEAT_MS);
+                let until_ms = now_ms + REPEAT_MS;
+                self.news
+                    .leaving
+                    .entry(key)
+                    .and_modify(|repeat| repeat.until_ms = until_ms)
+                    .or_insert(Repeat { until_ms, told: true });
             }
         }
     }
@@ -120,24 +152,22 @@
     /// Sends a round of news, as far as the budget goes.
     pub(crate) fn send_news(&mut self, now_ms: Millis, actions: &mut Vec<Action>) {
         let Some(in_force) = &self.in_force else { return };
-        self.news.fill(now_ms, in_force.config.measurement.control_bytes_per_second);
-        self.news.leaving.retain(|_, until_ms| now_ms < *until_ms);
+        let budget = in_force.config.measurement.control_bytes_per_second;
+        let overdraft = self.news.fill(now_ms, budget);
+        self.news.leaving.retain(|_, repeat| now_ms < repeat.until_ms);
         let peers = self.membership.listed_peers(&self.settings.host).count();
-        let mut items = self.leaving_items(now_ms);
-        let urgent = items.len();
+        let mut items = self.leaving_items(now_ms, false);
+        let urgent = if self.news.saved_bytes > -overdraft { items.len() } else { 0 };
+        items.extend(self.leaving_items(now_ms, true));
         items.extend(self.fact_items(now_ms));
         items.truncate(MAX_NEWS_ITEMS);
-        let saved_bytes = self.news.saved_bytes;
-        while items.len() > urgent && round_bytes(&items, peers) > saved_bytes {
+        while items.len() > urgent && round_bytes(&items, peers) > self.news.saved_bytes {
             items.pop();
         }
-        let too_dear = saved_bytes <= 0.0 && peers > 0;
-        if items.is_empty() || too_dear {
+        if items.is_empty() {
             return;
         }
-        self.news.counts.dropped_facts +=
-            (self.news.facts.len() + urgent).saturating_sub(items.len()) as u64;
-        self.news.facts.clear();
+        self.news.note_told(&items);
         self.news.saved_bytes -= round_bytes(&items, peers);
         self.news.counts.sent_bytes += round_bytes(&items, peers) as u64;
         self.news.counts.sent_messages += peers as u64;
@@ -185,9 +215,10 @@
         Some(UpstreamRef { service: service.clone(), id: id.clone(), address })
     }
 
-    fn leaving_items(&self, now_ms: Millis) -> Vec<UpstreamNewsItem> {
-        let mut newest_first: Vec<(&Key, &Millis)> = self.news.leaving.iter().collect();
-        newest_first.sort_by_key(|&(_, &until_ms)| std::cmp::Reverse(until_ms));
+    fn leaving_items(&self, now_ms: Millis, told: bool) -> Vec<UpstreamNewsItem> {
+        let wanted = self.news.leaving.iter().filter(|(_, repeat)| repeat.told == told);
+        let mut newest_first: Vec<(&Key, &Repeat)> = wanted.collect();
+        newest_first.sort_by_key(|(_, repeat)| std::cmp::Reverse(repeat.until_ms));
         let items = newest_first.into_iter().filter_map(|(key, _)| {
             let upstream = self.services.get(&key.service)?.upstream(&key.id)?;
             let ago_ms = now_ms.since(upstream.leaving.as_ref()?.heard_ms);
