--- a/crates/core/src/outcomes.rs
+++ b/crates/core/src/outcomes.rs
@@ -13,7 +13,7 @@
 use domain::{AttemptId, Millis, ServiceName, UpstreamId};
 
 /// A time-out noticed later than that after the deadline tells nothing.
-const NOTICED_LATE_MS: Millis = Millis(1_000);
+const NOTICED_LATE_MS: Millis = Millis(250);
 
 impl EntryHost {
     pub(crate) fn note_answer(
--- a/crates/core/tests/health.rs
+++ b/crates/core/tests/health.rs
@@ -150,7 +150,7 @@
 #[case::timeouts(Fate::Broken(FailureStage::TimedOut), 5, true)]
 #[case::cut_answers(Fate::CutAfterHead, 5, true)]
 #[case::expired_calls(Fate::Expires { late_ms: 0 }, 5, true)]
-#[case::expired_calls_noticed_late(Fate::Expires { late_ms: 1_500 }, 20, false)]
+#[case::expired_calls_noticed_late(Fate::Expires { late_ms: 300 }, 20, false)]
 #[case::failures_over_a_pause(Fate::BrokenOverPause, 20, false)]
 #[case::callers_that_hang_up(Fate::CallerGone, 20, false)]
 #[case::shed_requests(Fate::Shed, 20, false)]
