--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod configs;
 pub mod pump;
+pub mod upstreams;
 
 use config::RepeatRule;
 use decision_core::{
