Measure the core's slopes: memory, changes, calls, messages, whole sites

Cause: the target size has to be worked out from measured slopes, and nothing in the workspace measured what the core costs as fleet and configuration grow.

Ruled out: one allocator that records backtraces, because it distorts the times.

--- a/xtask/src/error.rs
+++ b/xtask/src/error.rs
@@ -13,6 +13,8 @@
     Load,
     /// The results could not be read or written.
     Results,
+    /// Cargo could not be started.
+    Cargo,
     /// Signals can't be received.
     Signals,
 }
@@ -24,6 +26,7 @@
             TaskError::Change => "a change under load did not work: see the causes",
             TaskError::Load => "the load could not be run: see the causes",
             TaskError::Results => "no results: see the causes",
+            TaskError::Cargo => "cargo did not start: run the task as `cargo xtask`",
             TaskError::Signals => "signals can't be received: check the limits of the process",
         })
     }
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -8,6 +8,7 @@
 mod demo;
 mod error;
 mod measure;
+mod slopes;
 
 use clap::{Parser, Subcommand};
 use error::TaskError;
@@ -31,6 +32,8 @@
     Demo(demo::Args),
     /// Measure policies side by side on running processes.
     Measure(measure::Args),
+    /// Measure what the core costs as fleet and configuration grow.
+    Slopes(slopes::Args),
 }
 
 #[tokio::main]
@@ -53,6 +56,7 @@
     match task {
         Task::Demo(args) => demo::run(&args).await,
         Task::Measure(args) => measure::run(&args).await,
+        Task::Slopes(args) => slopes::run(&args).await,
     }
 }
 
