--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -74,6 +74,7 @@
         if self.timers.heartbeat_ms <= now_ms {
             self.timers.heartbeat_ms = now_ms + HEARTBEAT_EVERY_MS;
             self.send_heartbeats(now_ms, actions);
+            self.choose_watchers(now_ms);
         }
         self.read_config_if_due(now_ms, actions);
         self.ask_for_versions(now_ms, actions);
--- a/crates/core/src/control/reads.rs
+++ b/crates/core/src/control/reads.rs
@@ -45,21 +45,26 @@
 
     pub(super) fn read_config_if_due(&mut self, now_ms: Millis, actions: &mut Vec<Action>) {
         for key in KEYS {
-            let watching = self.is_watcher(now_ms, key);
             let newest = self.adoption.newest().of(key);
             let read = self.control.read_mut(key);
-            read.watching = watching;
             if read.due_ms() > now_ms {
                 continue;
             }
             read.note_sent(now_ms);
             let after = (newest > Version(0)).then_some(newest);
-            let waits = watching && after.is_some();
+            let waits = read.watching && after.is_some();
             let wait_ms = if waits { WATCH_MS } else { Millis::ZERO };
             actions.push(Action::ReadConfig { key, after, wait_ms });
         }
     }
 
+    /// Decides anew whether this host watches; once a heartbeat is often enough.
+    pub(super) fn choose_watchers(&mut self, now_ms: Millis) {
+        for key in KEYS {
+            self.control.read_mut(key).watching = self.is_watcher(now_ms, key);
+        }
+    }
+
     pub(super) fn read_config_soon(&mut self, now_ms: Millis) {
         for key in KEYS {
             self.control.read_mut(key).read_now(now_ms);
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -169,6 +169,8 @@
     let before = pump.sent_bytes.clone();
     pump.run_for(10_000);
 
+    let most = pump.sent_bytes.iter().map(|(id, bytes)| (bytes - before[id]) / 10).max();
+    println!("{count} hosts: at most {most:?} bytes of messages a second from one host");
     for (id, process) in pump.processes.iter().filter(|(id, _)| **id != host_id(2)) {
         let live = process.host.dump().membership.candidates(pump.now_ms).len();
         assert_eq!(live, count - 1, "{id}");
