Send peers what changed instead of the whole value

A host that asks for a version says which one it has; the peer answers with one splice of the text if that is smaller, and with the whole otherwise. JSON patches were ruled out: they keep the document and not the text, so a key stated twice would be seen by one host and not by another.

--- a/crates/core/src/adoption/mod.rs
+++ b/crates/core/src/adoption/mod.rs
@@ -9,14 +9,17 @@
 //! everything back until it knows what its peers have in force.
 
 mod shelf;
+mod splice;
 
 use crate::event::{ConfigKey, PublishedValue};
 use config::SiteConfig;
-use domain::{Millis, Version};
+use domain::{ByteCount, Millis, Version};
 use serde::{Deserialize, Serialize};
 use shelf::Shelf;
 use std::collections::BTreeMap;
 
+pub use splice::Splice;
+
 /// A version that was refused.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize)]
 pub struct RejectedPair {
@@ -111,6 +114,30 @@
         self.shelf(key).find(version)
     }
 
+    /// The newest version at hand that is older than this one, zero if none.
+    pub fn newest_before(&self, key: ConfigKey, version: Version) -> Version {
+        self.shelf(key).newest_before(version)
+    }
+
+    /// How a host that has one version makes another, where that saves anything.
+    pub fn splice(&self, key: ConfigKey, from: Version, to: Version) -> Option<Splice> {
+        let shelf = self.shelf(key);
+        Splice::between(shelf.past_text(from)?, shelf.text(to)?)
+    }
+
+    /// The value that a peer's splice makes of a version at hand.
+    pub fn spliced(
+        &self,
+        key: ConfigKey,
+        from: Version,
+        to: Version,
+        splice: &Splice,
+    ) -> Option<PublishedValue> {
+        let limit = ByteCount(config::MAX_TEXT_BYTES as u64);
+        let text = splice.apply(self.shelf(key).past_text(from)?, limit)?;
+        Some(PublishedValue { version: to, text })
+    }
+
     /// Whether something could be put in force, valid or not.
     pub fn has_candidate(&self) -> bool {
         self.overlay_known && self.newest().base > Version(0)
--- a/crates/core/src/adoption/shelf.rs
+++ b/crates/core/src/adoption/shelf.rs
@@ -2,15 +2,19 @@
 
 use crate::event::PublishedValue;
 use domain::Version;
+use std::collections::VecDeque;
 
 /// Versions newer than the one in force that are kept.
 const MAX_NEWER: usize = 4;
+/// Versions that were in force and are kept, to tell peers only what changed since.
+const MAX_PAST: usize = 2;
 
 /// The version in force and those that may follow it.
 #[derive(Debug, Default)]
 pub struct Shelf {
     in_force: Option<PublishedValue>,
     newer: Vec<PublishedValue>,
+    past: VecDeque<PublishedValue>,
 }
 
 impl Shelf {
@@ -29,6 +33,18 @@
         self.newer.iter().chain(&self.in_force).find(|value| value.version == version)
     }
 
+    /// The newest version kept that is older than this one, zero if none.
+    pub fn newest_before(&self, version: Version) -> Version {
+        let older = self.newer.iter().chain(&self.in_force).filter(|kept| kept.version < version);
+        older.map(|kept| kept.version).max().unwrap_or(Version(0))
+    }
+
+    /// Text of that version, also if it is in force no more.
+    pub fn past_text(&self, version: Version) -> Option<&str> {
+        let past = self.past.iter().find(|value| value.version == version);
+        past.or_else(|| self.find(version)).map(|value| value.text.as_str())
+    }
+
     /// Text of that version; none for version zero.
     pub fn text(&self, version: Version) -> Option<&str> {
         self.find(version).map(|value| value.text.as_str())
@@ -60,11 +76,13 @@
         newer.chain([self.in_force()]).collect()
     }
 
-    /// Puts a version in force and forgets what is older.
+    /// Puts a version in force; of those before it, only the last in force are kept.
     pub fn put_in_force(&mut self, version: Version) {
-        while self.in_force() < version && !self.newer.is_empty() {
-            self.in_force = Some(self.newer.remove(0));
-        }
+        let Ok(at) = self.newer.binary_search_by_key(&version, |kept| kept.version) else { return };
+        let next = self.newer.drain(..=at).next_back();
+        self.past.extend(std::mem::replace(&mut self.in_force, next));
+        let excess = self.past.len().saturating_sub(MAX_PAST);
+        self.past.drain(..excess);
     }
 }
 
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -40,8 +40,14 @@
             PeerMessage::Heartbeat(heartbeat) => {
                 self.heartbeat_received(now_ms, &from, incarnation, heartbeat, actions);
             }
-            PeerMessage::ConfigWanted { key, version } => {
-                self.config_wanted(&from, key, version, actions);
+            PeerMessage::ConfigWanted { key, version, held } => {
+                self.config_wanted(&from, key, version, held, actions);
+            }
+            PeerMessage::ConfigChanged { key, from: held, version, splice } => {
+                match self.adoption.spliced(key, held, version, &splice) {
+                    Some(value) => self.config_offered(now_ms, key, value, actions),
+                    None => self.want_whole(&from, key, version, actions),
+                }
             }
             PeerMessage::ConfigOffered { key, value } => {
                 self.config_offered(now_ms, key, value, actions);
--- a/crates/core/src/control/spread.rs
+++ b/crates/core/src/control/spread.rs
@@ -26,7 +26,8 @@
             if let Some(version) = self.wanted(key, in_force, newest)
                 && self.control.start_pull(now_ms, key, version)
             {
-                self.send_peer(from, PeerMessage::ConfigWanted { key, version }, actions);
+                let held = self.adoption.newest_before(key, version);
+                self.send_peer(from, PeerMessage::ConfigWanted { key, version, held }, actions);
             }
         }
         if in_force.base > Version(0) && newest.overlay == Version(0) {
@@ -40,12 +41,33 @@
         from: &HostId,
         key: ConfigKey,
         version: Version,
+        held: Version,
         actions: &mut Vec<Action>,
     ) {
         let newest = self.adoption.newest().of(key);
         let found = self.adoption.find(key, version).or_else(|| self.adoption.find(key, newest));
-        if let Some(value) = found.cloned() {
-            self.send_peer(from, PeerMessage::ConfigOffered { key, value }, actions);
+        let Some(value) = found else { return };
+        let message = match self.adoption.splice(key, held, value.version) {
+            Some(splice) => {
+                PeerMessage::ConfigChanged { key, from: held, version: value.version, splice }
+            }
+            None => PeerMessage::ConfigOffered { key, value: value.clone() },
+        };
+        self.send_peer(from, message, actions);
+    }
+
+    /// Asks for the whole value, where a change does not fit what is here.
+    pub(super) fn want_whole(
+        &mut self,
+        from: &HostId,
+        key: ConfigKey,
+        version: Version,
+        actions: &mut Vec<Action>,
+    ) {
+        if version > self.adoption.in_force().of(key) && self.adoption.find(key, version).is_none()
+        {
+            let message = PeerMessage::ConfigWanted { key, version, held: Version(0) };
+            self.send_peer(from, message, actions);
         }
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -40,7 +40,7 @@
 mod upstream;
 
 pub use action::{Action, Attempt};
-pub use adoption::{FaultyReading, ReadingFaults, RejectedPair, VersionPair};
+pub use adoption::{FaultyReading, ReadingFaults, RejectedPair, Splice, VersionPair};
 pub use confirmation::StartLimits;
 pub use dump::{ServiceDump, StateDump};
 pub use entry_host::{EntryHost, HostSettings};
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -4,7 +4,7 @@
 //! driven message by message and a lost answer is nothing special. Every message may
 //! be lost, doubled, late or out of order.
 
-use crate::adoption::VersionPair;
+use crate::adoption::{Splice, VersionPair};
 use crate::event::{ConfigKey, HostList, LoadReport, PublishedValue};
 use domain::{HostId, Incarnation, Millis, ServiceName, UpstreamId, Version};
 use serde::{Deserialize, Serialize};
@@ -39,6 +39,8 @@
         key: ConfigKey,
         /// The version that the sender heard of.
         version: Version,
+        /// A version that the sender has, zero if none: what changed since is enough.
+        held: Version,
     },
     /// A published value.
     ConfigOffered {
@@ -47,6 +49,17 @@
         /// The value.
         value: PublishedValue,
     },
+    /// A published value, as what changed since a version that the receiver has.
+    ConfigChanged {
+        /// Which.
+        key: ConfigKey,
+        /// The version that the receiver has.
+        from: Version,
+        /// The version that this makes of it.
+        version: Version,
+        /// What changed.
+        splice: Splice,
+    },
     /// Asks what the receiver has in force.
     VersionsWanted {
         /// Comes back in the answer.
@@ -89,7 +102,7 @@
 pub enum MessageKind {
     /// [`PeerMessage::Heartbeat`].
     Heartbeat,
-    /// [`PeerMessage::ConfigWanted`] and [`PeerMessage::ConfigOffered`].
+    /// [`PeerMessage::ConfigWanted`], [`PeerMessage::ConfigOffered`], [`PeerMessage::ConfigChanged`].
     Config,
     /// [`PeerMessage::VersionsWanted`] and [`PeerMessage::Versions`].
     Versions,
@@ -106,9 +119,9 @@
     pub fn kind(&self) -> MessageKind {
         match self {
             PeerMessage::Heartbeat(_) => MessageKind::Heartbeat,
-            PeerMessage::ConfigWanted { .. } | PeerMessage::ConfigOffered { .. } => {
-                MessageKind::Config
-            }
+            PeerMessage::ConfigWanted { .. }
+            | PeerMessage::ConfigOffered { .. }
+            | PeerMessage::ConfigChanged { .. } => MessageKind::Config,
             PeerMessage::VersionsWanted { .. } | PeerMessage::Versions { .. } => {
                 MessageKind::Versions
             }
@@ -142,7 +155,7 @@
     /// The configuration service did not answer it the last time.
     #[serde(skip_serializing_if = "is_false")]
     pub reads_fail: bool,
-    /// How long ago the sender heard of each listed host, see [`crate::Ages`].
+    /// How long ago the sender heard of each listed host, one character each.
     #[serde(skip_serializing_if = "String::is_empty")]
     pub ages: String,
 }
--- a/crates/core/tests/leaving.rs
+++ b/crates/core/tests/leaving.rs
@@ -127,7 +127,11 @@
 fn a_stopping_host_still_passes_on_what_it_has() {
     let mut pump = fleet(3, 3);
     pump.inject(1, Event::StopRequested);
-    let wanted = PeerMessage::ConfigWanted { key: ConfigKey::Base, version: domain::Version(1) };
+    let wanted = PeerMessage::ConfigWanted {
+        key: ConfigKey::Base,
+        version: domain::Version(1),
+        held: domain::Version(0),
+    };
     let incarnation = pump.process(2).incarnation;
     let mut actions = vec![];
     let event = Event::PeerReceived { from: host_id(2), incarnation, message: wanted };
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -276,6 +276,7 @@
 fn text_bytes(message: &PeerMessage) -> usize {
     match message {
         PeerMessage::ConfigOffered { value, .. } => value.text.len(),
+        PeerMessage::ConfigChanged { splice, .. } => splice.middle.len(),
         _ => 0,
     }
 }
--- a/crates/slopes/src/frames.rs
+++ b/crates/slopes/src/frames.rs
@@ -66,7 +66,7 @@
     let (key, version) = (ConfigKey::Overlay, VERSION);
     Ok(vec![
         ("heartbeat, 15 hosts", PeerMessage::Heartbeat(heartbeat.clone())),
-        ("config wanted", PeerMessage::ConfigWanted { key, version }),
+        ("config wanted", PeerMessage::ConfigWanted { key, version, held: version }),
         ("config offered, 10 kB", PeerMessage::ConfigOffered { key, value }),
         ("versions wanted", PeerMessage::VersionsWanted { round: 1 }),
         ("versions, 15 hosts", PeerMessage::Versions { round: 1, heartbeat }),
