Tell leaving upstreams to hosts that missed the first word

A word that a peer told is passed on once; a new run of a peer makes all marks be told again, and only senders whose messages are taken do. Questions about leaving upstreams are paid from the news' half of the control budget.

--- a/crates/core/src/entry_host.rs
+++ b/crates/core/src/entry_host.rs
@@ -142,7 +142,7 @@
                 self.probe_ended(now_ms, probe, result, actions);
             }
             Event::PeerReceived { from, incarnation, message } => {
-                self.note_peer(now_ms, &from);
+                self.note_peer(now_ms, &from, incarnation);
                 self.peer_received(now_ms, from, incarnation, message, actions);
             }
             Event::ConfigRead(reading) => self.config_read(now_ms, reading, actions),
@@ -187,10 +187,13 @@
         }
     }
 
-    /// Counts a peer among the fleet, and tells it of leaving upstreams if it was silent.
-    fn note_peer(&mut self, now_ms: Millis, peer: &HostId) {
+    /// Counts a peer among the fleet; one that was silent or restarted is told who is leaving.
+    fn note_peer(&mut self, now_ms: Millis, peer: &HostId, incarnation: Incarnation) {
         self.probes.view.note_peer(now_ms, peer);
-        if !self.membership.is_live(now_ms, peer) {
+        let is_taken = self.membership.check_sender(peer, incarnation).is_ok();
+        let is_known_run =
+            self.membership.peer(peer).is_some_and(|known| known.incarnation == incarnation);
+        if is_taken && (!is_known_run || !self.membership.is_live(now_ms, peer)) {
             self.repeat_leaving(now_ms);
         }
     }
--- a/crates/core/src/news.rs
+++ b/crates/core/src/news.rs
@@ -4,7 +4,8 @@
 //! [`REPEAT_MS`], as any message may be lost; everything else is told once, with the
 //! next round. Rounds spend from half of the control budget. Where that is short, the
 //! oldest facts wait or are replaced by newer ones, and repetitions are left out; only a
-//! word of leaving not yet told may overdraw, by [`MAX_SAVED_SECS`] and one round.
+//! word of leaving not yet told may overdraw, by [`MAX_SAVED_SECS`] and one round. A word
+//! that a peer told is passed on once, for hosts that the peer can't reach.
 
 use crate::action::Action;
 use crate::entry_host::EntryHost;
@@ -18,6 +19,8 @@
 pub const MAX_NEWS_ITEMS: usize = 16;
 /// Time for which a word of leaving is repeated.
 const REPEAT_MS: Millis = Millis(10_000);
+/// Time for which a word of leaving that a peer told is passed on.
+const PASS_ON_MS: Millis = Millis(1_500);
 /// Time between rounds.
 pub(crate) const ROUND_MS: Millis = Millis(1_000);
 /// Part of the control budget that news may spend; heartbeats and the rest need the other.
@@ -181,6 +184,19 @@
         }
     }
 
+    /// Pays for a question about an upstream, unless the budget is spent.
+    pub(crate) fn pay_question(&mut self, upstream: &UpstreamRef) -> bool {
+        let affordable = self.news.saved_bytes > 0.0;
+        if affordable {
+            let upstream_bytes = serde_json::to_string(upstream).map_or(0, |text| text.len());
+            let bytes = (FRAME_BYTES + upstream_bytes) as f64;
+            self.news.saved_bytes -= bytes;
+            self.news.counts.sent_bytes += bytes as u64;
+            self.news.counts.sent_messages += 1;
+        }
+        affordable
+    }
+
     pub(crate) fn news_received(&mut self, now_ms: Millis, from: &HostId, news: UpstreamNews) {
         for item in news.items.into_iter().take(MAX_NEWS_ITEMS) {
             let learned_ms = now_ms - item.ago_ms;
@@ -191,9 +207,11 @@
             }
             match item.fact {
                 UpstreamFact::Leaving => {
-                    if upstream.believes_leaving(learned_ms) {
-                        upstream.mark_leaving(learned_ms, LeavingSource::Peer(from.clone()));
+                    let source = LeavingSource::Peer(from.clone());
+                    let believed = upstream.believes_leaving(learned_ms);
+                    if believed && upstream.mark_leaving(learned_ms, source) {
                         state.settle_health(now_ms);
+                        self.pass_on_leaving(now_ms, item.upstream);
                     }
                 }
                 UpstreamFact::Alive { load } => upstream.note_peer_report(learned_ms, load),
@@ -205,6 +223,13 @@
         }
     }
 
+    /// Tells what a peer told once more: there may be hosts that the peer can't reach.
+    fn pass_on_leaving(&mut self, now_ms: Millis, upstream: UpstreamRef) {
+        let key = Key { service: upstream.service, id: upstream.id };
+        let until_ms = now_ms + PASS_ON_MS;
+        self.news.leaving.entry(key).or_insert(Repeat { until_ms, told: true });
+    }
+
     /// How peers name an upstream.
     pub(crate) fn upstream_ref(
         &self,
--- a/crates/core/src/probes.rs
+++ b/crates/core/src/probes.rs
@@ -259,7 +259,7 @@
             let mark = upstream.and_then(|upstream| upstream.leaving.as_mut());
             let asks =
                 prober != self.settings.host && mark.is_some_and(|mark| mark.ask(now_ms, nonce));
-            if asks {
+            if asks && self.pay_question(&upstream_ref) {
                 let message = PeerMessage::ServingWanted { upstream: upstream_ref, nonce };
                 self.send_peer(&prober, message, actions);
             }
--- a/crates/core/tests/upstream_leaving.rs
+++ b/crates/core/tests/upstream_leaving.rs
@@ -75,6 +75,36 @@
     assert_eq!(marked(&site) == HOSTS, stops);
 }
 
+#[rstest]
+#[case::cut_from_the_first_to_know(|site: &mut Site| site.pump.cut(&[1], &[3]), |_: &mut Site| {})]
+#[case::cut_and_paused_meanwhile(
+    |site: &mut Site| {
+        site.pump.cut(&[3], &[1, 2, 4, 5]);
+        site.pump.pause(3);
+    },
+    |site: &mut Site| {
+        site.pump.heal();
+        site.pump.resume(3);
+    },
+)]
+#[case::restarted_meanwhile(|_: &mut Site| {}, |site: &mut Site| site.pump.start(3))]
+fn a_host_that_missed_the_word_stops_soon_after(
+    #[case] before: fn(&mut Site),
+    #[case] after: fn(&mut Site),
+) {
+    let mut site = site(0);
+    before(&mut site);
+    say_once(&mut site);
+    site.called = vec![1];
+    site.run_for(15_000);
+    after(&mut site);
+    let back_ms = site.pump.now_ms;
+    site.called = vec![3];
+    site.run_for(STOPPED_WITHIN_MS + 5_000);
+    assert_eq!(site.sent_since(GONE, back_ms + Millis(STOPPED_WITHIN_MS)), 0);
+    assert!(!site.state(3, GONE).is_open());
+}
+
 #[rstest]
 #[case::by_configuration(|site: &mut Site| {
     site.pump.publish(ConfigKey::Base, 2, &BASE.replacen("\"slots\": 2,", "\"slots\": 2, \"leaving\": true,", 1));
