Merge a good configuration the short way

Cause: an entry host merges whole texts with each change while calls wait, and the merge did work that only a faulty text needs: it kept the path of every field, cloned the merged document twice, sought restated fields, and built the place of every upstream and route before anything was wrong with it.

A good text is now read, merged, put into the model and checked without places; whatever fails there is read again the long way, which names all problems as before. So a bad text costs up to a short read more. Both ways are compared on every case of the merge's tests.

Ruled out: skipping the merged JSON document altogether. The merge patch needs one, and its share is what a change by service would save anyway.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -32,7 +32,7 @@
             let place = FieldPath::of(["services", name.as_str()]);
             check_service(&mut report, &place, service, self);
             for (id, upstream) in &service.upstreams {
-                check_upstream(&mut report, &upstream_place(name, id), upstream, &zones);
+                check_upstream(&mut report, (name, id), upstream, &zones);
             }
         }
         check_addresses(&mut report, self);
@@ -146,21 +146,23 @@
 
 fn check_upstream(
     report: &mut Report,
-    place: &FieldPath,
+    (service, id): (&ServiceName, &UpstreamId),
     upstream: &Upstream,
     zones: &FastSet<&ZoneName>,
 ) {
+    // Built only where something is wrong: there are thousands of upstreams.
+    let place = |field| upstream_place(service, id).field(field);
     if upstream.slots.0 == 0 {
         let remedy = "give it at least 1 slot, or set \"leaving\": true to keep work away";
-        report.note(place.field("slots"), ProblemKind::Zero, remedy);
+        report.note(place("slots"), ProblemKind::Zero, remedy);
     }
     match upstream.connections {
         connections if connections.0 == 0 => {
             let remedy = "state how many connections it accepts, at least its slots";
-            report.note(place.field("connections"), ProblemKind::Zero, remedy);
+            report.note(place("connections"), ProblemKind::Zero, remedy);
         }
         connections if connections.0 < upstream.slots.0 => report.note_value(
-            place.field("connections"),
+            place("connections"),
             ProblemKind::FewerConnectionsThanSlots,
             connections,
             format!("each slot needs a connection: state at least {}", upstream.slots),
@@ -169,7 +171,7 @@
     }
     if !zones.contains(&upstream.availability_zone) {
         report.note_value(
-            place.field("availability_zone"),
+            place("availability_zone"),
             ProblemKind::UnknownZone,
             &upstream.availability_zone,
             "use one of availability_zones, or list it there",
@@ -177,7 +179,7 @@
     }
     if upstream.address.port() == 0 || upstream.address.ip().is_unspecified() {
         let remedy = "state the IP address and port that it listens on";
-        report.note(place.field("address"), ProblemKind::UnusableAddress, remedy);
+        report.note(place("address"), ProblemKind::UnusableAddress, remedy);
     }
 }
 
@@ -209,21 +211,27 @@
     let mut owners = FastMap::default();
     for (name, service) in &site.services {
         for (index, route) in service.routes.iter().enumerate() {
-            let place = FieldPath::of(["services", name.as_str(), "routes"]).index(index);
             let key = (RouteTable::normal_prefix(&route.path_prefix), route.method.as_str());
             match owners.get(&key) {
-                Some(owner) => report.note_value(
-                    place,
+                Some(&(owner, owner_index)) => report.note_value(
+                    route_place(name, index),
                     ProblemKind::AmbiguousRoute,
                     route,
-                    format!("{owner} has the same method and path prefix: keep one of them"),
+                    format!(
+                        "{} has the same method and path prefix: keep one of them",
+                        route_place(owner, owner_index),
+                    ),
                 ),
-                None => drop(owners.insert(key, place)),
+                None => drop(owners.insert(key, (name, index))),
             }
         }
     }
 }
 
+fn route_place(service: &ServiceName, index: usize) -> FieldPath {
+    FieldPath::of(["services", service.as_str(), "routes"]).index(index)
+}
+
 /// Problems found so far.
 #[derive(Debug, Default)]
 struct Report {
--- a/crates/config/src/merge.rs
+++ b/crates/config/src/merge.rs
@@ -3,11 +3,15 @@
 //! Texts are read strictly, the overlay is merged into the base (RFC 7396), the result
 //! is read into the model and checked as a whole. Each problem is traced back to the
 //! document that states the field.
+//!
+//! An entry host waits for this with every change, so good texts take a short way that
+//! keeps no paths; a text that fails there is read again to name its problems.
 
 use crate::field_path::FieldPath;
 use crate::model::SiteConfig;
 use crate::problem::{ConfigError, MAX_PROBLEMS, Problem, ProblemKind, Source};
 use crate::strict_json;
+use serde::Deserialize;
 use serde_json::{Map, Value};
 
 /// Longest text of a base or overlay: what the configuration service holds.
@@ -28,7 +32,10 @@
 ///
 /// All problems that were found, each with its field and remedy.
 pub fn merge(base_text: &str, overlay_text: Option<&str>) -> Result<SiteConfig, ConfigError> {
-    merge_with_warnings(base_text, overlay_text).map(|merged| merged.config)
+    match merge_good(base_text, overlay_text) {
+        Some(config) => Ok(config),
+        None => merge_with_warnings(base_text, overlay_text).map(|merged| merged.config),
+    }
 }
 
 /// Like [`merge`], and says what is odd though not wrong.
@@ -50,6 +57,22 @@
     Ok(Merged { config, warnings: documents.warnings() })
 }
 
+/// The short way: nothing if anything at all is wrong.
+fn merge_good(base_text: &str, overlay_text: Option<&str>) -> Option<SiteConfig> {
+    let mut merged = read_good(base_text)?;
+    if let Some(text) = overlay_text {
+        json_patch::merge(&mut merged, &read_good(text)?);
+    }
+    let config = SiteConfig::deserialize(merged).ok()?;
+    config.check().is_empty().then_some(config)
+}
+
+fn read_good(text: &str) -> Option<Value> {
+    let fits = text.len() <= MAX_TEXT_BYTES;
+    let value = fits.then(|| strict_json::read_good(text))?;
+    value.ok().filter(Value::is_object)
+}
+
 /// Base and overlay as JSON objects.
 struct Documents {
     base: Value,
--- a/crates/config/src/strict_json.rs
+++ b/crates/config/src/strict_json.rs
@@ -4,7 +4,7 @@
 //! operator wrote. This reader notes every such key with its path.
 
 use crate::field_path::{FieldPath, Segment};
-use serde::de::{DeserializeSeed, Deserializer, MapAccess, SeqAccess, Visitor};
+use serde::de::{DeserializeSeed, Deserializer, Error, MapAccess, SeqAccess, Visitor};
 use serde_json::{Map, Number, Value};
 use std::fmt;
 
@@ -19,11 +19,19 @@
 pub(crate) fn read(text: &str) -> Result<Document, serde_json::Error> {
     let mut place = Place::default();
     let mut parser = serde_json::Deserializer::from_str(text);
-    let value = Reader(&mut place).deserialize(&mut parser)?;
+    let value = Reader(Some(&mut place)).deserialize(&mut parser)?;
     parser.end()?;
     Ok(Document { value, duplicate_keys: place.duplicate_keys })
 }
 
+/// Reads a JSON text without noting places, for which equal keys are an error.
+pub(crate) fn read_good(text: &str) -> Result<Value, serde_json::Error> {
+    let mut parser = serde_json::Deserializer::from_str(text);
+    let value = Reader(None).deserialize(&mut parser)?;
+    parser.end()?;
+    Ok(value)
+}
+
 /// Where the reader stands, and what it noted on the way.
 #[derive(Debug, Default)]
 struct Place {
@@ -31,7 +39,41 @@
     duplicate_keys: Vec<FieldPath>,
 }
 
-struct Reader<'a>(&'a mut Place);
+impl Place {
+    fn enter(&mut self, segment: Segment) {
+        self.path.push(segment);
+    }
+
+    fn leave(&mut self) {
+        self.path.pop();
+    }
+
+    fn note_duplicate(&mut self) {
+        self.duplicate_keys.push(FieldPath::from(self.path.clone()));
+    }
+}
+
+/// Without a place, equal keys are an error.
+struct Reader<'a>(Option<&'a mut Place>);
+
+impl Reader<'_> {
+    /// The reader of a value inside this one.
+    fn inner(&mut self) -> Reader<'_> {
+        Reader(self.0.as_deref_mut())
+    }
+
+    fn enter(&mut self, segment: impl FnOnce() -> Segment) {
+        if let Some(place) = &mut self.0 {
+            place.enter(segment());
+        }
+    }
+
+    fn leave(&mut self) {
+        if let Some(place) = &mut self.0 {
+            place.leave();
+        }
+    }
+}
 
 impl<'de> DeserializeSeed<'de> for Reader<'_> {
     type Value = Value;
@@ -72,12 +114,12 @@
         Ok(value.into())
     }
 
-    fn visit_seq<A: SeqAccess<'de>>(self, mut access: A) -> Result<Value, A::Error> {
+    fn visit_seq<A: SeqAccess<'de>>(mut self, mut access: A) -> Result<Value, A::Error> {
         let mut items = Vec::new();
         loop {
-            self.0.path.push(Segment::Index(items.len()));
-            let item = access.next_element_seed(Reader(self.0))?;
-            self.0.path.pop();
+            self.enter(|| Segment::Index(items.len()));
+            let item = access.next_element_seed(self.inner())?;
+            self.leave();
             match item {
                 Some(item) => items.push(item),
                 None => return Ok(Value::Array(items)),
@@ -85,15 +127,17 @@
         }
     }
 
-    fn visit_map<A: MapAccess<'de>>(self, mut access: A) -> Result<Value, A::Error> {
+    fn visit_map<A: MapAccess<'de>>(mut self, mut access: A) -> Result<Value, A::Error> {
         let mut fields = Map::new();
         while let Some(name) = access.next_key::<String>()? {
-            self.0.path.push(Segment::Field(name.clone()));
-            if fields.contains_key(&name) {
-                self.0.duplicate_keys.push(FieldPath::from(self.0.path.clone()));
+            self.enter(|| Segment::Field(name.clone()));
+            match &mut self.0 {
+                _ if !fields.contains_key(&name) => {}
+                Some(place) => place.note_duplicate(),
+                None => return Err(A::Error::custom("a key is stated twice")),
             }
-            let value = access.next_value_seed(Reader(self.0))?;
-            self.0.path.pop();
+            let value = access.next_value_seed(self.inner())?;
+            self.leave();
             fields.entry(name).or_insert(value);
         }
         Ok(Value::Object(fields))
--- a/crates/config/tests/merge.rs
+++ b/crates/config/tests/merge.rs
@@ -42,7 +42,13 @@
     problems.iter().map(short).collect()
 }
 
+fn check_both_ways_agree(base: &str, overlay: Option<&str>) {
+    let whole = merge_with_warnings(base, overlay).map(|merged| merged.config);
+    assert_eq!(merge(base, overlay), whole, "short and long way differ");
+}
+
 fn check(base: &str, overlay: Option<&str>, expected: &[&str]) {
+    check_both_ways_agree(base, overlay);
     let found = match merge(base, overlay) {
         Ok(_) => Vec::new(),
         Err(error) => shorten(&error.problems),
@@ -282,6 +288,7 @@
     &["overlay services.ghost the base has no such field"]
 )]
 fn overlay_states_only_differences(#[case] overlay: &str, #[case] expected: &[&str]) {
+    check_both_ways_agree(BASE, Some(overlay));
     let merged = merge_with_warnings(BASE, Some(overlay)).unwrap();
     assert_eq!(shorten(&merged.warnings), expected);
 }
