Check that nobody forgets a leaving mark, and which answers end one

Cause: the rule that an answer counts from the time of asking was tried only with an answer to no question.

--- a/crates/core/tests/upstream_leaving.rs
+++ b/crates/core/tests/upstream_leaving.rs
@@ -4,14 +4,14 @@
 mod support;
 
 use decision_core::{
-    ConfigKey, Event, HOLD_MS, MISLED_HOLD_MS, PeerMessage, SETTLE_MS, UpstreamFact, UpstreamNews,
-    UpstreamNewsItem, UpstreamRef,
+    Action, ConfigKey, Event, HOLD_MS, Heartbeat, MISLED_HOLD_MS, PeerMessage, SETTLE_MS,
+    UpstreamFact, UpstreamNews, UpstreamNewsItem, UpstreamRef,
 };
-use domain::{Incarnation, Millis};
+use domain::{Incarnation, Millis, UpstreamId};
 use rstest::rstest;
-use support::BASE;
-use support::pump::{Pump, host_id};
+use support::pump::{Pump, host_id, host_list};
 use support::upstreams::{Manner, Site};
+use support::{BASE, Bench};
 
 const HOSTS: usize = 5;
 const GONE: &str = "shop-1";
@@ -134,19 +134,12 @@
 }
 
 fn news(fact: UpstreamFact) -> PeerMessage {
-    let upstream = UpstreamRef {
-        service: "shop".parse().unwrap(),
-        id: GONE.parse().unwrap(),
-        address: "127.0.0.1:9001".parse().unwrap(),
-    };
-    let item = UpstreamNewsItem { upstream, ago_ms: Millis::ZERO, fact };
+    let item = UpstreamNewsItem { upstream: upstream_ref(GONE), ago_ms: Millis::ZERO, fact };
     PeerMessage::UpstreamNews(UpstreamNews { items: vec![item] })
 }
 
 fn serving_seen(nonce: u64) -> PeerMessage {
-    let PeerMessage::UpstreamNews(news) = news(UpstreamFact::Leaving) else { unreachable!() };
-    let upstream = news.items[0].upstream.clone();
-    PeerMessage::ServingSeen { upstream, nonce, ago_ms: Millis::ZERO }
+    PeerMessage::ServingSeen { upstream: upstream_ref(GONE), nonce, ago_ms: Millis::ZERO }
 }
 
 fn from_peer(message: PeerMessage) -> Event {
@@ -228,3 +221,97 @@
     }
     assert_eq!(marked(&site), 0);
 }
+
+/// A host that heard that both upstreams are leaving, and asks the prober of one of them.
+struct Asker {
+    bench: Bench,
+    now_ms: u64,
+    question: Option<(UpstreamRef, u64)>,
+}
+
+impl Asker {
+    fn new() -> Asker {
+        let mut asker = Asker { bench: Bench::configured(), now_ms: 0, question: None };
+        asker.bench.handle(0, Event::HostListRead(Some(host_list(2, HOSTS))));
+        asker.hear_leaving();
+        asker
+    }
+
+    fn hear(&mut self, message: PeerMessage) {
+        self.bench.handle(self.now_ms, from_peer(message));
+    }
+
+    fn hear_alive(&mut self, number: usize) {
+        let message = PeerMessage::Heartbeat(Heartbeat::default());
+        let from = host_id(number);
+        let event = Event::PeerReceived { from, incarnation: Incarnation(1), message };
+        self.bench.handle(self.now_ms, event);
+    }
+
+    fn hear_leaving(&mut self) {
+        for id in ["shop-1", "shop-2"] {
+            let upstream = upstream_ref(id);
+            let item =
+                UpstreamNewsItem { upstream, ago_ms: Millis::ZERO, fact: UpstreamFact::Leaving };
+            self.hear(PeerMessage::UpstreamNews(UpstreamNews { items: vec![item] }));
+        }
+    }
+
+    /// Lets time pass, with a heartbeat of each peer each second.
+    fn pass(&mut self, span_ms: u64) {
+        for _ in 0..span_ms / 1000 {
+            self.now_ms += 1000;
+            (2..=HOSTS).for_each(|number| self.hear_alive(number));
+            for action in self.bench.tick(self.now_ms) {
+                if let Action::SendPeer { message, .. } = action
+                    && let PeerMessage::ServingWanted { upstream, nonce } = message
+                {
+                    self.question = Some((upstream, nonce));
+                }
+            }
+        }
+    }
+
+    fn is_open(&self, id: &UpstreamId) -> bool {
+        let dump = self.bench.host.dump();
+        let state = dump.services[0].upstreams.iter().find(|state| state.id == *id);
+        state.unwrap().is_open()
+    }
+}
+
+fn upstream_ref(id: &str) -> UpstreamRef {
+    let address = if id == "shop-1" { "127.0.0.1:9001" } else { "127.0.0.1:9002" };
+    UpstreamRef {
+        service: "shop".parse().unwrap(),
+        id: id.parse().unwrap(),
+        address: address.parse().unwrap(),
+    }
+}
+
+#[rstest]
+#[case::in_time(0, false, 0, 0, true)]
+#[case::seen_before_the_hold_was_over(5_000, false, 0, 0, false)]
+#[case::to_another_question(0, false, 1, 0, false)]
+#[case::after_a_newer_word_of_leaving(0, true, 0, 0, false)]
+#[case::after_the_next_question(0, false, 0, 5_000, false)]
+fn an_answer_counts_from_the_time_of_asking(
+    #[case] ago_ms: u64,
+    #[case] heard_again: bool,
+    #[case] nonce_off: u64,
+    #[case] late_ms: u64,
+    #[case] open: bool,
+) {
+    let mut asker = Asker::new();
+    asker.pass(HOLD_MS.0 - 1_000);
+    assert_eq!(asker.question, None, "nothing is asked before the hold is over");
+    asker.pass(3_000);
+    let (upstream, nonce) = asker.question.clone().unwrap();
+    asker.pass(late_ms);
+    if heard_again {
+        asker.hear_leaving();
+    }
+    let nonce = nonce.wrapping_add(nonce_off);
+    let id = upstream.id.clone();
+    asker.hear(PeerMessage::ServingSeen { upstream, nonce, ago_ms: Millis(ago_ms) });
+    assert_eq!(asker.is_open(&id), open);
+}
