Let operators set how long a start waits, and hear a run whose date went back

A host that was started again on a machine whose date lies behind counted as an earlier run and was never heard. It is now, once the later run has been silent for a minute.

--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -112,6 +112,6 @@
                 self.take_list(now_ms, list.clone());
             }
         }
-        self.membership.check_sender(from, incarnation)
+        self.membership.check_sender(now_ms, from, incarnation)
     }
 }
--- a/crates/core/src/entry_host.rs
+++ b/crates/core/src/entry_host.rs
@@ -190,7 +190,7 @@
     /// Counts a peer among the fleet; one that was silent or restarted is told who is leaving.
     fn note_peer(&mut self, now_ms: Millis, peer: &HostId, incarnation: Incarnation) {
         self.probes.view.note_peer(now_ms, peer);
-        let is_taken = self.membership.check_sender(peer, incarnation).is_ok();
+        let is_taken = self.membership.check_sender(now_ms, peer, incarnation).is_ok();
         let is_known_run =
             self.membership.peer(peer).is_some_and(|known| known.incarnation == incarnation);
         if is_taken && (!is_known_run || !self.membership.is_live(now_ms, peer)) {
--- a/crates/core/src/membership/mod.rs
+++ b/crates/core/src/membership/mod.rs
@@ -24,6 +24,8 @@
 const SILENT_AFTER_IN_LARGE_FLEET_MS: Millis = Millis(6000);
 /// Hosts from which on a fleet is large.
 const LARGE_FLEET: usize = 20;
+/// Silence of a run after which an earlier one is heard: the machine's date may have gone back.
+const EARLIER_RUN_AFTER_MS: Millis = Millis::from_secs(60);
 /// Hosts no longer listed that are remembered.
 const MAX_FORMER: usize = 256;
 
@@ -117,10 +119,13 @@
     /// Why it isn't.
     pub fn check_sender(
         &self,
+        now_ms: Millis,
         from: &HostId,
         incarnation: Incarnation,
     ) -> Result<(), RefusedSender> {
-        let is_earlier = |peer: &Peer| peer.incarnation > incarnation;
+        let is_earlier = |peer: &Peer| {
+            peer.incarnation > incarnation && now_ms.since(peer.heard_ms) < EARLIER_RUN_AFTER_MS
+        };
         match self.peers.get(from) {
             _ if *from == self.own => Err(RefusedSender::OwnId),
             _ if self.known(from).is_none() => Err(RefusedSender::NeverListed),
--- a/crates/core/tests/membership.rs
+++ b/crates/core/tests/membership.rs
@@ -94,6 +94,20 @@
     assert_eq!(candidates(&bench.host, 2), ["e1"]);
 }
 
+#[rstest]
+#[case::soon(59_000, Incarnation(5))]
+#[case::later(60_000, Incarnation(4))]
+fn a_run_that_counts_as_earlier_is_heard_once_the_later_is_long_silent(
+    #[case] now_ms: u64,
+    #[case] heard: Incarnation,
+) {
+    let mut bench = with_list(host_list(2, 2));
+    hear(&mut bench, 0, 2, 5, Heartbeat::default());
+    hear(&mut bench, now_ms, 2, 4, Heartbeat::default());
+    let dump = bench.host.dump();
+    assert_eq!(dump.membership.peer(&host_id(2)).unwrap().incarnation, heard);
+}
+
 #[test]
 fn a_list_may_mark_a_host_as_leaving() {
     let mut list = host_list(2, 2);
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -72,7 +72,8 @@
         metrics,
     };
     let seed = seed(settings, incarnation);
-    let core = EntryHost::new(settings.core_settings(incarnation), seed, clock.now());
+    let core = EntryHost::new(settings.core_settings(incarnation), seed, clock.now())
+        .with_start_limits(settings.start_limits.clone());
     Ok(Driver::new(core, clock, parts))
 }
 
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -4,6 +4,7 @@
 
 use crate::error::StartError;
 use clap::Args;
+use decision_core::StartLimits;
 use domain::{HostId, Incarnation, Millis, SiteName, ZoneName};
 use error_stack::{Report, ResultExt};
 use serde::Deserialize;
@@ -31,6 +32,8 @@
     pub host_list: SocketAddr,
     /// Time from failing readiness to refusing connections.
     pub drain_notice_ms: Millis,
+    /// When a start stops waiting for the peers.
+    pub start_limits: StartLimits,
 }
 
 /// Time that a balancer gets to notice a stop where the settings don't say.
@@ -67,6 +70,13 @@
     /// Milliseconds from failing readiness to refusing connections
     #[arg(long)]
     pub drain_notice_ms: Option<Millis>,
+    /// Milliseconds after a start from which a majority of the listed hosts is enough to go by
+    #[arg(long)]
+    pub majority_start_after_ms: Option<Millis>,
+    /// Milliseconds after a start from which no other host is needed; the configuration may
+    /// then be older than before
+    #[arg(long)]
+    pub lone_start_after_ms: Option<Millis>,
 }
 
 impl PartialSettings {
@@ -94,6 +104,8 @@
             config_service: self.config_service.or(other.config_service),
             host_list: self.host_list.or(other.host_list),
             drain_notice_ms: self.drain_notice_ms.or(other.drain_notice_ms),
+            majority_start_after_ms: self.majority_start_after_ms.or(other.majority_start_after_ms),
+            lone_start_after_ms: self.lone_start_after_ms.or(other.lone_start_after_ms),
         }
     }
 
@@ -103,6 +115,13 @@
     ///
     /// Names the first missing field.
     pub fn complete(self) -> Result<Settings, Report<StartError>> {
+        let default = StartLimits::default();
+        let start_limits = StartLimits {
+            majority_start_after_ms: self
+                .majority_start_after_ms
+                .unwrap_or(default.majority_start_after_ms),
+            lone_start_after_ms: self.lone_start_after_ms.unwrap_or(default.lone_start_after_ms),
+        };
         Ok(Settings {
             host: required("host", self.host)?,
             site: required("site", self.site)?,
@@ -113,6 +132,7 @@
             config_service: required("config_service", self.config_service)?,
             host_list: required("host_list", self.host_list)?,
             drain_notice_ms: self.drain_notice_ms.unwrap_or(DEFAULT_DRAIN_NOTICE_MS),
+            start_limits,
         })
     }
 }
