Forget what a peer told when it is gone

A peer that told of a version and died before passing it on kept a starting host out for good: the new test stayed without a configuration. What was told is kept for 10 s.

--- a/crates/core/src/confirmation.rs
+++ b/crates/core/src/confirmation.rs
@@ -18,6 +18,8 @@
 const ASK_IDLY_EVERY_MS: Millis = Millis(5000);
 /// Age at which an answer no longer counts, from its question on.
 const ANSWER_VALID_MS: Millis = Millis(3000);
+/// Age at which it is forgotten what a peer told: the peer is gone, and its versions with it.
+const ANSWER_KEPT_MS: Millis = Millis(10_000);
 /// Time after which questions that were not asked for a start are given up.
 const GIVE_UP_AFTER_MS: Millis = Millis(10_000);
 /// Time for fetching versions that some peer has seen but not put in force.
@@ -133,6 +135,7 @@
         self.ask_ms = now_ms + if has_candidate { ASK_EVERY_MS } else { ASK_IDLY_EVERY_MS };
         self.rounds.retain(|(_, asked_ms)| now_ms.since(*asked_ms) < ANSWER_VALID_MS);
         self.rounds.push_back((round, now_ms));
+        self.answers.retain(|_, answer| now_ms.since(answer.asked_ms) < ANSWER_KEPT_MS);
     }
 
     /// Whether a peer's answer will still count when the next questions are due.
--- a/crates/core/tests/start.rs
+++ b/crates/core/tests/start.rs
@@ -3,13 +3,14 @@
 
 mod support;
 
-use decision_core::{ConfigKey, EntryHost, Event, Heartbeat, PeerMessage, StartLimits};
-use domain::{Millis, Version};
+use decision_core::{
+    Action, ConfigKey, EntryHost, Event, Heartbeat, PeerMessage, ReadOutcome, StartLimits,
+};
+use domain::{Incarnation, Millis, Version};
 use rstest::rstest;
-use support::BASE;
 use support::configs::{BROKEN, pair};
-use support::fleet;
-use support::pump::{MakeHost, Pump, host_id};
+use support::pump::{MakeHost, Pump, host_id, host_list};
+use support::{BASE, Bench, fleet};
 
 /// As in the product.
 const AS_IS: MakeHost = EntryHost::new;
@@ -185,3 +186,38 @@
     pump.run_for(60_000);
     assert!(pump.handled < 1000, "{} events in a minute", pump.handled);
 }
+
+/// Answers the questions among `actions` in the name of a peer.
+fn answer_as(bench: &mut Bench, now_ms: u64, peer: usize, base: u64, actions: &[Action]) {
+    for action in actions {
+        let Action::SendPeer { to, message: PeerMessage::VersionsWanted { round }, .. } = action
+        else {
+            continue;
+        };
+        if *to == host_id(peer) {
+            let heartbeat = Heartbeat { base: Version(base), ..Heartbeat::default() };
+            let message = PeerMessage::Versions { round: *round, heartbeat };
+            let incarnation = Incarnation(1);
+            bench.handle(now_ms, Event::PeerReceived { from: to.clone(), incarnation, message });
+        }
+    }
+}
+
+#[test]
+fn a_peer_that_dies_with_its_version_does_not_block_a_start_for_ever() {
+    let mut bench = Bench::alone();
+    bench.handle(0, Event::HostListRead(Some(host_list(2, 3))));
+    bench.read(ConfigKey::Overlay, ReadOutcome::Missing);
+    bench.publish(ConfigKey::Base, 1, BASE);
+    for now_ms in (100..=15_000).step_by(100) {
+        let actions = bench.tick(now_ms);
+        answer_as(&mut bench, now_ms, 2, 1, &actions);
+        if now_ms < 2000 {
+            answer_as(&mut bench, now_ms, 3, 2, &actions);
+        }
+        if now_ms < 10_000 {
+            assert_eq!(bench.host.versions(), pair(0, 0), "{now_ms}");
+        }
+    }
+    assert_eq!(bench.host.versions(), pair(1, 0));
+}
