Measure the daemon's processor time and memory as calls grow

Cause: the number of entry hosts that a call rate needs follows from the daemon's cost of a call, not from the core's alone, and nothing measured it.

--- a/xtask/src/slopes.rs
+++ b/xtask/src/slopes.rs
@@ -1,6 +1,9 @@
-//! Starts the slopes' measurement in a release build.
+//! What the parts cost as fleet, configuration and calls grow.
 //!
-//! It runs as a process of its own, because it counts every allocation of the process.
+//! The core's slopes are measured by a process of its own in a release build, because it
+//! counts every allocation of the process; the daemon's on a running site.
+
+mod daemon;
 
 use crate::error::TaskError;
 use error_stack::{Report, ResultExt};
@@ -8,20 +11,30 @@
 use std::process::ExitCode;
 use tokio::process::Command;
 
-/// What to do with the slopes.
+/// What to measure, and where to write it.
 #[derive(Debug, clap::Args)]
 pub struct Args {
     /// Also write the report to this file, as JSON.
     #[arg(long)]
     json: Option<PathBuf>,
+    /// Measure the daemon on a running site instead of the core.
+    #[arg(long)]
+    daemon: bool,
 }
 
-/// Measures and prints; the exit code is the measurement's.
+/// Measures and prints.
 ///
 /// # Errors
 ///
-/// If cargo can't be started.
+/// If a process can't be started, or the report can't be written.
 pub async fn run(args: &Args) -> Result<ExitCode, Report<TaskError>> {
+    match args.daemon {
+        true => daemon_slopes(args).await,
+        false => core_slopes(args).await,
+    }
+}
+
+async fn core_slopes(args: &Args) -> Result<ExitCode, Report<TaskError>> {
     let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
     let mut command = Command::new(cargo);
     command.args(["run", "--quiet", "--release", "--package", "slopes", "--"]);
@@ -32,3 +45,12 @@
     let status = status.change_context(TaskError::Cargo)?;
     Ok(if status.success() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
+
+async fn daemon_slopes(args: &Args) -> Result<ExitCode, Report<TaskError>> {
+    let series = daemon::run().await?;
+    if let Some(path) = &args.json {
+        let json = serde_json::to_string_pretty(&series).change_context(TaskError::Results)?;
+        std::fs::write(path, json + "\n").change_context(TaskError::Results)?;
+    }
+    Ok(ExitCode::SUCCESS)
+}
