Run a key only under a claim that a quorum of the fleet confirmed

A caller may repeat an idempotency key through another entry host while the first request is still out. Counting attempts at one host can't see that.

Each request with a key at an at-most-once route asks the listed hosts for a vote before it leaves; a vote is remembered for the key window; a host that has started or woken votes only when it knows again what may stand.

While writing the tests a host without a list asked for a tick in the past for ever; the time of the next question now counts only once a list is known.

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -4,7 +4,9 @@
 //! then, the call surely did not run: that alone allows a second sending of a request
 //! that must not be repeated, and that alone allows the words "not run".
 
+use crate::claims::CallClaim;
 use crate::event::CallHead;
+use crate::message::ClaimKey;
 use crate::refusal::RunOutcome;
 use config::RepeatRule;
 use domain::{AttemptId, Millis, ServiceName, UpstreamId};
@@ -30,6 +32,10 @@
     pub started: u32,
     /// Attempts that may have run.
     pub maybe_run: u32,
+    /// What must not run twice, if the caller named it.
+    pub key: Option<ClaimKey>,
+    /// The claim to that key, once it was asked for.
+    pub claim: Option<CallClaim>,
 }
 
 /// Where a call stands.
@@ -37,6 +43,8 @@
 pub enum Stage {
     /// In the queue.
     Waiting,
+    /// It holds a slot while peers vote on its idempotency key.
+    Claiming,
     /// Sent, no answer passed on yet.
     Sent,
     /// The caller is getting this attempt's answer.
@@ -59,6 +67,12 @@
         self.repeat == RepeatRule::Idempotent || self.maybe_run == 0
     }
 
+    /// Whether peers must confirm its idempotency key before it may be sent.
+    pub fn needs_claim(&self) -> bool {
+        let stands = self.claim.as_ref().is_some_and(|claim| claim.stands);
+        self.key.is_some() && !stands
+    }
+
     /// Attempts spent on it, those of callers further up included.
     pub fn spent_attempts(&self) -> u32 {
         self.head.spent_attempts.saturating_add(self.started)
--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -5,11 +5,14 @@
 
 use crate::action::{Action, Attempt};
 use crate::call::{Call, LiveAttempt, Stage};
+use crate::claims::MAX_KEYED_TIMEOUT_MS;
 use crate::entry_host::EntryHost;
 use crate::event::{AnswerHead, AttemptEnd, CallHead, FailureStage};
+use crate::message::{ClaimKey, KeyProgress};
 use crate::queue::Admission;
 use crate::refusal::{Refusal, RefusalCause, RunOutcome};
 use crate::service::TakenSlot;
+use config::RepeatRule;
 use domain::{AttemptId, CallId, Millis, ServiceName};
 use rand::RngExt;
 
@@ -18,6 +21,19 @@
 /// Status from which an answer counts as the upstream's failure.
 pub(crate) const FIRST_FAILURE_STATUS: u16 = 500;
 
+/// Why a call is not admitted.
+#[derive(Debug)]
+struct Rejection {
+    cause: RefusalCause,
+    outcome: RunOutcome,
+}
+
+impl From<RefusalCause> for Rejection {
+    fn from(cause: RefusalCause) -> Rejection {
+        Rejection { cause, outcome: RunOutcome::NotRun }
+    }
+}
+
 impl EntryHost {
     pub(crate) fn call_arrived(
         &mut self,
@@ -28,8 +44,8 @@
     ) {
         match self.admit(now_ms, call, head, actions) {
             Ok(service) => self.dispatch(now_ms, &service, actions),
-            Err(cause) => {
-                let refusal = self.refusal(cause, RunOutcome::NotRun, 0, None);
+            Err(Rejection { cause, outcome }) => {
+                let refusal = self.refusal(cause, outcome, 0, None);
                 actions.push(Action::Refuse { call, refusal });
             }
         }
@@ -46,7 +62,9 @@
         call.stage = Stage::Over;
         self.deadlines.remove(&(call.deadline_ms, id));
         cancel_all(&call.live, actions);
-        self.forget_if_over(id);
+        self.drop_pending_claim(id);
+        self.release_key_if_not_run(id, actions);
+        self.forget_if_over(id, actions);
         self.dispatch(now_ms, &service, actions);
     }
 
@@ -79,7 +97,10 @@
         }
         match answer.not_run {
             true => self.finish(call_id, RefusalCause::UpstreamRefused, actions),
-            false => self.deliver(call_id, id, actions),
+            false => {
+                self.note_key_progress(call_id, progress_of(answer.status));
+                self.deliver(call_id, id, actions);
+            }
         }
     }
 
@@ -99,7 +120,7 @@
             }
         }
         self.after_attempt(now_ms, id, &attempt, end, actions);
-        self.forget_if_over(attempt.call);
+        self.forget_if_over(attempt.call, actions);
         self.dispatch(now_ms, &attempt.service, actions);
     }
 
@@ -109,11 +130,18 @@
             && deadline_ms <= now_ms
         {
             self.deadlines.pop_first();
+            let service = self.calls.get(&id).map(|call| call.service.clone());
             self.finish(id, RefusalCause::Expired, actions);
+            if let Some(service) = service {
+                self.dispatch(now_ms, &service, actions);
+            }
         }
     }
 
     /// Sends waiting calls of a service while slots are free.
+    ///
+    /// A call whose deadline has passed is never sent, not even by a host that has just
+    /// woken from a pause and handles what came in meanwhile before its first tick.
     pub(crate) fn dispatch(
         &mut self,
         now_ms: Millis,
@@ -121,12 +149,18 @@
         actions: &mut Vec<Action>,
     ) {
         while let Some(id) = self.next_waiting(service) {
-            if !self.send(now_ms, id, actions) {
-                return;
+            if self.calls.get(&id).is_some_and(|call| call.deadline_ms <= now_ms) {
+                self.finish(id, RefusalCause::Expired, actions);
+                continue;
             }
+            let Some(slot) = self.take_slot_for(now_ms, id) else { return };
             if let Some(state) = self.services.get_mut(service) {
                 state.queue.pop();
             }
+            match self.calls.get(&id).is_some_and(Call::needs_claim) {
+                true => self.ask_claim(now_ms, id, slot, actions),
+                false => self.emit_send(now_ms, id, slot, actions),
+            }
         }
     }
 
@@ -136,36 +170,47 @@
         id: CallId,
         head: CallHead,
         actions: &mut Vec<Action>,
-    ) -> Result<ServiceName, RefusalCause> {
+    ) -> Result<ServiceName, Rejection> {
         let in_force = self.in_force.as_ref().ok_or(RefusalCause::NotConfigured)?;
         let limits = &in_force.config.limits;
         if self.lifecycle.refuses_calls(now_ms, self.settings.drain_notice_ms) {
-            return Err(RefusalCause::Stopping);
+            return Err(RefusalCause::Stopping.into());
         }
         if head.depth >= limits.max_depth {
-            return Err(RefusalCause::TooDeep);
+            return Err(RefusalCause::TooDeep.into());
         }
         if self.calls.len() >= limits.max_calls as usize {
-            return Err(RefusalCause::HostFull);
+            return Err(RefusalCause::HostFull.into());
         }
         let found = in_force.routes.find(&head.method, &head.path);
         let target = found.ok_or(RefusalCause::NoRoute)?;
         let repeat = target.repeat;
         let caller_limit = in_force.config.callers.max_waiting as usize;
         let name = target.service.clone();
+        let key = key_of(&head, repeat, &name);
+        if let Some(outcome) = key.as_ref().and_then(|key| self.claims.outcome_of_use(key)) {
+            return Err(Rejection { cause: RefusalCause::DuplicateKey, outcome });
+        }
         let state = self.services.get_mut(&name).ok_or(RefusalCause::NoRoute)?;
         if !state.has_open_upstream() {
-            return Err(RefusalCause::NoUpstream);
+            return Err(RefusalCause::NoUpstream.into());
         }
-        let timeout_ms = head.timeout_ms.unwrap_or(state.published.deadline_ms);
+        let wanted_ms = head.timeout_ms.unwrap_or(state.published.deadline_ms);
+        let timeout_ms = match key {
+            Some(_) => wanted_ms.min(MAX_KEYED_TIMEOUT_MS),
+            None => wanted_ms,
+        };
         let queue_limit = state.published.queue_limit as usize;
         let dropped = match state.queue.admit(&head.caller, id, queue_limit, caller_limit) {
             Admission::Waits => None,
             Admission::Replaces(dropped) => Some(dropped),
-            Admission::CallerFull => return Err(RefusalCause::CallerShare),
-            Admission::QueueFull => return Err(RefusalCause::QueueFull),
+            Admission::CallerFull => return Err(RefusalCause::CallerShare.into()),
+            Admission::QueueFull => return Err(RefusalCause::QueueFull.into()),
         };
         state.calls += 1;
+        if let Some(key) = &key {
+            self.claims.begin_use(key, id);
+        }
         let call = Call {
             head,
             service: name.clone(),
@@ -176,6 +221,8 @@
             tried: Vec::new(),
             started: 0,
             maybe_run: 0,
+            key,
+            claim: None,
         };
         self.deadlines.insert((call.deadline_ms, id));
         self.calls.insert(id, call);
@@ -189,16 +236,26 @@
         self.services.get(service)?.queue.peek()
     }
 
-    /// Sends a call if a slot is free. Returns whether it left.
-    fn send(&mut self, now_ms: Millis, id: CallId, actions: &mut Vec<Action>) -> bool {
-        let Some(in_force) = &self.in_force else { return false };
-        let Some(call) = self.calls.get_mut(&id) else { return true };
-        let Some(state) = self.services.get_mut(&call.service) else { return false };
-        let policy = in_force.config.policy;
-        let taken = state.take_slot(now_ms, policy, &call.tried, &mut self.rng);
-        let Some(TakenSlot { upstream, address, rounds }) = taken else {
-            return false;
-        };
+    /// Takes a slot for a waiting call if one is free.
+    fn take_slot_for(&mut self, now_ms: Millis, id: CallId) -> Option<TakenSlot> {
+        let policy = self.in_force.as_ref()?.config.policy;
+        let call = self.calls.get(&id)?;
+        let state = self.services.get_mut(&call.service)?;
+        state.take_slot(now_ms, policy, &call.tried, &mut self.rng)
+    }
+
+    /// Sends a call to an upstream whose slot it holds.
+    pub(crate) fn emit_send(
+        &mut self,
+        now_ms: Millis,
+        id: CallId,
+        slot: TakenSlot,
+        actions: &mut Vec<Action>,
+    ) {
+        let TakenSlot { upstream, address, rounds } = slot;
+        let Some(in_force) = &self.in_force else { return };
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let Some(state) = self.services.get_mut(&call.service) else { return };
         if call.started == 0 {
             state.retries.earn(in_force.config.retry.budget_share);
         }
@@ -225,7 +282,15 @@
             good_answer: false,
         };
         self.attempts.insert(attempt, live);
-        true
+        self.note_key_progress(id, KeyProgress::MayHaveRun);
+    }
+
+    /// Puts a call at the head of its line: it was admitted before.
+    pub(crate) fn wait_again(&mut self, id: CallId) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let Some(state) = self.services.get_mut(&call.service) else { return };
+        call.stage = Stage::Waiting;
+        state.queue.push_front(&call.head.caller, id);
     }
 
     /// Queues a failed call once more where rule, budget and time allow. Returns whether it did.
@@ -241,9 +306,8 @@
         if !allowed || !state.retries.spend() {
             return false;
         }
-        call.stage = Stage::Waiting;
-        state.queue.push_front(&call.head.caller, id);
         let service = call.service.clone();
+        self.wait_again(id);
         self.dispatch(now_ms, &service, actions);
         true
     }
@@ -260,8 +324,21 @@
 
     /// Gives a call its final answer and cancels what is still out.
     pub(crate) fn finish(&mut self, id: CallId, cause: RefusalCause, actions: &mut Vec<Action>) {
-        let Some(call) = self.calls.get_mut(&id) else { return };
+        let Some(call) = self.calls.get(&id) else { return };
         let outcome = call.outcome();
+        self.conclude(id, cause, outcome, actions);
+    }
+
+    /// Does the same with an outcome that is not the call's own, but its key's.
+    pub(crate) fn conclude(
+        &mut self,
+        id: CallId,
+        cause: RefusalCause,
+        outcome: RunOutcome,
+        actions: &mut Vec<Action>,
+    ) {
+        self.drop_pending_claim(id);
+        let Some(call) = self.calls.get_mut(&id) else { return };
         let service = call.service.clone();
         let mut waiting = 0;
         if let Some(state) = self.services.get_mut(&service) {
@@ -273,7 +350,8 @@
         cancel_all(&call.live, actions);
         let refusal = self.refusal(cause, outcome, waiting, Some(&service));
         actions.push(Action::Refuse { call: id, refusal });
-        self.forget_if_over(id);
+        self.release_key_if_not_run(id, actions);
+        self.forget_if_over(id, actions);
     }
 
     fn after_attempt(
@@ -302,7 +380,7 @@
         }
     }
 
-    fn forget_if_over(&mut self, id: CallId) {
+    fn forget_if_over(&mut self, id: CallId, actions: &mut Vec<Action>) {
         let over = self
             .calls
             .get(&id)
@@ -310,7 +388,11 @@
         if !over {
             return;
         }
+        self.release_key_if_not_run(id, actions);
         let Some(call) = self.calls.remove(&id) else { return };
+        if let Some(key) = &call.key {
+            self.claims.end_use(key);
+        }
         if let Some(state) = self.services.get_mut(&call.service) {
             state.calls -= 1;
         }
@@ -346,3 +428,20 @@
         AttemptEnd::Failed { .. } | AttemptEnd::Completed => false,
     }
 }
+
+/// What must not run twice, if the rule asks for it and the caller names it.
+fn key_of(head: &CallHead, repeat: RepeatRule, service: &ServiceName) -> Option<ClaimKey> {
+    let key = match repeat {
+        RepeatRule::AtMostOnce => head.idempotency_key.clone()?,
+        RepeatRule::Idempotent => return None,
+    };
+    Some(ClaimKey { caller: head.caller.clone(), service: service.clone(), key })
+}
+
+/// Whether an answer shows that its request ran.
+fn progress_of(status: u16) -> KeyProgress {
+    match status >= FIRST_FAILURE_STATUS {
+        true => KeyProgress::MayHaveRun,
+        false => KeyProgress::Run,
+    }
+}
--- a/crates/core/src/control/fleet.rs
+++ b/crates/core/src/control/fleet.rs
@@ -33,6 +33,7 @@
     pub(super) fn take_list(&mut self, now_ms: Millis, list: HostList) {
         let is_first = self.membership.list().is_none();
         self.membership.take_list(list);
+        self.note_listed_voters();
         if let Some(open) = &mut self.control.confirmation
             && is_first
         {
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -30,6 +30,7 @@
         message: PeerMessage,
         actions: &mut Vec<Action>,
     ) {
+        self.claims.note_heard(&from);
         if let Err(why) = self.admit_message(now_ms, &from, incarnation, &message) {
             self.traffic.note_refused(why);
             return;
@@ -68,6 +69,13 @@
             PeerMessage::ServingSeen { upstream, nonce, ago_ms } => {
                 self.serving_seen(now_ms, &upstream, nonce, ago_ms);
             }
+            message @ (PeerMessage::ClaimAsked(_)
+            | PeerMessage::ClaimVoted(_)
+            | PeerMessage::ClaimReleased { .. }
+            | PeerMessage::StandingWanted { .. }
+            | PeerMessage::StandingOffered(_)) => {
+                self.claim_received(now_ms, from, incarnation, message, actions);
+            }
         }
         self.advance_start(now_ms, actions);
     }
--- a/crates/core/src/dump.rs
+++ b/crates/core/src/dump.rs
@@ -1,6 +1,7 @@
 //! Everything an entry host holds, as operators see it.
 
 use crate::adoption::{ReadingFaults, RejectedPair, VersionPair};
+use crate::claims::ClaimsDump;
 use crate::control::ControlState;
 use crate::entry_host::{EntryHost, HostSettings};
 use crate::lifecycle::Lifecycle;
@@ -43,6 +44,8 @@
     pub membership: &'a Membership,
     /// Pauses of this process.
     pub pauses: &'a PauseWatch,
+    /// Idempotency keys and the claims to them.
+    pub claims: ClaimsDump<'a>,
     /// Calls in progress.
     pub calls: usize,
     /// Probes, and the hosts that share their budget.
@@ -98,6 +101,7 @@
             config: self.in_force.as_ref().map(|in_force| &in_force.config),
             membership: &self.membership,
             pauses: &self.pauses,
+            claims: self.claims.dump(),
             calls: self.calls.len(),
             probes: self.probes.dump(self.now_ms),
             news: self.news.counts(),
--- a/crates/core/src/entry_host.rs
+++ b/crates/core/src/entry_host.rs
@@ -7,6 +7,7 @@
 use crate::action::Action;
 use crate::adoption::Adoption;
 use crate::call::{Call, LiveAttempt};
+use crate::claims::Claims;
 use crate::confirmation::StartLimits;
 use crate::control::ControlState;
 use crate::event::Event;
@@ -32,7 +33,9 @@
 pub struct HostSettings {
     /// Its id.
     pub host: HostId,
-    /// This run.
+    /// This run. `1` says that there was none before under this host id, ever: such a host
+    /// votes on idempotency keys at once, any other only when its former run's votes are
+    /// known again.
     pub incarnation: Incarnation,
     /// Its site.
     pub site: SiteName,
@@ -65,6 +68,7 @@
     pub(crate) trace: Trace,
     /// Time of the last event.
     pub(crate) now_ms: Millis,
+    pub(crate) claims: Claims,
 }
 
 /// The configuration in force, prepared for use.
@@ -86,7 +90,9 @@
     ///
     /// It asks for everything else on its first [`Event::Tick`].
     pub fn new(settings: HostSettings, seed: u64, now_ms: Millis) -> EntryHost {
+        let claims = Claims::new(settings.host.clone(), settings.incarnation, now_ms);
         EntryHost {
+            claims,
             rng: Pcg64Mcg::seed_from_u64(seed),
             lifecycle: Lifecycle::Running,
             adoption: Adoption::default(),
@@ -120,7 +126,9 @@
         let before = actions.len();
         if self.pauses.note_event(now_ms).is_some() {
             self.after_pause(now_ms);
+            self.claims.wake(now_ms);
         }
+        self.claims.note_event(now_ms);
         self.now_ms = now_ms;
         let arrived = EntryHost::arriving_call(&event);
         self.route(now_ms, event, actions);
@@ -153,6 +161,7 @@
             Event::StopRequested => self.stop_requested(now_ms, actions),
             Event::Tick => self.tick(now_ms, actions),
         }
+        self.run_claims(now_ms, actions);
     }
 
     /// When the next [`Event::Tick`] is due at the latest.
@@ -166,6 +175,7 @@
             .min(self.probes.due_ms)
             .min(self.news.due_ms)
             .min(expiry_ms.unwrap_or(Millis::MAX))
+            .min(self.claims.next_due_ms().unwrap_or(Millis::MAX))
     }
 
     fn stop_requested(&mut self, now_ms: Millis, actions: &mut Vec<Action>) {
@@ -177,6 +187,7 @@
     }
 
     fn tick(&mut self, now_ms: Millis, actions: &mut Vec<Action>) {
+        self.note_listed_voters();
         self.expire_calls(now_ms, actions);
         self.run_control_timers(now_ms, actions);
         self.run_probes(now_ms, actions);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 mod call;
 mod calls;
 mod choice;
+mod claims;
 mod confirmation;
 mod control;
 mod dump;
@@ -41,6 +42,7 @@
 
 pub use action::{Action, Attempt};
 pub use adoption::{FaultyReading, ReadingFaults, RejectedPair, Splice, VersionPair};
+pub use claims::{ClaimCounts, ClaimsDump, KEY_WINDOW_MS, VotingState};
 pub use confirmation::StartLimits;
 pub use dump::{ServiceDump, StateDump};
 pub use entry_host::{EntryHost, HostSettings};
@@ -57,8 +59,9 @@
 pub use lifecycle::Lifecycle;
 pub use membership::{MAX_NEWS_PEERS, Membership, Peer, heartbeat_offsets, news_offsets};
 pub use message::{
-    Envelope, Heartbeat, MessageKind, PROTOCOL_VERSION, PeerMessage, UpstreamFact, UpstreamNews,
-    UpstreamNewsItem, UpstreamRef,
+    ClaimId, ClaimKey, ClaimQuestion, ClaimVerdict, ClaimVote, Envelope, Heartbeat, KeyProgress,
+    MessageKind, PROTOCOL_VERSION, PeerMessage, RecentHost, StandingClaim, StandingClaims,
+    UpstreamFact, UpstreamNews, UpstreamNewsItem, UpstreamRef,
 };
 pub use news::{MAX_NEWS_ITEMS, NewsCounts};
 pub use pause::PauseWatch;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -6,7 +6,9 @@
 
 use crate::adoption::{Splice, VersionPair};
 use crate::event::{ConfigKey, HostList, LoadReport, PublishedValue};
-use domain::{HostId, Incarnation, Millis, ServiceName, UpstreamId, Version};
+use domain::{
+    CallerId, HostId, IdempotencyKey, Incarnation, Millis, ServiceName, UpstreamId, Version,
+};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -94,6 +96,24 @@
         /// How long before the answer the upstream was asked.
         ago_ms: Millis,
     },
+    /// Asks for a vote: may this claim have its idempotency key?
+    ClaimAsked(ClaimQuestion),
+    /// A vote.
+    ClaimVoted(ClaimVote),
+    /// A claim surely did not run and never will.
+    ClaimReleased {
+        /// The claim.
+        claim: ClaimId,
+        /// Its key.
+        key: ClaimKey,
+    },
+    /// Asks a host for all claims that it remembers.
+    StandingWanted {
+        /// Comes back in the answer.
+        round: u64,
+    },
+    /// Claims that the sender remembers.
+    StandingOffered(StandingClaims),
 }
 
 /// Kind of a message, to count by.
@@ -112,6 +132,11 @@
     UpstreamNews,
     /// [`PeerMessage::ServingWanted`] and [`PeerMessage::ServingSeen`].
     Serving,
+    /// [`PeerMessage::ClaimAsked`], [`PeerMessage::ClaimVoted`] and
+    /// [`PeerMessage::ClaimReleased`].
+    Claim,
+    /// [`PeerMessage::StandingWanted`] and [`PeerMessage::StandingOffered`].
+    Standing,
 }
 
 impl PeerMessage {
@@ -130,6 +155,12 @@
             PeerMessage::ServingWanted { .. } | PeerMessage::ServingSeen { .. } => {
                 MessageKind::Serving
             }
+            PeerMessage::ClaimAsked(_)
+            | PeerMessage::ClaimVoted(_)
+            | PeerMessage::ClaimReleased { .. } => MessageKind::Claim,
+            PeerMessage::StandingWanted { .. } | PeerMessage::StandingOffered(_) => {
+                MessageKind::Standing
+            }
         }
     }
 }
@@ -224,3 +255,121 @@
     /// The sender ejected it.
     Ejected,
 }
+
+/// What must not run twice: a caller's key at one service.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClaimKey {
+    /// Whose key.
+    pub caller: CallerId,
+    /// Where it is to run.
+    pub service: ServiceName,
+    /// The key.
+    pub key: IdempotencyKey,
+}
+
+/// One attempt of one run of a host to get a key; never used twice.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClaimId {
+    /// The claimant.
+    pub host: HostId,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// Counts up within the run.
+    pub number: u64,
+}
+
+/// Asks for a vote.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClaimQuestion {
+    /// The claim.
+    pub claim: ClaimId,
+    /// Its key.
+    pub key: ClaimKey,
+    /// All hosts that are asked, sorted.
+    pub committee: Vec<HostId>,
+}
+
+/// A vote.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClaimVote {
+    /// The claim.
+    pub claim: ClaimId,
+    /// What the voter says.
+    pub verdict: ClaimVerdict,
+}
+
+/// What a voter says.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ClaimVerdict {
+    /// The voter will say yes to no other claim for this key within the key window.
+    Yes,
+    /// The voter remembers another claim.
+    Taken {
+        /// Whose it is.
+        holder: HostId,
+        /// How far it got, if it is the voter's own.
+        progress: Option<KeyProgress>,
+    },
+    /// The voter has just started or woken up, is full, or knows the claim as released.
+    Abstains,
+    /// The voter would have asked too many hosts that the claimant didn't.
+    Differs {
+        /// All that it knows of.
+        electorate: Vec<RecentHost>,
+    },
+}
+
+/// How far a claim got.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum KeyProgress {
+    /// Undecided: nothing was sent.
+    Pending,
+    /// The request was sent.
+    MayHaveRun,
+    /// An upstream answered.
+    Run,
+}
+
+/// A host that was listed or heard of lately.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RecentHost {
+    /// The host.
+    pub host: HostId,
+    /// Time since then.
+    pub age_ms: Millis,
+}
+
+/// A part of what a host remembers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StandingClaims {
+    /// From the question.
+    pub round: u64,
+    /// Which part, from zero.
+    pub part: u32,
+    /// Number of parts.
+    pub parts: u32,
+    /// All hosts that the sender knows of; in the first part only.
+    pub electorate: Vec<RecentHost>,
+    /// Claims.
+    pub claims: Vec<StandingClaim>,
+}
+
+/// A claim that a host remembers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StandingClaim {
+    /// Its key.
+    pub key: ClaimKey,
+    /// The claim.
+    pub claim: ClaimId,
+    /// Time until it is forgotten.
+    pub left_ms: Millis,
+}
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::unwrap_used, dead_code)]
 
 pub mod configs;
+pub mod fleet;
 pub mod pump;
 pub mod upstreams;
 
