--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -366,7 +366,8 @@
         match call.stage {
             Stage::Delivering(delivering) if delivering == id => call.stage = Stage::Over,
             Stage::Sent if call.live.is_empty() && !attempt.answered => {
-                let timed_out = end == AttemptEnd::Failed { stage: FailureStage::TimedOut };
+                let timed_out = end == AttemptEnd::Failed { stage: FailureStage::TimedOut }
+                    || call.deadline_ms <= now_ms;
                 if self.try_again(now_ms, attempt.call, actions) {
                     return;
                 }
--- a/crates/core/src/claims/holds.rs
+++ b/crates/core/src/claims/holds.rs
@@ -87,7 +87,7 @@
         if known || self.released.contains_key(claim) {
             return true;
         }
-        if self.len >= MAX_HOLDS {
+        if self.len >= MAX_HOLDS || self.expiries.len() >= 2 * MAX_HOLDS {
             return false;
         }
         let expires_ms = now_ms + for_ms;
--- a/crates/core/src/claims/mod.rs
+++ b/crates/core/src/claims/mod.rs
@@ -15,6 +15,8 @@
 mod join;
 mod pending;
 mod steps;
+#[cfg(test)]
+mod tests;
 
 pub use join::VotingState;
 
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -92,10 +92,9 @@
     }
 
     /// Takes all four slots.
-    pub fn fill_slots(&mut self) {
-        for call in 100..104 {
-            self.arrive(CallId(call), RepeatRule::Idempotent).attempt();
-        }
+    pub fn fill_slots(&mut self) -> Vec<AttemptId> {
+        let fill = |call| self.arrive(CallId(call), RepeatRule::Idempotent).attempt();
+        (100..104).map(fill).collect()
     }
 
     pub fn handle(&mut self, now_ms: u64, event: Event) -> Vec<Action> {
