Test callers, settings, peers and stops through the real process

Raw sockets on both sides. A flag given twice: the last one counts, so that a wrapper's flags can be overridden; before, it was an error. Conflicting lengths: the HTTP library drops Content-Length where Transfer-Encoding stands, in either order, before a handler can see it; the tests show that nothing is smuggled past it, so no refusal of our own. Read buffers of the stand-ins moved to the heap: nested in futures they overflowed the test thread's stack.

--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -13,7 +13,7 @@
 /// Exit codes: 0 stopped after all work was done, 2 wrong settings, 3 an address is in
 /// use, 4 the machine denied something else.
 #[derive(Debug, Parser)]
-#[command(name = "jujubedeald", version)]
+#[command(name = "jujubedeald", version, args_override_self = true)]
 struct Cli {
     /// JSON file with the settings; flags win over it
     #[arg(long)]
--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -140,7 +140,7 @@
                 let request = buffer.drain(..length).collect();
                 return Some(String::from_utf8(request).unwrap());
             }
-            let mut chunk = [0; 4096];
+            let mut chunk = vec![0; 4096];
             match stream.read(&mut chunk).await {
                 Ok(0) | Err(_) => return None,
                 Ok(n) => {
@@ -173,7 +173,7 @@
 pub async fn read_to_end(stream: &mut TcpStream) -> String {
     let mut bytes = Vec::new();
     let reading = async {
-        let mut chunk = [0; 65536];
+        let mut chunk = vec![0; 65536];
         while let Ok(n @ 1..) = stream.read(&mut chunk).await {
             bytes.extend_from_slice(&chunk[..n]);
         }
