Test with a host list that holds the daemon itself

Since a start waits for the hosts on the list, a list without any kept the daemon waiting for its 30 s limit, which is also the tests' limit: all 45 callers' tests failed. The stand-in's list now names the daemon, as a real list does. Checks unchanged.

--- a/crates/daemon/tests/process.rs
+++ b/crates/daemon/tests/process.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use decision_core::{Envelope, Heartbeat, PROTOCOL_VERSION, PeerMessage};
-use domain::{Incarnation, Version};
+use domain::Incarnation;
 use jsonrpsee::core::client::ClientT;
 use jsonrpsee::rpc_params;
 use jsonrpsee::ws_client::WsClientBuilder;
@@ -104,7 +104,7 @@
 }
 
 fn envelope(protocol: u32) -> serde_json::Value {
-    let heartbeat = Heartbeat { base: Version(0), overlay: Version(0), leaving: false };
+    let heartbeat = Heartbeat::default();
     let mut envelope = serde_json::to_value(Envelope {
         protocol: PROTOCOL_VERSION,
         from: "e2".parse().unwrap(),
--- a/crates/daemon/tests/support/daemon.rs
+++ b/crates/daemon/tests/support/daemon.rs
@@ -29,7 +29,7 @@
     .to_string()
 }
 
-/// Serves one base, no overlay and an empty host list.
+/// Serves one base, no overlay and a host list that holds the daemon alone.
 pub async fn start_platform(base: String) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let address = listener.local_addr().unwrap();
@@ -41,6 +41,9 @@
     address
 }
 
+const HOSTS: &str = r#"{"version":1,"hosts":[{"host":"e1","peer_address":"127.0.0.1:1",
+    "availability_zone":"kariakoo","leaving":false}]}"#;
+
 async fn serve_platform(mut stream: TcpStream, base: String) {
     let mut buffer = vec![0; 8192];
     while let Ok(n @ 1..) = stream.read(&mut buffer).await {
@@ -49,7 +52,7 @@
         let answer = match path {
             "/v1/values/base" => text(200, &base),
             _ if path.contains("after=") => continue,
-            _ if path.starts_with("/v1/hosts/") => text(200, r#"{"version":1,"hosts":[]}"#),
+            _ if path.starts_with("/v1/hosts/") => text(200, HOSTS),
             _ => text(404, ""),
         };
         stream.write_all(answer.as_bytes()).await.unwrap_or_default();
