Demo: fail unless both kinds of requests are answered

The demo still ended with 0, since reads were answered. It now needs answers to both kinds, so it fails until a host can be told that its id is new.

--- a/crates/load/src/report.rs
+++ b/crates/load/src/report.rs
@@ -20,6 +20,8 @@
     pub sent: u64,
     /// Right answers of upstreams.
     pub answered: u64,
+    /// Of them, to requests that run at most once.
+    pub at_most_once_answered: u64,
     /// Upstreams' own errors, passed on.
     pub failed: u64,
     /// Refusals by cause.
@@ -155,6 +157,7 @@
 
     fn count_answer(&mut self, request: &Request, took: Duration) {
         self.report.answered += 1;
+        self.report.at_most_once_answered += u64::from(request.at_most_once);
         record(&mut self.latency, took);
         let caller = self.caller(request);
         caller.answered += 1;
--- a/crates/load/tests/runs.rs
+++ b/crates/load/tests/runs.rs
@@ -150,6 +150,7 @@
     let found = [report.answered, report.refused_total(), report.failed, report.lost, report.wrong];
     assert_eq!(found, expected, "{report:?}");
     assert_eq!(report.sent, found.iter().sum::<u64>());
+    assert_eq!(report.at_most_once_answered, report.answered);
 }
 
 #[rstest]
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -47,6 +47,7 @@
 struct Summary {
     sent: u64,
     answered: u64,
+    at_most_once_answered: u64,
     refused: u64,
     failed: u64,
     lost: u64,
@@ -205,6 +206,7 @@
     let summary = Summary {
         sent: report.sent,
         answered: report.answered,
+        at_most_once_answered: report.at_most_once_answered,
         refused: report.refused_total(),
         failed: report.failed,
         lost: report.lost,
@@ -239,10 +241,11 @@
 }
 
 impl Summary {
-    fn rows(&self) -> [(&'static str, u64); 10] {
+    fn rows(&self) -> [(&'static str, u64); 11] {
         [
             ("sent", self.sent),
             ("answered, checked against the request", self.answered),
+            ("of them, requests that run at most once", self.at_most_once_answered),
             ("refused by an entry host", self.refused),
             ("failed in an upstream", self.failed),
             ("lost", self.lost),
@@ -256,6 +259,8 @@
 
     fn is_good(&self) -> bool {
         let faults = self.lost + self.wrong + self.doubled + self.false_not_run;
-        self.answered > 0 && faults == 0
+        let answers_both_kinds =
+            self.at_most_once_answered > 0 && self.answered > self.at_most_once_answered;
+        answers_both_kinds && faults == 0
     }
 }
