Start above what the peers have, not above what happens to be at hand

Random runs with restarts found a host that came up below what most hosts had: it was told of a version that it lacked, held a newer broken one instead, and went on to the next best pair. It now waits for the value. Where peers have parted, the pair that more of them have decides, not the greatest.

--- a/crates/core/src/adoption/mod.rs
+++ b/crates/core/src/adoption/mod.rs
@@ -157,14 +157,29 @@
 
     /// Puts the first pair of this run in force, if a valid one covers a floor.
     ///
-    /// The earlier floor is tried first. Until this succeeds nothing comes into force.
+    /// The earlier floor is tried first, and the next only once the values of that one are
+    /// here: a floor that can't be tried yet is none that failed. Until this succeeds
+    /// nothing comes into force.
     pub fn start(&mut self, floors: &[VersionPair]) -> Option<SiteConfig> {
         if !self.overlay_known {
             return None;
         }
-        let first = floors.iter().find_map(|floor| self.adopt_above(*floor));
-        self.started = first.is_some();
-        first
+        for floor in floors {
+            let first = self.adopt_above(*floor);
+            self.started = first.is_some();
+            if self.started || !self.holds(*floor) {
+                return first;
+            }
+        }
+        None
+    }
+
+    fn holds(&self, pair: VersionPair) -> bool {
+        let holds = |key| {
+            let version = pair.of(key);
+            version == Version(0) || self.find(key, version).is_some()
+        };
+        holds(ConfigKey::Base) && holds(ConfigKey::Overlay)
     }
 
     /// Whether a pair was put in force in this run.
--- a/crates/core/src/confirmation.rs
+++ b/crates/core/src/confirmation.rs
@@ -10,6 +10,7 @@
 use crate::adoption::VersionPair;
 use domain::{HostId, Millis, Version};
 use serde::{Deserialize, Serialize};
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, VecDeque};
 
 /// Time between questions to a peer whose answer is needed.
@@ -220,9 +221,18 @@
     /// Pairs that the first pair in force must cover, the most wanted first.
     ///
     /// Two peers may have pairs neither of which covers the other; if nothing valid covers
-    /// both, the greater one in their fixed order decides.
+    /// both, the one that more peers have decides. What some peer has passed is no floor.
     pub fn floors(&self) -> Vec<VersionPair> {
-        let greatest = self.answers.values().map(|answer| answer.versions.in_force).max();
-        vec![self.in_force(), greatest.unwrap_or_default()]
+        let pairs: Vec<VersionPair> =
+            self.answers.values().map(|answer| answer.versions.in_force).collect();
+        let support = |pair: &VersionPair| pairs.iter().filter(|had| had.covers(*pair)).count();
+        let is_passed =
+            |pair: &VersionPair| pairs.iter().any(|had| had != pair && had.covers(*pair));
+        let mut floors: Vec<VersionPair> =
+            pairs.iter().filter(|pair| !is_passed(pair)).copied().collect();
+        floors.sort_unstable_by_key(|pair| Reverse((support(pair), *pair)));
+        floors.insert(0, self.in_force());
+        floors.dedup();
+        floors
     }
 }
