--- a/crates/core/src/claims/join.rs
+++ b/crates/core/src/claims/join.rs
@@ -30,7 +30,7 @@
 /// Longest time between two questions: a whole fleet that starts asks for the key window.
 const MAX_ASK_AGAIN_MS: Millis = Millis(16_000);
 /// The run of a host id before which there surely was none.
-const FIRST_RUN: Incarnation = Incarnation(1);
+pub const FIRST_RUN: Incarnation = Incarnation(1);
 
 /// Whether this host votes, and why not.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
--- a/crates/core/src/claims/mod.rs
+++ b/crates/core/src/claims/mod.rs
@@ -18,7 +18,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use join::VotingState;
+pub use join::{FIRST_RUN, VotingState};
 
 use crate::message::{ClaimId, ClaimKey, ClaimQuestion, ClaimVerdict, KeyProgress, StandingClaims};
 use crate::refusal::RunOutcome;
--- a/crates/core/src/entry_host.rs
+++ b/crates/core/src/entry_host.rs
@@ -33,8 +33,8 @@
 pub struct HostSettings {
     /// Its id.
     pub host: HostId,
-    /// This run. `1` says that there was none before under this host id, ever: such a host
-    /// votes on idempotency keys at once, any other only when its former run's votes are
+    /// This run. [`crate::FIRST_RUN`] says that there was none before under this host id,
+    /// ever: such a host votes on idempotency keys at once, any other only when its former run's votes are
     /// known again.
     pub incarnation: Incarnation,
     /// Its site.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -42,7 +42,7 @@
 
 pub use action::{Action, Attempt};
 pub use adoption::{FaultyReading, ReadingFaults, RejectedPair, Splice, VersionPair};
-pub use claims::{ClaimCounts, ClaimsDump, KEY_WINDOW_MS, VotingState};
+pub use claims::{ClaimCounts, ClaimsDump, FIRST_RUN, KEY_WINDOW_MS, VotingState};
 pub use confirmation::StartLimits;
 pub use dump::{ServiceDump, StateDump};
 pub use entry_host::{EntryHost, HostSettings};
--- a/crates/core/tests/claims.rs
+++ b/crates/core/tests/claims.rs
@@ -30,6 +30,22 @@
     check_ran(&fleet, told);
 }
 
+#[rstest]
+#[case::three(3, 4, 1000)]
+#[case::fifteen(15, 28, 10_000)]
+#[case::claimant_outside_the_committee(40, 30, 10_000)]
+fn a_key_costs_a_question_and_a_vote_for_each_voter(
+    #[case] hosts: usize,
+    #[case] messages: u64,
+    #[case] max_bytes: u64,
+) {
+    let mut fleet = Fleet::new(hosts, 1);
+    let told = fleet.order_and_wait(0, KEY);
+    check_ran(&fleet, told);
+    assert_eq!(fleet.claim_messages, messages);
+    assert!(fleet.claim_bytes <= max_bytes, "{} bytes", fleet.claim_bytes);
+}
+
 #[rstest]
 #[case::same_host(0, 0)]
 #[case::other_host(0, 1)]
@@ -124,6 +140,27 @@
     assert_eq!(fleet.violations(), Vec::<String>::new());
 }
 
+#[test]
+fn voters_that_restart_before_the_decision_do_not_vote_again_too_early() {
+    let mut fleet = Fleet::new(5, 1);
+    fleet.question_delay_ms = 50;
+    fleet.partition(&[0], &[4]);
+    let call = fleet.order(0, KEY);
+    for host in 1..=3 {
+        fleet.run_for(52);
+        fleet.partition(&[0], &[host]);
+        fleet.restart(host);
+    }
+    fleet.run_for(100);
+    check_ran(&fleet, fleet.told(call));
+    fleet.question_delay_ms = 0;
+    for _ in 0..2 {
+        let told = fleet.order_and_wait(4, KEY);
+        check(&fleet, told, RefusalCause::KeyUnconfirmed, RunOutcome::NotRun);
+        fleet.run_for(30_000);
+    }
+}
+
 #[rstest]
 #[case::alone(1)]
 #[case::all_of_three(3)]
--- a/crates/core/tests/support/fleet.rs
+++ b/crates/core/tests/support/fleet.rs
@@ -7,8 +7,8 @@
 use super::{BASE, head};
 use decision_core::{
     Action, AnswerHead, Attempt, AttemptEnd, ClaimVerdict, ConfigKey, ConfigReading, EntryHost,
-    Event, FailureStage, HostList, HostSettings, KEY_WINDOW_MS, ListedHost, PeerMessage,
-    PublishedValue, ReadOutcome, Refusal, RunOutcome, VotingState,
+    Event, FailureStage, HostList, HostSettings, KEY_WINDOW_MS, ListedHost, MessageKind,
+    PeerMessage, PublishedValue, ReadOutcome, Refusal, RunOutcome, VotingState,
 };
 use domain::{AttemptId, CallId, HostId, Incarnation, Millis, Version};
 use rand::{RngExt, SeedableRng};
@@ -88,9 +88,14 @@
 pub struct Fleet {
     pub now_ms: u64,
     pub wire: Wire,
+    /// Added to the delay of questions, times the receiver's number.
+    pub question_delay_ms: u64,
     pub replies: Vec<Reply>,
     pub broken: Broken,
     pub calls: BTreeMap<u64, CallRecord>,
+    /// Messages about claims, and their bytes as JSON.
+    pub claim_messages: u64,
+    pub claim_bytes: u64,
     pub lists: Vec<HostList>,
     rng: Pcg64Mcg,
     processes: BTreeMap<Run, Process>,
@@ -131,9 +136,12 @@
         Fleet {
             now_ms: 1000,
             wire: STEADY,
+            question_delay_ms: 0,
             replies: vec![Reply::Answers],
             broken: Broken::Nothing,
             calls: BTreeMap::new(),
+            claim_messages: 0,
+            claim_bytes: 0,
             lists: vec![list_of(1, &all); count],
             rng: Pcg64Mcg::seed_from_u64(seed),
             processes: BTreeMap::new(),
@@ -419,6 +427,10 @@
         let receiver: usize = to.as_str()[1..].parse().unwrap();
         let Some(process) = self.processes.get(&run) else { return };
         let incarnation = process.incarnation;
+        if message.kind() == MessageKind::Claim {
+            self.claim_messages += 1;
+            self.claim_bytes += serde_json::to_string(&message).unwrap().len() as u64;
+        }
         let messages = self.tampered(message);
         if self.cut.contains(&(run.0, receiver)) {
             return;
@@ -429,8 +441,12 @@
                 roll if roll < self.wire.loss_percent + self.wire.double_percent => 2,
                 _ => 1,
             };
+            let added_ms = match message {
+                PeerMessage::ClaimAsked(_) => self.question_delay_ms * receiver as u64,
+                _ => 0,
+            };
             for _ in 0..copies {
-                let delay_ms = self.rng.random_range(0..=self.wire.max_delay_ms);
+                let delay_ms = added_ms + self.rng.random_range(0..=self.wire.max_delay_ms);
                 let (from, message) = (host_id(run.0), message.clone());
                 let event = Event::PeerReceived { from, incarnation, message };
                 let Some(&current) = self.current.get(&receiver) else { continue };
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -10,7 +10,7 @@
 use crate::probes::Prober;
 use crate::settings::Settings;
 use crate::{calls, listen, operator};
-use decision_core::{EntryHost, Event};
+use decision_core::{EntryHost, Event, FIRST_RUN};
 use domain::Incarnation;
 use error_stack::{Report, ResultExt};
 use salvo::Server;
@@ -54,7 +54,7 @@
 
 fn driver(settings: &Settings) -> Result<Arc<Driver>, Report<StartError>> {
     let clock = Clock::start();
-    let incarnation = incarnation();
+    let incarnation = incarnation(settings);
     let metrics = Arc::new(Metrics::new()?);
     let client = attempts::plain_client()?;
     let (host, zone) = (&settings.host, &settings.availability_zone);
@@ -78,7 +78,10 @@
 }
 
 /// Greater after each start, as long as the machine's date does not go back.
-fn incarnation() -> Incarnation {
+fn incarnation(settings: &Settings) -> Incarnation {
+    if settings.first_run {
+        return FIRST_RUN;
+    }
     let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     Incarnation(u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX))
 }
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -34,6 +34,8 @@
     pub drain_notice_ms: Millis,
     /// When a start stops waiting for the peers.
     pub start_limits: StartLimits,
+    /// Nothing ever ran under this id before.
+    pub first_run: bool,
 }
 
 /// Time that a balancer gets to notice a stop where the settings don't say.
@@ -77,6 +79,9 @@
     /// then be older than before
     #[arg(long)]
     pub lone_start_after_ms: Option<Millis>,
+    /// Nothing ever ran under this id before: it may vote on idempotency keys at once
+    #[arg(long)]
+    pub first_run: Option<bool>,
 }
 
 impl PartialSettings {
@@ -106,6 +111,7 @@
             drain_notice_ms: self.drain_notice_ms.or(other.drain_notice_ms),
             majority_start_after_ms: self.majority_start_after_ms.or(other.majority_start_after_ms),
             lone_start_after_ms: self.lone_start_after_ms.or(other.lone_start_after_ms),
+            first_run: self.first_run.or(other.first_run),
         }
     }
 
@@ -133,6 +139,7 @@
             host_list: required("host_list", self.host_list)?,
             drain_notice_ms: self.drain_notice_ms.unwrap_or(DEFAULT_DRAIN_NOTICE_MS),
             start_limits,
+            first_run: self.first_run.unwrap_or(false),
         })
     }
 }
--- a/crates/fleet/src/entry_host.rs
+++ b/crates/fleet/src/entry_host.rs
@@ -37,6 +37,8 @@
     pub host_list: SocketAddr,
     /// Time from failing readiness to refusing connections.
     pub drain_notice_ms: Millis,
+    /// Nothing ran under its id before.
+    pub first_run: bool,
 }
 
 impl Settings {
@@ -59,6 +61,7 @@
             config_service,
             host_list,
             drain_notice_ms: Millis(2000),
+            first_run: true,
         }
     }
 }
@@ -112,6 +115,7 @@
         binaries: &Binaries,
         dir: &Path,
     ) -> Result<(), Report<FleetError>> {
+        self.settings.first_run = false;
         self.process = start(binaries, dir, &self.settings)?;
         self.keep_addresses().await
     }
