Route by the normal form of a path, and keep the stricter rule where it is ambiguous

Cause: paths were compared byte by byte. Under an idempotent `/` and an at-most-once `/orders`, `/%6Frders`, `//orders` or `/orders;x` was routed as idempotent and could be sent again, although most upstreams read it as `/orders`: a second run.

Ruled out: routing by what an upstream may decode (upstreams differ), refusing all that isn't in normal form (refuses paths in use), rewriting what is sent on.

Now: unreserved characters are decoded for matching (RFC 3986, 2.3); where the loosest common reading could belong to an at-most-once route, the request runs at most once; a malformed encoding or a dot segment in any reading belongs to no route. Prefixes with several readings are refused.

--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -8,6 +8,7 @@
     HedgeSettings, HostLimits, MeasurementBudget, RetrySettings, Route, Service, SiteConfig,
     Upstream,
 };
+use crate::path;
 use crate::problem::{MAX_PROBLEMS, Problem, ProblemKind, Source};
 use crate::route::RouteTable;
 use domain::{ByteCount, FastMap, FastSet, PerSecond, ServiceName, Share, UpstreamId, ZoneName};
@@ -128,18 +129,18 @@
 
 fn check_prefix(report: &mut Report, place: FieldPath, route: &Route) {
     let prefix = route.path_prefix.as_str();
-    let remedy = match prefix {
+    let remedy = match RouteTable::normal_prefix(prefix) {
         _ if !prefix.starts_with('/') => "begin it with '/'",
         _ if prefix.contains(['?', '#', '\\']) => "leave out '?', '#' and '\\': it is a path only",
         _ if !prefix.chars().all(|c| c.is_ascii_graphic()) => {
-            "percent-encode everything but printable ASCII"
+            "use printable ASCII, and letters beyond it percent-encoded as UTF-8"
         }
-        "/" => return,
-        _ if RouteTable::segments(prefix).any(|segment| segment.is_empty()) => {
-            "leave out empty segments ('//')"
+        Some(normal) if path::has_dot_segment(&normal) => "leave out '.' and '..' segments",
+        Some(_) => return,
+        None => {
+            "leave out empty segments ('//'), ';' and percent-encoded ASCII: upstreams read them \
+             in several ways"
         }
-        _ if RouteTable::has_dot_segment(prefix) => "leave out '.' and '..' segments",
-        _ => return,
     };
     report.note(place.field("path_prefix"), ProblemKind::BadPathPrefix, remedy);
 }
@@ -211,7 +212,8 @@
     let mut owners = FastMap::default();
     for (name, service) in &site.services {
         for (index, route) in service.routes.iter().enumerate() {
-            let key = (RouteTable::normal_prefix(&route.path_prefix), route.method.as_str());
+            let Some(prefix) = RouteTable::normal_prefix(&route.path_prefix) else { continue };
+            let key = (prefix, route.method.as_str());
             match owners.get(&key) {
                 Some(&(owner, owner_index)) => report.note_value(
                     route_place(name, index),
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -8,6 +8,7 @@
 mod field_path;
 mod merge;
 mod model;
+mod path;
 mod problem;
 mod route;
 mod strict_json;
--- a/crates/config/src/route.rs
+++ b/crates/config/src/route.rs
@@ -1,18 +1,21 @@
 //! Which service a request belongs to.
 //!
 //! Of the routes that match, the longest path prefix wins, then a stated method over
-//! any. Paths are compared byte by byte, as they came: what an entry host took for one
-//! path and an upstream for another could run an at-most-once request twice. For the
-//! same reason a path with a dot segment, plain or percent-encoded, or with a backslash
-//! belongs to no service: HTTP libraries on the way would rewrite it to another path.
+//! any. Paths are compared in their normal form. An upstream may read a path more
+//! loosely than that: where any such reading belongs to an at-most-once route, the
+//! request runs at most once, whatever its own route says. A path that some reading
+//! gives a dot segment belongs to no service.
 
-use crate::model::{Method, RepeatRule, Route, Service, SiteConfig};
+use crate::model::{Method, RepeatRule, Service, SiteConfig};
+use crate::path;
 use domain::{FastMap, ServiceName};
 
 /// Index over all routes of a configuration: built once, asked for each call.
 #[derive(Debug, Clone, Default)]
 pub struct RouteTable {
     by_prefix: FastMap<String, Vec<RouteTarget>>,
+    /// Prefixes of at-most-once routes by their loosest reading.
+    at_most_once: FastMap<String, Vec<String>>,
     max_prefix_segments: usize,
 }
 
@@ -25,19 +28,16 @@
     pub route_index: usize,
     /// Method of the route.
     pub method: Method,
-    /// Whether the request may be sent again.
+    /// Whether the request may be sent again; may be stricter than the route's own rule.
     pub repeat: RepeatRule,
 }
 
 impl SiteConfig {
-    /// The service and route of a request.
+    /// Where a request belongs.
     ///
     /// Builds an index each time: keep a [`RouteTable`] where many requests are routed.
-    pub fn route(&self, method: &str, path: &str) -> Option<(&ServiceName, &Service, &Route)> {
-        let table = RouteTable::new(self);
-        let target = table.find(method, path)?;
-        let (name, service) = self.services.get_key_value(&target.service)?;
-        Some((name, service, service.routes.get(target.route_index)?))
+    pub fn route(&self, method: &str, path: &str) -> Option<RouteTarget> {
+        RouteTable::new(self).find(method, path)
     }
 }
 
@@ -46,52 +46,89 @@
     pub fn new(config: &SiteConfig) -> RouteTable {
         let mut table = RouteTable::default();
         for (name, service) in &config.services {
-            for (index, route) in service.routes.iter().enumerate() {
-                table.add(name, index, route);
-            }
+            table.add_service(name, service);
         }
         table
     }
 
     /// Where a request belongs; `path` comes without its query.
-    pub fn find(&self, method: &str, path: &str) -> Option<&RouteTarget> {
-        if !path.starts_with('/') || path.contains('\\') || RouteTable::has_dot_segment(path) {
+    pub fn find(&self, method: &str, path: &str) -> Option<RouteTarget> {
+        let path = path::normal_form(path)?;
+        let reading = path::loosest_reading(&path);
+        if path::has_dot_segment(&reading) {
             return None;
         }
-        let ends = segment_ends(path).take(self.max_prefix_segments);
-        let matches = std::iter::once(0).chain(ends).filter_map(|end| {
-            let targets = self.by_prefix.get(&path[..end])?;
-            best_method(targets, method)
+        let (prefix, target) = self.longest_match(method, &path)?;
+        let repeat = match target.repeat {
+            RepeatRule::Idempotent if self.is_at_most_once_for_some(method, &reading, prefix) => {
+                RepeatRule::AtMostOnce
+            }
+            repeat => repeat,
+        };
+        Some(RouteTarget { repeat, ..target.clone() })
+    }
+
+    /// A prefix in normal form, without its trailing `/`; `None` if it can be read in
+    /// several ways.
+    pub(crate) fn normal_prefix(prefix: &str) -> Option<String> {
+        let normal = path::normal_form(prefix)?;
+        let normal = normal.strip_suffix('/').unwrap_or(&normal);
+        let is_plain = path::loosest_reading(normal) == normal.to_ascii_lowercase();
+        is_plain.then(|| normal.to_owned())
+    }
+
+    fn longest_match<'a>(
+        &'a self,
+        method: &str,
+        path: &'a str,
+    ) -> Option<(&'a str, &'a RouteTarget)> {
+        let matches = self.prefixes_of(path).filter_map(|prefix| {
+            let target = best_method(self.by_prefix.get(prefix)?, method)?;
+            Some((prefix, target))
         });
         matches.last()
     }
 
-    /// Segments of a path or prefix that begins with `/`; a trailing `/` adds none to a prefix.
-    pub(crate) fn segments(prefix: &str) -> impl Iterator<Item = &str> {
-        RouteTable::normal_prefix(prefix).split('/').skip(1)
+    /// Whether an upstream that reads the path loosely could take it for a request of an
+    /// at-most-once route, although it matched the prefix.
+    ///
+    /// Prefixes have one reading but for case, so shorter ones lose in every reading.
+    fn is_at_most_once_for_some(&self, method: &str, reading: &str, matched: &str) -> bool {
+        let readings = self.prefixes_of(reading).filter(|prefix| prefix.len() >= matched.len());
+        let mut prefixes = readings.filter_map(|prefix| self.at_most_once.get(prefix)).flatten();
+        prefixes.any(|prefix| self.is_at_most_once(method, prefix))
     }
 
-    /// A prefix without its trailing `/`.
-    pub(crate) fn normal_prefix(prefix: &str) -> &str {
-        prefix.strip_suffix('/').unwrap_or(prefix)
+    fn is_at_most_once(&self, method: &str, prefix: &str) -> bool {
+        let target = self.by_prefix.get(prefix).and_then(|targets| best_method(targets, method));
+        target.is_some_and(|target| target.repeat == RepeatRule::AtMostOnce)
     }
 
-    /// Whether a segment is `.` or `..`, percent-encoded or not.
-    pub(crate) fn has_dot_segment(path: &str) -> bool {
-        path.split('/').any(is_dot_segment)
+    /// Prefixes of a path that may stand in the table, the shortest first.
+    fn prefixes_of<'a>(&self, path: &'a str) -> impl Iterator<Item = &'a str> {
+        let ends = segment_ends(path).take(self.max_prefix_segments);
+        std::iter::once(0).chain(ends).map(|end| &path[..end])
     }
 
-    fn add(&mut self, service: &ServiceName, route_index: usize, route: &Route) {
-        let prefix = RouteTable::normal_prefix(&route.path_prefix);
-        let target = RouteTarget {
-            service: service.clone(),
-            route_index,
-            method: route.method,
-            repeat: route.repeat,
-        };
-        self.max_prefix_segments =
-            self.max_prefix_segments.max(RouteTable::segments(prefix).count());
-        self.by_prefix.entry(prefix.to_owned()).or_default().push(target);
+    fn add_service(&mut self, name: &ServiceName, service: &Service) {
+        for (route_index, route) in service.routes.iter().enumerate() {
+            // The check refuses other prefixes.
+            let Some(prefix) = RouteTable::normal_prefix(&route.path_prefix) else { continue };
+            let service = name.clone();
+            let target =
+                RouteTarget { service, route_index, method: route.method, repeat: route.repeat };
+            self.add(prefix, target);
+        }
+    }
+
+    fn add(&mut self, prefix: String, target: RouteTarget) {
+        let segments = prefix.bytes().filter(|byte| *byte == b'/').count();
+        self.max_prefix_segments = self.max_prefix_segments.max(segments);
+        if target.repeat == RepeatRule::AtMostOnce {
+            let reading = path::loosest_reading(&prefix);
+            self.at_most_once.entry(reading).or_default().push(prefix.clone());
+        }
+        self.by_prefix.entry(prefix).or_default().push(target);
     }
 }
 
@@ -106,24 +143,6 @@
     stated.or_else(|| targets.iter().find(|target| target.method == Method::Any))
 }
 
-fn is_dot_segment(segment: &str) -> bool {
-    let mut rest = segment;
-    let mut dots = 0;
-    while !rest.is_empty() {
-        let after = rest.strip_prefix('.').or_else(|| strip_encoded_dot(rest));
-        match after {
-            Some(after) => rest = after,
-            None => return false,
-        }
-        dots += 1;
-    }
-    matches!(dots, 1 | 2)
-}
-
-fn strip_encoded_dot(text: &str) -> Option<&str> {
-    text.strip_prefix("%2e").or_else(|| text.strip_prefix("%2E"))
-}
-
 impl Method {
     /// The method as a request states it; `ANY` for every method.
     pub fn as_str(self) -> &'static str {
--- a/crates/config/tests/merge.rs
+++ b/crates/config/tests/merge.rs
@@ -102,6 +102,23 @@
     r#"{"services": {"parts": {"upstreams": {"parts-1": null}}}}"#,
     &["overlay services.parts.upstreams service without upstream"]
 )]
+#[case::malformed_prefix(
+    r#"{"services": {"portal": {"routes": [{"path_prefix": "/a%2", "repeat": "idempotent"}]}}}"#,
+    &["overlay services.portal.routes[0].path_prefix bad path prefix"]
+)]
+#[case::encoded_slash_in_prefix(
+    r#"{"services": {"portal": {"routes": [{"path_prefix": "/a%2Fb", "repeat": "idempotent"}]}}}"#,
+    &["overlay services.portal.routes[0].path_prefix bad path prefix"]
+)]
+#[case::parameter_in_prefix(
+    r#"{"services": {"portal": {"routes": [{"path_prefix": "/a;b", "repeat": "idempotent"}]}}}"#,
+    &["overlay services.portal.routes[0].path_prefix bad path prefix"]
+)]
+#[case::same_prefix_encoded(
+    r#"{"services": {"portal": {"routes": [
+        {"method": "POST", "path_prefix": "/p%61rts", "repeat": "idempotent"}]}}}"#,
+    &["merged services.portal.routes[0] ambiguous route"]
+)]
 #[case::relative_prefix(
     r#"{"services": {"portal": {"routes": [{"path_prefix": "portal", "repeat": "idempotent"}]}}}"#,
     &["overlay services.portal.routes[0].path_prefix bad path prefix"]
