Explain upstreams and calls by their reasons, and name the call in each answer

Cause: the operators' explain paths gave the whole state for any id, known or not, and a caller had no id to ask with.

Now `/explain/upstream/<id>` and `/explain/call/<id>` give the core's reasons and steps, 404 with error and remedy where nothing is known. Each answer that reaches the caller handler carries `x-call` and `x-entry-host`, an upstream's own headers of those names replaced; requests refused before the core have a number too. What the HTTP library refuses by itself (431, malformed) has neither. `jujubectl explain` shows reasons and steps as lines and takes over the process's remedy.

Ruled out: a number that is unique over hosts and runs, as it would not parse as the core's call id; the host's name goes beside it instead.

--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -27,6 +27,8 @@
     NotFound {
         /// Path asked for.
         path: String,
+        /// What the process says to do.
+        remedy: Option<String>,
     },
     /// The answer isn't what a process of this system gives.
     StrangeAnswer(SocketAddr),
@@ -72,7 +74,8 @@
                     .to_owned()
             }
             CtlError::Refused { .. } => "look at the answer and the process's log".to_owned(),
-            CtlError::NotFound { .. } => {
+            CtlError::NotFound { remedy: Some(remedy), .. } => remedy.clone(),
+            CtlError::NotFound { remedy: None, .. } => {
                 "check the id; `jujubectl dump` lists what the process knows".to_owned()
             }
             CtlError::StrangeAnswer(_) => {
@@ -98,7 +101,7 @@
             CtlError::Refused { status, answer } => {
                 write!(f, "the process answered {status}: {answer}")
             }
-            CtlError::NotFound { path } => write!(f, "the process knows no {path}"),
+            CtlError::NotFound { path, .. } => write!(f, "the process knows no {path}"),
             CtlError::StrangeAnswer(address) => {
                 write!(f, "{address} gave an answer of another kind than expected")
             }
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -6,6 +6,7 @@
 mod args;
 mod configuration;
 mod error;
+mod explain;
 mod operator;
 mod output;
 
@@ -13,6 +14,7 @@
 use clap::Parser;
 use error::CtlError;
 use error_stack::Report;
+use operator::ExplainKind;
 use output::{Format, Status};
 use std::process::ExitCode;
 
@@ -40,10 +42,10 @@
             operator::Client::new(&target)?.dump(format, part.as_deref()).await
         }
         Command::Explain { what: ExplainTarget::Upstream { id, target } } => {
-            operator::Client::new(&target)?.explain(format, "upstream", &id).await
+            operator::Client::new(&target)?.explain(format, ExplainKind::Upstream, &id).await
         }
         Command::Explain { what: ExplainTarget::Call { id, target } } => {
-            operator::Client::new(&target)?.explain(format, "call", &id).await
+            operator::Client::new(&target)?.explain(format, ExplainKind::Call, &id).await
         }
         Command::Drain { target } => operator::Client::new(&target)?.drain(format).await,
         Command::Health { target } => operator::Client::new(&target)?.health(format).await,
--- a/crates/ctl/src/operator.rs
+++ b/crates/ctl/src/operator.rs
@@ -2,12 +2,14 @@
 
 use crate::args::Target;
 use crate::error::CtlError;
+use crate::explain;
 use crate::output::{Format, Status};
 use config::SiteConfig;
 use error_stack::{Report, ResultExt};
 use reqwest::{Method, StatusCode};
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use std::fmt;
 use std::net::SocketAddr;
 
 /// Characters of an error answer that are shown.
@@ -20,6 +22,30 @@
     operator: SocketAddr,
 }
 
+/// What can be explained.
+#[derive(Debug, Clone, Copy)]
+pub enum ExplainKind {
+    /// Upstreams of an id.
+    Upstream,
+    /// A call.
+    Call,
+}
+
+impl fmt::Display for ExplainKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            ExplainKind::Upstream => "upstream",
+            ExplainKind::Call => "call",
+        })
+    }
+}
+
+/// What a process says of something that it doesn't know.
+#[derive(Debug, Deserialize)]
+struct Unknown {
+    remedy: String,
+}
+
 /// Whether a process is alive and ready.
 #[derive(Debug, Serialize)]
 struct Health {
@@ -72,11 +98,17 @@
     pub async fn explain(
         &self,
         format: Format,
-        kind: &str,
+        kind: ExplainKind,
         id: &str,
     ) -> Result<Status, Report<CtlError>> {
         let path = format!("/explain/{kind}/{}", encode_segment(id));
-        format.print_value(&self.json(Method::GET, &path).await?)?;
+        let explained = self.json(Method::GET, &path).await?;
+        let text = match kind {
+            ExplainKind::Upstream => explain::upstreams_text(&explained),
+            ExplainKind::Call => explain::call_text(&explained),
+        };
+        let text = text.ok_or_else(|| Report::new(CtlError::StrangeAnswer(self.operator)))?;
+        format.print(&explained, &text)?;
         Ok(Status::Done)
     }
 
@@ -129,7 +161,11 @@
     fn accepted(self, path: &str) -> Result<Answer, Report<CtlError>> {
         match self.status {
             status if status.is_success() => Ok(self),
-            StatusCode::NOT_FOUND => Err(Report::new(CtlError::NotFound { path: path.to_owned() })),
+            StatusCode::NOT_FOUND => {
+                let unknown: Option<Unknown> = serde_json::from_str(&self.body).ok();
+                let remedy = unknown.map(|unknown| unknown.remedy);
+                Err(Report::new(CtlError::NotFound { path: path.to_owned(), remedy }))
+            }
             status => {
                 let shown: String = self.body.chars().take(MAX_SHOWN_CHARS).collect();
                 let answer = shown.escape_debug().to_string();
--- a/crates/ctl/src/output.rs
+++ b/crates/ctl/src/output.rs
@@ -148,7 +148,8 @@
     }
 }
 
-fn scalar_text(value: &Value) -> String {
+/// A value that holds no other, on one line.
+pub fn scalar_text(value: &Value) -> String {
     match value {
         Value::Null => "none".to_owned(),
         Value::Bool(true) => "yes".to_owned(),
--- a/crates/daemon/src/attempts.rs
+++ b/crates/daemon/src/attempts.rs
@@ -64,6 +64,11 @@
 }
 
 impl AttemptSender {
+    /// The entry host, as a header value.
+    pub fn entry_host(&self) -> HeaderValue {
+        self.entry_host.clone()
+    }
+
     /// Sends by `client` in the name of an entry host.
     pub fn new(client: Client, clock: Clock, host: &HostId, zone: &ZoneName) -> AttemptSender {
         AttemptSender {
--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -7,7 +7,7 @@
 use crate::answer::{Answer, AnswerBody};
 use crate::driver::{Driver, Reply};
 use crate::edge::{EdgeRefusal, RefusalBody};
-use crate::headers::{self, X_CAUSE, X_OUTCOME, X_UPSTREAM};
+use crate::headers::{self, X_CALL, X_CAUSE, X_ENTRY_HOST, X_OUTCOME, X_UPSTREAM};
 use crate::metrics::CallOutcome;
 use crate::request::{self, CallRequest};
 use bytes::Bytes;
@@ -69,11 +69,13 @@
     ) {
         let body = request.take_body();
         let head = take_head(request);
-        match self.answer(head, body).await {
+        let call = self.driver.next_call();
+        match self.answer(call, head, body).await {
             Ok(Reply::Answer { upstream, answer }) => write_answer(response, &upstream, answer),
             Ok(Reply::Refused(refusal)) => self.write_refusal(response, &refusal),
             Err(refusal) => self.write_edge_refusal(response, &refusal),
         }
+        self.write_origin(response, call);
         if !self.driver.is_ready() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
@@ -81,19 +83,29 @@
 }
 
 impl CallHandler {
-    async fn answer(&self, head: http_request::Parts, body: ReqBody) -> Result<Reply, EdgeRefusal> {
+    async fn answer(
+        &self,
+        call: CallId,
+        head: http_request::Parts,
+        body: ReqBody,
+    ) -> Result<Reply, EdgeRefusal> {
         let call_head = request::call_head(&head)?;
         let max_bytes = self.driver.max_body_bytes().0;
         check_length(&head.headers, max_bytes)?;
         let mut request = CallRequest::from_head(head)?;
         request.body = read_body(body, max_bytes).await?;
-        self.follow(call_head, request).await
+        self.follow(call, call_head, request).await
     }
 
     /// Hands the call to the core and waits for what it ends with.
-    async fn follow(&self, head: CallHead, request: CallRequest) -> Result<Reply, EdgeRefusal> {
+    async fn follow(
+        &self,
+        call: CallId,
+        head: CallHead,
+        request: CallRequest,
+    ) -> Result<Reply, EdgeRefusal> {
         let arrived = Instant::now();
-        let (call, reply) = self.driver.open_call(head, request);
+        let reply = self.driver.open_call(call, head, request);
         let mut guard = CallerGuard { driver: &self.driver, call, arrived, is_waiting: true };
         let reply = reply.await;
         guard.is_waiting = false;
@@ -109,6 +121,13 @@
         })
     }
 
+    /// Says what an operator can ask for, and where.
+    fn write_origin(&self, response: &mut Response, call: CallId) {
+        let headers = response.headers_mut();
+        headers.insert(X_CALL, headers::number(call.0));
+        headers.insert(X_ENTRY_HOST, self.driver.name());
+    }
+
     fn write_refusal(&self, response: &mut Response, refusal: &Refusal) {
         self.driver.metrics().refusal(refusal.cause.to_string());
         let status =
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -14,11 +14,13 @@
 use crate::request::CallRequest;
 use config::HostLimits;
 use decision_core::{
-    Action, Attempt, AttemptEnd, CallHead, EntryHost, Event, FailureStage, Refusal, VersionPair,
+    Action, Attempt, AttemptEnd, CallHead, CallStep, EntryHost, Event, FailureStage, Refusal,
+    UpstreamExplanation, VersionPair,
 };
 use domain::{AttemptId, ByteCount, CallId, FastMap, Millis, UpstreamId};
 use futures_util::StreamExt;
 use futures_util::stream::{BoxStream, Stream};
+use http::HeaderValue;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -144,20 +146,25 @@
         self.with_state(|driver, state, discarded| driver.handle(state, event, discarded));
     }
 
+    /// The number of a new call.
+    pub fn next_call(&self) -> CallId {
+        CallId(self.next_call.fetch_add(1, Ordering::Relaxed))
+    }
+
     /// Hands the core a new call; its reply comes through the receiver.
     pub fn open_call(
         self: &Arc<Driver>,
+        call: CallId,
         head: CallHead,
         request: CallRequest,
-    ) -> (CallId, oneshot::Receiver<Reply>) {
-        let call = CallId(self.next_call.fetch_add(1, Ordering::Relaxed));
+    ) -> oneshot::Receiver<Reply> {
         let (reply, receiver) = oneshot::channel();
         let open = OpenCall { request: Arc::new(request), reply, answers: Vec::new() };
         self.with_state(|driver, state, discarded| {
             state.calls.insert(call, open);
             driver.handle(state, Event::CallArrived { call, head }, discarded);
         });
-        (call, receiver)
+        receiver
     }
 
     /// The caller of a call that has no reply yet hung up.
@@ -173,6 +180,16 @@
         serde_json::to_value(self.lock().core.dump()).unwrap_or_default()
     }
 
+    /// Why upstreams of that id get work, or don't; one for each service that has one.
+    pub fn explain_upstreams(&self, id: &UpstreamId) -> Vec<UpstreamExplanation> {
+        self.lock().core.explain_upstreams(id)
+    }
+
+    /// The steps of a call; none if it is unknown or too long ago.
+    pub fn explain_call(&self, call: CallId) -> Vec<CallStep> {
+        self.lock().core.explain_call(call)
+    }
+
     /// Largest request body, as in force now.
     pub fn max_body_bytes(&self) -> ByteCount {
         ByteCount(self.max_body_bytes.load(Ordering::Relaxed))
@@ -204,6 +221,11 @@
         }
     }
 
+    /// The entry host's id, as a header value.
+    pub fn name(&self) -> HeaderValue {
+        self.parts.sender.entry_host()
+    }
+
     /// Counts.
     pub fn metrics(&self) -> &Metrics {
         &self.parts.metrics
--- a/crates/daemon/src/headers.rs
+++ b/crates/daemon/src/headers.rs
@@ -28,6 +28,8 @@
 pub const X_LEAVING: HeaderName = HeaderName::from_static("x-leaving");
 /// Which upstream answered.
 pub const X_UPSTREAM: HeaderName = HeaderName::from_static("x-upstream");
+/// Number of the call at the entry host that answered.
+pub const X_CALL: HeaderName = HeaderName::from_static("x-call");
 /// Why the entry host answered itself.
 pub const X_CAUSE: HeaderName = HeaderName::from_static("x-cause");
 /// Version of a published value.
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -21,13 +21,18 @@
     Drain,
 }
 
-/// Why something was done, as far as the state tells.
+/// The entry host knows nothing of what was asked for.
 #[derive(Debug, Serialize)]
-struct Explanation {
-    id: String,
-    state: serde_json::Value,
+struct Unknown {
+    error: String,
+    remedy: &'static str,
 }
 
+const UNKNOWN_UPSTREAM: &str = "take an id from `jujubectl dump services`; upstreams are known once a configuration is in force";
+const UNKNOWN_CALL: &str = "take the number from the answer's x-call and ask the entry host of its \
+    x-entry-host soon: only the newest steps are kept; for a request refused before it was routed \
+    x-cause says all";
+
 /// The operators' paths.
 pub fn router(driver: Arc<Driver>) -> Router {
     let ask = |question| Operator { driver: Arc::clone(&driver), question };
@@ -69,10 +74,8 @@
             Question::Metrics => {
                 text(response, StatusCode::OK, self.driver.metrics().render());
             }
-            Question::ExplainCall | Question::ExplainUpstream => {
-                let id = request.param("id").unwrap_or_default();
-                json(response, &Explanation { id, state: self.driver.dump() });
-            }
+            Question::ExplainUpstream => self.explain_upstream(&id(request), response),
+            Question::ExplainCall => self.explain_call(&id(request), response),
             Question::Drain => {
                 log::info!("calls: an operator asked for a drain");
                 self.driver.apply(Event::StopRequested);
@@ -82,6 +85,33 @@
     }
 }
 
+impl Operator {
+    fn explain_upstream(&self, id: &str, response: &mut Response) {
+        let found = id.parse().map(|id| self.driver.explain_upstreams(&id)).unwrap_or_default();
+        match found.is_empty() {
+            true => unknown(response, format!("no upstream {id:?} is known"), UNKNOWN_UPSTREAM),
+            false => json(response, &found),
+        }
+    }
+
+    fn explain_call(&self, id: &str, response: &mut Response) {
+        let found = id.parse().map(|id| self.driver.explain_call(id)).unwrap_or_default();
+        match found.is_empty() {
+            true => unknown(response, format!("no call {id:?} is known"), UNKNOWN_CALL),
+            false => json(response, &found),
+        }
+    }
+}
+
+fn id(request: &Request) -> String {
+    request.param("id").unwrap_or_default()
+}
+
+fn unknown(response: &mut Response, error: String, remedy: &'static str) {
+    json(response, &Unknown { error, remedy });
+    response.status_code(StatusCode::NOT_FOUND);
+}
+
 fn text(response: &mut Response, status: StatusCode, body: String) {
     write(response, status, "text/plain; charset=utf-8", body.into_bytes());
 }
