Hedge idempotent calls, and send retries to another availability zone

Cause: a call that lands on an upstream just as a neighbour gets noisy waits ten times its usual time, and no report tells in time. After the 95% quantile of recent latency an idempotent call with a replayable body is sent a second time, to another upstream, from a budget of its own; the loser is cancelled, and its wait counts as a late answer, so that a straggler whose calls are always won elsewhere is still learned. A failed attempt waits for the other one that is out. A retry avoids the availability zone of the failure where others have a slot, and is not sent when the fastest upstream's service time no longer fits.

Found on the way, with a test: an upstream that reports no load looked fuller with each call sent to it.

--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -135,7 +135,7 @@
 impl Default for HedgeSettings {
     fn default() -> HedgeSettings {
         HedgeSettings {
-            budget_share: Share(0.02),
+            budget_share: Share(0.05),
             after_quantile: Share(0.95),
             min_delay_ms: Millis(10),
         }
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -6,6 +6,7 @@
 
 use crate::event::CallHead;
 use crate::refusal::RunOutcome;
+use crate::service::Avoid;
 use config::RepeatRule;
 use domain::{AttemptId, Millis, ServiceName, UpstreamId};
 
@@ -24,8 +25,10 @@
     pub stage: Stage,
     /// Attempts that are out.
     pub live: Vec<AttemptId>,
-    /// Upstreams that it was sent to.
-    pub tried: Vec<UpstreamId>,
+    /// Where not to send it again.
+    pub avoid: Avoid,
+    /// When it is hedged, if its answer isn't here by then.
+    pub hedge_at_ms: Option<Millis>,
     /// Attempts started.
     pub started: u32,
     /// Attempts that may have run.
@@ -67,7 +70,7 @@
     /// Notes that an attempt left.
     pub fn note_sent(&mut self, attempt: AttemptId, upstream: UpstreamId) {
         self.live.push(attempt);
-        self.tried.push(upstream);
+        self.avoid.upstreams.push(upstream);
         self.started += 1;
         self.maybe_run += 1;
         self.stage = Stage::Sent;
--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -9,8 +9,8 @@
 use crate::event::{AnswerHead, AttemptEnd, CallHead, FailureStage};
 use crate::queue::Admission;
 use crate::refusal::{Refusal, RefusalCause, RunOutcome};
-use crate::service::TakenSlot;
-use domain::{AttemptId, CallId, Millis, ServiceName};
+use crate::service::{Avoid, TakenSlot};
+use domain::{AttemptId, CallId, Millis, ServiceName, ZoneName};
 use rand::RngExt;
 
 /// Shortest time that a caller is told to stay away.
@@ -44,8 +44,8 @@
             state.queue.remove(&call.head.caller, id);
         }
         call.stage = Stage::Over;
-        self.deadlines.remove(&(call.deadline_ms, id));
         cancel_all(&call.live, actions);
+        self.drop_timers(id);
         self.forget_if_over(id);
         self.dispatch(now_ms, &service, actions);
     }
@@ -73,7 +73,7 @@
             return;
         }
         let failed = answer.not_run || answer.status >= FIRST_FAILURE_STATUS;
-        if failed && self.try_again(now_ms, call_id, actions) {
+        if failed && (self.awaits_other(call_id) || self.try_again(now_ms, call_id, actions)) {
             actions.push(Action::CancelAttempt { attempt: id });
             return;
         }
@@ -91,7 +91,7 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(attempt) = self.attempts.remove(&id) else { return };
-        self.free_slot(&attempt, end);
+        self.free_slot(now_ms, &attempt, end);
         if let Some(call) = self.calls.get_mut(&attempt.call) {
             call.live.retain(|&live| live != id);
             if !attempt.answered && is_proof_of_not_run(end) {
@@ -173,7 +173,8 @@
             deadline_ms: now_ms + timeout_ms,
             stage: Stage::Waiting,
             live: Vec::new(),
-            tried: Vec::new(),
+            avoid: Avoid::default(),
+            hedge_at_ms: None,
             started: 0,
             maybe_run: 0,
         };
@@ -195,13 +196,28 @@
         let Some(call) = self.calls.get_mut(&id) else { return true };
         let Some(state) = self.services.get_mut(&call.service) else { return false };
         let policy = in_force.config.policy;
-        let taken = state.take_slot(now_ms, policy, &call.tried, &mut self.rng);
-        let Some(TakenSlot { upstream, address, rounds }) = taken else {
+        let Some(taken) = state.take_slot(now_ms, policy, &call.avoid, &mut self.rng) else {
             return false;
         };
         if call.started == 0 {
             state.retries.earn(in_force.config.retry.budget_share);
+            state.hedges.earn(in_force.config.hedge.budget_share);
         }
+        self.send_attempt(now_ms, id, taken, actions);
+        self.plan_hedge(now_ms, id);
+        true
+    }
+
+    /// Sends an attempt of a call into a slot that was taken for it.
+    pub(crate) fn send_attempt(
+        &mut self,
+        now_ms: Millis,
+        id: CallId,
+        taken: TakenSlot,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let TakenSlot { upstream, address, rounds } = taken;
         self.last_attempt.0 += 1;
         let attempt = self.last_attempt;
         call.note_sent(attempt, upstream.clone());
@@ -224,7 +240,6 @@
             answered: false,
         };
         self.attempts.insert(attempt, live);
-        true
     }
 
     /// Queues a failed call once more where rule, budget and time allow. Returns whether it did.
@@ -234,13 +249,16 @@
         let Some(state) = self.services.get_mut(&call.service) else { return false };
         let allowed = call.may_repeat()
             && call.head.body_replayable
-            && call.deadline_ms > now_ms
+            && call.deadline_ms > now_ms + state.shortest_service_ms()
             && call.spent_attempts() < in_force.config.retry.max_attempts
             && state.has_open_upstream();
         if !allowed || !state.retries.spend() {
             return false;
         }
         call.stage = Stage::Waiting;
+        if let Some(at_ms) = call.hedge_at_ms.take() {
+            self.hedge_times.remove(&(at_ms, id));
+        }
         state.queue.push_front(&call.head.caller, id);
         let service = call.service.clone();
         self.dispatch(now_ms, &service, actions);
@@ -250,11 +268,11 @@
     fn deliver(&mut self, id: CallId, attempt: AttemptId, actions: &mut Vec<Action>) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         call.stage = Stage::Delivering(attempt);
-        self.deadlines.remove(&(call.deadline_ms, id));
         actions.push(Action::Deliver { call: id, attempt });
         let losers: Vec<AttemptId> =
             call.live.iter().copied().filter(|&other| other != attempt).collect();
         cancel_all(&losers, actions);
+        self.drop_timers(id);
     }
 
     /// Gives a call its final answer and cancels what is still out.
@@ -268,13 +286,28 @@
             waiting = state.queue.len();
         }
         call.stage = Stage::Over;
-        self.deadlines.remove(&(call.deadline_ms, id));
         cancel_all(&call.live, actions);
+        self.drop_timers(id);
         let refusal = self.refusal(cause, outcome, waiting, Some(&service));
         actions.push(Action::Refuse { call: id, refusal });
         self.forget_if_over(id);
     }
 
+    fn drop_timers(&mut self, id: CallId) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        self.deadlines.remove(&(call.deadline_ms, id));
+        if let Some(at_ms) = call.hedge_at_ms.take() {
+            self.hedge_times.remove(&(at_ms, id));
+        }
+    }
+
+    /// Whether another attempt of the call is out and may still bring an answer.
+    fn awaits_other(&self, id: CallId) -> bool {
+        let Some(call) = self.calls.get(&id) else { return false };
+        let pending = |attempt| self.attempts.get(attempt).is_some_and(|live| !live.answered);
+        call.live.iter().any(pending)
+    }
+
     fn after_attempt(
         &mut self,
         now_ms: Millis,
@@ -283,10 +316,11 @@
         end: AttemptEnd,
         actions: &mut Vec<Action>,
     ) {
+        let awaits_other = self.awaits_other(attempt.call);
         let Some(call) = self.calls.get_mut(&attempt.call) else { return };
         match call.stage {
             Stage::Delivering(delivering) if delivering == id => call.stage = Stage::Over,
-            Stage::Sent if call.live.is_empty() && !attempt.answered => {
+            Stage::Sent if !awaits_other => {
                 let timed_out = end == AttemptEnd::Failed { stage: FailureStage::TimedOut };
                 if self.try_again(now_ms, attempt.call, actions) {
                     return;
@@ -306,22 +340,41 @@
         let Some(state) = self.services.get_mut(&attempt.service) else { return };
         let Some(upstream) = state.upstream_mut(&attempt.upstream) else { return };
         upstream.note_report(now_ms, answer.load, answer.leaving);
-        match answer.status >= FIRST_FAILURE_STATUS || answer.not_run {
-            true => upstream.note_failure(),
-            false => {
-                let latency_ms = now_ms.since(attempt.sent_ms);
-                upstream.estimate.note_latency(latency_ms, attempt.rounds);
-                upstream.note_success(latency_ms);
-            }
+        if answer.not_run {
+            return upstream.note_failure();
         }
+        if answer.status >= FIRST_FAILURE_STATUS {
+            upstream.note_failure();
+            let zone = upstream.published.availability_zone.clone();
+            return self.avoid_zone(attempt.call, zone);
+        }
+        let latency_ms = now_ms.since(attempt.sent_ms);
+        upstream.estimate.note_latency(latency_ms, attempt.rounds);
+        upstream.note_success(latency_ms);
+        state.latency.note(latency_ms);
     }
 
-    fn free_slot(&mut self, attempt: &LiveAttempt, end: AttemptEnd) {
+    fn free_slot(&mut self, now_ms: Millis, attempt: &LiveAttempt, end: AttemptEnd) {
         let Some(state) = self.services.get_mut(&attempt.service) else { return };
         let Some(upstream) = state.upstream_mut(&attempt.upstream) else { return };
         upstream.in_flight = upstream.in_flight.saturating_sub(1);
-        if matches!(end, AttemptEnd::Failed { .. }) {
-            upstream.note_failure();
+        upstream.estimate.note_over(upstream.in_flight);
+        match end {
+            AttemptEnd::Failed { .. } => {
+                upstream.note_failure();
+                let zone = upstream.published.availability_zone.clone();
+                self.avoid_zone(attempt.call, zone);
+            }
+            AttemptEnd::Cancelled { .. } if !attempt.answered => {
+                upstream.estimate.note_overdue(now_ms.since(attempt.sent_ms), attempt.rounds);
+            }
+            AttemptEnd::Cancelled { .. } | AttemptEnd::Completed => {}
+        }
+    }
+
+    fn avoid_zone(&mut self, id: CallId, zone: ZoneName) {
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.avoid.zone = Some(zone);
         }
     }
 
--- a/crates/core/src/entry_host.rs
+++ b/crates/core/src/entry_host.rs
@@ -54,6 +54,7 @@
     pub(crate) services: BTreeMap<ServiceName, ServiceState>,
     pub(crate) calls: FastMap<CallId, Call>,
     pub(crate) deadlines: BTreeSet<(Millis, CallId)>,
+    pub(crate) hedge_times: BTreeSet<(Millis, CallId)>,
     pub(crate) attempts: FastMap<AttemptId, LiveAttempt>,
     pub(crate) last_attempt: AttemptId,
     pub(crate) timers: Timers,
@@ -90,6 +91,7 @@
             services: BTreeMap::new(),
             calls: FastMap::default(),
             deadlines: BTreeSet::new(),
+            hedge_times: BTreeSet::new(),
             attempts: FastMap::default(),
             last_attempt: AttemptId(0),
             settings,
@@ -132,13 +134,16 @@
 
     /// When the next [`Event::Tick`] is due at the latest.
     pub fn next_tick_ms(&self) -> Millis {
-        let expiry_ms = self.deadlines.first().map(|&(deadline_ms, _)| deadline_ms);
+        let first = |times: &BTreeSet<(Millis, CallId)>| times.first().map(|&(at_ms, _)| at_ms);
+        let expiry_ms = first(&self.deadlines);
+        let hedge_ms = first(&self.hedge_times);
         let timers = &self.timers;
         timers
             .heartbeat_ms
             .min(timers.host_list_ms)
             .min(self.control.due_ms())
             .min(expiry_ms.unwrap_or(Millis::MAX))
+            .min(hedge_ms.unwrap_or(Millis::MAX))
     }
 
     fn stop_requested(&mut self, now_ms: Millis, actions: &mut Vec<Action>) {
@@ -151,6 +156,7 @@
 
     fn tick(&mut self, now_ms: Millis, actions: &mut Vec<Action>) {
         self.expire_calls(now_ms, actions);
+        self.hedge_calls(now_ms, actions);
         self.run_control_timers(now_ms, actions);
         let notice_ms = self.settings.drain_notice_ms;
         if self.lifecycle.end_if_done(now_ms, notice_ms, self.calls.len()) {
--- a/crates/core/src/estimate.rs
+++ b/crates/core/src/estimate.rs
@@ -39,6 +39,13 @@
         self.sent_since += 1;
     }
 
+    /// Notes that an attempt ended and how many of this host's are still out.
+    ///
+    /// Without this an upstream that reports no load would look ever fuller.
+    pub fn note_over(&mut self, in_flight: u32) {
+        self.sent_since = self.sent_since.min(in_flight);
+    }
+
     /// Requests that are there: `usual` is what to expect without a report, `memory_ms`
     /// the age at which a report has lost most of its worth.
     pub fn requests(&self, now_ms: Millis, usual: f64, memory_ms: f64) -> f64 {
@@ -56,6 +63,14 @@
         self.service_ms = Some(average + SAMPLE_WEIGHT * (sample - average));
     }
 
+    /// Notes that no answer came within a time; it counts if it is longer than usual.
+    pub fn note_overdue(&mut self, waited_ms: Millis, rounds: f64) {
+        let is_news = self.service_ms.is_none_or(|usual| waited_ms.as_f64() / rounds > usual);
+        if is_news {
+            self.note_latency(waited_ms, rounds);
+        }
+    }
+
     /// Time that it takes for a request once it has a slot, if known.
     pub fn service_ms(&self) -> Option<f64> {
         self.service_ms
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -18,6 +18,7 @@
 mod entry_host;
 mod estimate;
 mod event;
+mod hedge;
 mod lifecycle;
 mod membership;
 mod message;
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -32,6 +32,8 @@
 /// The host and the actions of the last arrival.
 pub struct Bench {
     pub host: EntryHost,
+    /// Whether the body of calls that arrive can be sent again.
+    pub body_replayable: bool,
 }
 
 /// What an arrival led to.
@@ -67,7 +69,8 @@
             availability_zone: "a".parse().unwrap(),
             drain_notice_ms: Millis(2000),
         };
-        let mut bench = Bench { host: EntryHost::new(settings, 7, Millis::ZERO) };
+        let mut bench =
+            Bench { host: EntryHost::new(settings, 7, Millis::ZERO), body_replayable: true };
         bench.handle(0, Event::HostListRead(Some(pump::host_list(1, 1))));
         bench
     }
@@ -82,11 +85,16 @@
     }
 
     pub fn arrive(&mut self, call: CallId, repeat: RepeatRule) -> Arrival {
+        self.arrive_at(0, call, repeat)
+    }
+
+    pub fn arrive_at(&mut self, now_ms: u64, call: CallId, repeat: RepeatRule) -> Arrival {
         let path = match repeat {
             RepeatRule::Idempotent => "/read/1",
             RepeatRule::AtMostOnce => "/order/1",
         };
-        Arrival(self.handle(0, Event::CallArrived { call, head: head(path) }))
+        let head = CallHead { body_replayable: self.body_replayable, ..head(path) };
+        Arrival(self.handle(now_ms, Event::CallArrived { call, head }))
     }
 
     /// Takes all four slots.
--- a/crates/model/src/main.rs
+++ b/crates/model/src/main.rs
@@ -35,7 +35,7 @@
     #[arg(long, default_value_t = 1)]
     seed: u64,
     /// Hedges as a share of first sendings.
-    #[arg(long, default_value_t = 0.02)]
+    #[arg(long, default_value_t = 0.05)]
     hedge_share: f64,
     /// Control bytes of each host a second.
     #[arg(long, default_value_t = 5000)]
