Queue deadline-aware, keep a standing queue short, leave a full upstream alone

Cause: a call that could not be met waited until its deadline, and an upstream that had just shed a request was asked again at once. Now the wait is told from the queue, fair turns counted, and from the rate at which what is in flight gets done; a call that would expire is refused at once (would-expire), its Retry-After from the same figure, jittered. A queue that hasn't emptied for 200 ms absorbs no burst and only adds its length to every answer: then a call may wait two service times at most. An upstream that sheds is left alone until a slot has probably freed up. Shedding is load and no longer counted as an error. A call that was sent before and finds no other upstream doesn't hold up those behind it.

--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -5,11 +5,12 @@
 
 use crate::action::{Action, Attempt};
 use crate::call::{Call, LiveAttempt, Stage};
+use crate::choice::Usual;
 use crate::entry_host::EntryHost;
 use crate::event::{AnswerHead, AttemptEnd, CallHead, FailureStage};
 use crate::queue::Admission;
 use crate::refusal::{Refusal, RefusalCause, RunOutcome};
-use crate::service::{Avoid, TakenSlot};
+use crate::service::{Avoid, ServiceState, TakenSlot};
 use domain::{AttemptId, CallId, Millis, ServiceName, ZoneName};
 use rand::RngExt;
 
@@ -18,6 +19,25 @@
 /// Status from which an answer counts as the upstream's failure.
 const FIRST_FAILURE_STATUS: u16 = 500;
 
+/// Why a call may not wait.
+#[derive(Debug)]
+struct NotAdmitted {
+    cause: RefusalCause,
+    service: Option<ServiceName>,
+}
+
+impl NotAdmitted {
+    fn by(service: &ServiceName, cause: RefusalCause) -> NotAdmitted {
+        NotAdmitted { cause, service: Some(service.clone()) }
+    }
+}
+
+impl From<RefusalCause> for NotAdmitted {
+    fn from(cause: RefusalCause) -> NotAdmitted {
+        NotAdmitted { cause, service: None }
+    }
+}
+
 impl EntryHost {
     pub(crate) fn call_arrived(
         &mut self,
@@ -28,8 +48,8 @@
     ) {
         match self.admit(now_ms, call, head, actions) {
             Ok(service) => self.dispatch(now_ms, &service, actions),
-            Err(cause) => {
-                let refusal = self.refusal(cause, RunOutcome::NotRun, 0, None);
+            Err(NotAdmitted { cause, service }) => {
+                let refusal = self.refusal(cause, RunOutcome::NotRun, service.as_ref());
                 actions.push(Action::Refuse { call, refusal });
             }
         }
@@ -120,13 +140,44 @@
         service: &ServiceName,
         actions: &mut Vec<Action>,
     ) {
+        let mut set_aside = Vec::new();
         while let Some(id) = self.next_waiting(service) {
-            if !self.send(now_ms, id, actions) {
-                return;
+            let left = self.send(now_ms, id, actions);
+            let was_sent = self.calls.get(&id).is_some_and(|call| call.started > 0);
+            if !left && !was_sent {
+                break;
             }
             if let Some(state) = self.services.get_mut(service) {
                 state.queue.pop();
             }
+            if !left {
+                set_aside.push(id);
+            }
+        }
+        self.put_back(service, set_aside);
+        if let Some(state) = self.services.get_mut(service) {
+            state.note_queue(now_ms);
+        }
+    }
+
+    /// Sends calls that waited for an upstream which may have a slot by now.
+    pub(crate) fn dispatch_woken(&mut self, now_ms: Millis, actions: &mut Vec<Action>) {
+        let due = |state: &&ServiceState| state.wake_ms.is_some_and(|wake_ms| wake_ms <= now_ms);
+        let names: Vec<ServiceName> =
+            self.services.values().filter(due).map(|state| state.name.clone()).collect();
+        for name in names {
+            self.dispatch(now_ms, &name, actions);
+        }
+    }
+
+    /// Queues calls again that were sent before and find no other upstream now: they
+    /// must not hold up those behind them.
+    fn put_back(&mut self, service: &ServiceName, calls: Vec<CallId>) {
+        let Some(state) = self.services.get_mut(service) else { return };
+        for id in calls.into_iter().rev() {
+            if let Some(call) = self.calls.get(&id) {
+                state.queue.push_front(&call.head.caller, id);
+            }
         }
     }
 
@@ -136,17 +187,17 @@
         id: CallId,
         head: CallHead,
         actions: &mut Vec<Action>,
-    ) -> Result<ServiceName, RefusalCause> {
+    ) -> Result<ServiceName, NotAdmitted> {
         let in_force = self.in_force.as_ref().ok_or(RefusalCause::NotConfigured)?;
         let limits = &in_force.config.limits;
         if self.lifecycle.refuses_calls(now_ms, self.settings.drain_notice_ms) {
-            return Err(RefusalCause::Stopping);
+            return Err(RefusalCause::Stopping.into());
         }
         if head.depth >= limits.max_depth {
-            return Err(RefusalCause::TooDeep);
+            return Err(RefusalCause::TooDeep.into());
         }
         if self.calls.len() >= limits.max_calls as usize {
-            return Err(RefusalCause::HostFull);
+            return Err(RefusalCause::HostFull.into());
         }
         let found = in_force.routes.find(&head.method, &head.path);
         let target = found.ok_or(RefusalCause::NoRoute)?;
@@ -155,15 +206,21 @@
         let name = target.service.clone();
         let state = self.services.get_mut(&name).ok_or(RefusalCause::NoRoute)?;
         if !state.has_open_upstream() {
-            return Err(RefusalCause::NoUpstream);
+            return Err(NotAdmitted::by(&name, RefusalCause::NoUpstream));
         }
         let timeout_ms = head.timeout_ms.unwrap_or(state.published.deadline_ms);
+        let ahead = state.queue.ahead_of(&head.caller);
+        state.may_wait(now_ms, ahead, timeout_ms).map_err(|cause| NotAdmitted::by(&name, cause))?;
         let queue_limit = state.published.queue_limit as usize;
         let dropped = match state.queue.admit(&head.caller, id, queue_limit, caller_limit) {
             Admission::Waits => None,
             Admission::Replaces(dropped) => Some(dropped),
-            Admission::CallerFull => return Err(RefusalCause::CallerShare),
-            Admission::QueueFull => return Err(RefusalCause::QueueFull),
+            Admission::CallerFull => {
+                return Err(NotAdmitted::by(&name, RefusalCause::CallerShare));
+            }
+            Admission::QueueFull => {
+                return Err(NotAdmitted::by(&name, RefusalCause::QueueFull));
+            }
         };
         state.calls += 1;
         let call = Call {
@@ -280,15 +337,13 @@
         let Some(call) = self.calls.get_mut(&id) else { return };
         let outcome = call.outcome();
         let service = call.service.clone();
-        let mut waiting = 0;
         if let Some(state) = self.services.get_mut(&service) {
             state.queue.remove(&call.head.caller, id);
-            waiting = state.queue.len();
         }
         call.stage = Stage::Over;
         cancel_all(&call.live, actions);
         self.drop_timers(id);
-        let refusal = self.refusal(cause, outcome, waiting, Some(&service));
+        let refusal = self.refusal(cause, outcome, Some(&service));
         actions.push(Action::Refuse { call: id, refusal });
         self.forget_if_over(id);
     }
@@ -338,10 +393,12 @@
     fn note_answer(&mut self, now_ms: Millis, id: AttemptId, answer: &AnswerHead) {
         let Some(attempt) = self.attempts.get(&id) else { return };
         let Some(state) = self.services.get_mut(&attempt.service) else { return };
+        let usual_ms = Usual::of(&state.upstreams).service_ms();
         let Some(upstream) = state.upstream_mut(&attempt.upstream) else { return };
         upstream.note_report(now_ms, answer.load, answer.leaving);
         if answer.not_run {
-            return upstream.note_failure();
+            let slots = upstream.published.slots;
+            return upstream.estimate.note_shed(now_ms, usual_ms, slots);
         }
         if answer.status >= FIRST_FAILURE_STATUS {
             upstream.note_failure();
@@ -396,11 +453,10 @@
         &mut self,
         cause: RefusalCause,
         outcome: RunOutcome,
-        waiting: usize,
         service: Option<&ServiceName>,
     ) -> Refusal {
         let state = service.and_then(|name| self.services.get(name));
-        let wait_ms = state.map_or(Millis::ZERO, |state| state.expected_wait_ms(waiting));
+        let wait_ms = state.map_or(Millis::ZERO, |state| state.expected_wait_ms(state.queue.len()));
         let base_ms = wait_ms.0.max(MIN_RETRY_AFTER_MS);
         let jittered_ms = Millis(self.rng.random_range(base_ms..=base_ms * 2));
         let retry_after_ms = match cause {
--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -92,6 +92,11 @@
         }
     }
 
+    /// Time that a request takes once it has a slot.
+    pub fn service_ms(&self) -> f64 {
+        self.service_ms
+    }
+
     /// Rounds of service that a call takes there, its queue included.
     pub fn rounds(&self, now_ms: Millis, upstream: &UpstreamState) -> f64 {
         rounds(self.requests_at(now_ms, upstream), upstream.published.slots)
--- a/crates/core/src/entry_host.rs
+++ b/crates/core/src/entry_host.rs
@@ -137,6 +137,7 @@
         let first = |times: &BTreeSet<(Millis, CallId)>| times.first().map(|&(at_ms, _)| at_ms);
         let expiry_ms = first(&self.deadlines);
         let hedge_ms = first(&self.hedge_times);
+        let wake_ms = self.services.values().filter_map(|state| state.wake_ms).min();
         let timers = &self.timers;
         timers
             .heartbeat_ms
@@ -144,6 +145,7 @@
             .min(self.control.due_ms())
             .min(expiry_ms.unwrap_or(Millis::MAX))
             .min(hedge_ms.unwrap_or(Millis::MAX))
+            .min(wake_ms.unwrap_or(Millis::MAX))
     }
 
     fn stop_requested(&mut self, now_ms: Millis, actions: &mut Vec<Action>) {
@@ -157,6 +159,7 @@
     fn tick(&mut self, now_ms: Millis, actions: &mut Vec<Action>) {
         self.expire_calls(now_ms, actions);
         self.hedge_calls(now_ms, actions);
+        self.dispatch_woken(now_ms, actions);
         self.run_control_timers(now_ms, actions);
         let notice_ms = self.settings.drain_notice_ms;
         if self.lifecycle.end_if_done(now_ms, notice_ms, self.calls.len()) {
--- a/crates/core/src/estimate.rs
+++ b/crates/core/src/estimate.rs
@@ -18,6 +18,7 @@
     at_ms: Option<Millis>,
     sent_since: u32,
     service_ms: Option<f64>,
+    full_until_ms: Millis,
 }
 
 /// Rounds of service until a request that joins `there` others is done, each at full
@@ -39,6 +40,18 @@
         self.sent_since += 1;
     }
 
+    /// Notes that it shed a request: it is full for about the time in which a slot frees up.
+    pub fn note_shed(&mut self, now_ms: Millis, usual_ms: f64, slots: Slots) {
+        let service_ms = self.service_ms.unwrap_or(usual_ms);
+        let span_ms = (service_ms / f64::from(slots.0.max(1))).ceil();
+        self.full_until_ms = now_ms + Millis(span_ms.max(1.0) as u64);
+    }
+
+    /// Until when it is taken for full.
+    pub fn full_until_ms(&self) -> Millis {
+        self.full_until_ms
+    }
+
     /// Notes that an attempt ended and how many of this host's are still out.
     ///
     /// Without this an upstream that reports no load would look ever fuller.
--- a/crates/core/src/queue.rs
+++ b/crates/core/src/queue.rs
@@ -33,6 +33,12 @@
         self.len
     }
 
+    /// Calls whose turn comes before the next one of a caller.
+    pub fn ahead_of(&self, caller: &CallerId) -> usize {
+        let own = self.lines.get(caller).map_or(0, VecDeque::len);
+        self.lines.values().map(|line| line.len().min(own + 1)).sum()
+    }
+
     /// Lets a call wait if the limits allow it.
     pub fn admit(
         &mut self,
--- a/crates/core/src/service.rs
+++ b/crates/core/src/service.rs
@@ -3,6 +3,7 @@
 use crate::choice::{Usual, choose};
 use crate::hedge::RecentLatency;
 use crate::queue::WaitQueue;
+use crate::refusal::RefusalCause;
 use crate::retry::SendBudget;
 use crate::upstream::UpstreamState;
 use config::{Policy, Service};
@@ -13,6 +14,10 @@
 /// Latency assumed before the first answer.
 const UNKNOWN_LATENCY_MS: f64 = 50.0;
 
+/// Time after which a queue that never emptied counts as standing.
+const STANDING_AFTER_MS: Millis = Millis(200);
+/// Service times that a call may wait in a standing queue.
+const STANDING_ROUNDS: u64 = 2;
 /// Most rounds of service that a hedge is expected to take.
 const SPARE_ROUNDS: f64 = 3.0;
 
@@ -35,6 +40,10 @@
     pub latency: RecentLatency,
     /// Calls in progress, waiting ones included.
     pub calls: usize,
+    /// Since when calls have been waiting without a break.
+    pub waiting_since_ms: Option<Millis>,
+    /// When to look again for a slot for those that wait.
+    pub wake_ms: Option<Millis>,
     turn: usize,
 }
 
@@ -70,6 +79,8 @@
             hedges: SendBudget::default(),
             latency: RecentLatency::default(),
             calls: 0,
+            waiting_since_ms: None,
+            wake_ms: None,
             turn: 0,
         };
         service.republish(published);
@@ -114,7 +125,7 @@
         avoid: &Avoid,
         rng: &mut Pcg64Mcg,
     ) -> Option<TakenSlot> {
-        let open = self.eligible(avoid);
+        let open = self.eligible(now_ms, avoid);
         self.take_one_of(now_ms, policy, &open, rng)
     }
 
@@ -127,7 +138,7 @@
         rng: &mut Pcg64Mcg,
     ) -> Option<TakenSlot> {
         let usual = Usual::of(&self.upstreams);
-        let mut open = self.eligible(avoid);
+        let mut open = self.eligible(now_ms, avoid);
         open.retain(|&index| {
             let upstream = &self.upstreams[index];
             !avoid.upstreams.contains(&upstream.id)
@@ -159,24 +170,54 @@
         Millis(shortest.unwrap_or(0.0) as u64)
     }
 
-    /// Time that `waiting` calls take to get a slot, from recent latency.
+    /// Time that `waiting` calls take to get a slot: at the rate at which what is in
+    /// flight now gets done.
     pub fn expected_wait_ms(&self, waiting: usize) -> Millis {
-        let open = self.upstreams.iter().filter(|upstream| upstream.is_open());
-        let slots: u32 = open.clone().map(|upstream| upstream.published.slots.0).sum();
-        let count = open.clone().count().max(1) as f64;
-        let total: f64 = open.map(|u| u.latency_ms.unwrap_or(UNKNOWN_LATENCY_MS)).sum();
-        let latency_ms = total / count;
-        let rounds = waiting as f64 / f64::from(slots.max(1));
-        Millis((latency_ms * rounds).ceil() as u64)
+        let per_ms: f64 = self.upstreams.iter().map(UpstreamState::completions_per_ms).sum();
+        let usual_per_ms = 1.0 / UNKNOWN_LATENCY_MS;
+        let rate = if per_ms > 0.0 { per_ms } else { usual_per_ms };
+        Millis((waiting as f64 / rate).ceil() as u64)
+    }
+
+    /// Whether a call that has so much time may wait behind `ahead` others.
+    ///
+    /// A queue absorbs bursts. One that stands for long absorbs nothing and only adds
+    /// its length to every answer, so it is kept short.
+    pub fn may_wait(
+        &self,
+        now_ms: Millis,
+        ahead: usize,
+        timeout_ms: Millis,
+    ) -> Result<(), RefusalCause> {
+        let Some(since_ms) = self.waiting_since_ms else { return Ok(()) };
+        let wait_ms = self.expected_wait_ms(ahead + 1);
+        let service_ms = self.shortest_service_ms();
+        let longest_standing_ms = Millis(service_ms.0 * STANDING_ROUNDS);
+        let stands = now_ms.since(since_ms) >= STANDING_AFTER_MS;
+        match wait_ms {
+            _ if wait_ms + service_ms > timeout_ms => Err(RefusalCause::WouldExpire),
+            _ if stands && wait_ms > longest_standing_ms => Err(RefusalCause::QueueFull),
+            _ => Ok(()),
+        }
+    }
+
+    /// Notes whether calls wait now, and when the next upstream may be free for them.
+    pub fn note_queue(&mut self, now_ms: Millis) {
+        if self.queue.len() == 0 {
+            (self.waiting_since_ms, self.wake_ms) = (None, None);
+            return;
+        }
+        self.waiting_since_ms.get_or_insert(now_ms);
+        let open = self.upstreams.iter().filter(|u| u.is_open() && u.has_local_slot());
+        self.wake_ms = open.map(|u| u.estimate.full_until_ms().max(now_ms + Millis(1))).min();
     }
 
     /// Upstreams with a slot free here: outside what is to be avoided, or else outside
     /// the upstreams that were tried, or else, if no other is open, any.
-    fn eligible(&self, avoid: &Avoid) -> Vec<usize> {
+    fn eligible(&self, now_ms: Millis, avoid: &Avoid) -> Vec<usize> {
         let with_slot = |fits: &dyn Fn(&UpstreamState) -> bool| {
             let all = self.upstreams.iter().enumerate();
-            let fitting =
-                all.filter(|(_, state)| state.is_open() && state.has_local_slot() && fits(state));
+            let fitting = all.filter(|(_, state)| may_take(now_ms, state) && fits(state));
             fitting.map(|(index, _)| index).collect::<Vec<usize>>()
         };
         let untried = |state: &UpstreamState| !avoid.upstreams.contains(&state.id);
@@ -199,3 +240,8 @@
         open.all(|state| avoid.upstreams.contains(&state.id))
     }
 }
+
+/// Whether a call may go to an upstream now, as far as this host knows.
+fn may_take(now_ms: Millis, upstream: &UpstreamState) -> bool {
+    upstream.is_open() && upstream.has_local_slot() && upstream.estimate.full_until_ms() <= now_ms
+}
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -72,6 +72,12 @@
         self.in_flight < self.published.slots.0
     }
 
+    /// Rate at which this host's attempts there get done.
+    pub fn completions_per_ms(&self) -> f64 {
+        let latency_ms = self.latency_ms.filter(|&latency_ms| latency_ms > 0.0);
+        latency_ms.map_or(0.0, |latency_ms| f64::from(self.in_flight) / latency_ms)
+    }
+
     /// Notes what the upstream said of itself.
     pub fn note_report(&mut self, now_ms: Millis, load: Option<LoadReport>, leaving: bool) {
         self.heard_ms = Some(now_ms);
