--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -5,36 +5,40 @@
 
 use crate::action::{Action, Attempt};
 use crate::call::{Call, LiveAttempt, Stage};
-use crate::choice::Usual;
+use crate::claims::MAX_KEYED_TIMEOUT_MS;
 use crate::entry_host::EntryHost;
 use crate::event::{AnswerHead, AttemptEnd, CallHead, FailureStage};
+use crate::message::{ClaimKey, KeyProgress};
 use crate::queue::Admission;
 use crate::refusal::{Refusal, RefusalCause, RunOutcome};
 use crate::service::{Avoid, ServiceState, TakenSlot};
+use config::RepeatRule;
 use domain::{AttemptId, CallId, Millis, ServiceName, ZoneName};
 use rand::RngExt;
 
 /// Shortest time that a caller is told to stay away.
 const MIN_RETRY_AFTER_MS: u64 = 1000;
 /// Status from which an answer counts as the upstream's failure.
-const FIRST_FAILURE_STATUS: u16 = 500;
+pub(crate) const FIRST_FAILURE_STATUS: u16 = 500;
 
-/// Why a call may not wait.
+/// Why a call is not admitted.
 #[derive(Debug)]
-struct NotAdmitted {
+struct Rejection {
     cause: RefusalCause,
+    outcome: RunOutcome,
+    /// Whose queue tells when to come back.
     service: Option<ServiceName>,
 }
 
-impl NotAdmitted {
-    fn by(service: &ServiceName, cause: RefusalCause) -> NotAdmitted {
-        NotAdmitted { cause, service: Some(service.clone()) }
+impl Rejection {
+    fn by(service: &ServiceName, cause: RefusalCause) -> Rejection {
+        Rejection { service: Some(service.clone()), ..cause.into() }
     }
 }
 
-impl From<RefusalCause> for NotAdmitted {
-    fn from(cause: RefusalCause) -> NotAdmitted {
-        NotAdmitted { cause, service: None }
+impl From<RefusalCause> for Rejection {
+    fn from(cause: RefusalCause) -> Rejection {
+        Rejection { cause, outcome: RunOutcome::NotRun, service: None }
     }
 }
 
@@ -48,8 +52,8 @@
     ) {
         match self.admit(now_ms, call, head, actions) {
             Ok(service) => self.dispatch(now_ms, &service, actions),
-            Err(NotAdmitted { cause, service }) => {
-                let refusal = self.refusal(cause, RunOutcome::NotRun, service.as_ref());
+            Err(Rejection { cause, outcome, service }) => {
+                let refusal = self.refusal(cause, outcome, service.as_ref());
                 actions.push(Action::Refuse { call, refusal });
             }
         }
@@ -66,7 +70,9 @@
         call.stage = Stage::Over;
         cancel_all(&call.live, actions);
         self.drop_timers(id);
-        self.forget_if_over(id);
+        self.drop_pending_claim(id);
+        self.release_key_if_not_run(id, actions);
+        self.forget_if_over(id, actions);
         self.dispatch(now_ms, &service, actions);
     }
 
@@ -83,7 +89,7 @@
         }
         attempt.answered = true;
         let call_id = attempt.call;
-        self.note_answer(now_ms, id, &answer);
+        self.note_answer(now_ms, id, &answer, actions);
         let Some(call) = self.calls.get_mut(&call_id) else { return };
         if answer.not_run {
             call.note_not_run();
@@ -99,7 +105,10 @@
         }
         match answer.not_run {
             true => self.finish(call_id, RefusalCause::UpstreamRefused, actions),
-            false => self.deliver(call_id, id, actions),
+            false => {
+                self.note_key_progress(call_id, progress_of(answer.status));
+                self.deliver(call_id, id, actions);
+            }
         }
     }
 
@@ -111,7 +120,7 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(attempt) = self.attempts.remove(&id) else { return };
-        self.free_slot(now_ms, &attempt, end);
+        self.note_end(now_ms, &attempt, end);
         if let Some(call) = self.calls.get_mut(&attempt.call) {
             call.live.retain(|&live| live != id);
             if !attempt.answered && is_proof_of_not_run(end) {
@@ -119,7 +128,7 @@
             }
         }
         self.after_attempt(now_ms, id, &attempt, end, actions);
-        self.forget_if_over(attempt.call);
+        self.forget_if_over(attempt.call, actions);
         self.dispatch(now_ms, &attempt.service, actions);
     }
 
@@ -129,11 +138,18 @@
             && deadline_ms <= now_ms
         {
             self.deadlines.pop_first();
+            let service = self.calls.get(&id).map(|call| call.service.clone());
             self.finish(id, RefusalCause::Expired, actions);
+            if let Some(service) = service {
+                self.dispatch(now_ms, &service, actions);
+            }
         }
     }
 
     /// Sends waiting calls of a service while slots are free.
+    ///
+    /// A call whose deadline has passed is never sent, not even by a host that has just
+    /// woken from a pause and handles what came in meanwhile before its first tick.
     pub(crate) fn dispatch(
         &mut self,
         now_ms: Millis,
@@ -142,16 +158,25 @@
     ) {
         let mut set_aside = Vec::new();
         while let Some(id) = self.next_waiting(service) {
-            let left = self.send(now_ms, id, actions);
+            if self.calls.get(&id).is_some_and(|call| call.deadline_ms <= now_ms) {
+                self.finish(id, RefusalCause::Expired, actions);
+                continue;
+            }
+            let slot = self.take_slot_for(now_ms, id);
             let was_sent = self.calls.get(&id).is_some_and(|call| call.started > 0);
-            if !left && !was_sent {
+            if slot.is_none() && !was_sent {
                 break;
             }
             if let Some(state) = self.services.get_mut(service) {
                 state.queue.pop();
             }
-            if !left {
+            let Some(slot) = slot else {
                 set_aside.push(id);
+                continue;
+            };
+            match self.calls.get(&id).is_some_and(Call::needs_claim) {
+                true => self.ask_claim(now_ms, id, slot, actions),
+                false => self.emit_send(now_ms, id, slot, actions),
             }
         }
         self.put_back(service, set_aside);
@@ -187,7 +212,7 @@
         id: CallId,
         head: CallHead,
         actions: &mut Vec<Action>,
-    ) -> Result<ServiceName, NotAdmitted> {
+    ) -> Result<ServiceName, Rejection> {
         let in_force = self.in_force.as_ref().ok_or(RefusalCause::NotConfigured)?;
         let limits = &in_force.config.limits;
         if self.lifecycle.refuses_calls(now_ms, self.settings.drain_notice_ms) {
@@ -204,25 +229,33 @@
         let repeat = target.repeat;
         let caller_limit = in_force.config.callers.max_waiting as usize;
         let name = target.service.clone();
+        let key = key_of(&head, repeat, &name);
+        if let Some(outcome) = key.as_ref().and_then(|key| self.claims.outcome_of_use(key)) {
+            let cause = RefusalCause::DuplicateKey;
+            return Err(Rejection { cause, outcome, service: None });
+        }
         let state = self.services.get_mut(&name).ok_or(RefusalCause::NoRoute)?;
         if !state.has_open_upstream() {
-            return Err(NotAdmitted::by(&name, RefusalCause::NoUpstream));
+            return Err(Rejection::by(&name, RefusalCause::NoUpstream));
         }
-        let timeout_ms = head.timeout_ms.unwrap_or(state.published.deadline_ms);
+        let wanted_ms = head.timeout_ms.unwrap_or(state.published.deadline_ms);
+        let timeout_ms = match key {
+            Some(_) => wanted_ms.min(MAX_KEYED_TIMEOUT_MS),
+            None => wanted_ms,
+        };
         let ahead = state.queue.ahead_of(&head.caller);
-        state.may_wait(now_ms, ahead, timeout_ms).map_err(|cause| NotAdmitted::by(&name, cause))?;
+        state.may_wait(now_ms, ahead, timeout_ms).map_err(|cause| Rejection::by(&name, cause))?;
         let queue_limit = state.published.queue_limit as usize;
         let dropped = match state.queue.admit(&head.caller, id, queue_limit, caller_limit) {
             Admission::Waits => None,
             Admission::Replaces(dropped) => Some(dropped),
-            Admission::CallerFull => {
-                return Err(NotAdmitted::by(&name, RefusalCause::CallerShare));
-            }
-            Admission::QueueFull => {
-                return Err(NotAdmitted::by(&name, RefusalCause::QueueFull));
-            }
+            Admission::CallerFull => return Err(Rejection::by(&name, RefusalCause::CallerShare)),
+            Admission::QueueFull => return Err(Rejection::by(&name, RefusalCause::QueueFull)),
         };
         state.calls += 1;
+        if let Some(key) = &key {
+            self.claims.begin_use(key, id);
+        }
         let call = Call {
             head,
             service: name.clone(),
@@ -234,6 +267,8 @@
             hedge_at_ms: None,
             started: 0,
             maybe_run: 0,
+            key,
+            claim: None,
         };
         self.deadlines.insert((call.deadline_ms, id));
         self.calls.insert(id, call);
@@ -247,22 +282,31 @@
         self.services.get(service)?.queue.peek()
     }
 
-    /// Sends a call if a slot is free. Returns whether it left.
-    fn send(&mut self, now_ms: Millis, id: CallId, actions: &mut Vec<Action>) -> bool {
-        let Some(in_force) = &self.in_force else { return false };
-        let Some(call) = self.calls.get_mut(&id) else { return true };
-        let Some(state) = self.services.get_mut(&call.service) else { return false };
-        let policy = in_force.config.policy;
-        let Some(taken) = state.take_slot(now_ms, policy, &call.avoid, &mut self.rng) else {
-            return false;
-        };
+    /// Takes a slot for a waiting call if one is free.
+    fn take_slot_for(&mut self, now_ms: Millis, id: CallId) -> Option<TakenSlot> {
+        let policy = self.in_force.as_ref()?.config.policy;
+        let call = self.calls.get(&id)?;
+        let state = self.services.get_mut(&call.service)?;
+        state.take_slot(now_ms, policy, &call.avoid, &mut self.rng)
+    }
+
+    /// Sends a call to an upstream whose slot it holds.
+    pub(crate) fn emit_send(
+        &mut self,
+        now_ms: Millis,
+        id: CallId,
+        slot: TakenSlot,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(in_force) = &self.in_force else { return };
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let Some(state) = self.services.get_mut(&call.service) else { return };
         if call.started == 0 {
             state.retries.earn(in_force.config.retry.budget_share);
             state.hedges.earn(in_force.config.hedge.budget_share);
         }
-        self.send_attempt(now_ms, id, taken, actions);
+        self.send_attempt(now_ms, id, slot, actions);
         self.plan_hedge(now_ms, id);
-        true
     }
 
     /// Sends an attempt of a call into a slot that was taken for it.
@@ -295,8 +339,21 @@
             sent_ms: now_ms,
             rounds,
             answered: false,
+            good_answer: false,
         };
         self.attempts.insert(attempt, live);
+        self.note_key_progress(id, KeyProgress::MayHaveRun);
+    }
+
+    /// Puts a call at the head of its line: it was admitted before.
+    pub(crate) fn wait_again(&mut self, id: CallId) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let Some(state) = self.services.get_mut(&call.service) else { return };
+        call.stage = Stage::Waiting;
+        if let Some(at_ms) = call.hedge_at_ms.take() {
+            self.hedge_times.remove(&(at_ms, id));
+        }
+        state.queue.push_front(&call.head.caller, id);
     }
 
     /// Queues a failed call once more where rule, budget and time allow. Returns whether it did.
@@ -312,12 +369,8 @@
         if !allowed || !state.retries.spend() {
             return false;
         }
-        call.stage = Stage::Waiting;
-        if let Some(at_ms) = call.hedge_at_ms.take() {
-            self.hedge_times.remove(&(at_ms, id));
-        }
-        state.queue.push_front(&call.head.caller, id);
         let service = call.service.clone();
+        self.wait_again(id);
         self.dispatch(now_ms, &service, actions);
         true
     }
@@ -334,8 +387,21 @@
 
     /// Gives a call its final answer and cancels what is still out.
     pub(crate) fn finish(&mut self, id: CallId, cause: RefusalCause, actions: &mut Vec<Action>) {
-        let Some(call) = self.calls.get_mut(&id) else { return };
+        let Some(call) = self.calls.get(&id) else { return };
         let outcome = call.outcome();
+        self.conclude(id, cause, outcome, actions);
+    }
+
+    /// Does the same with an outcome that is not the call's own, but its key's.
+    pub(crate) fn conclude(
+        &mut self,
+        id: CallId,
+        cause: RefusalCause,
+        outcome: RunOutcome,
+        actions: &mut Vec<Action>,
+    ) {
+        self.drop_pending_claim(id);
+        let Some(call) = self.calls.get_mut(&id) else { return };
         let service = call.service.clone();
         if let Some(state) = self.services.get_mut(&service) {
             state.queue.remove(&call.head.caller, id);
@@ -345,7 +411,8 @@
         self.drop_timers(id);
         let refusal = self.refusal(cause, outcome, Some(&service));
         actions.push(Action::Refuse { call: id, refusal });
-        self.forget_if_over(id);
+        self.release_key_if_not_run(id, actions);
+        self.forget_if_over(id, actions);
     }
 
     fn drop_timers(&mut self, id: CallId) {
@@ -390,52 +457,13 @@
         }
     }
 
-    fn note_answer(&mut self, now_ms: Millis, id: AttemptId, answer: &AnswerHead) {
-        let Some(attempt) = self.attempts.get(&id) else { return };
-        let Some(state) = self.services.get_mut(&attempt.service) else { return };
-        let usual_ms = Usual::of(&state.upstreams).service_ms();
-        let Some(upstream) = state.upstream_mut(&attempt.upstream) else { return };
-        upstream.note_report(now_ms, answer.load, answer.leaving);
-        if answer.not_run {
-            let slots = upstream.published.slots;
-            return upstream.estimate.note_shed(now_ms, usual_ms, slots);
-        }
-        if answer.status >= FIRST_FAILURE_STATUS {
-            upstream.note_failure();
-            let zone = upstream.published.availability_zone.clone();
-            return self.avoid_zone(attempt.call, zone);
-        }
-        let latency_ms = now_ms.since(attempt.sent_ms);
-        upstream.estimate.note_latency(latency_ms, attempt.rounds);
-        upstream.note_success(latency_ms);
-        state.latency.note(latency_ms);
-    }
-
-    fn free_slot(&mut self, now_ms: Millis, attempt: &LiveAttempt, end: AttemptEnd) {
-        let Some(state) = self.services.get_mut(&attempt.service) else { return };
-        let Some(upstream) = state.upstream_mut(&attempt.upstream) else { return };
-        upstream.in_flight = upstream.in_flight.saturating_sub(1);
-        upstream.estimate.note_over(upstream.in_flight);
-        match end {
-            AttemptEnd::Failed { .. } => {
-                upstream.note_failure();
-                let zone = upstream.published.availability_zone.clone();
-                self.avoid_zone(attempt.call, zone);
-            }
-            AttemptEnd::Cancelled { .. } if !attempt.answered => {
-                upstream.estimate.note_overdue(now_ms.since(attempt.sent_ms), attempt.rounds);
-            }
-            AttemptEnd::Cancelled { .. } | AttemptEnd::Completed => {}
-        }
-    }
-
-    fn avoid_zone(&mut self, id: CallId, zone: ZoneName) {
+    pub(crate) fn avoid_zone(&mut self, id: CallId, zone: ZoneName) {
         if let Some(call) = self.calls.get_mut(&id) {
             call.avoid.zone = Some(zone);
         }
     }
 
-    fn forget_if_over(&mut self, id: CallId) {
+    fn forget_if_over(&mut self, id: CallId, actions: &mut Vec<Action>) {
         let over = self
             .calls
             .get(&id)
@@ -443,7 +471,11 @@
         if !over {
             return;
         }
+        self.release_key_if_not_run(id, actions);
         let Some(call) = self.calls.remove(&id) else { return };
+        if let Some(key) = &call.key {
+            self.claims.end_use(key);
+        }
         if let Some(state) = self.services.get_mut(&call.service) {
             state.calls -= 1;
         }
@@ -478,3 +510,20 @@
         AttemptEnd::Failed { .. } | AttemptEnd::Completed => false,
     }
 }
+
+/// What must not run twice, if the rule asks for it and the caller names it.
+fn key_of(head: &CallHead, repeat: RepeatRule, service: &ServiceName) -> Option<ClaimKey> {
+    let key = match repeat {
+        RepeatRule::AtMostOnce => head.idempotency_key.clone()?,
+        RepeatRule::Idempotent => return None,
+    };
+    Some(ClaimKey { caller: head.caller.clone(), service: service.clone(), key })
+}
+
+/// Whether an answer shows that its request ran.
+fn progress_of(status: u16) -> KeyProgress {
+    match status >= FIRST_FAILURE_STATUS {
+        true => KeyProgress::MayHaveRun,
+        false => KeyProgress::Run,
+    }
+}
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -30,6 +30,7 @@
         message: PeerMessage,
         actions: &mut Vec<Action>,
     ) {
+        self.claims.note_heard(&from);
         if let Err(why) = self.admit_message(now_ms, &from, incarnation, &message) {
             self.traffic.note_refused(why);
             return;
@@ -40,8 +41,14 @@
             PeerMessage::Heartbeat(heartbeat) => {
                 self.heartbeat_received(now_ms, &from, incarnation, heartbeat, actions);
             }
-            PeerMessage::ConfigWanted { key, version } => {
-                self.config_wanted(&from, key, version, actions);
+            PeerMessage::ConfigWanted { key, version, held } => {
+                self.config_wanted(&from, key, version, held, actions);
+            }
+            PeerMessage::ConfigChanged { key, from: held, version, splice } => {
+                match self.adoption.spliced(key, held, version, &splice) {
+                    Some(value) => self.config_offered(now_ms, key, value, actions),
+                    None => self.want_whole(&from, key, version, actions),
+                }
             }
             PeerMessage::ConfigOffered { key, value } => {
                 self.config_offered(now_ms, key, value, actions);
@@ -55,6 +62,20 @@
             }
             PeerMessage::HostListWanted => self.host_list_wanted(&from, actions),
             PeerMessage::HostListOffered(list) => self.take_list(now_ms, list),
+            PeerMessage::UpstreamNews(news) => self.news_received(now_ms, &from, news),
+            PeerMessage::ServingWanted { upstream, nonce } => {
+                self.serving_wanted(now_ms, &from, upstream, nonce, actions);
+            }
+            PeerMessage::ServingSeen { upstream, nonce, ago_ms } => {
+                self.serving_seen(now_ms, &upstream, nonce, ago_ms);
+            }
+            message @ (PeerMessage::ClaimAsked(_)
+            | PeerMessage::ClaimVoted(_)
+            | PeerMessage::ClaimReleased { .. }
+            | PeerMessage::StandingWanted { .. }
+            | PeerMessage::StandingOffered(_)) => {
+                self.claim_received(now_ms, from, incarnation, message, actions);
+            }
         }
         self.advance_start(now_ms, actions);
     }
@@ -67,6 +88,7 @@
         if self.timers.heartbeat_ms <= now_ms {
             self.timers.heartbeat_ms = now_ms + HEARTBEAT_EVERY_MS;
             self.send_heartbeats(now_ms, actions);
+            self.choose_watchers(now_ms);
         }
         self.read_config_if_due(now_ms, actions);
         self.ask_for_versions(now_ms, actions);
@@ -98,6 +120,6 @@
                 self.take_list(now_ms, list.clone());
             }
         }
-        self.membership.check_sender(from, incarnation)
+        self.membership.check_sender(now_ms, from, incarnation)
     }
 }
--- a/crates/core/src/dump.rs
+++ b/crates/core/src/dump.rs
@@ -1,11 +1,14 @@
 //! Everything an entry host holds, as operators see it.
 
 use crate::adoption::{ReadingFaults, RejectedPair, VersionPair};
+use crate::claims::ClaimsDump;
 use crate::control::ControlState;
 use crate::entry_host::{EntryHost, HostSettings};
 use crate::lifecycle::Lifecycle;
 use crate::membership::Membership;
+use crate::news::NewsCounts;
 use crate::pause::PauseWatch;
+use crate::probes::ProbesDump;
 use crate::traffic::ControlTraffic;
 use crate::upstream::UpstreamState;
 use config::{HostLimits, SiteConfig};
@@ -41,8 +44,14 @@
     pub membership: &'a Membership,
     /// Pauses of this process.
     pub pauses: &'a PauseWatch,
+    /// Idempotency keys and the claims to them.
+    pub claims: ClaimsDump<'a>,
     /// Calls in progress.
     pub calls: usize,
+    /// Probes, and the hosts that share their budget.
+    pub probes: ProbesDump<'a>,
+    /// What news of upstreams cost.
+    pub news: NewsCounts,
     /// Services.
     pub services: Vec<ServiceDump<'a>>,
 }
@@ -92,7 +101,10 @@
             config: self.in_force.as_ref().map(|in_force| &in_force.config),
             membership: &self.membership,
             pauses: &self.pauses,
+            claims: self.claims.dump(),
             calls: self.calls.len(),
+            probes: self.probes.dump(self.now_ms),
+            news: self.news.counts(),
             services: services.collect(),
         }
     }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,27 +12,38 @@
 mod call;
 mod calls;
 mod choice;
+mod claims;
 mod confirmation;
 mod control;
 mod dump;
 mod entry_host;
 mod estimate;
 mod event;
+mod explain;
+mod fleet_view;
+mod health;
 mod hedge;
+mod leaving;
 mod lifecycle;
 mod membership;
 mod message;
+mod news;
+mod outcomes;
 mod pause;
+mod probe_budget;
+mod probes;
 mod queue;
 mod refusal;
 mod rendezvous;
 mod retry;
 mod service;
+mod service_health;
 mod traffic;
 mod upstream;
 
 pub use action::{Action, Attempt};
-pub use adoption::{FaultyReading, ReadingFaults, RejectedPair, VersionPair};
+pub use adoption::{FaultyReading, ReadingFaults, RejectedPair, Splice, VersionPair};
+pub use claims::{ClaimCounts, ClaimsDump, KEY_WINDOW_MS, VotingState};
 pub use confirmation::StartLimits;
 pub use dump::{ServiceDump, StateDump};
 pub use entry_host::{EntryHost, HostSettings};
@@ -40,11 +51,24 @@
     AnswerHead, AttemptEnd, CallHead, ConfigKey, ConfigReading, Event, FailureStage, HostList,
     ListedHost, LoadReport, ProbeResult, PublishedValue, ReadOutcome,
 };
+pub use explain::{
+    CallDecision, CallStep, MAX_STEPS, SeenAtChoice, UpstreamExplanation, UpstreamReason,
+};
+pub use fleet_view::{FleetView, LIST_FRESH_MS, LIST_LAG_MS, SETTLE_MS};
+pub use health::{Condition, Health};
+pub use leaving::{HOLD_MS, LeavingMark, LeavingSource, MISLED_HOLD_MS};
 pub use lifecycle::Lifecycle;
 pub use membership::{MAX_NEWS_PEERS, Membership, Peer, heartbeat_offsets, news_offsets};
-pub use message::{Envelope, Heartbeat, MessageKind, PROTOCOL_VERSION, PeerMessage};
+pub use message::{
+    ClaimId, ClaimKey, ClaimQuestion, ClaimVerdict, ClaimVote, Envelope, Heartbeat, KeyProgress,
+    MessageKind, PROTOCOL_VERSION, PeerMessage, RecentHost, StandingClaim, StandingClaims,
+    UpstreamFact, UpstreamNews, UpstreamNewsItem, UpstreamRef,
+};
+pub use news::{MAX_NEWS_ITEMS, NewsCounts};
 pub use pause::PauseWatch;
+pub use probes::ProbesDump;
 pub use refusal::{Refusal, RefusalCause, RunOutcome};
 pub use rendezvous::{Job, Role};
+pub use service_health::Strictness;
 pub use traffic::{ControlTraffic, RefusedSender};
 pub use upstream::UpstreamState;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -4,10 +4,13 @@
 //! driven message by message and a lost answer is nothing special. Every message may
 //! be lost, doubled, late or out of order.
 
-use crate::adoption::VersionPair;
-use crate::event::{ConfigKey, HostList, PublishedValue};
-use domain::{HostId, Incarnation, Version};
+use crate::adoption::{Splice, VersionPair};
+use crate::event::{ConfigKey, HostList, LoadReport, PublishedValue};
+use domain::{
+    CallerId, HostId, IdempotencyKey, Incarnation, Millis, ServiceName, UpstreamId, Version,
+};
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 
 /// Version of the messages; a host refuses others.
 pub const PROTOCOL_VERSION: u32 = 1;
@@ -38,6 +41,8 @@
         key: ConfigKey,
         /// The version that the sender heard of.
         version: Version,
+        /// A version that the sender has, zero if none: what changed since is enough.
+        held: Version,
     },
     /// A published value.
     ConfigOffered {
@@ -46,6 +51,17 @@
         /// The value.
         value: PublishedValue,
     },
+    /// A published value, as what changed since a version that the receiver has.
+    ConfigChanged {
+        /// Which.
+        key: ConfigKey,
+        /// The version that the receiver has.
+        from: Version,
+        /// The version that this makes of it.
+        version: Version,
+        /// What changed.
+        splice: Splice,
+    },
     /// Asks what the receiver has in force.
     VersionsWanted {
         /// Comes back in the answer.
@@ -62,6 +78,42 @@
     HostListWanted,
     /// The host list that the sender holds.
     HostListOffered(HostList),
+    /// What the sender learned of upstreams.
+    UpstreamNews(UpstreamNews),
+    /// Asks the prober of an upstream marked as leaving whether it serves again.
+    ServingWanted {
+        /// Which.
+        upstream: UpstreamRef,
+        /// Comes back in the answer.
+        nonce: u64,
+    },
+    /// The sender heard the upstream serving.
+    ServingSeen {
+        /// Which.
+        upstream: UpstreamRef,
+        /// That of the question.
+        nonce: u64,
+        /// How long before the answer the upstream was asked.
+        ago_ms: Millis,
+    },
+    /// Asks for a vote: may this claim have its idempotency key?
+    ClaimAsked(ClaimQuestion),
+    /// A vote.
+    ClaimVoted(ClaimVote),
+    /// A claim surely did not run and never will.
+    ClaimReleased {
+        /// The claim.
+        claim: ClaimId,
+        /// Its key.
+        key: ClaimKey,
+    },
+    /// Asks a host for all claims that it remembers.
+    StandingWanted {
+        /// Comes back in the answer.
+        round: u64,
+    },
+    /// Claims that the sender remembers.
+    StandingOffered(StandingClaims),
 }
 
 /// Kind of a message, to count by.
@@ -70,12 +122,21 @@
 pub enum MessageKind {
     /// [`PeerMessage::Heartbeat`].
     Heartbeat,
-    /// [`PeerMessage::ConfigWanted`] and [`PeerMessage::ConfigOffered`].
+    /// [`PeerMessage::ConfigWanted`], [`PeerMessage::ConfigOffered`], [`PeerMessage::ConfigChanged`].
     Config,
     /// [`PeerMessage::VersionsWanted`] and [`PeerMessage::Versions`].
     Versions,
     /// [`PeerMessage::HostListWanted`] and [`PeerMessage::HostListOffered`].
     HostList,
+    /// [`PeerMessage::UpstreamNews`].
+    UpstreamNews,
+    /// [`PeerMessage::ServingWanted`] and [`PeerMessage::ServingSeen`].
+    Serving,
+    /// [`PeerMessage::ClaimAsked`], [`PeerMessage::ClaimVoted`] and
+    /// [`PeerMessage::ClaimReleased`].
+    Claim,
+    /// [`PeerMessage::StandingWanted`] and [`PeerMessage::StandingOffered`].
+    Standing,
 }
 
 impl PeerMessage {
@@ -83,13 +144,23 @@
     pub fn kind(&self) -> MessageKind {
         match self {
             PeerMessage::Heartbeat(_) => MessageKind::Heartbeat,
-            PeerMessage::ConfigWanted { .. } | PeerMessage::ConfigOffered { .. } => {
-                MessageKind::Config
-            }
+            PeerMessage::ConfigWanted { .. }
+            | PeerMessage::ConfigOffered { .. }
+            | PeerMessage::ConfigChanged { .. } => MessageKind::Config,
             PeerMessage::VersionsWanted { .. } | PeerMessage::Versions { .. } => {
                 MessageKind::Versions
             }
             PeerMessage::HostListWanted | PeerMessage::HostListOffered(_) => MessageKind::HostList,
+            PeerMessage::UpstreamNews(_) => MessageKind::UpstreamNews,
+            PeerMessage::ServingWanted { .. } | PeerMessage::ServingSeen { .. } => {
+                MessageKind::Serving
+            }
+            PeerMessage::ClaimAsked(_)
+            | PeerMessage::ClaimVoted(_)
+            | PeerMessage::ClaimReleased { .. } => MessageKind::Claim,
+            PeerMessage::StandingWanted { .. } | PeerMessage::StandingOffered(_) => {
+                MessageKind::Standing
+            }
         }
     }
 }
@@ -115,7 +186,7 @@
     /// The configuration service did not answer it the last time.
     #[serde(skip_serializing_if = "is_false")]
     pub reads_fail: bool,
-    /// How long ago the sender heard of each listed host, see [`crate::Ages`].
+    /// How long ago the sender heard of each listed host, one character each.
     #[serde(skip_serializing_if = "String::is_empty")]
     pub ages: String,
 }
@@ -135,3 +206,170 @@
 fn is_false(flag: &bool) -> bool {
     !flag
 }
+
+/// What the sender learned of upstreams.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct UpstreamNews {
+    /// At most [`crate::MAX_NEWS_ITEMS`]; more are ignored.
+    pub items: Vec<UpstreamNewsItem>,
+}
+
+/// One upstream and what the sender learned of it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct UpstreamNewsItem {
+    /// Which.
+    pub upstream: UpstreamRef,
+    /// How long ago the sender learned it.
+    pub ago_ms: Millis,
+    /// What.
+    pub fact: UpstreamFact,
+}
+
+/// An upstream as peers name it; its address tells instances of one id apart.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct UpstreamRef {
+    /// Its service.
+    pub service: ServiceName,
+    /// Its id.
+    pub id: UpstreamId,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// What can be learned of an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum UpstreamFact {
+    /// It said that it is leaving.
+    Leaving,
+    /// A probe found it serving.
+    Alive {
+        /// What it said of its load.
+        load: Option<LoadReport>,
+    },
+    /// A probe of it failed.
+    ProbeFailed,
+    /// The sender ejected it.
+    Ejected,
+}
+
+/// What must not run twice: a caller's key at one service.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClaimKey {
+    /// Whose key.
+    pub caller: CallerId,
+    /// Where it is to run.
+    pub service: ServiceName,
+    /// The key.
+    pub key: IdempotencyKey,
+}
+
+/// One attempt of one run of a host to get a key; never used twice.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClaimId {
+    /// The claimant.
+    pub host: HostId,
+    /// Its run.
+    pub incarnation: Incarnation,
+    /// Counts up within the run.
+    pub number: u64,
+}
+
+/// Asks for a vote.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClaimQuestion {
+    /// The claim.
+    pub claim: ClaimId,
+    /// Its key.
+    pub key: ClaimKey,
+    /// All hosts that are asked, sorted.
+    pub committee: Vec<HostId>,
+}
+
+/// A vote.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClaimVote {
+    /// The claim.
+    pub claim: ClaimId,
+    /// What the voter says.
+    pub verdict: ClaimVerdict,
+}
+
+/// What a voter says.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ClaimVerdict {
+    /// The voter will say yes to no other claim for this key within the key window.
+    Yes,
+    /// The voter remembers another claim.
+    Taken {
+        /// Whose it is.
+        holder: HostId,
+        /// How far it got, if it is the voter's own.
+        progress: Option<KeyProgress>,
+    },
+    /// The voter has just started or woken up, is full, or knows the claim as released.
+    Abstains,
+    /// The voter would have asked too many hosts that the claimant didn't.
+    Differs {
+        /// All that it knows of.
+        electorate: Vec<RecentHost>,
+    },
+}
+
+/// How far a claim got.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum KeyProgress {
+    /// Undecided: nothing was sent.
+    Pending,
+    /// The request was sent.
+    MayHaveRun,
+    /// An upstream answered.
+    Run,
+}
+
+/// A host that was listed or heard of lately.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct RecentHost {
+    /// The host.
+    pub host: HostId,
+    /// Time since then.
+    pub age_ms: Millis,
+}
+
+/// A part of what a host remembers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StandingClaims {
+    /// From the question.
+    pub round: u64,
+    /// Which part, from zero.
+    pub part: u32,
+    /// Number of parts.
+    pub parts: u32,
+    /// All hosts that the sender knows of; in the first part only.
+    pub electorate: Vec<RecentHost>,
+    /// Claims.
+    pub claims: Vec<StandingClaim>,
+}
+
+/// A claim that a host remembers.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct StandingClaim {
+    /// Its key.
+    pub key: ClaimKey,
+    /// The claim.
+    pub claim: ClaimId,
+    /// Time until it is forgotten.
+    pub left_ms: Millis,
+}
--- a/crates/core/src/service.rs
+++ b/crates/core/src/service.rs
@@ -1,6 +1,7 @@
 //! One service at this entry host: its upstreams, its queue and its budgets.
 
 use crate::choice::{Usual, choose};
+use crate::health::Health;
 use crate::hedge::RecentLatency;
 use crate::queue::WaitQueue;
 use crate::refusal::RefusalCause;
@@ -68,8 +69,8 @@
 }
 
 impl ServiceState {
-    /// A service not used before.
-    pub fn new(name: ServiceName, published: Service) -> ServiceState {
+    /// A service not used before; its upstreams are taken for warm.
+    pub fn new(name: ServiceName, published: Service, now_ms: Millis) -> ServiceState {
         let mut service = ServiceState {
             name,
             published: published.clone(),
@@ -83,28 +84,42 @@
             wake_ms: None,
             turn: 0,
         };
-        service.republish(published);
+        service.republish(published, now_ms);
+        for upstream in &mut service.upstreams {
+            upstream.health = Health::steady();
+        }
         service
     }
 
     /// Takes what the configuration in force says; attempts that are out stay counted.
-    pub fn republish(&mut self, published: Service) {
+    ///
+    /// Upstreams that it names anew start cold.
+    pub fn republish(&mut self, published: Service, now_ms: Millis) {
         for state in &mut self.upstreams {
-            state.removed = true;
+            state.removed |= !published.upstreams.contains_key(&state.id);
         }
         for (id, upstream) in &published.upstreams {
+            let cold = Health::cold(now_ms, published.slow_start_ms);
             match self.upstreams.binary_search_by(|state| state.id.cmp(id)) {
-                Ok(at) => self.upstreams[at].republish(upstream.clone()),
+                Ok(at) => self.upstreams[at].republish(upstream.clone(), cold),
                 Err(at) => {
-                    self.upstreams.insert(at, UpstreamState::new(id.clone(), upstream.clone()));
+                    let state = UpstreamState::new(id.clone(), upstream.clone(), cold);
+                    self.upstreams.insert(at, state);
                 }
             }
         }
         self.upstreams.retain(|state| !state.removed || state.in_flight > 0);
         self.published = published;
+        self.settle_health(now_ms);
     }
 
     /// The upstream of that id.
+    pub fn upstream(&self, id: &UpstreamId) -> Option<&UpstreamState> {
+        let at = self.upstreams.binary_search_by(|state| state.id.cmp(id)).ok()?;
+        Some(&self.upstreams[at])
+    }
+
+    /// The upstream of that id, to be changed.
     pub fn upstream_mut(&mut self, id: &UpstreamId) -> Option<&mut UpstreamState> {
         let at = self.upstreams.binary_search_by(|state| state.id.cmp(id)).ok()?;
         Some(&mut self.upstreams[at])
@@ -208,40 +223,36 @@
             return;
         }
         self.waiting_since_ms.get_or_insert(now_ms);
-        let open = self.upstreams.iter().filter(|u| u.is_open() && u.has_local_slot());
-        self.wake_ms = open.map(|u| u.estimate.full_until_ms().max(now_ms + Millis(1))).min();
+        let backing_off =
+            self.upstreams.iter().filter(|u| u.is_open() && u.health.backs_off(now_ms));
+        self.wake_ms = backing_off.map(|u| u.health.backoff_until_ms()).min();
     }
 
     /// Upstreams with a slot free here: outside what is to be avoided, or else outside
-    /// the upstreams that were tried, or else, if no other is open, any.
+    /// the upstreams that were tried, or else, if no other takes work, any.
     fn eligible(&self, now_ms: Millis, avoid: &Avoid) -> Vec<usize> {
-        let with_slot = |fits: &dyn Fn(&UpstreamState) -> bool| {
+        let strictness = self.strictness(now_ms);
+        let takes_work = |state: &UpstreamState| state.open_slots(now_ms, strictness) > 0;
+        let with_room = |fits: &dyn Fn(&UpstreamState) -> bool| {
             let all = self.upstreams.iter().enumerate();
-            let fitting = all.filter(|(_, state)| may_take(now_ms, state) && fits(state));
-            fitting.map(|(index, _)| index).collect::<Vec<usize>>()
+            let open = all.filter(|(_, state)| {
+                state.in_flight < state.open_slots(now_ms, strictness) && fits(state)
+            });
+            open.map(|(index, _)| index).collect::<Vec<usize>>()
         };
         let untried = |state: &UpstreamState| !avoid.upstreams.contains(&state.id);
         let elsewhere = |state: &UpstreamState| {
             untried(state) && avoid.zone.as_ref() != Some(&state.published.availability_zone)
         };
-        let best = with_slot(&elsewhere);
+        let best = with_room(&elsewhere);
         if !best.is_empty() || (avoid.zone.is_none() && avoid.upstreams.is_empty()) {
             return best;
         }
-        let others = with_slot(&untried);
-        match others.is_empty() && self.only_tried_open(avoid) {
-            true => with_slot(&|_| true),
+        let others = with_room(&untried);
+        let mut working = self.upstreams.iter().filter(|state| takes_work(state));
+        match others.is_empty() && !working.any(untried) {
+            true => with_room(&|_| true),
             false => others,
         }
     }
-
-    fn only_tried_open(&self, avoid: &Avoid) -> bool {
-        let mut open = self.upstreams.iter().filter(|state| state.is_open());
-        open.all(|state| avoid.upstreams.contains(&state.id))
-    }
-}
-
-/// Whether a call may go to an upstream now, as far as this host knows.
-fn may_take(now_ms: Millis, upstream: &UpstreamState) -> bool {
-    upstream.is_open() && upstream.has_local_slot() && upstream.estimate.full_until_ms() <= now_ms
 }
--- a/crates/core/tests/support/mod.rs
+++ b/crates/core/tests/support/mod.rs
@@ -2,7 +2,9 @@
 #![allow(clippy::unwrap_used, dead_code)]
 
 pub mod configs;
+pub mod fleet;
 pub mod pump;
+pub mod upstreams;
 
 use config::RepeatRule;
 use decision_core::{
