--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -11,9 +11,9 @@
 use crate::message::{ClaimKey, KeyProgress};
 use crate::queue::Admission;
 use crate::refusal::{Refusal, RefusalCause, RunOutcome};
-use crate::service::TakenSlot;
+use crate::service::{Avoid, ServiceState, TakenSlot};
 use config::RepeatRule;
-use domain::{AttemptId, CallId, Millis, ServiceName};
+use domain::{AttemptId, CallId, Millis, ServiceName, ZoneName};
 use rand::RngExt;
 
 /// Shortest time that a caller is told to stay away.
@@ -26,11 +26,19 @@
 struct Rejection {
     cause: RefusalCause,
     outcome: RunOutcome,
+    /// Whose queue tells when to come back.
+    service: Option<ServiceName>,
+}
+
+impl Rejection {
+    fn by(service: &ServiceName, cause: RefusalCause) -> Rejection {
+        Rejection { service: Some(service.clone()), ..cause.into() }
+    }
 }
 
 impl From<RefusalCause> for Rejection {
     fn from(cause: RefusalCause) -> Rejection {
-        Rejection { cause, outcome: RunOutcome::NotRun }
+        Rejection { cause, outcome: RunOutcome::NotRun, service: None }
     }
 }
 
@@ -44,8 +52,8 @@
     ) {
         match self.admit(now_ms, call, head, actions) {
             Ok(service) => self.dispatch(now_ms, &service, actions),
-            Err(Rejection { cause, outcome }) => {
-                let refusal = self.refusal(cause, outcome, 0, None);
+            Err(Rejection { cause, outcome, service }) => {
+                let refusal = self.refusal(cause, outcome, service.as_ref());
                 actions.push(Action::Refuse { call, refusal });
             }
         }
@@ -60,8 +68,8 @@
             state.queue.remove(&call.head.caller, id);
         }
         call.stage = Stage::Over;
-        self.deadlines.remove(&(call.deadline_ms, id));
         cancel_all(&call.live, actions);
+        self.drop_timers(id);
         self.drop_pending_claim(id);
         self.release_key_if_not_run(id, actions);
         self.forget_if_over(id, actions);
@@ -91,7 +99,7 @@
             return;
         }
         let failed = answer.not_run || answer.status >= FIRST_FAILURE_STATUS;
-        if failed && self.try_again(now_ms, call_id, actions) {
+        if failed && (self.awaits_other(call_id) || self.try_again(now_ms, call_id, actions)) {
             actions.push(Action::CancelAttempt { attempt: id });
             return;
         }
@@ -148,20 +156,54 @@
         service: &ServiceName,
         actions: &mut Vec<Action>,
     ) {
+        let mut set_aside = Vec::new();
         while let Some(id) = self.next_waiting(service) {
             if self.calls.get(&id).is_some_and(|call| call.deadline_ms <= now_ms) {
                 self.finish(id, RefusalCause::Expired, actions);
                 continue;
             }
-            let Some(slot) = self.take_slot_for(now_ms, id) else { return };
+            let slot = self.take_slot_for(now_ms, id);
+            let was_sent = self.calls.get(&id).is_some_and(|call| call.started > 0);
+            if slot.is_none() && !was_sent {
+                break;
+            }
             if let Some(state) = self.services.get_mut(service) {
                 state.queue.pop();
             }
+            let Some(slot) = slot else {
+                set_aside.push(id);
+                continue;
+            };
             match self.calls.get(&id).is_some_and(Call::needs_claim) {
                 true => self.ask_claim(now_ms, id, slot, actions),
                 false => self.emit_send(now_ms, id, slot, actions),
             }
         }
+        self.put_back(service, set_aside);
+        if let Some(state) = self.services.get_mut(service) {
+            state.note_queue(now_ms);
+        }
+    }
+
+    /// Sends calls that waited for an upstream which may have a slot by now.
+    pub(crate) fn dispatch_woken(&mut self, now_ms: Millis, actions: &mut Vec<Action>) {
+        let due = |state: &&ServiceState| state.wake_ms.is_some_and(|wake_ms| wake_ms <= now_ms);
+        let names: Vec<ServiceName> =
+            self.services.values().filter(due).map(|state| state.name.clone()).collect();
+        for name in names {
+            self.dispatch(now_ms, &name, actions);
+        }
+    }
+
+    /// Queues calls again that were sent before and find no other upstream now: they
+    /// must not hold up those behind them.
+    fn put_back(&mut self, service: &ServiceName, calls: Vec<CallId>) {
+        let Some(state) = self.services.get_mut(service) else { return };
+        for id in calls.into_iter().rev() {
+            if let Some(call) = self.calls.get(&id) {
+                state.queue.push_front(&call.head.caller, id);
+            }
+        }
     }
 
     fn admit(
@@ -189,23 +231,26 @@
         let name = target.service.clone();
         let key = key_of(&head, repeat, &name);
         if let Some(outcome) = key.as_ref().and_then(|key| self.claims.outcome_of_use(key)) {
-            return Err(Rejection { cause: RefusalCause::DuplicateKey, outcome });
+            let cause = RefusalCause::DuplicateKey;
+            return Err(Rejection { cause, outcome, service: None });
         }
         let state = self.services.get_mut(&name).ok_or(RefusalCause::NoRoute)?;
         if !state.has_open_upstream() {
-            return Err(RefusalCause::NoUpstream.into());
+            return Err(Rejection::by(&name, RefusalCause::NoUpstream));
         }
         let wanted_ms = head.timeout_ms.unwrap_or(state.published.deadline_ms);
         let timeout_ms = match key {
             Some(_) => wanted_ms.min(MAX_KEYED_TIMEOUT_MS),
             None => wanted_ms,
         };
+        let ahead = state.queue.ahead_of(&head.caller);
+        state.may_wait(now_ms, ahead, timeout_ms).map_err(|cause| Rejection::by(&name, cause))?;
         let queue_limit = state.published.queue_limit as usize;
         let dropped = match state.queue.admit(&head.caller, id, queue_limit, caller_limit) {
             Admission::Waits => None,
             Admission::Replaces(dropped) => Some(dropped),
-            Admission::CallerFull => return Err(RefusalCause::CallerShare.into()),
-            Admission::QueueFull => return Err(RefusalCause::QueueFull.into()),
+            Admission::CallerFull => return Err(Rejection::by(&name, RefusalCause::CallerShare)),
+            Admission::QueueFull => return Err(Rejection::by(&name, RefusalCause::QueueFull)),
         };
         state.calls += 1;
         if let Some(key) = &key {
@@ -218,7 +263,8 @@
             deadline_ms: now_ms + timeout_ms,
             stage: Stage::Waiting,
             live: Vec::new(),
-            tried: Vec::new(),
+            avoid: Avoid::default(),
+            hedge_at_ms: None,
             started: 0,
             maybe_run: 0,
             key,
@@ -241,7 +287,7 @@
         let policy = self.in_force.as_ref()?.config.policy;
         let call = self.calls.get(&id)?;
         let state = self.services.get_mut(&call.service)?;
-        state.take_slot(now_ms, policy, &call.tried, &mut self.rng)
+        state.take_slot(now_ms, policy, &call.avoid, &mut self.rng)
     }
 
     /// Sends a call to an upstream whose slot it holds.
@@ -252,13 +298,27 @@
         slot: TakenSlot,
         actions: &mut Vec<Action>,
     ) {
-        let TakenSlot { upstream, address, rounds } = slot;
         let Some(in_force) = &self.in_force else { return };
         let Some(call) = self.calls.get_mut(&id) else { return };
         let Some(state) = self.services.get_mut(&call.service) else { return };
         if call.started == 0 {
             state.retries.earn(in_force.config.retry.budget_share);
+            state.hedges.earn(in_force.config.hedge.budget_share);
         }
+        self.send_attempt(now_ms, id, slot, actions);
+        self.plan_hedge(now_ms, id);
+    }
+
+    /// Sends an attempt of a call into a slot that was taken for it.
+    pub(crate) fn send_attempt(
+        &mut self,
+        now_ms: Millis,
+        id: CallId,
+        taken: TakenSlot,
+        actions: &mut Vec<Action>,
+    ) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        let TakenSlot { upstream, address, rounds } = taken;
         self.last_attempt.0 += 1;
         let attempt = self.last_attempt;
         call.note_sent(attempt, upstream.clone());
@@ -290,6 +350,9 @@
         let Some(call) = self.calls.get_mut(&id) else { return };
         let Some(state) = self.services.get_mut(&call.service) else { return };
         call.stage = Stage::Waiting;
+        if let Some(at_ms) = call.hedge_at_ms.take() {
+            self.hedge_times.remove(&(at_ms, id));
+        }
         state.queue.push_front(&call.head.caller, id);
     }
 
@@ -300,7 +363,7 @@
         let Some(state) = self.services.get_mut(&call.service) else { return false };
         let allowed = call.may_repeat()
             && call.head.body_replayable
-            && call.deadline_ms > now_ms
+            && call.deadline_ms > now_ms + state.shortest_service_ms()
             && call.spent_attempts() < in_force.config.retry.max_attempts
             && state.has_open_upstream();
         if !allowed || !state.retries.spend() {
@@ -315,11 +378,11 @@
     fn deliver(&mut self, id: CallId, attempt: AttemptId, actions: &mut Vec<Action>) {
         let Some(call) = self.calls.get_mut(&id) else { return };
         call.stage = Stage::Delivering(attempt);
-        self.deadlines.remove(&(call.deadline_ms, id));
         actions.push(Action::Deliver { call: id, attempt });
         let losers: Vec<AttemptId> =
             call.live.iter().copied().filter(|&other| other != attempt).collect();
         cancel_all(&losers, actions);
+        self.drop_timers(id);
     }
 
     /// Gives a call its final answer and cancels what is still out.
@@ -340,20 +403,33 @@
         self.drop_pending_claim(id);
         let Some(call) = self.calls.get_mut(&id) else { return };
         let service = call.service.clone();
-        let mut waiting = 0;
         if let Some(state) = self.services.get_mut(&service) {
             state.queue.remove(&call.head.caller, id);
-            waiting = state.queue.len();
         }
         call.stage = Stage::Over;
-        self.deadlines.remove(&(call.deadline_ms, id));
         cancel_all(&call.live, actions);
-        let refusal = self.refusal(cause, outcome, waiting, Some(&service));
+        self.drop_timers(id);
+        let refusal = self.refusal(cause, outcome, Some(&service));
         actions.push(Action::Refuse { call: id, refusal });
         self.release_key_if_not_run(id, actions);
         self.forget_if_over(id, actions);
     }
 
+    fn drop_timers(&mut self, id: CallId) {
+        let Some(call) = self.calls.get_mut(&id) else { return };
+        self.deadlines.remove(&(call.deadline_ms, id));
+        if let Some(at_ms) = call.hedge_at_ms.take() {
+            self.hedge_times.remove(&(at_ms, id));
+        }
+    }
+
+    /// Whether another attempt of the call is out and may still bring an answer.
+    fn awaits_other(&self, id: CallId) -> bool {
+        let Some(call) = self.calls.get(&id) else { return false };
+        let pending = |attempt| self.attempts.get(attempt).is_some_and(|live| !live.answered);
+        call.live.iter().any(pending)
+    }
+
     fn after_attempt(
         &mut self,
         now_ms: Millis,
@@ -362,10 +438,11 @@
         end: AttemptEnd,
         actions: &mut Vec<Action>,
     ) {
+        let awaits_other = self.awaits_other(attempt.call);
         let Some(call) = self.calls.get_mut(&attempt.call) else { return };
         match call.stage {
             Stage::Delivering(delivering) if delivering == id => call.stage = Stage::Over,
-            Stage::Sent if call.live.is_empty() && !attempt.answered => {
+            Stage::Sent if !awaits_other => {
                 let timed_out = end == AttemptEnd::Failed { stage: FailureStage::TimedOut }
                     || call.deadline_ms <= now_ms;
                 if self.try_again(now_ms, attempt.call, actions) {
@@ -381,6 +458,12 @@
         }
     }
 
+    pub(crate) fn avoid_zone(&mut self, id: CallId, zone: ZoneName) {
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.avoid.zone = Some(zone);
+        }
+    }
+
     fn forget_if_over(&mut self, id: CallId, actions: &mut Vec<Action>) {
         let over = self
             .calls
@@ -403,11 +486,10 @@
         &mut self,
         cause: RefusalCause,
         outcome: RunOutcome,
-        waiting: usize,
         service: Option<&ServiceName>,
     ) -> Refusal {
         let state = service.and_then(|name| self.services.get(name));
-        let wait_ms = state.map_or(Millis::ZERO, |state| state.expected_wait_ms(waiting));
+        let wait_ms = state.map_or(Millis::ZERO, |state| state.expected_wait_ms(state.queue.len()));
         let base_ms = wait_ms.0.max(MIN_RETRY_AFTER_MS);
         let jittered_ms = Millis(self.rng.random_range(base_ms..=base_ms * 2));
         let retry_after_ms = match cause {
--- a/crates/core/src/entry_host.rs
+++ b/crates/core/src/entry_host.rs
@@ -60,6 +60,7 @@
     pub(crate) services: BTreeMap<ServiceName, ServiceState>,
     pub(crate) calls: FastMap<CallId, Call>,
     pub(crate) deadlines: BTreeSet<(Millis, CallId)>,
+    pub(crate) hedge_times: BTreeSet<(Millis, CallId)>,
     pub(crate) attempts: FastMap<AttemptId, LiveAttempt>,
     pub(crate) last_attempt: AttemptId,
     pub(crate) timers: Timers,
@@ -104,6 +105,7 @@
             services: BTreeMap::new(),
             calls: FastMap::default(),
             deadlines: BTreeSet::new(),
+            hedge_times: BTreeSet::new(),
             attempts: FastMap::default(),
             last_attempt: AttemptId(0),
             settings,
@@ -166,7 +168,10 @@
 
     /// When the next [`Event::Tick`] is due at the latest.
     pub fn next_tick_ms(&self) -> Millis {
-        let expiry_ms = self.deadlines.first().map(|&(deadline_ms, _)| deadline_ms);
+        let first = |times: &BTreeSet<(Millis, CallId)>| times.first().map(|&(at_ms, _)| at_ms);
+        let expiry_ms = first(&self.deadlines);
+        let hedge_ms = first(&self.hedge_times);
+        let wake_ms = self.services.values().filter_map(|state| state.wake_ms).min();
         let timers = &self.timers;
         timers
             .heartbeat_ms
@@ -175,6 +180,8 @@
             .min(self.probes.due_ms)
             .min(self.news.due_ms)
             .min(expiry_ms.unwrap_or(Millis::MAX))
+            .min(hedge_ms.unwrap_or(Millis::MAX))
+            .min(wake_ms.unwrap_or(Millis::MAX))
             .min(self.claims.next_due_ms().unwrap_or(Millis::MAX))
     }
 
@@ -189,6 +196,8 @@
     fn tick(&mut self, now_ms: Millis, actions: &mut Vec<Action>) {
         self.note_listed_voters();
         self.expire_calls(now_ms, actions);
+        self.hedge_calls(now_ms, actions);
+        self.dispatch_woken(now_ms, actions);
         self.run_control_timers(now_ms, actions);
         self.run_probes(now_ms, actions);
         self.run_health(now_ms, actions);
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 mod explain;
 mod fleet_view;
 mod health;
+mod hedge;
 mod leaving;
 mod lifecycle;
 mod membership;
--- a/crates/core/src/outcomes.rs
+++ b/crates/core/src/outcomes.rs
@@ -26,6 +26,7 @@
         let Some(attempt) = self.attempts.get_mut(&id) else { return };
         let Some(state) = self.services.get_mut(&attempt.service) else { return };
         let Some(upstream) = state.upstream_mut(&attempt.upstream) else { return };
+        let zone = upstream.published.availability_zone.clone();
         let sent_ms = attempt.sent_ms;
         let paused = self.pauses.resumed_ms() > Some(sent_ms);
         let source = answer.leaving.then_some(LeavingSource::Answer);
@@ -41,11 +42,14 @@
                 let latency_ms = now_ms.since(sent_ms);
                 upstream.estimate.note_latency(latency_ms, attempt.rounds);
                 upstream.note_latency(latency_ms);
+                state.latency.note(latency_ms);
             }
             false => {}
         }
         let (service, upstream) = (attempt.service.clone(), attempt.upstream.clone());
+        let call = attempt.call;
         if failed {
+            self.avoid_zone(call, zone);
             self.note_failure(now_ms, &service, &upstream, sent_ms);
         }
         if first_word {
@@ -60,6 +64,8 @@
         let slow_start_ms = state.published.slow_start_ms;
         let Some(upstream) = state.upstream_mut(&attempt.upstream) else { return };
         upstream.in_flight = upstream.in_flight.saturating_sub(1);
+        upstream.estimate.note_over(upstream.in_flight);
+        let zone = upstream.published.availability_zone.clone();
         match end {
             AttemptEnd::Completed if attempt.good_answer => {
                 upstream.note_success(now_ms, attempt.sent_ms, slow_start_ms);
@@ -70,10 +76,14 @@
                 let paused = self.pauses.resumed_ms() > Some(attempt.sent_ms);
                 if waited_ms.as_f64() > usual_ms && !paused {
                     upstream.note_latency(waited_ms);
+                    upstream.estimate.note_overdue(waited_ms, attempt.rounds);
                 }
             }
             _ => {}
         }
+        if matches!(end, AttemptEnd::Failed { .. }) {
+            self.avoid_zone(attempt.call, zone);
+        }
         if failed {
             self.note_failure(now_ms, &attempt.service, &attempt.upstream, attempt.sent_ms);
         }
--- a/crates/core/src/service.rs
+++ b/crates/core/src/service.rs
@@ -2,17 +2,26 @@
 
 use crate::choice::{Usual, choose};
 use crate::health::Health;
+use crate::hedge::RecentLatency;
 use crate::queue::WaitQueue;
-use crate::retry::RetryBudget;
+use crate::refusal::RefusalCause;
+use crate::retry::SendBudget;
 use crate::upstream::UpstreamState;
 use config::{Policy, Service};
-use domain::{Millis, ServiceName, UpstreamId};
+use domain::{Millis, ServiceName, UpstreamId, ZoneName};
 use rand_pcg::Pcg64Mcg;
 use std::net::SocketAddr;
 
 /// Latency assumed before the first answer.
 const UNKNOWN_LATENCY_MS: f64 = 50.0;
 
+/// Time after which a queue that never emptied counts as standing.
+const STANDING_AFTER_MS: Millis = Millis(200);
+/// Service times that a call may wait in a standing queue.
+const STANDING_ROUNDS: u64 = 2;
+/// Most rounds of service that a hedge is expected to take.
+const SPARE_ROUNDS: f64 = 3.0;
+
 /// What this host holds of one service.
 #[derive(Debug)]
 pub struct ServiceState {
@@ -25,12 +34,29 @@
     /// Calls that wait for a slot.
     pub queue: WaitQueue,
     /// Retries left.
-    pub retries: RetryBudget,
+    pub retries: SendBudget,
+    /// Hedges left.
+    pub hedges: SendBudget,
+    /// Recent latency of good answers.
+    pub latency: RecentLatency,
     /// Calls in progress, waiting ones included.
     pub calls: usize,
+    /// Since when calls have been waiting without a break.
+    pub waiting_since_ms: Option<Millis>,
+    /// When to look again for a slot for those that wait.
+    pub wake_ms: Option<Millis>,
     turn: usize,
 }
 
+/// Where a call should not be sent again.
+#[derive(Debug, Clone, Default)]
+pub struct Avoid {
+    /// Upstreams that it was sent to.
+    pub upstreams: Vec<UpstreamId>,
+    /// Availability zone in which it last failed.
+    pub zone: Option<ZoneName>,
+}
+
 /// A slot taken for an attempt.
 #[derive(Debug)]
 pub struct TakenSlot {
@@ -50,8 +76,12 @@
             published: published.clone(),
             upstreams: Vec::new(),
             queue: WaitQueue::default(),
-            retries: RetryBudget::default(),
+            retries: SendBudget::default(),
+            hedges: SendBudget::default(),
+            latency: RecentLatency::default(),
             calls: 0,
+            waiting_since_ms: None,
+            wake_ms: None,
             turn: 0,
         };
         service.republish(published, now_ms);
@@ -102,16 +132,44 @@
 
     /// Takes a slot of the upstream that the policy prefers, if one is free.
     ///
-    /// Upstreams in `avoid` are taken only where no other is open at all.
+    /// What the call should avoid is taken only where nothing else is open at all.
     pub fn take_slot(
         &mut self,
         now_ms: Millis,
         policy: Policy,
-        avoid: &[UpstreamId],
+        avoid: &Avoid,
+        rng: &mut Pcg64Mcg,
+    ) -> Option<TakenSlot> {
+        let open = self.eligible(now_ms, avoid);
+        self.take_one_of(now_ms, policy, &open, rng)
+    }
+
+    /// Takes a slot for a hedge: of another upstream, and only if one is probably free.
+    pub fn take_spare_slot(
+        &mut self,
+        now_ms: Millis,
+        policy: Policy,
+        avoid: &Avoid,
         rng: &mut Pcg64Mcg,
     ) -> Option<TakenSlot> {
-        let open = self.eligible(avoid, now_ms);
-        let index = choose(now_ms, policy, &self.upstreams, &open, &mut self.turn, rng)?;
+        let usual = Usual::of(&self.upstreams);
+        let mut open = self.eligible(now_ms, avoid);
+        open.retain(|&index| {
+            let upstream = &self.upstreams[index];
+            !avoid.upstreams.contains(&upstream.id)
+                && usual.rounds(now_ms, upstream) <= SPARE_ROUNDS
+        });
+        self.take_one_of(now_ms, policy, &open, rng)
+    }
+
+    fn take_one_of(
+        &mut self,
+        now_ms: Millis,
+        policy: Policy,
+        open: &[usize],
+        rng: &mut Pcg64Mcg,
+    ) -> Option<TakenSlot> {
+        let index = choose(now_ms, policy, &self.upstreams, open, &mut self.turn, rng)?;
         let rounds = Usual::of(&self.upstreams).rounds(now_ms, &self.upstreams[index]);
         let upstream = &mut self.upstreams[index];
         upstream.in_flight += 1;
@@ -120,33 +178,81 @@
         Some(TakenSlot { upstream: id, address, rounds })
     }
 
-    /// Time that `waiting` calls take to get a slot, from recent latency.
-    pub fn expected_wait_ms(&self, waiting: usize) -> Millis {
+    /// Service time of the fastest open upstream, zero if none is known.
+    pub fn shortest_service_ms(&self) -> Millis {
         let open = self.upstreams.iter().filter(|upstream| upstream.is_open());
-        let slots: u32 = open.clone().map(|upstream| upstream.published.slots.0).sum();
-        let count = open.clone().count().max(1) as f64;
-        let total: f64 = open.map(|u| u.latency_ms.unwrap_or(UNKNOWN_LATENCY_MS)).sum();
-        let latency_ms = total / count;
-        let rounds = waiting as f64 / f64::from(slots.max(1));
-        Millis((latency_ms * rounds).ceil() as u64)
+        let shortest = open.filter_map(|u| u.estimate.service_ms()).min_by(f64::total_cmp);
+        Millis(shortest.unwrap_or(0.0) as u64)
+    }
+
+    /// Time that `waiting` calls take to get a slot: at the rate at which what is in
+    /// flight now gets done.
+    pub fn expected_wait_ms(&self, waiting: usize) -> Millis {
+        let per_ms: f64 = self.upstreams.iter().map(UpstreamState::completions_per_ms).sum();
+        let usual_per_ms = 1.0 / UNKNOWN_LATENCY_MS;
+        let rate = if per_ms > 0.0 { per_ms } else { usual_per_ms };
+        Millis((waiting as f64 / rate).ceil() as u64)
     }
 
-    fn eligible(&self, avoid: &[UpstreamId], now_ms: Millis) -> Vec<usize> {
+    /// Whether a call that has so much time may wait behind `ahead` others.
+    ///
+    /// A queue absorbs bursts. One that stands for long absorbs nothing and only adds
+    /// its length to every answer, so it is kept short.
+    pub fn may_wait(
+        &self,
+        now_ms: Millis,
+        ahead: usize,
+        timeout_ms: Millis,
+    ) -> Result<(), RefusalCause> {
+        let Some(since_ms) = self.waiting_since_ms else { return Ok(()) };
+        let wait_ms = self.expected_wait_ms(ahead + 1);
+        let service_ms = self.shortest_service_ms();
+        let longest_standing_ms = Millis(service_ms.0 * STANDING_ROUNDS);
+        let stands = now_ms.since(since_ms) >= STANDING_AFTER_MS;
+        match wait_ms {
+            _ if wait_ms + service_ms > timeout_ms => Err(RefusalCause::WouldExpire),
+            _ if stands && wait_ms > longest_standing_ms => Err(RefusalCause::QueueFull),
+            _ => Ok(()),
+        }
+    }
+
+    /// Notes whether calls wait now, and when the next upstream may be free for them.
+    pub fn note_queue(&mut self, now_ms: Millis) {
+        if self.queue.len() == 0 {
+            (self.waiting_since_ms, self.wake_ms) = (None, None);
+            return;
+        }
+        self.waiting_since_ms.get_or_insert(now_ms);
+        let backing_off =
+            self.upstreams.iter().filter(|u| u.is_open() && u.health.backs_off(now_ms));
+        self.wake_ms = backing_off.map(|u| u.health.backoff_until_ms()).min();
+    }
+
+    /// Upstreams with a slot free here: outside what is to be avoided, or else outside
+    /// the upstreams that were tried, or else, if no other takes work, any.
+    fn eligible(&self, now_ms: Millis, avoid: &Avoid) -> Vec<usize> {
         let strictness = self.strictness(now_ms);
         let takes_work = |state: &UpstreamState| state.open_slots(now_ms, strictness) > 0;
-        let has_room =
-            |state: &UpstreamState| state.in_flight < state.open_slots(now_ms, strictness);
-        let with_room = |with_avoided: bool| {
-            let fits = |state: &UpstreamState| with_avoided || !avoid.contains(&state.id);
-            let states = self.upstreams.iter().enumerate();
-            let open = states.filter(|(_, state)| has_room(state) && fits(state));
-            open.map(|(index, _)| index).collect::<Vec<_>>()
+        let with_room = |fits: &dyn Fn(&UpstreamState) -> bool| {
+            let all = self.upstreams.iter().enumerate();
+            let open = all.filter(|(_, state)| {
+                state.in_flight < state.open_slots(now_ms, strictness) && fits(state)
+            });
+            open.map(|(index, _)| index).collect::<Vec<usize>>()
+        };
+        let untried = |state: &UpstreamState| !avoid.upstreams.contains(&state.id);
+        let elsewhere = |state: &UpstreamState| {
+            untried(state) && avoid.zone.as_ref() != Some(&state.published.availability_zone)
         };
-        let preferred = with_room(false);
+        let best = with_room(&elsewhere);
+        if !best.is_empty() || (avoid.zone.is_none() && avoid.upstreams.is_empty()) {
+            return best;
+        }
+        let others = with_room(&untried);
         let mut working = self.upstreams.iter().filter(|state| takes_work(state));
-        match preferred.is_empty() && working.all(|state| avoid.contains(&state.id)) {
-            true => with_room(true),
-            false => preferred,
+        match others.is_empty() && !working.any(untried) {
+            true => with_room(&|_| true),
+            false => others,
         }
     }
 }
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -117,6 +117,12 @@
         }
     }
 
+    /// Rate at which this host's attempts there get done.
+    pub fn completions_per_ms(&self) -> f64 {
+        let latency_ms = self.latency_ms.filter(|&latency_ms| latency_ms > 0.0);
+        latency_ms.map_or(0.0, |latency_ms| f64::from(self.in_flight) / latency_ms)
+    }
+
     /// Notes what the upstream said of itself.
     ///
     /// Returns whether that is the first word of its leaving.
--- a/crates/core/tests/health.rs
+++ b/crates/core/tests/health.rs
@@ -12,7 +12,7 @@
 use rstest::rstest;
 use support::pump::Pump;
 use support::upstreams::{Manner, Site};
-use support::{Bench, answer, head, refused_answer};
+use support::{BASE, Bench, answer, head, refused_answer};
 
 const TARGET: &str = "shop-1";
 const UPSTREAMS: usize = 6;
@@ -45,8 +45,11 @@
 }
 
 impl Driver {
+    /// Takes turns, so that calls reach the target whatever it did before: a load-aware
+    /// policy would keep them away long before health does.
     fn new() -> Driver {
-        Driver { bench: Bench::configured(), now_ms: 0, last_call: 0 }
+        let base = BASE.replace("load-aware", "round-robin");
+        Driver { bench: Bench::with_base(&base), now_ms: 0, last_call: 0 }
     }
 
     fn handle(&mut self, event: Event) -> Vec<Action> {
