--- a/crates/scenario/src/lib.rs
+++ b/crates/scenario/src/lib.rs
@@ -16,7 +16,7 @@
 mod world;
 
 pub use check::{Breach, Verdict};
-pub use generate::scenarios;
+pub use generate::{Failure, scenarios, search};
 pub use parse::{ParseError, parse};
 pub use sabotage::Sabotage;
 pub use script::{
