--- a/crates/scenario/src/sabotage.rs
+++ b/crates/scenario/src/sabotage.rs
@@ -18,16 +18,19 @@
     HiddenLeaving,
     /// An answer is handed to another call of the same host.
     SwappedAnswers,
+    /// Every vote on a claim is turned into a yes.
+    ForgedVotes,
 }
 
 impl Sabotage {
     /// All of them.
-    pub const ALL: [Sabotage; 6] = [
+    pub const ALL: [Sabotage; 7] = [
         Sabotage::ForgedProof,
         Sabotage::HastyExit,
         Sabotage::RenumberedConfig,
         Sabotage::LonelyLists,
         Sabotage::HiddenLeaving,
         Sabotage::SwappedAnswers,
+        Sabotage::ForgedVotes,
     ];
 }
--- a/crates/scenario/src/world.rs
+++ b/crates/scenario/src/world.rs
@@ -10,8 +10,9 @@
 use crate::script::{CallSpec, Command, Place, Scenario, Via};
 use config::RepeatRule;
 use decision_core::{
-    Action, AnswerHead, Attempt, AttemptEnd, CallHead, ConfigKey, ConfigReading, EntryHost, Event,
-    FailureStage, HostSettings, PeerMessage, ProbeResult, PublishedValue, ReadOutcome,
+    Action, AnswerHead, Attempt, AttemptEnd, CallHead, ClaimVerdict, ClaimVote, ConfigKey,
+    ConfigReading, EntryHost, Event, FailureStage, HostSettings, PeerMessage, ProbeResult,
+    PublishedValue, ReadOutcome,
 };
 use domain::{AttemptId, CallId, HostId, Incarnation, Millis, UpstreamId};
 use rand::{RngExt, SeedableRng};
@@ -719,6 +720,12 @@
 // Peers and platform.
 impl World {
     fn send_peer(&mut self, from: usize, incarnation: u64, to: &HostId, message: PeerMessage) {
+        let message = match (self.sabotage, message) {
+            (Some(Sabotage::ForgedVotes), PeerMessage::ClaimVoted(vote)) => {
+                PeerMessage::ClaimVoted(ClaimVote { verdict: ClaimVerdict::Yes, ..vote })
+            }
+            (_, message) => message,
+        };
         self.ledger.peer_messages += 1;
         let Some(target) = self.host_index(to.as_str()) else { return };
         let roll = self.rng.random_range(0..100);
--- a/crates/scenario/tests/scenarios.rs
+++ b/crates/scenario/tests/scenarios.rs
@@ -33,6 +33,7 @@
 
 #[rstest]
 #[case::at_most_once("lost_answers", Sabotage::ForgedProof, |b: &Breach| matches!(b, Breach::Doubled(_)))]
+#[case::forged_votes("key_repeated_elsewhere", Sabotage::ForgedVotes, |b: &Breach| matches!(b, Breach::Doubled(_)))]
 #[case::not_run("all_answers_lost", Sabotage::ForgedProof, |b: &Breach| matches!(b, Breach::FalseNotRun(_)))]
 #[case::graceful("rolling_restart", Sabotage::HastyExit, |b: &Breach| matches!(b, Breach::CutByExit(_)))]
 #[case::config("racing_operators", Sabotage::RenumberedConfig, |b: &Breach| matches!(b, Breach::Reverted(_)))]
