Let a stopping process answer what it has accepted; search on request

The harness ended a process in the step in which its core had no more to do, while a call lay in the socket already; the daemon answers those. Ruled out: the core, which refuses such a call at once as not run. The harness now lingers 50 ms. `cargo xtask search` plays more on request.

--- a/crates/scenario/src/world.rs
+++ b/crates/scenario/src/world.rs
@@ -23,6 +23,9 @@
 const ONE_WAY_MS: Millis = Millis(1);
 /// Time until the balancer notices that a host is ready, or no more.
 const BALANCER_LAG_MS: Millis = Millis(300);
+/// Time that a process takes to end once its core has no more to do; what it has accepted
+/// by then is still answered, as the daemon does.
+const LINGER_MS: Millis = Millis(50);
 /// Time after its deadline at which a caller hangs up.
 const CALLER_GRACE_MS: Millis = Millis(500);
 /// Time that a probe takes to fail.
@@ -84,6 +87,7 @@
     ToHost { host: usize, incarnation: u64, event: Event },
     Wake { host: usize, incarnation: u64 },
     Resume { host: usize, incarnation: u64 },
+    End { host: usize, incarnation: u64 },
     Rotation { host: usize, incarnation: u64, ready: bool },
     Arrive { job: JobId },
     Work { job: JobId },
@@ -157,6 +161,11 @@
                 }
             }
             Happening::Resume { host, incarnation } => self.resume(host, incarnation),
+            Happening::End { host, incarnation } => {
+                if self.hosts[host].incarnation == incarnation && self.hosts[host].core.is_some() {
+                    self.exit(host);
+                }
+            }
             Happening::Rotation { host, incarnation, ready } => {
                 if self.hosts[host].incarnation == incarnation {
                     self.hosts[host].in_rotation = ready;
@@ -440,7 +449,10 @@
                 let at_ms = self.now_ms + BALANCER_LAG_MS;
                 self.schedule(at_ms, Happening::Rotation { host, incarnation, ready });
             }
-            Action::Exit => self.exit(host),
+            Action::Exit => {
+                let at_ms = self.now_ms + LINGER_MS;
+                self.schedule(at_ms, Happening::End { host, incarnation });
+            }
         }
     }
 
@@ -499,7 +511,7 @@
         let text = &self.platform.base[0].text;
         let config = config::merge(text, None).ok();
         let route = config.as_ref().and_then(|config| config.route("GET", path));
-        route.map_or(RepeatRule::Idempotent, |(_, _, route)| route.repeat)
+        route.map_or(RepeatRule::Idempotent, |target| target.repeat)
     }
 
     fn hang_up(&mut self, call: CallId) {
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,13 +1,14 @@
 //! Repetitive work on the project.
 //!
 //! `cargo xtask demo` runs the main job end to end on loopback, `cargo xtask measure`
-//! compares policies on running processes. Every process that is
-//! started belongs to a value that kills it when dropped, so errors, signals and panics
-//! leave none behind.
+//! compares policies on running processes, `cargo xtask search` plays random scenarios.
+//! Every process that is started belongs to a value that kills it when dropped, so errors,
+//! signals and panics leave none behind.
 
 mod demo;
 mod error;
 mod measure;
+mod search;
 mod slopes;
 
 use clap::{Parser, Subcommand};
@@ -32,6 +33,8 @@
     Demo(demo::Args),
     /// Measure policies side by side on running processes.
     Measure(measure::Args),
+    /// Play random scenarios until a promise breaks.
+    Search(search::Args),
     /// Measure what the core costs as fleet and configuration grow.
     Slopes(slopes::Args),
 }
@@ -56,6 +59,7 @@
     match task {
         Task::Demo(args) => demo::run(&args).await,
         Task::Measure(args) => measure::run(&args).await,
+        Task::Search(args) => search::run(&args),
         Task::Slopes(args) => slopes::run(&args).await,
     }
 }
