Lend slots from host to host, and choose load-aware as the default

Cause: the entry hosts acting in concert had to be weighed against the best local way. Under slot-lease one host per service (rendezvous hashing over the live, listed ones that stay) keeps the account of its slots. A host with waiting calls asks it, several calls with one message; every ask is answered at once, so 30 ms of silence mean that the lender is gone or paused, and the host chooses by itself until it hears from it again. Slots that find no use go back, leases expire after 2 s, a lender that was paused leaves old asks unanswered, two lenders only lend too much. Asks come out of half the control budget. One lender a service, not one in each availability zone: himal's services have 6 or 9 slots a zone, and spilling over between their lenders would take a second round trip.

The default is load-aware, for both firms.

--- a/crates/config/src/model.rs
+++ b/crates/config/src/model.rs
@@ -50,10 +50,10 @@
     LeastInFlight,
     /// The better of two random ones by local in-flight count.
     TwoChoices,
-    /// The best of a few random ones by reported load, latency and errors.
-    LoadAware,
-    /// Slots lent by the service's lender in each availability zone.
+    /// The best by reported load, service time and errors.
     #[default]
+    LoadAware,
+    /// Slots lent by the service's lender, as far as the control budget goes.
     SlotLease,
 }
 
--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -9,6 +9,7 @@
 use crate::message::ClaimKey;
 use crate::refusal::RunOutcome;
 use crate::service::Avoid;
+use crate::slots::HeldLease;
 use config::RepeatRule;
 use domain::{AttemptId, Millis, ServiceName, UpstreamId};
 
@@ -109,6 +110,10 @@
     pub sent_ms: Millis,
     /// Rounds of service that it was expected to take.
     pub rounds: f64,
+    /// The upstream declared that it did not run.
+    pub shed: bool,
+    /// The lease of its slot, if it was lent.
+    pub lease: Option<HeldLease>,
     /// Whether its answer's head came.
     pub answered: bool,
     /// Whether that head was no failure.
--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -12,7 +12,8 @@
 use crate::queue::Admission;
 use crate::refusal::{Refusal, RefusalCause, RunOutcome};
 use crate::service::{Avoid, ServiceState, TakenSlot};
-use config::RepeatRule;
+use crate::slots::LeaseAnswer;
+use config::{Policy, RepeatRule};
 use domain::{AttemptId, CallId, Millis, ServiceName, ZoneName};
 use rand::RngExt;
 
@@ -121,6 +122,7 @@
     ) {
         let Some(attempt) = self.attempts.remove(&id) else { return };
         self.note_end(now_ms, &attempt, end);
+        self.return_lease(now_ms, &attempt, end);
         if let Some(call) = self.calls.get_mut(&attempt.call) {
             call.live.retain(|&live| live != id);
             if !attempt.answered && is_proof_of_not_run(end) {
@@ -162,7 +164,7 @@
                 self.finish(id, RefusalCause::Expired, actions);
                 continue;
             }
-            let slot = self.take_slot_for(now_ms, id);
+            let slot = self.take_slot_for(now_ms, id, actions);
             let was_sent = self.calls.get(&id).is_some_and(|call| call.started > 0);
             if slot.is_none() && !was_sent {
                 break;
@@ -174,10 +176,7 @@
                 set_aside.push(id);
                 continue;
             };
-            match self.calls.get(&id).is_some_and(Call::needs_claim) {
-                true => self.ask_claim(now_ms, id, slot, actions),
-                false => self.emit_send(now_ms, id, slot, actions),
-            }
+            self.send_or_claim(now_ms, id, slot, actions);
         }
         self.put_back(service, set_aside);
         if let Some(state) = self.services.get_mut(service) {
@@ -282,10 +281,38 @@
         self.services.get(service)?.queue.peek()
     }
 
+    /// Sends a call into a slot that it holds, after asking for its key where it has one.
+    pub(crate) fn send_or_claim(
+        &mut self,
+        now_ms: Millis,
+        id: CallId,
+        slot: TakenSlot,
+        actions: &mut Vec<Action>,
+    ) {
+        match self.calls.get(&id).is_some_and(Call::needs_claim) {
+            true => self.ask_claim(now_ms, id, slot, actions),
+            false => self.emit_send(now_ms, id, slot, actions),
+        }
+    }
+
     /// Takes a slot for a waiting call if one is free.
-    fn take_slot_for(&mut self, now_ms: Millis, id: CallId) -> Option<TakenSlot> {
+    fn take_slot_for(
+        &mut self,
+        now_ms: Millis,
+        id: CallId,
+        actions: &mut Vec<Action>,
+    ) -> Option<TakenSlot> {
         let policy = self.in_force.as_ref()?.config.policy;
         let call = self.calls.get(&id)?;
+        if policy == Policy::SlotLease && call.avoid.upstreams.is_empty() {
+            let service = call.service.clone();
+            match self.lease_slot(now_ms, &service, actions) {
+                LeaseAnswer::Slot(slot) => return Some(slot),
+                LeaseAnswer::Wait => return None,
+                LeaseAnswer::ChooseYourself => {}
+            }
+        }
+        let call = self.calls.get(&id)?;
         let state = self.services.get_mut(&call.service)?;
         state.take_slot(now_ms, policy, &call.avoid, &mut self.rng)
     }
@@ -318,7 +345,7 @@
         actions: &mut Vec<Action>,
     ) {
         let Some(call) = self.calls.get_mut(&id) else { return };
-        let TakenSlot { upstream, address, rounds } = taken;
+        let TakenSlot { upstream, address, rounds, lease } = taken;
         self.last_attempt.0 += 1;
         let attempt = self.last_attempt;
         call.note_sent(attempt, upstream.clone());
@@ -338,6 +365,8 @@
             upstream,
             sent_ms: now_ms,
             rounds,
+            shed: false,
+            lease,
             answered: false,
             good_answer: false,
         };
--- a/crates/core/src/choice.rs
+++ b/crates/core/src/choice.rs
@@ -101,7 +101,18 @@
     ///
     /// Among upstreams with a free slot the emptier one is a little cheaper.
     pub fn cost_ms(&self, now_ms: Millis, upstream: &UpstreamState) -> f64 {
-        let there = self.requests_at(now_ms, upstream);
+        self.cost_of(now_ms, upstream, self.requests_at(now_ms, upstream))
+    }
+
+    /// The same where `lent` requests were lent there by this host's account; what others
+    /// send past it shows in fresh reports.
+    pub fn cost_of_lent_ms(&self, now_ms: Millis, upstream: &UpstreamState, lent: u32) -> f64 {
+        let memory_ms = REPORT_MEMORY * self.service_ms;
+        let fresh = upstream.estimate.fresh(now_ms, memory_ms);
+        self.cost_of(now_ms, upstream, f64::from(lent).max(fresh))
+    }
+
+    fn cost_of(&self, now_ms: Millis, upstream: &UpstreamState, there: f64) -> f64 {
         let slots = upstream.published.slots;
         let fill = (there + 1.0) / f64::from(slots.0.max(1));
         let service_ms = upstream.estimate.service_ms().unwrap_or(self.service_ms).max(1.0);
--- a/crates/core/src/claims/steps.rs
+++ b/crates/core/src/claims/steps.rs
@@ -209,12 +209,15 @@
             Some(cause) => self.finish(id, cause, actions),
         }
         self.free_held_slot(&service, &slot);
+        self.return_unused(now_ms, &service, &slot);
     }
 
-    fn free_held_slot(&mut self, service: &ServiceName, slot: &TakenSlot) {
+    /// Frees a slot that was taken and not used.
+    pub(crate) fn free_held_slot(&mut self, service: &ServiceName, slot: &TakenSlot) {
         let state = self.services.get_mut(service);
         if let Some(upstream) = state.and_then(|state| state.upstream_mut(&slot.upstream)) {
             upstream.in_flight = upstream.in_flight.saturating_sub(1);
+            upstream.estimate.note_over(upstream.in_flight);
         }
     }
 
--- a/crates/core/src/control/mod.rs
+++ b/crates/core/src/control/mod.rs
@@ -69,6 +69,12 @@
             PeerMessage::ServingSeen { upstream, nonce, ago_ms } => {
                 self.serving_seen(now_ms, &upstream, nonce, ago_ms);
             }
+            PeerMessage::SlotsWanted { service, count, returned } => {
+                self.slots_wanted(now_ms, &from, service, count, returned, actions);
+            }
+            PeerMessage::SlotsLent { service, asked, slots } => {
+                self.slots_lent(now_ms, from, service, asked, slots, actions);
+            }
             message @ (PeerMessage::ClaimAsked(_)
             | PeerMessage::ClaimVoted(_)
             | PeerMessage::ClaimReleased { .. }
--- a/crates/core/src/entry_host.rs
+++ b/crates/core/src/entry_host.rs
@@ -172,6 +172,7 @@
         let expiry_ms = first(&self.deadlines);
         let hedge_ms = first(&self.hedge_times);
         let wake_ms = self.services.values().filter_map(|state| state.wake_ms).min();
+        let slots_ms = self.services.values().filter_map(|state| state.borrower.due_ms()).min();
         let timers = &self.timers;
         timers
             .heartbeat_ms
@@ -182,6 +183,7 @@
             .min(expiry_ms.unwrap_or(Millis::MAX))
             .min(hedge_ms.unwrap_or(Millis::MAX))
             .min(wake_ms.unwrap_or(Millis::MAX))
+            .min(slots_ms.unwrap_or(Millis::MAX))
             .min(self.claims.next_due_ms().unwrap_or(Millis::MAX))
     }
 
@@ -198,6 +200,7 @@
         self.expire_calls(now_ms, actions);
         self.hedge_calls(now_ms, actions);
         self.dispatch_woken(now_ms, actions);
+        self.run_slots(now_ms, actions);
         self.run_control_timers(now_ms, actions);
         self.run_probes(now_ms, actions);
         self.run_health(now_ms, actions);
--- a/crates/core/src/estimate.rs
+++ b/crates/core/src/estimate.rs
@@ -49,13 +49,15 @@
     /// Requests that are there: `usual` is what to expect without a report, `memory_ms`
     /// the age at which a report has lost most of its worth.
     pub fn requests(&self, now_ms: Millis, usual: f64, memory_ms: f64) -> f64 {
-        let worth = match self.at_ms {
-            Some(at_ms) => (-now_ms.since(at_ms).as_f64() / memory_ms.max(1.0)).exp(),
-            None => 0.0,
-        };
+        let worth = self.worth(now_ms, memory_ms);
         usual + (self.reported - usual) * worth + f64::from(self.sent_since)
     }
 
+    /// What was reported, worth less the older it is.
+    pub fn fresh(&self, now_ms: Millis, memory_ms: f64) -> f64 {
+        self.reported * self.worth(now_ms, memory_ms)
+    }
+
     /// Notes the time to an answer, `rounds` of which were expected when it was sent.
     pub fn note_latency(&mut self, latency_ms: Millis, rounds: f64) {
         let sample = latency_ms.as_f64() / rounds.max(1.0);
@@ -80,4 +82,11 @@
     pub fn reported(&self) -> Option<f64> {
         self.at_ms.map(|_| self.reported)
     }
+
+    fn worth(&self, now_ms: Millis, memory_ms: f64) -> f64 {
+        match self.at_ms {
+            Some(at_ms) => (-now_ms.since(at_ms).as_f64() / memory_ms.max(1.0)).exp(),
+            None => 0.0,
+        }
+    }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -38,6 +38,7 @@
 mod retry;
 mod service;
 mod service_health;
+mod slots;
 mod traffic;
 mod upstream;
 
@@ -70,5 +71,6 @@
 pub use refusal::{Refusal, RefusalCause, RunOutcome};
 pub use rendezvous::{Job, Role};
 pub use service_health::Strictness;
+pub use slots::{LentSlot, ReturnedSlot};
 pub use traffic::{ControlTraffic, RefusedSender};
 pub use upstream::UpstreamState;
--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -6,6 +6,7 @@
 
 use crate::adoption::{Splice, VersionPair};
 use crate::event::{ConfigKey, HostList, LoadReport, PublishedValue};
+use crate::slots::{LentSlot, ReturnedSlot};
 use domain::{
     CallerId, HostId, IdempotencyKey, Incarnation, Millis, ServiceName, UpstreamId, Version,
 };
@@ -114,6 +115,24 @@
     },
     /// Claims that the sender remembers.
     StandingOffered(StandingClaims),
+    /// Asks the lender of a service for slots, and gives others back.
+    SlotsWanted {
+        /// Of which service.
+        service: ServiceName,
+        /// How many are wanted.
+        count: u32,
+        /// Slots given back.
+        returned: Vec<ReturnedSlot>,
+    },
+    /// The lender's answer: slots to be used at once or given back.
+    SlotsLent {
+        /// Of which service.
+        service: ServiceName,
+        /// How many were wanted.
+        asked: u32,
+        /// As many as are free.
+        slots: Vec<LentSlot>,
+    },
 }
 
 /// Kind of a message, to count by.
@@ -137,6 +156,8 @@
     Claim,
     /// [`PeerMessage::StandingWanted`] and [`PeerMessage::StandingOffered`].
     Standing,
+    /// [`PeerMessage::SlotsWanted`] and [`PeerMessage::SlotsLent`].
+    Slots,
 }
 
 impl PeerMessage {
@@ -161,6 +182,7 @@
             PeerMessage::StandingWanted { .. } | PeerMessage::StandingOffered(_) => {
                 MessageKind::Standing
             }
+            PeerMessage::SlotsWanted { .. } | PeerMessage::SlotsLent { .. } => MessageKind::Slots,
         }
     }
 }
--- a/crates/core/src/outcomes.rs
+++ b/crates/core/src/outcomes.rs
@@ -36,6 +36,7 @@
         }
         let failed = answer.status >= FIRST_FAILURE_STATUS && !answer.not_run;
         attempt.good_answer = !failed && !answer.not_run;
+        attempt.shed = answer.not_run;
         match answer.not_run {
             true => upstream.health.note_shed(now_ms, &mut self.rng),
             false if attempt.good_answer && !paused => {
--- a/crates/core/src/service.rs
+++ b/crates/core/src/service.rs
@@ -6,6 +6,7 @@
 use crate::queue::WaitQueue;
 use crate::refusal::RefusalCause;
 use crate::retry::SendBudget;
+use crate::slots::{Borrower, HeldLease, Lender};
 use crate::upstream::UpstreamState;
 use config::{Policy, Service};
 use domain::{Millis, ServiceName, UpstreamId, ZoneName};
@@ -37,6 +38,10 @@
     pub retries: SendBudget,
     /// Hedges left.
     pub hedges: SendBudget,
+    /// What it borrows of the service.
+    pub borrower: Borrower,
+    /// What it lends of the service.
+    pub lender: Lender,
     /// Recent latency of good answers.
     pub latency: RecentLatency,
     /// Calls in progress, waiting ones included.
@@ -66,6 +71,8 @@
     pub address: SocketAddr,
     /// Rounds of service that the attempt is expected to take.
     pub rounds: f64,
+    /// Its lease, if it was lent.
+    pub lease: Option<HeldLease>,
 }
 
 impl ServiceState {
@@ -78,6 +85,8 @@
             queue: WaitQueue::default(),
             retries: SendBudget::default(),
             hedges: SendBudget::default(),
+            borrower: Borrower::default(),
+            lender: Lender::default(),
             latency: RecentLatency::default(),
             calls: 0,
             waiting_since_ms: None,
@@ -170,12 +179,22 @@
         rng: &mut Pcg64Mcg,
     ) -> Option<TakenSlot> {
         let index = choose(now_ms, policy, &self.upstreams, open, &mut self.turn, rng)?;
+        Some(self.take(now_ms, index))
+    }
+
+    /// Takes a slot of an upstream that was lent, if it may receive work.
+    pub fn take_slot_of(&mut self, now_ms: Millis, id: &UpstreamId) -> Option<TakenSlot> {
+        let index = self.upstreams.binary_search_by(|state| state.id.cmp(id)).ok()?;
+        self.upstreams[index].is_open().then(|| self.take(now_ms, index))
+    }
+
+    fn take(&mut self, now_ms: Millis, index: usize) -> TakenSlot {
         let rounds = Usual::of(&self.upstreams).rounds(now_ms, &self.upstreams[index]);
         let upstream = &mut self.upstreams[index];
         upstream.in_flight += 1;
         upstream.estimate.note_sent();
         let (id, address) = (upstream.id.clone(), upstream.published.address);
-        Some(TakenSlot { upstream: id, address, rounds })
+        TakenSlot { upstream: id, address, rounds, lease: None }
     }
 
     /// Service time of the fastest open upstream, zero if none is known.
