Count a queue as standing at once where half of the upstreams shed

A queue behind shedding upstreams absorbs no burst: now it is kept short from the start, the wait of the call that last left it counts beside the estimate, and failed calls are not queued again behind it.

--- a/crates/core/src/call.rs
+++ b/crates/core/src/call.rs
@@ -22,6 +22,8 @@
     pub service: ServiceName,
     /// Whether it may be sent again.
     pub repeat: RepeatRule,
+    /// When it came.
+    pub arrived_ms: Millis,
     /// When its caller stops waiting.
     pub deadline_ms: Millis,
     /// Where it stands.
--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -169,8 +169,10 @@
             if slot.is_none() && !was_sent {
                 break;
             }
+            let arrived_ms = self.calls.get(&id).map_or(now_ms, |call| call.arrived_ms);
             if let Some(state) = self.services.get_mut(service) {
                 state.queue.pop();
+                state.last_wait_ms = now_ms.since(arrived_ms);
             }
             let Some(slot) = slot else {
                 set_aside.push(id);
@@ -259,6 +261,7 @@
             head,
             service: name.clone(),
             repeat,
+            arrived_ms: now_ms,
             deadline_ms: now_ms + timeout_ms,
             stage: Stage::Waiting,
             live: Vec::new(),
@@ -394,7 +397,8 @@
             && call.head.body_replayable
             && call.deadline_ms > now_ms + state.shortest_service_ms()
             && call.spent_attempts() < in_force.config.retry.max_attempts
-            && state.has_open_upstream();
+            && state.has_open_upstream()
+            && !state.has_standing_queue(now_ms);
         if !allowed || !state.retries.spend() {
             return false;
         }
--- a/crates/core/src/service.rs
+++ b/crates/core/src/service.rs
@@ -48,6 +48,8 @@
     pub calls: usize,
     /// Since when calls have been waiting without a break.
     pub waiting_since_ms: Option<Millis>,
+    /// How long the call that last left the queue had been here.
+    pub last_wait_ms: Millis,
     /// When to look again for a slot for those that wait.
     pub wake_ms: Option<Millis>,
     turn: usize,
@@ -90,6 +92,7 @@
             latency: RecentLatency::default(),
             calls: 0,
             waiting_since_ms: None,
+            last_wait_ms: Millis::ZERO,
             wake_ms: None,
             turn: 0,
         };
@@ -223,22 +226,35 @@
         ahead: usize,
         timeout_ms: Millis,
     ) -> Result<(), RefusalCause> {
-        let Some(since_ms) = self.waiting_since_ms else { return Ok(()) };
+        if self.waiting_since_ms.is_none() {
+            return Ok(());
+        }
         let wait_ms = self.expected_wait_ms(ahead + 1);
         let service_ms = self.shortest_service_ms();
         let longest_standing_ms = Millis(service_ms.0 * STANDING_ROUNDS);
-        let stands = now_ms.since(since_ms) >= STANDING_AFTER_MS;
+        let stands = self.has_standing_queue(now_ms);
+        let standing_wait_ms = wait_ms.max(self.last_wait_ms);
         match wait_ms {
             _ if wait_ms + service_ms > timeout_ms => Err(RefusalCause::WouldExpire),
-            _ if stands && wait_ms > longest_standing_ms => Err(RefusalCause::QueueFull),
+            _ if stands && standing_wait_ms > longest_standing_ms => Err(RefusalCause::QueueFull),
             _ => Ok(()),
         }
     }
 
+    /// Whether calls have been waiting for long without a break, or wait while half of
+    /// the upstreams shed: then a queue only adds its length to every answer.
+    pub fn has_standing_queue(&self, now_ms: Millis) -> bool {
+        let Some(since_ms) = self.waiting_since_ms else { return false };
+        let open = || self.upstreams.iter().filter(|upstream| upstream.is_open());
+        let shedding = open().filter(|upstream| upstream.health.backs_off(now_ms)).count();
+        now_ms.since(since_ms) >= STANDING_AFTER_MS || shedding * 2 >= open().count()
+    }
+
     /// Notes whether calls wait now, and when the next upstream may be free for them.
     pub fn note_queue(&mut self, now_ms: Millis) {
         if self.queue.len() == 0 {
             (self.waiting_since_ms, self.wake_ms) = (None, None);
+            self.last_wait_ms = Millis::ZERO;
             return;
         }
         self.waiting_since_ms.get_or_insert(now_ms);
