--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -476,7 +476,8 @@
         match call.stage {
             Stage::Delivering(delivering) if delivering == id => call.stage = Stage::Over,
             Stage::Sent if !awaits_other => {
-                let timed_out = end == AttemptEnd::Failed { stage: FailureStage::TimedOut };
+                let timed_out = end == AttemptEnd::Failed { stage: FailureStage::TimedOut }
+                    || call.deadline_ms <= now_ms;
                 if self.try_again(now_ms, attempt.call, actions) {
                     return;
                 }
