--- a/crates/core/src/service.rs
+++ b/crates/core/src/service.rs
@@ -6,6 +6,7 @@
 use crate::queue::WaitQueue;
 use crate::refusal::RefusalCause;
 use crate::retry::SendBudget;
+use crate::slots::{Borrower, HeldLease, Lender};
 use crate::upstream::UpstreamState;
 use config::{Policy, Service};
 use domain::{Millis, ServiceName, UpstreamId, ZoneName};
@@ -37,12 +38,18 @@
     pub retries: SendBudget,
     /// Hedges left.
     pub hedges: SendBudget,
+    /// What it borrows of the service.
+    pub borrower: Borrower,
+    /// What it lends of the service.
+    pub lender: Lender,
     /// Recent latency of good answers.
     pub latency: RecentLatency,
     /// Calls in progress, waiting ones included.
     pub calls: usize,
     /// Since when calls have been waiting without a break.
     pub waiting_since_ms: Option<Millis>,
+    /// How long the call that last left the queue had been here.
+    pub last_wait_ms: Millis,
     /// When to look again for a slot for those that wait.
     pub wake_ms: Option<Millis>,
     turn: usize,
@@ -66,6 +73,8 @@
     pub address: SocketAddr,
     /// Rounds of service that the attempt is expected to take.
     pub rounds: f64,
+    /// Its lease, if it was lent.
+    pub lease: Option<HeldLease>,
 }
 
 impl ServiceState {
@@ -78,9 +87,12 @@
             queue: WaitQueue::default(),
             retries: SendBudget::default(),
             hedges: SendBudget::default(),
+            borrower: Borrower::default(),
+            lender: Lender::default(),
             latency: RecentLatency::default(),
             calls: 0,
             waiting_since_ms: None,
+            last_wait_ms: Millis::ZERO,
             wake_ms: None,
             turn: 0,
         };
@@ -170,12 +182,22 @@
         rng: &mut Pcg64Mcg,
     ) -> Option<TakenSlot> {
         let index = choose(now_ms, policy, &self.upstreams, open, &mut self.turn, rng)?;
+        Some(self.take(now_ms, index))
+    }
+
+    /// Takes a slot of an upstream that was lent, if it may receive work.
+    pub fn take_slot_of(&mut self, now_ms: Millis, id: &UpstreamId) -> Option<TakenSlot> {
+        let index = self.upstreams.binary_search_by(|state| state.id.cmp(id)).ok()?;
+        self.upstreams[index].is_open().then(|| self.take(now_ms, index))
+    }
+
+    fn take(&mut self, now_ms: Millis, index: usize) -> TakenSlot {
         let rounds = Usual::of(&self.upstreams).rounds(now_ms, &self.upstreams[index]);
         let upstream = &mut self.upstreams[index];
         upstream.in_flight += 1;
         upstream.estimate.note_sent();
         let (id, address) = (upstream.id.clone(), upstream.published.address);
-        Some(TakenSlot { upstream: id, address, rounds })
+        TakenSlot { upstream: id, address, rounds, lease: None }
     }
 
     /// Service time of the fastest open upstream, zero if none is known.
@@ -204,22 +226,35 @@
         ahead: usize,
         timeout_ms: Millis,
     ) -> Result<(), RefusalCause> {
-        let Some(since_ms) = self.waiting_since_ms else { return Ok(()) };
+        if self.waiting_since_ms.is_none() {
+            return Ok(());
+        }
         let wait_ms = self.expected_wait_ms(ahead + 1);
         let service_ms = self.shortest_service_ms();
         let longest_standing_ms = Millis(service_ms.0 * STANDING_ROUNDS);
-        let stands = now_ms.since(since_ms) >= STANDING_AFTER_MS;
+        let stands = self.has_standing_queue(now_ms);
+        let standing_wait_ms = wait_ms.max(self.last_wait_ms);
         match wait_ms {
             _ if wait_ms + service_ms > timeout_ms => Err(RefusalCause::WouldExpire),
-            _ if stands && wait_ms > longest_standing_ms => Err(RefusalCause::QueueFull),
+            _ if stands && standing_wait_ms > longest_standing_ms => Err(RefusalCause::QueueFull),
             _ => Ok(()),
         }
     }
 
+    /// Whether calls have been waiting for long without a break, or wait while half of
+    /// the upstreams shed: then a queue only adds its length to every answer.
+    pub fn has_standing_queue(&self, now_ms: Millis) -> bool {
+        let Some(since_ms) = self.waiting_since_ms else { return false };
+        let open = || self.upstreams.iter().filter(|upstream| upstream.is_open());
+        let shedding = open().filter(|upstream| upstream.health.backs_off(now_ms)).count();
+        now_ms.since(since_ms) >= STANDING_AFTER_MS || shedding * 2 >= open().count()
+    }
+
     /// Notes whether calls wait now, and when the next upstream may be free for them.
     pub fn note_queue(&mut self, now_ms: Millis) {
         if self.queue.len() == 0 {
             (self.waiting_since_ms, self.wake_ms) = (None, None);
+            self.last_wait_ms = Millis::ZERO;
             return;
         }
         self.waiting_since_ms.get_or_insert(now_ms);
