--- a/crates/core/src/dump.rs
+++ b/crates/core/src/dump.rs
@@ -80,6 +80,11 @@
         self.in_force.as_ref().map(|in_force| &in_force.config.limits)
     }
 
+    /// The newest pair of versions that was refused, and why.
+    pub fn rejected(&self) -> Option<RejectedPair> {
+        self.adoption.rejected()
+    }
+
     /// Everything the host holds, for operators.
     pub fn dump(&self) -> StateDump<'_> {
         let services = self.services.values().map(|state| ServiceDump {
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -15,7 +15,7 @@
 use config::HostLimits;
 use decision_core::{
     Action, Attempt, AttemptEnd, CallHead, CallStep, EntryHost, Event, FailureStage, Refusal,
-    UpstreamExplanation, VersionPair,
+    RejectedPair, UpstreamExplanation, VersionPair,
 };
 use domain::{AttemptId, ByteCount, CallId, FastMap, Millis, UpstreamId};
 use futures_util::StreamExt;
@@ -82,6 +82,7 @@
 struct State {
     core: EntryHost,
     versions: VersionPair,
+    rejected: Option<RejectedPair>,
     calls: FastMap<CallId, OpenCall>,
     attempts: FastMap<AttemptId, OpenAttempt>,
     actions: Vec<Action>,
@@ -122,6 +123,7 @@
         let state = State {
             core,
             versions: VersionPair::default(),
+            rejected: None,
             calls: FastMap::default(),
             attempts: FastMap::default(),
             actions: Vec::new(),
@@ -261,6 +263,7 @@
     }
 
     fn handle(self: &Arc<Driver>, state: &mut State, event: Event, discarded: &mut Discarded) {
+        let brings_config = matches!(event, Event::ConfigRead(_) | Event::PeerReceived { .. });
         let mut actions = std::mem::take(&mut state.actions);
         state.core.handle(self.clock.now(), event, &mut actions);
         for action in actions.drain(..) {
@@ -268,14 +271,18 @@
         }
         state.actions = actions;
         self.note_tick(state.core.next_tick_ms());
-        self.note_limits(state);
+        self.note_versions(state);
+        if brings_config {
+            note_rejected(state);
+        }
     }
 
-    fn note_limits(&self, state: &mut State) {
+    fn note_versions(&self, state: &mut State) {
         let versions = state.core.versions();
         if versions == state.versions {
             return;
         }
+        log::info!("config: base {}, overlay {} in force", versions.base, versions.overlay);
         state.versions = versions;
         if let Some(limits) = state.core.limits() {
             self.max_body_bytes.store(limits.max_body_bytes.0, Ordering::Relaxed);
@@ -414,6 +421,17 @@
     }
 }
 
+fn note_rejected(state: &mut State) {
+    let rejected = state.core.rejected();
+    if rejected == state.rejected {
+        return;
+    }
+    if let Some(RejectedPair { base, overlay, problems }) = &rejected {
+        log::warn!("config: base {base} with overlay {overlay} refused: {problems}");
+    }
+    state.rejected = rejected;
+}
+
 fn cancel(state: &mut State, attempt: AttemptId, discarded: &mut Discarded) {
     let Some(open) = state.attempts.get_mut(&attempt) else { return };
     let (spent, _) = oneshot::channel();
