--- a/crates/core/src/claims/tests.rs
+++ b/crates/core/src/claims/tests.rs
@@ -195,7 +195,7 @@
 fn tallies(#[case] votes: &[(usize, ClaimVerdict)], #[case] at_ms: u64, #[case] expected: Tally) {
     let committee = (0..3).map(host).collect();
     let address = "127.0.0.1:1".parse().unwrap();
-    let slot = TakenSlot { upstream: "shop-1".parse().unwrap(), address, rounds: 1.0 };
+    let slot = TakenSlot { upstream: "shop-1".parse().unwrap(), address, rounds: 1.0, lease: None };
     let mut pending = Pending::new(CallId(1), key(1), slot, Millis::ZERO, committee);
     votes.iter().for_each(|(number, verdict)| pending.note(&host(*number), verdict));
     assert_eq!(pending.tally(Millis(at_ms)), expected);
