Count claims, restarts and every peer message in the slopes

A generated change now alters one field, as most changes do; before, it altered several upstreams far apart, which no difference could make small. The least disturbed round counts instead of the median, which moved by half with the machine's load.

--- a/crates/slopes/src/calls.rs
+++ b/crates/slopes/src/calls.rs
@@ -91,6 +91,16 @@
     }
 }
 
+/// An order with a key that no other call has.
+///
+/// # Errors
+///
+/// If the generated key is none.
+pub fn keyed_head(path: String, number: u64) -> Result<CallHead, SlopesError> {
+    let key = format!("order-{number:012}").parse().map_err(|_| SlopesError::BadId)?;
+    Ok(CallHead { method: "POST".to_owned(), idempotency_key: Some(key), ..head(path) })
+}
+
 /// A whole answer of an upstream with one slot in use.
 pub fn answer() -> AnswerHead {
     AnswerHead {
--- a/crates/slopes/src/frames.rs
+++ b/crates/slopes/src/frames.rs
@@ -4,12 +4,14 @@
 //! and IP headers are not counted.
 
 use crate::error::SlopesError;
-use crate::host::{host_id, host_list};
+use crate::host::{host_id, host_list, peer_address};
 use crate::meter::{Cost, Meter, Times};
 use decision_core::{
-    ConfigKey, Envelope, Heartbeat, PROTOCOL_VERSION, PeerMessage, PublishedValue, VersionPair,
+    ClaimId, ClaimKey, ClaimQuestion, ClaimVerdict, ClaimVote, ConfigKey, Envelope, Heartbeat,
+    LoadReport, PROTOCOL_VERSION, PeerMessage, PublishedValue, Splice, StandingClaim,
+    StandingClaims, UpstreamFact, UpstreamNews, UpstreamNewsItem, UpstreamRef, VersionPair,
 };
-use domain::{Incarnation, Version};
+use domain::{Incarnation, Millis, Slots, Version};
 use jsonrpsee::types::{Id, Params, Request};
 use serde::Serialize;
 use std::hint::black_box;
@@ -25,6 +27,8 @@
 pub const CONFIRMATION_FRAME_BYTES: usize = server_frame_bytes(CONFIRMATION.len());
 /// Bytes of the value that stands for a published one.
 const VALUE_BYTES: usize = 10_000;
+/// A key as callers make them.
+const IDEMPOTENCY_KEY: &str = "7d444840-9dc0-11d1-b245-5ffdce74fad2";
 const MASK_BYTES: usize = 4;
 /// Hosts of a fleet of today.
 const HOSTS: usize = 15;
@@ -61,13 +65,28 @@
 ///
 /// If a generated id is none.
 pub fn messages() -> Result<Vec<(&'static str, PeerMessage)>, SlopesError> {
+    let mut messages = control_messages()?;
+    messages.extend(upstream_messages()?);
+    messages.extend(claim_messages()?);
+    Ok(messages)
+}
+
+type Named = (&'static str, PeerMessage);
+
+fn control_messages() -> Result<Vec<Named>, SlopesError> {
     let value = PublishedValue { version: VERSION, text: text(VALUE_BYTES) };
     let heartbeat = heartbeat(VersionPair { base: VERSION, overlay: VERSION }, HOSTS);
     let (key, version) = (ConfigKey::Overlay, VERSION);
+    let splice = Splice::between(&value.text, &value.text.replacen("slots", "slot", 1));
+    let splice = splice.ok_or(SlopesError::Json)?;
     Ok(vec![
         ("heartbeat, 15 hosts", PeerMessage::Heartbeat(heartbeat.clone())),
         ("config wanted", PeerMessage::ConfigWanted { key, version, held: version }),
         ("config offered, 10 kB", PeerMessage::ConfigOffered { key, value }),
+        (
+            "config changed, one field",
+            PeerMessage::ConfigChanged { key, from: version, version, splice },
+        ),
         ("versions wanted", PeerMessage::VersionsWanted { round: 1 }),
         ("versions, 15 hosts", PeerMessage::Versions { round: 1, heartbeat }),
         ("host list wanted", PeerMessage::HostListWanted),
@@ -75,6 +94,52 @@
     ])
 }
 
+fn upstream_messages() -> Result<Vec<Named>, SlopesError> {
+    let upstream = UpstreamRef {
+        service: "service-0001".parse().map_err(|_| SlopesError::BadId)?,
+        id: "up-00001".parse().map_err(|_| SlopesError::BadId)?,
+        address: peer_address(1),
+    };
+    let load = Some(LoadReport { busy: Slots(3), queued: 0 });
+    let news = |fact| {
+        let item = UpstreamNewsItem { upstream: upstream.clone(), ago_ms: Millis(100), fact };
+        PeerMessage::UpstreamNews(UpstreamNews { items: vec![item] })
+    };
+    let (wanted, seen) = (upstream.clone(), upstream.clone());
+    Ok(vec![
+        ("upstream news, one leaving", news(UpstreamFact::Leaving)),
+        ("upstream news, one probed", news(UpstreamFact::Alive { load })),
+        ("serving wanted", PeerMessage::ServingWanted { upstream: wanted, nonce: u64::MAX }),
+        (
+            "serving seen",
+            PeerMessage::ServingSeen { upstream: seen, nonce: u64::MAX, ago_ms: Millis(100) },
+        ),
+    ])
+}
+
+fn claim_messages() -> Result<Vec<Named>, SlopesError> {
+    let claim = ClaimId { host: host_id(1)?, incarnation: RUN, number: CALL_ID };
+    let key = ClaimKey {
+        caller: "booking-desk".parse().map_err(|_| SlopesError::BadId)?,
+        service: "service-0001".parse().map_err(|_| SlopesError::BadId)?,
+        key: IDEMPOTENCY_KEY.parse().map_err(|_| SlopesError::BadId)?,
+    };
+    let committee = (0..HOSTS).map(host_id).collect::<Result<_, _>>()?;
+    let question = ClaimQuestion { claim: claim.clone(), key: key.clone(), committee };
+    let vote = ClaimVote { claim: claim.clone(), verdict: ClaimVerdict::Yes };
+    let (released, released_key) = (claim.clone(), key.clone());
+    let standing = StandingClaim { key, claim, left_ms: Millis(60_000) };
+    let claims =
+        StandingClaims { round: 1, part: 1, parts: 10, electorate: vec![], claims: vec![standing] };
+    Ok(vec![
+        ("claim asked, 15 voters", PeerMessage::ClaimAsked(question)),
+        ("claim voted", PeerMessage::ClaimVoted(vote)),
+        ("claim released", PeerMessage::ClaimReleased { claim: released, key: released_key }),
+        ("standing wanted", PeerMessage::StandingWanted { round: 1 }),
+        ("standing offered, one claim", PeerMessage::StandingOffered(claims)),
+    ])
+}
+
 /// A heartbeat of a host that has these versions in force and has just heard of all.
 pub fn heartbeat(in_force: VersionPair, hosts: usize) -> Heartbeat {
     Heartbeat {
--- a/crates/slopes/src/lib.rs
+++ b/crates/slopes/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod calls;
 mod changes;
+mod claims;
 mod error;
 mod fit;
 mod fleet;
--- a/crates/slopes/src/meter.rs
+++ b/crates/slopes/src/meter.rs
@@ -1,7 +1,7 @@
 //! What a piece of work costs.
 //!
 //! Time is the processor time of the measuring thread, so that a busy machine distorts
-//! it less; the median over rounds leaves out the rounds that were disturbed.
+//! it less, and the least disturbed round counts: a floor, to be planned with a margin.
 
 use nix::time::{ClockId, clock_gettime};
 use serde::Serialize;
@@ -35,7 +35,7 @@
 /// How often a piece of work is measured.
 #[derive(Debug, Clone, Copy)]
 pub struct Times {
-    /// Measurements, of which the median counts.
+    /// Measurements, of which the lowest counts.
     pub rounds: usize,
     /// Pieces of work in each.
     pub repeats: usize,
@@ -68,11 +68,12 @@
     ) -> Cost {
         let rounds: Vec<Cost> =
             (0..times.rounds).map(|_| self.round(times.repeats, &mut prepare, &mut work)).collect();
-        let median_of = |part: fn(&Cost) -> f64| median(rounds.iter().map(part).collect());
+        let lowest_of =
+            |part: fn(&Cost) -> f64| rounds.iter().map(part).fold(f64::INFINITY, f64::min);
         Cost {
-            cpu_ns: median_of(|cost| cost.cpu_ns),
-            allocations: median_of(|cost| cost.allocations),
-            allocated_bytes: median_of(|cost| cost.allocated_bytes),
+            cpu_ns: lowest_of(|cost| cost.cpu_ns),
+            allocations: lowest_of(|cost| cost.allocations),
+            allocated_bytes: lowest_of(|cost| cost.allocated_bytes),
         }
     }
 
@@ -105,8 +106,3 @@
     clock_gettime(ClockId::CLOCK_THREAD_CPUTIME_ID)
         .map_or(0, |time| time.tv_sec() * NANOS_PER_SECOND + time.tv_nsec())
 }
-
-fn median(mut values: Vec<f64>) -> f64 {
-    values.sort_by(f64::total_cmp);
-    values.get(values.len() / 2).copied().unwrap_or_default()
-}
--- a/crates/slopes/src/published.rs
+++ b/crates/slopes/src/published.rs
@@ -6,6 +6,9 @@
 const ZONES: usize = 4;
 /// Slots of each upstream.
 pub const SLOTS: u32 = 6;
+const CONNECTIONS: usize = 250;
+/// Values that the changed field takes by turns.
+const CHANGES: usize = 100;
 /// Upstreams of a service that the base states; the overlay states the others.
 const BASE_SHARE: usize = 2;
 
@@ -48,7 +51,7 @@
             .to_string()
     }
 
-    /// The other upstreams; `change` is a number that the text depends on.
+    /// The other upstreams; `change` is a number that one field of one upstream depends on.
     pub fn overlay(&self, change: usize) -> String {
         let services =
             self.services(|index| json!({ "upstreams": self.upstreams_of(index, 1, change) }));
@@ -60,6 +63,11 @@
         format!("{}/42", read_path(service % self.size.services))
     }
 
+    /// Path of a request that a service may be sent once.
+    pub fn order_path(&self, service: usize) -> String {
+        format!("{}/42", order_path(service % self.size.services))
+    }
+
     fn services(&self, state: impl Fn(usize) -> Value) -> Map<String, Value> {
         (0..self.size.services).map(|index| (service(index), state(index))).collect()
     }
@@ -68,20 +76,19 @@
         let SiteSize { upstreams, services } = self.size;
         let numbers = (service..upstreams).step_by(services).enumerate();
         let stated = numbers.filter(|(place, _)| place % BASE_SHARE == rest);
-        stated.map(|(_, number)| (upstream(number), upstream_state(number, change))).collect()
+        let changed = |number| if number == services { change } else { 0 };
+        stated
+            .map(|(_, number)| (upstream(number), upstream_state(number, changed(number))))
+            .collect()
     }
 }
 
 fn upstream_state(number: usize, change: usize) -> Value {
-    let connections = match number.is_multiple_of(1000) {
-        true => 250 + change % 100,
-        false => 250,
-    };
     json!({
         "address": format!("10.{}.{}.{}:8080", number >> 16, (number >> 8) & 0xff, number & 0xff),
         "availability_zone": zone(number % ZONES),
         "slots": SLOTS,
-        "connections": connections,
+        "connections": CONNECTIONS + change % CHANGES,
     })
 }
 
--- a/crates/slopes/src/report.rs
+++ b/crates/slopes/src/report.rs
@@ -4,7 +4,7 @@
 use crate::frames::{self, Frame};
 use crate::meter::Meter;
 use crate::series::Series;
-use crate::{calls, changes, fleet, memory, operator, site};
+use crate::{calls, changes, claims, fleet, memory, operator, site};
 use serde::Serialize;
 use std::fmt;
 
@@ -28,6 +28,7 @@
     series.extend(calls::measure(meter)?);
     series.extend(fleet::measure(meter)?);
     series.extend(operator::measure(meter)?);
+    series.extend(claims::measure(meter)?);
     series.extend(site::measure()?);
     Ok(Report { series, frames: frames::measure(meter)? })
 }
--- a/crates/slopes/src/series.rs
+++ b/crates/slopes/src/series.rs
@@ -21,6 +21,10 @@
     TextBytes,
     /// Calls a second at one entry host.
     CallsPerSecond,
+    /// Calls a second at one entry host that carry an idempotency key.
+    KeyedCallsPerSecond,
+    /// Keys that a voter remembers.
+    KeysHeld,
 }
 
 /// What a quantity is counted in.
@@ -96,6 +100,8 @@
             Variable::ListedHosts => "listed host",
             Variable::TextBytes => "byte of text",
             Variable::CallsPerSecond => "call/s of a host",
+            Variable::KeyedCallsPerSecond => "keyed call/s of a host",
+            Variable::KeysHeld => "key held",
         })
     }
 }
--- a/crates/slopes/src/site.rs
+++ b/crates/slopes/src/site.rs
@@ -16,15 +16,36 @@
 /// A region of the target: 13,000 instances and 1,200 services over 11 regions.
 const REGION: SiteSize = SiteSize { upstreams: 1_182, services: 109 };
 
-/// Hosts, size of their site, and calls a second at each.
-const LOADED: [(usize, SiteSize, u64); 7] = [
-    (15, TODAY, 100),
-    (15, TODAY, 476),
-    (15, REGION, 100),
-    (15, REGION, 476),
-    (35, REGION, 476),
-    (35, REGION, 2_000),
-    (60, REGION, 1_000),
+/// A site under load.
+#[derive(Debug, Clone, Copy)]
+struct Loaded {
+    hosts: usize,
+    size: SiteSize,
+    /// At each host.
+    calls_per_second: u64,
+    /// Of these.
+    keyed_per_second: u64,
+}
+
+const fn loaded_site(
+    hosts: usize,
+    size: SiteSize,
+    calls_per_second: u64,
+    keyed_per_second: u64,
+) -> Loaded {
+    Loaded { hosts, size, calls_per_second, keyed_per_second }
+}
+
+const LOADED: [Loaded; 9] = [
+    loaded_site(15, TODAY, 100, 0),
+    loaded_site(15, TODAY, 100, 10),
+    loaded_site(15, TODAY, 476, 0),
+    loaded_site(15, REGION, 100, 0),
+    loaded_site(15, REGION, 476, 10),
+    loaded_site(35, REGION, 476, 0),
+    loaded_site(35, REGION, 476, 10),
+    loaded_site(35, REGION, 2_000, 0),
+    loaded_site(60, REGION, 1_000, 0),
 ];
 
 /// Hosts and size of their site.
@@ -44,6 +65,7 @@
 pub fn measure() -> Result<Vec<Series>, SlopesError> {
     let mut series = quiet()?;
     series.extend(changing()?);
+    series.extend(restarting()?);
     series.extend(loaded()?);
     Ok(series)
 }
@@ -61,6 +83,10 @@
         self.each(self.counts.peer_bytes)
     }
 
+    fn claims_sent(&self) -> f64 {
+        self.each(self.counts.claim_bytes)
+    }
+
     fn control_cpu(&self) -> f64 {
         self.each(self.counts.control_cpu_ns / 1e3)
     }
@@ -124,25 +150,36 @@
 
 fn loaded() -> Result<Vec<Series>, SlopesError> {
     let mut spans = Vec::new();
-    for (hosts, size, calls_per_second) in LOADED {
+    for Loaded { hosts, size, calls_per_second, keyed_per_second } in LOADED {
         let mut site = ready_site(hosts, size)?;
-        let load = Load { calls_per_second: calls_per_second * hosts as u64 };
+        let load = Load {
+            calls_per_second: calls_per_second * hosts as u64,
+            keyed_per_second: keyed_per_second * hosts as u64,
+        };
         site.run_loaded(SETTLE_MS, load)?;
         site.counts = Counts::default();
         site.run_loaded(LOADED_MS, load)?;
-        let at = vec![hosts as f64, size.upstreams as f64, calls_per_second as f64];
+        let at = [hosts, size.upstreams].map(|count| count as f64);
+        let rates = [calls_per_second, keyed_per_second].map(|rate| rate as f64);
+        let at = [at, rates].concat();
         let span = Span { hosts, seconds: LOADED_MS.as_f64() / 1e3, counts: site.counts };
         spans.push((at, span));
     }
-    let parts: [Part; 6] = [
+    let parts: [Part; 7] = [
         ("loaded.sent_by_host", Unit::BytesPerSecond, Span::sent),
+        ("loaded.claims_sent_by_host", Unit::BytesPerSecond, Span::claims_sent),
         ("loaded.frames_of_host", Unit::PerSecond, Span::frames),
         ("loaded.control_cpu_of_host", Unit::CpuMicrosPerSecond, Span::control_cpu),
         ("loaded.core_per_call", Unit::CpuMicros, Span::call_cpu),
         ("loaded.refused_of_site", Unit::PerSecond, Span::refused),
         ("loaded.probes_of_site", Unit::PerSecond, Span::probes),
     ];
-    let variables = [Variable::ListedHosts, Variable::Upstreams, Variable::CallsPerSecond];
+    let variables = [
+        Variable::ListedHosts,
+        Variable::Upstreams,
+        Variable::CallsPerSecond,
+        Variable::KeyedCallsPerSecond,
+    ];
     series_of(&parts, &variables, &spans)
 }
 
@@ -168,6 +205,26 @@
     ])
 }
 
+fn restarting() -> Result<Vec<Series>, SlopesError> {
+    let (mut ready, mut sent, mut reads) = (Vec::new(), Vec::new(), Vec::new());
+    for (hosts, size) in CHANGING {
+        let mut site = ready_site(hosts, size)?;
+        let published = Published::new(size, POLICY);
+        let text_bytes = (published.base().len() + published.overlay(0).len()) as f64;
+        let took_ms = site.restart(CHANGE_LIMIT_MS)?;
+        let at = vec![hosts as f64, text_bytes];
+        ready.push(Point { at: at.clone(), value: took_ms.as_f64() });
+        sent.push(Point { at: at.clone(), value: site.counts.peer_bytes });
+        reads.push(Point { at, value: site.counts.config_reads as f64 });
+    }
+    let variables = [Variable::ListedHosts, Variable::TextBytes];
+    Ok(vec![
+        Series::new("restart.until_ready", Unit::VirtualMillis, &variables, ready)?,
+        Series::new("restart.sent_by_all", Unit::Bytes, &variables, sent)?,
+        Series::new("restart.config_reads_of_site", Unit::Count, &variables, reads)?,
+    ])
+}
+
 const POLICY: &str = "slot-lease";
 
 fn ready_site(hosts: usize, size: SiteSize) -> Result<VirtualSite, SlopesError> {
--- a/crates/slopes/src/virtual_site.rs
+++ b/crates/slopes/src/virtual_site.rs
@@ -4,7 +4,7 @@
 //! bytes, reads and processor time, not for judging decisions. Messages to one peer that
 //! come of one event share an envelope, as they mostly do in the daemon.
 
-use crate::calls::head;
+use crate::calls::{head, keyed_head};
 use crate::error::SlopesError;
 use crate::frames::{self, CONFIRMATION_FRAME_BYTES};
 use crate::host::{host_id, host_list, settings};
@@ -12,7 +12,8 @@
 use crate::published::{Published, SLOTS};
 use decision_core::{
     Action, AnswerHead, Attempt, AttemptEnd, ConfigKey, ConfigReading, EntryHost, Event, HostList,
-    LoadReport, PeerMessage, ProbeResult, PublishedValue, ReadOutcome, VersionPair,
+    HostSettings, LoadReport, MessageKind, PeerMessage, ProbeResult, PublishedValue, ReadOutcome,
+    VersionPair,
 };
 use domain::{AttemptId, CallId, FastMap, HostId, Incarnation, Millis, Slots, UpstreamId, Version};
 use std::collections::BTreeMap;
@@ -23,7 +24,6 @@
 const READ_MS: Millis = Millis(2);
 /// Shortest and longest work on a call.
 const WORK_MS: (u64, u64) = (10, 31);
-const RUN: Incarnation = Incarnation(1);
 const SEED: u64 = 11;
 
 /// What the hosts of a site did, all together.
@@ -31,6 +31,8 @@
 pub struct Counts {
     /// Bytes of peer frames sent, confirmations included.
     pub peer_bytes: f64,
+    /// The part of these that claims of keys take.
+    pub claim_bytes: f64,
     /// Peer frames sent, without confirmations.
     pub peer_frames: u64,
     /// Processor time on ticks, peers' messages and readings.
@@ -52,6 +54,8 @@
 pub struct Load {
     /// All hosts together.
     pub calls_per_second: u64,
+    /// Calls of these that run at most once and carry a key.
+    pub keyed_per_second: u64,
 }
 
 /// Real cores and what surrounds them.
@@ -63,6 +67,7 @@
     hosts: Vec<EntryHost>,
     numbers: FastMap<HostId, usize>,
     ticks_ms: Vec<Millis>,
+    runs: Vec<Incarnation>,
     events: BTreeMap<(Millis, u64), (usize, Event)>,
     watches: Vec<Watch>,
     values: FastMap<ConfigKey, PublishedValue>,
@@ -107,6 +112,7 @@
             hosts: cores.collect::<Result<_, SlopesError>>()?,
             numbers: ids.collect::<Result<_, SlopesError>>()?,
             ticks_ms: vec![now_ms; hosts],
+            runs: vec![Incarnation(1); hosts],
             events: BTreeMap::new(),
             watches: Vec::new(),
             values: values.into_iter().collect(),
@@ -134,12 +140,15 @@
     /// If a message can't be written.
     pub fn run_loaded(&mut self, span_ms: Millis, load: Load) -> Result<(), SlopesError> {
         let end_ms = self.now_ms + span_ms;
-        let mut owed = 0;
+        let (mut owed, mut keyed_owed) = (0, 0);
         while self.now_ms < end_ms {
             owed += load.calls_per_second;
             while owed >= 1000 {
                 owed -= 1000;
-                self.call_arrives()?;
+                keyed_owed += load.keyed_per_second;
+                let is_keyed = keyed_owed >= load.calls_per_second;
+                keyed_owed -= if is_keyed { load.calls_per_second } else { 0 };
+                self.call_arrives(is_keyed)?;
             }
             self.run_until(self.now_ms + Millis(1))?;
         }
@@ -168,6 +177,29 @@
         Ok(self.now_ms.since(start_ms))
     }
 
+    /// Replaces the first host by a new run of itself that knows nothing. Returns the time
+    /// until it has a configuration in force.
+    ///
+    /// # Errors
+    ///
+    /// If that takes longer than the limit.
+    pub fn restart(&mut self, limit_ms: Millis) -> Result<Millis, SlopesError> {
+        self.runs[0].0 += 1;
+        let settings = HostSettings { incarnation: self.runs[0], ..settings(0)? };
+        self.hosts[0] = EntryHost::new(settings, SEED, self.now_ms);
+        self.ticks_ms[0] = self.now_ms;
+        self.watches.retain(|watch| watch.host != 0);
+        self.events.retain(|_, (host, _)| *host != 0);
+        let start_ms = self.now_ms;
+        while !self.is_ready() {
+            if self.now_ms.since(start_ms) > limit_ms {
+                return Err(SlopesError::NotReady);
+            }
+            self.run_until(self.now_ms + Millis(1))?;
+        }
+        Ok(self.now_ms.since(start_ms))
+    }
+
     /// Whether every host has a configuration in force.
     pub fn is_ready(&self) -> bool {
         (0..self.hosts.len()).all(|host| self.in_force(host).base > Version(0))
@@ -249,10 +281,14 @@
         let envelope = frames::envelope(messages)?;
         let frame_bytes = frames::client_frame_bytes(frames::encode(&envelope)?.len());
         self.counts.peer_frames += 1;
-        self.counts.peer_bytes += (frame_bytes + CONFIRMATION_FRAME_BYTES) as f64;
+        let bytes = (frame_bytes + CONFIRMATION_FRAME_BYTES) as f64;
+        self.counts.peer_bytes += bytes;
+        let of_claims = envelope.messages.iter().filter(|message| is_of_claims(message)).count();
+        self.counts.claim_bytes += bytes * of_claims as f64 / envelope.messages.len() as f64;
         let Some(&receiver) = self.numbers.get(to) else { return Ok(()) };
         for message in envelope.messages {
-            let event = Event::PeerReceived { from: host_id(from)?, incarnation: RUN, message };
+            let event =
+                Event::PeerReceived { from: host_id(from)?, incarnation: self.runs[from], message };
             self.schedule(MESSAGE_MS, receiver, event);
         }
         Ok(())
@@ -287,13 +323,17 @@
         }
     }
 
-    fn call_arrives(&mut self) -> Result<(), SlopesError> {
+    fn call_arrives(&mut self, is_keyed: bool) -> Result<(), SlopesError> {
         self.last_call += 1;
         self.counts.calls += 1;
         let number = self.last_call as usize;
         // Consecutive calls of one host go to different services.
-        let path = self.published.read_path(number / self.hosts.len() + number);
-        let event = Event::CallArrived { call: CallId(self.last_call), head: head(path) };
+        let service = number / self.hosts.len() + number;
+        let head = match is_keyed {
+            true => keyed_head(self.published.order_path(service), self.last_call)?,
+            false => head(self.published.read_path(service)),
+        };
+        let event = Event::CallArrived { call: CallId(self.last_call), head };
         self.hand_over(number % self.hosts.len(), event)
     }
 
@@ -369,3 +409,7 @@
         }
     }
 }
+
+fn is_of_claims(message: &PeerMessage) -> bool {
+    matches!(message.kind(), MessageKind::Claim | MessageKind::Standing)
+}
