Leave services alone that a change does not touch

Cause: putting a configuration in force cloned and republished every service and sought waiting calls in every one, though most changes touch one field of one service, and calls wait meanwhile.

Services whose published state is the same, and that were not on their way out, are left as they are; only services with waiting calls are looked at afterwards. A service that was removed and comes back unchanged is still published anew: a test holds that, and fails without the guard.

--- a/crates/core/src/control/in_force.rs
+++ b/crates/core/src/control/in_force.rs
@@ -18,8 +18,10 @@
         actions: &mut Vec<Action>,
     ) {
         for (name, service) in &config.services {
-            self.control.retired.remove(name);
+            let returns = self.control.retired.remove(name).is_some();
             match self.services.get_mut(name) {
+                // Most changes touch few services, and calls wait for this.
+                Some(state) if !returns && state.holds(service) => {}
                 Some(state) => state.republish(service.clone(), now_ms),
                 None => {
                     let state = ServiceState::new(name.clone(), service.clone(), now_ms);
@@ -36,7 +38,8 @@
         if first && !self.lifecycle.is_leaving() {
             actions.push(Action::SetReady(true));
         }
-        let names: Vec<_> = self.services.keys().cloned().collect();
+        let waiting = self.services.iter().filter(|(_, state)| state.queue.len() > 0);
+        let names: Vec<_> = waiting.map(|(name, _)| name.clone()).collect();
         for name in names {
             self.dispatch(now_ms, &name, actions);
         }
--- a/crates/core/src/service.rs
+++ b/crates/core/src/service.rs
@@ -125,6 +125,12 @@
         self.settle_health(now_ms);
     }
 
+    /// Whether republishing would change nothing: the same is published, and no upstream of
+    /// an earlier configuration is left.
+    pub fn holds(&self, published: &Service) -> bool {
+        self.published == *published && self.upstreams.len() == published.upstreams.len()
+    }
+
     /// The upstream of that id.
     pub fn upstream(&self, id: &UpstreamId) -> Option<&UpstreamState> {
         let at = self.upstreams.binary_search_by(|state| state.id.cmp(id)).ok()?;
--- a/crates/core/tests/leaving.rs
+++ b/crates/core/tests/leaving.rs
@@ -95,6 +95,21 @@
     assert_eq!(freed.send().map(|sent| sent.call), Some(WAITING));
 }
 
+#[test]
+fn a_service_that_comes_back_unchanged_after_its_end_serves_again() {
+    let (mut bench, first) = changed_in_use(&without_shop());
+    for now_ms in [1000, 1900, 2900, 3100] {
+        bench.tick(now_ms);
+    }
+    bench.publish(ConfigKey::Base, 3, BASE);
+    for attempt in first.0..first.0 + 4 {
+        let (attempt, end) = (domain::AttemptId(attempt), AttemptEnd::Completed);
+        bench.handle(3200, Event::AttemptEnded { attempt, end });
+    }
+    let next = bench.arrive(NEXT, RepeatRule::Idempotent);
+    assert_eq!(next.send().map(|sent| sent.call), Some(NEXT));
+}
+
 #[test]
 fn a_stop_is_told_to_every_peer_at_once_and_ends_all_jobs() {
     let mut pump = fleet(17, 1);
