Sum up from slopes what deployments need, against the target's limits

Cause: the capacity page needs every limit with a computed value, and sums made by hand go stale with each slope.

The slopes now fit relative distances: sizes span three orders of magnitude, and a plain fit let the largest decide, with negative values for the smallest.

--- a/crates/slopes/src/error.rs
+++ b/crates/slopes/src/error.rs
@@ -15,6 +15,8 @@
     Json,
     /// The points of a series determine no line.
     Fit(&'static str),
+    /// A sum needs a series that was not measured.
+    NoSeries(&'static str),
     /// An earlier measurement's peak hides this one's.
     PeakHidden,
     /// The report could not be written.
@@ -33,6 +35,7 @@
             }
             SlopesError::Json => f.write_str("a value is no JSON: correct the generator"),
             SlopesError::Fit(name) => write!(f, "no line fits {name}: vary each variable alone"),
+            SlopesError::NoSeries(name) => write!(f, "{name} was not measured: add its series"),
             SlopesError::PeakHidden => {
                 f.write_str("an earlier peak hides this one: measure the larger site later")
             }
--- a/crates/slopes/src/fit.rs
+++ b/crates/slopes/src/fit.rs
@@ -1,10 +1,15 @@
 //! Least squares: a value as an intercept and one slope for each variable.
+//!
+//! Sizes span some orders of magnitude, so relative distances count: else the largest
+//! site alone would decide, and the line would be useless for the smallest.
 
 use serde::Serialize;
 use std::fmt;
 
-/// Pivots below this mean that the points don't tell the variables apart.
-const MIN_PIVOT: f64 = 1e-9;
+/// Pivots below this part of the largest mean that the points don't tell the variables apart.
+const MIN_PIVOT_SHARE: f64 = 1e-12;
+/// Values below this part of the largest weigh as if they were it.
+const SMALLEST_SHARE: f64 = 1e-3;
 
 /// Intercept and slopes of a line through points.
 #[derive(Debug, Clone, PartialEq, Serialize)]
@@ -13,7 +18,7 @@
     pub intercept: f64,
     /// Growth of the value with each variable, in the variables' order.
     pub slopes: Vec<f64>,
-    /// Largest distance of a point from the line, as a share of the largest value.
+    /// Largest distance of a point from the line, as a share of its value.
     pub worst_residual_share: f64,
 }
 
@@ -45,7 +50,7 @@
     }
 }
 
-/// The line with the least sum of squared distances.
+/// The line with the least sum of squared relative distances.
 ///
 /// Each point is its variables and its value.
 ///
@@ -58,7 +63,7 @@
         return Err(FitError::TooFewPoints);
     }
     let scales = scales(points, variables);
-    let coefficients = solve(normal_equations(points, &scales))?;
+    let coefficients = solve(normal_equations(points, &scales, smallest_value(points)))?;
     let unscaled = coefficients.iter().skip(1).zip(&scales);
     let mut line = Fit {
         intercept: coefficients[0],
@@ -77,14 +82,16 @@
 }
 
 /// One row for each unknown: its coefficients and, last, its right side.
-fn normal_equations(points: &[(Vec<f64>, f64)], scales: &[f64]) -> Vec<Vec<f64>> {
+fn normal_equations(points: &[(Vec<f64>, f64)], scales: &[f64], smallest: f64) -> Vec<Vec<f64>> {
     let unknowns = scales.len() + 1;
     let mut rows = vec![vec![0.0; unknowns + 1]; unknowns];
     for (x, value) in points {
-        let scaled = x.iter().zip(scales).map(|(x, scale)| x / scale);
-        let terms: Vec<f64> = std::iter::once(1.0).chain(scaled).collect();
+        let weight = 1.0 / value.abs().max(smallest);
+        let scaled = x.iter().zip(scales).map(|(x, scale)| weight * x / scale);
+        let terms: Vec<f64> = std::iter::once(weight).chain(scaled).collect();
+        let weighted = weight * value;
         for (row, left) in rows.iter_mut().zip(&terms) {
-            for (cell, right) in row.iter_mut().zip(terms.iter().chain([value])) {
+            for (cell, right) in row.iter_mut().zip(terms.iter().chain([&weighted])) {
                 *cell += left * right;
             }
         }
@@ -95,12 +102,13 @@
 /// Gaussian elimination with row exchange.
 fn solve(mut rows: Vec<Vec<f64>>) -> Result<Vec<f64>, FitError> {
     let unknowns = rows.len();
+    let largest = rows.iter().flatten().map(|cell| cell.abs()).fold(0.0, f64::max);
     for column in 0..unknowns {
         let pivot = (column..unknowns)
             .max_by(|&a, &b| rows[a][column].abs().total_cmp(&rows[b][column].abs()))
             .ok_or(FitError::Degenerate)?;
         rows.swap(column, pivot);
-        if rows[column][column].abs() < MIN_PIVOT {
+        if rows[column][column].abs() <= largest * MIN_PIVOT_SHARE {
             return Err(FitError::Degenerate);
         }
         let source = rows[column].clone();
@@ -114,11 +122,17 @@
     Ok((0..unknowns).map(|index| rows[index][unknowns] / rows[index][index]).collect())
 }
 
-fn worst_residual_share(line: &Fit, points: &[(Vec<f64>, f64)]) -> f64 {
+/// What smaller values are taken for, so that a zero among them does not decide alone.
+fn smallest_value(points: &[(Vec<f64>, f64)]) -> f64 {
     let largest = points.iter().map(|(_, value)| value.abs()).fold(0.0, f64::max);
-    let worst = points.iter().map(|(x, value)| (line.at(x) - value).abs()).fold(0.0, f64::max);
     match largest > 0.0 {
-        true => worst / largest,
-        false => 0.0,
+        true => largest * SMALLEST_SHARE,
+        false => 1.0,
     }
 }
+
+fn worst_residual_share(line: &Fit, points: &[(Vec<f64>, f64)]) -> f64 {
+    let smallest = smallest_value(points);
+    let residual = |x: &[f64], value: f64| (line.at(x) - value).abs() / value.abs().max(smallest);
+    points.iter().map(|(x, value)| residual(x, *value)).fold(0.0, f64::max)
+}
--- a/crates/slopes/src/report.rs
+++ b/crates/slopes/src/report.rs
@@ -3,6 +3,7 @@
 use crate::error::SlopesError;
 use crate::frames::{self, Frame};
 use crate::meter::Meter;
+use crate::plan::{Plan, plans};
 use crate::series::Series;
 use crate::{calls, changes, claims, fleet, memory, operator, site};
 use serde::Serialize;
@@ -15,6 +16,8 @@
     pub series: Vec<Series>,
     /// Messages on the wire.
     pub frames: Vec<Frame>,
+    /// What deployments need.
+    pub plans: Vec<Plan>,
 }
 
 /// Measures everything; takes a minute or two.
@@ -30,7 +33,9 @@
     series.extend(operator::measure(meter)?);
     series.extend(claims::measure(meter)?);
     series.extend(site::measure()?);
-    Ok(Report { series, frames: frames::measure(meter)? })
+    let mut report = Report { series, frames: frames::measure(meter)?, plans: Vec::new() };
+    report.plans = plans(&report)?;
+    Ok(report)
 }
 
 impl fmt::Display for Report {
@@ -55,7 +60,7 @@
                 frame.decode.cpu_ns / 1e3,
             )?;
         }
-        Ok(())
+        self.plans.iter().try_for_each(|plan| write!(f, "{plan}"))
     }
 }
 
