--- a/crates/slopes/src/main.rs
+++ b/crates/slopes/src/main.rs
@@ -6,7 +6,7 @@
 use cap::Cap;
 use clap::Parser;
 use error_stack::{Report, ResultExt};
-use slopes::{HeapCounts, Meter, SlopesError, measure_all};
+use slopes::{HeapCounts, Markdown, Meter, SlopesError, measure_all};
 use stats_alloc::{INSTRUMENTED_SYSTEM, StatsAlloc};
 use std::alloc::System;
 use std::path::PathBuf;
@@ -21,12 +21,18 @@
     /// Also write the report to this file, as JSON.
     #[arg(long)]
     json: Option<PathBuf>,
+    /// Print the tables of docs/CAPACITY.md instead of all points.
+    #[arg(long)]
+    markdown: bool,
 }
 
 fn main() -> Result<(), Report<SlopesError>> {
     let args = Args::parse();
     let report = measure_all(&Meter::new(heap))?;
-    print!("{report}");
+    match args.markdown {
+        true => print!("{}", Markdown(&report)),
+        false => print!("{report}"),
+    }
     if let Some(path) = args.json {
         let json = serde_json::to_string_pretty(&report).change_context(SlopesError::Json)?;
         std::fs::write(path, json + "\n").change_context(SlopesError::Write)?;
--- a/xtask/src/slopes.rs
+++ b/xtask/src/slopes.rs
@@ -17,6 +17,9 @@
     /// Also write the report to this file, as JSON.
     #[arg(long)]
     json: Option<PathBuf>,
+    /// Print the tables of docs/CAPACITY.md instead of all points.
+    #[arg(long, conflicts_with = "daemon")]
+    markdown: bool,
     /// Measure the daemon on a running site instead of the core.
     #[arg(long)]
     daemon: bool,
@@ -41,6 +44,9 @@
     if let Some(path) = &args.json {
         command.arg("--json").arg(path);
     }
+    if args.markdown {
+        command.arg("--markdown");
+    }
     let status = command.kill_on_drop(true).status().await;
     let status = status.change_context(TaskError::Cargo)?;
     Ok(if status.success() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
