Measure what a lost availability zone does to calls; sum up a node's memory

Cause: the capacity page has to say what happens when a third of a region's hosts end at once, and the memory limit is one for the whole node, not for each part.

Voters are chosen without regard to where they stand, ten of 15 must say yes, and lost hosts vote for a key window longer. Refused, not run: no promise breaks, but it is a wall.

Conclusion: both belong to claims and stand on the page with the change that would help.

--- a/crates/slopes/src/markdown.rs
+++ b/crates/slopes/src/markdown.rs
@@ -1,6 +1,7 @@
 //! The report as the tables of the capacity page.
 
 use crate::frames::Frame;
+use crate::outage::Outage;
 use crate::plan::{Plan, Sum, Verdict};
 use crate::report::Report;
 use crate::series::Series;
@@ -12,9 +13,10 @@
 
 impl fmt::Display for Markdown<'_> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Report { series, frames, plans } = self.0;
+        let Report { series, frames, outages, plans } = self.0;
         write_sums(f, plans)?;
         write_frames(f, frames)?;
+        write_outages(f, outages)?;
         write_series(f, series)
     }
 }
@@ -47,6 +49,16 @@
     writeln!(f)
 }
 
+fn write_outages(f: &mut fmt::Formatter<'_>, outages: &[Outage]) -> fmt::Result {
+    writeln!(f, "| lost | time since | calls | refused | sent by a live host, B/s |")?;
+    writeln!(f, "|---|---|---:|---:|---:|")?;
+    for Outage { zones, from_ms, until_ms, calls, refused, sent_by_host } in outages {
+        let sent = Short(*sent_by_host);
+        writeln!(f, "| one of {zones} | {from_ms} to {until_ms} | {calls} | {refused} | {sent} |")?;
+    }
+    writeln!(f)
+}
+
 fn write_series(f: &mut fmt::Formatter<'_>, series: &[Series]) -> fmt::Result {
     writeln!(f, "| series | unit | intercept | slopes | worst residual |")?;
     writeln!(f, "|---|---|---:|---|---:|")?;
--- a/crates/slopes/src/plan.rs
+++ b/crates/slopes/src/plan.rs
@@ -2,7 +2,7 @@
 
 use crate::error::SlopesError;
 use crate::report::Report;
-use crate::series::Series;
+use crate::series::{Series, Unit};
 use serde::Serialize;
 use std::fmt;
 
@@ -16,6 +16,8 @@
 const KEYS_OF_VOTER: f64 = 32_768.0;
 const KEY_WINDOW_SECONDS: f64 = 120.0;
 const VOTERS: f64 = 15.0;
+/// Resident memory of the daemon without calls in a small site: `daemon.resident`.
+const PROCESS_BYTES: f64 = 12_455_936.0;
 /// The window in which reads of a change were counted, and are to be taken out again.
 const COUNTED_SECONDS: f64 = 1.0;
 
@@ -116,9 +118,9 @@
     /// What.
     pub name: &'static str,
     /// In what.
-    pub unit: &'static str,
+    pub unit: Unit,
     /// The series it comes from.
-    pub source: &'static str,
+    pub sources: &'static [&'static str],
     /// The computed value.
     pub value: f64,
     /// What it must not exceed.
@@ -166,104 +168,104 @@
 
 impl Slopes<'_> {
     fn sums(&self) -> Result<Vec<Sum>, SlopesError> {
-        let changes_per_second = self.deployment.changes_of_day / SECONDS_OF_DAY;
-        let change_us = self.of_site("change.whole")?;
-        let change_bytes = self.of_hosts_and_text("spread.sent_by_host")?;
-        let quiet_bytes = self.of_hosts("quiet.sent_by_host")?;
-        let quiet_us = self.of_hosts("quiet.control_cpu_of_host")?;
-        let busy = changes_per_second * BUSY_FACTOR;
-        let spread_ms = self.of_hosts_and_text("spread.until_everywhere")?;
-        let voters = VOTERS.min(self.deployment.hosts);
-        let keyed = KEYS_OF_VOTER / KEY_WINDOW_SECONDS * self.deployment.hosts / voters;
+        let mut sums = self.memory_sums()?;
+        sums.extend(self.change_sums()?);
+        sums.extend(self.control_sums()?);
+        sums.extend(self.other_sums()?);
+        Ok(sums)
+    }
+
+    fn memory_sums(&self) -> Result<Vec<Sum>, SlopesError> {
+        let held = self.of_site("memory.after_changes")?;
+        let peak = self.of_site("memory.peak_of_change")?;
+        let voter = self.at("claim.held", &[KEYS_OF_VOTER])?;
+        let node = PROCESS_BYTES + peak + voter;
         Ok(vec![
-            sum("largest value if all stood in one", "B", "config.text", self.text_bytes()?)
+            sum("value, if all stood in one", Unit::Bytes, &["config.text"], self.text_bytes()?)
                 .at_most(MAX_VALUE_BYTES),
-            sum("heap held", "B", "memory.after_changes", self.of_site("memory.after_changes")?)
-                .at_most(MAX_MEMORY_BYTES),
+            sum("heap held", Unit::Bytes, &["memory.after_changes"], held),
+            sum("heap at a change", Unit::Bytes, &["memory.peak_of_change"], peak),
+            sum("heap of a full voter", Unit::Bytes, &["claim.held"], voter),
             sum(
-                "heap at a change",
-                "B",
-                "memory.peak_of_change",
-                self.of_site("memory.peak_of_change")?,
+                "node: process, change, full voter",
+                Unit::Bytes,
+                &["daemon.resident", "memory.peak_of_change", "claim.held"],
+                node,
             )
             .at_most(MAX_MEMORY_BYTES),
-            sum("one change, calls wait", "us", "change.whole", change_us),
-            sum(
-                "share of time that calls wait",
-                "",
-                "change.whole",
-                change_us * changes_per_second / 1e6,
-            )
-            .at_most(MAX_STALLED_SHARE),
-            sum("same, busiest minute", "", "change.whole", change_us * busy / 1e6)
+        ])
+    }
+
+    fn change_sums(&self) -> Result<Vec<Sum>, SlopesError> {
+        let change_us = self.of_site("change.whole")?;
+        let stalled = |rate: f64| change_us * rate / 1e6;
+        let messages_ms = self.of_hosts_and_text("spread.until_everywhere")?;
+        let everywhere_ms = messages_ms + HOPS * change_us / 1e3;
+        let source = &["change.whole"];
+        Ok(vec![
+            sum("one change, calls wait", Unit::CpuMicros, source, change_us),
+            sum("part of the time that calls wait", Unit::Share, source, stalled(self.mean_rate()))
+                .at_most(MAX_STALLED_SHARE),
+            sum("same, busiest minute", Unit::Share, source, stalled(self.busy_rate()))
                 .at_most(MAX_STALLED_SHARE),
-            sum(
-                "control of the core",
-                "us/s",
-                "quiet.control_cpu_of_host, change.whole",
-                quiet_us + change_us * changes_per_second,
-            )
-            .at_most(MAX_CONTROL_CPU_US),
-            sum(
-                "same, busiest minute",
-                "us/s",
-                "quiet.control_cpu_of_host, change.whole",
-                quiet_us + change_us * busy,
-            )
-            .at_most(MAX_CONTROL_CPU_US),
-            sum(
-                "control sent by a host",
-                "B/s",
-                "quiet.sent_by_host, spread.sent_by_host",
-                quiet_bytes + change_bytes * changes_per_second,
-            )
-            .at_most(MAX_CONTROL_BYTES),
-            sum(
-                "same, busiest minute",
-                "B/s",
-                "quiet.sent_by_host, spread.sent_by_host",
-                quiet_bytes + change_bytes * busy,
-            )
-            .at_most(MAX_CONTROL_BYTES),
-            sum(
-                "reads of the service by all sites",
-                "/s",
-                "quiet.config_reads_of_site, spread.config_reads_of_site",
-                self.reads(changes_per_second)?,
-            )
-            .at_most(MAX_READS),
-            sum(
-                "same, busiest minute",
-                "/s",
-                "quiet.config_reads_of_site, spread.config_reads_of_site",
-                self.reads(busy)?,
-            )
-            .at_most(MAX_READS),
             sum(
                 "change in force at every host",
-                "ms",
-                "spread.until_everywhere, change.whole",
-                spread_ms + HOPS * change_us / 1e3,
+                Unit::VirtualMillis,
+                &["spread.until_everywhere", "change.whole"],
+                everywhere_ms,
             )
             .at_most(MAX_SPREAD_MS),
+        ])
+    }
+
+    fn control_sums(&self) -> Result<Vec<Sum>, SlopesError> {
+        let change_us = self.of_site("change.whole")?;
+        let quiet_us = self.of_hosts("quiet.control_cpu_of_host")?;
+        let cpu_us = |rate: f64| quiet_us + change_us * rate;
+        let change_bytes = self.of_hosts_and_text("spread.sent_by_host")?;
+        let quiet_bytes = self.of_hosts("quiet.sent_by_host")?;
+        let sent = |rate: f64| quiet_bytes + change_bytes * rate;
+        let cpu = (Unit::CpuMicrosPerSecond, &["quiet.control_cpu_of_host", "change.whole"]);
+        let bytes = (Unit::BytesPerSecond, &["quiet.sent_by_host", "spread.sent_by_host"]);
+        let reads =
+            (Unit::PerSecond, &["quiet.config_reads_of_site", "spread.config_reads_of_site"]);
+        let (mean, busy) = (self.mean_rate(), self.busy_rate());
+        Ok(vec![
+            sum("control of the core", cpu.0, cpu.1, cpu_us(mean)).at_most(MAX_CONTROL_CPU_US),
+            sum("same, busiest minute", cpu.0, cpu.1, cpu_us(busy)).at_most(MAX_CONTROL_CPU_US),
+            sum("control sent by a host", bytes.0, bytes.1, sent(mean)).at_most(MAX_CONTROL_BYTES),
+            sum("same, busiest minute", bytes.0, bytes.1, sent(busy)).at_most(MAX_CONTROL_BYTES),
+            sum("reads of the service by all sites", reads.0, reads.1, self.reads(mean)?)
+                .at_most(MAX_READS),
+            sum("same, busiest minute", reads.0, reads.1, self.reads(busy)?).at_most(MAX_READS),
+        ])
+    }
+
+    fn other_sums(&self) -> Result<Vec<Sum>, SlopesError> {
+        let voters = VOTERS.min(self.deployment.hosts);
+        let keyed = KEYS_OF_VOTER / KEY_WINDOW_SECONDS * self.deployment.hosts / voters;
+        let restart = self.of_hosts_and_text("restart.sent_by_all")?;
+        let dump = self.of_site("dump.under_lock")?;
+        Ok(vec![
             sum(
-                "restart, sent by all",
-                "B",
-                "restart.sent_by_all",
-                self.of_hosts_and_text("restart.sent_by_all")?,
+                "keyed calls of a site until voters are full",
+                Unit::PerSecond,
+                &["claim.held"],
+                keyed,
             ),
-            sum("keyed calls a second of a site until voters are full", "/s", "claim.held", keyed),
-            sum(
-                "heap of a full voter",
-                "B",
-                "claim.held",
-                self.at("claim.held", &[KEYS_OF_VOTER])?,
-            )
-            .at_most(MAX_MEMORY_BYTES),
-            sum("dump, calls wait", "us", "dump.under_lock", self.of_site("dump.under_lock")?),
+            sum("restart of a host, sent by all", Unit::Bytes, &["restart.sent_by_all"], restart),
+            sum("dump, calls wait", Unit::CpuMicros, &["dump.under_lock"], dump),
         ])
     }
 
+    fn mean_rate(&self) -> f64 {
+        self.deployment.changes_of_day / SECONDS_OF_DAY
+    }
+
+    fn busy_rate(&self) -> f64 {
+        self.mean_rate() * BUSY_FACTOR
+    }
+
     fn reads(&self, changes_per_second: f64) -> Result<f64, SlopesError> {
         let quiet = self.of_hosts("quiet.config_reads_of_site")?;
         let of_change = self.of_hosts_and_text("spread.config_reads_of_site")?;
@@ -294,8 +296,8 @@
     }
 }
 
-fn sum(name: &'static str, unit: &'static str, source: &'static str, value: f64) -> Sum {
-    Sum { name, unit, source, value, limit: None }
+fn sum(name: &'static str, unit: Unit, sources: &'static [&'static str], value: f64) -> Sum {
+    Sum { name, unit, sources, value, limit: None }
 }
 
 impl Sum {
@@ -315,7 +317,7 @@
                 "  {:<54} {:>11} {:<5} {:<14} {}",
                 sum.name,
                 Rounded(sum.value).to_string(),
-                sum.unit,
+                sum.unit.to_string(),
                 limit,
                 sum.verdict()
             )?;
--- a/crates/slopes/src/report.rs
+++ b/crates/slopes/src/report.rs
@@ -3,6 +3,7 @@
 use crate::error::SlopesError;
 use crate::frames::{self, Frame};
 use crate::meter::Meter;
+use crate::outage::{self, Outage};
 use crate::plan::{Plan, plans};
 use crate::series::Series;
 use crate::{calls, changes, claims, fleet, memory, operator, site};
@@ -16,6 +17,8 @@
     pub series: Vec<Series>,
     /// Messages on the wire.
     pub frames: Vec<Frame>,
+    /// A region that loses an availability zone.
+    pub outages: Vec<Outage>,
     /// What deployments need.
     pub plans: Vec<Plan>,
 }
@@ -33,7 +36,8 @@
     series.extend(operator::measure(meter)?);
     series.extend(claims::measure(meter)?);
     series.extend(site::measure()?);
-    let mut report = Report { series, frames: frames::measure(meter)?, plans: Vec::new() };
+    let frames = frames::measure(meter)?;
+    let mut report = Report { series, frames, outages: outage::measure()?, plans: Vec::new() };
     report.plans = plans(&report)?;
     Ok(report)
 }
@@ -60,6 +64,8 @@
                 frame.decode.cpu_ns / 1e3,
             )?;
         }
+        writeln!(f, "\nafter the loss of an availability zone")?;
+        self.outages.iter().try_for_each(|outage| writeln!(f, "  {outage}"))?;
         self.plans.iter().try_for_each(|plan| write!(f, "{plan}"))
     }
 }
@@ -93,3 +99,11 @@
         }
     }
 }
+
+impl fmt::Display for Outage {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Outage { zones, from_ms, until_ms, calls, refused, sent_by_host } = self;
+        write!(f, "one of {zones}, {from_ms} to {until_ms}: {refused} of {calls} calls refused, ")?;
+        write!(f, "{sent_by_host:.0} B/s sent by a live host")
+    }
+}
--- a/crates/slopes/src/series.rs
+++ b/crates/slopes/src/series.rs
@@ -47,6 +47,8 @@
     PerSecond,
     /// Events.
     Count,
+    /// A part of a whole, 0 to 1.
+    Share,
 }
 
 /// A value and the sizes it was measured at.
@@ -117,6 +119,7 @@
             Unit::VirtualMillis => "ms",
             Unit::PerSecond => "/s",
             Unit::Count => "times",
+            Unit::Share => "of 1",
         })
     }
 }
--- a/crates/slopes/src/virtual_site.rs
+++ b/crates/slopes/src/virtual_site.rs
@@ -67,6 +67,7 @@
     hosts: Vec<EntryHost>,
     numbers: FastMap<HostId, usize>,
     ticks_ms: Vec<Millis>,
+    is_down: Vec<bool>,
     runs: Vec<Incarnation>,
     events: BTreeMap<(Millis, u64), (usize, Event)>,
     watches: Vec<Watch>,
@@ -112,6 +113,7 @@
             hosts: cores.collect::<Result<_, SlopesError>>()?,
             numbers: ids.collect::<Result<_, SlopesError>>()?,
             ticks_ms: vec![now_ms; hosts],
+            is_down: vec![false; hosts],
             runs: vec![Incarnation(1); hosts],
             events: BTreeMap::new(),
             watches: Vec::new(),
@@ -205,6 +207,25 @@
         (0..self.hosts.len()).all(|host| self.in_force(host).base > Version(0))
     }
 
+    /// Ends every host of that number and one in `zones` after it; the list keeps them.
+    pub fn lose_zone(&mut self, number: usize, zones: usize) {
+        for host in (number..self.hosts.len()).step_by(zones) {
+            self.is_down[host] = true;
+            self.ticks_ms[host] = Millis::MAX;
+        }
+        let is_down = &self.is_down;
+        self.events.retain(|_, (host, _)| !is_down[*host]);
+        self.watches.retain(|watch| !is_down[watch.host]);
+    }
+
+    /// The host list stops naming the hosts that ended.
+    pub fn drop_lost_from_list(&mut self) {
+        self.list.version.0 += 1;
+        let (numbers, is_down) = (&self.numbers, &self.is_down);
+        let lost = |host: &HostId| numbers.get(host).is_some_and(|&number| is_down[number]);
+        self.list.hosts.retain(|listed| !lost(&listed.host));
+    }
+
     fn in_force(&self, host: usize) -> VersionPair {
         self.hosts[host].versions()
     }
@@ -286,6 +307,9 @@
         let of_claims = envelope.messages.iter().filter(|message| is_of_claims(message)).count();
         self.counts.claim_bytes += bytes * of_claims as f64 / envelope.messages.len() as f64;
         let Some(&receiver) = self.numbers.get(to) else { return Ok(()) };
+        if self.is_down[receiver] {
+            return Ok(());
+        }
         for message in envelope.messages {
             let event =
                 Event::PeerReceived { from: host_id(from)?, incarnation: self.runs[from], message };
@@ -334,7 +358,8 @@
             false => head(self.published.read_path(service)),
         };
         let event = Event::CallArrived { call: CallId(self.last_call), head };
-        self.hand_over(number % self.hosts.len(), event)
+        let live: Vec<usize> = (0..self.hosts.len()).filter(|&host| !self.is_down[host]).collect();
+        self.hand_over(live[number % live.len()], event)
     }
 
     /// An upstream works on a call at once, however many it has, and answers whole.
