--- a/crates/slopes/src/series.rs
+++ b/crates/slopes/src/series.rs
@@ -21,6 +21,10 @@
     TextBytes,
     /// Calls a second at one entry host.
     CallsPerSecond,
+    /// Calls a second at one entry host that carry an idempotency key.
+    KeyedCallsPerSecond,
+    /// Keys that a voter remembers.
+    KeysHeld,
 }
 
 /// What a quantity is counted in.
@@ -43,6 +47,8 @@
     PerSecond,
     /// Events.
     Count,
+    /// A part of a whole, 0 to 1.
+    Share,
 }
 
 /// A value and the sizes it was measured at.
@@ -96,6 +102,8 @@
             Variable::ListedHosts => "listed host",
             Variable::TextBytes => "byte of text",
             Variable::CallsPerSecond => "call/s of a host",
+            Variable::KeyedCallsPerSecond => "keyed call/s of a host",
+            Variable::KeysHeld => "key held",
         })
     }
 }
@@ -111,6 +119,7 @@
             Unit::VirtualMillis => "ms",
             Unit::PerSecond => "/s",
             Unit::Count => "times",
+            Unit::Share => "of 1",
         })
     }
 }
