Count lent slots in the slopes

Cause: slots are lent from host to host now, and the load-aware policy became the default.

The messages of slots stand among the frames, whole sites are measured under the default policy and, as series of their own, under slot-lease.

--- a/crates/slopes/benches/core.rs
+++ b/crates/slopes/benches/core.rs
@@ -15,7 +15,7 @@
     let mut group = c.benchmark_group("merge");
     group.sample_size(10);
     for size in SIZES {
-        let published = Published::new(size, "slot-lease");
+        let published = Published::new(size, "load-aware");
         let (base, overlay) = (published.base(), published.overlay(1));
         group.bench_function(BenchmarkId::from_parameter(size.upstreams), |b| {
             b.iter(|| config::merge(&base, Some(&overlay)));
@@ -27,7 +27,7 @@
     let mut group = c.benchmark_group("change");
     group.sample_size(10);
     for size in SIZES {
-        let mut host = LoadedHost::start(Published::new(size, "slot-lease")).unwrap();
+        let mut host = LoadedHost::start(Published::new(size, "load-aware")).unwrap();
         group.bench_function(BenchmarkId::from_parameter(size.upstreams), |b| {
             b.iter(|| {
                 let change = host.next_change();
--- a/crates/slopes/src/changes.rs
+++ b/crates/slopes/src/changes.rs
@@ -39,7 +39,7 @@
 }
 
 fn change(meter: &Meter, size: SiteSize) -> Result<ChangeCost, SlopesError> {
-    let mut host = LoadedHost::start(Published::new(size, "slot-lease"))?;
+    let mut host = LoadedHost::start(Published::new(size, "load-aware"))?;
     let (base, overlay) = (host.published().base(), host.published().overlay(1));
     let merge = meter.cost(TIMES, || (), |()| config::merge(&base, Some(&overlay)));
     let mut changes: Vec<_> = (0..TIMES.rounds).map(|_| host.next_change()).collect();
--- a/crates/slopes/src/claims.rs
+++ b/crates/slopes/src/claims.rs
@@ -38,7 +38,7 @@
 }
 
 fn voter(meter: &Meter, keys: usize) -> Result<(f64, Cost), SlopesError> {
-    let mut host = LoadedHost::start(Published::new(SMALL_SITE, "slot-lease"))?;
+    let mut host = LoadedHost::start(Published::new(SMALL_SITE, "load-aware"))?;
     host.tell(Event::HostListRead(Some(host_list(2, HOSTS)?)));
     for _ in 0..JOIN_STEPS {
         host.now_ms = host.now_ms + JOIN_STEP_MS;
--- a/crates/slopes/src/fleet.rs
+++ b/crates/slopes/src/fleet.rs
@@ -71,7 +71,7 @@
 }
 
 fn listed_host(hosts: usize) -> Result<LoadedHost, SlopesError> {
-    let mut host = LoadedHost::start(Published::new(SMALL_SITE, "slot-lease"))?;
+    let mut host = LoadedHost::start(Published::new(SMALL_SITE, "load-aware"))?;
     host.tell(Event::HostListRead(Some(host_list(2, hosts)?)));
     Ok(host)
 }
--- a/crates/slopes/src/frames.rs
+++ b/crates/slopes/src/frames.rs
@@ -8,10 +8,11 @@
 use crate::meter::{Cost, Meter, Times};
 use decision_core::{
     ClaimId, ClaimKey, ClaimQuestion, ClaimVerdict, ClaimVote, ConfigKey, Envelope, Heartbeat,
-    LoadReport, PROTOCOL_VERSION, PeerMessage, PublishedValue, Splice, StandingClaim,
-    StandingClaims, UpstreamFact, UpstreamNews, UpstreamNewsItem, UpstreamRef, VersionPair,
+    LentSlot, LoadReport, PROTOCOL_VERSION, PeerMessage, PublishedValue, ReturnedSlot, Splice,
+    StandingClaim, StandingClaims, UpstreamFact, UpstreamNews, UpstreamNewsItem, UpstreamRef,
+    VersionPair,
 };
-use domain::{Incarnation, Millis, Slots, Version};
+use domain::{Incarnation, LeaseId, Millis, ServiceName, Slots, Version};
 use jsonrpsee::types::{Id, Params, Request};
 use serde::Serialize;
 use std::hint::black_box;
@@ -67,6 +68,7 @@
 pub fn messages() -> Result<Vec<(&'static str, PeerMessage)>, SlopesError> {
     let mut messages = control_messages()?;
     messages.extend(upstream_messages()?);
+    messages.extend(slot_messages()?);
     messages.extend(claim_messages()?);
     Ok(messages)
 }
@@ -117,6 +119,22 @@
     ])
 }
 
+fn slot_messages() -> Result<Vec<Named>, SlopesError> {
+    let service: ServiceName = "service-0001".parse().map_err(|_| SlopesError::BadId)?;
+    let lease = LeaseId(CALL_ID);
+    let load = Some(LoadReport { busy: Slots(3), queued: 0 });
+    let returned = ReturnedSlot { lease, latency_ms: Some(Millis(20)), failed: false, load };
+    let lent = LentSlot { lease, upstream: "up-00001".parse().map_err(|_| SlopesError::BadId)? };
+    let wanted =
+        |returned| PeerMessage::SlotsWanted { service: service.clone(), count: 1, returned };
+    let answer = PeerMessage::SlotsLent { service: service.clone(), asked: 1, slots: vec![lent] };
+    Ok(vec![
+        ("slots wanted, none returned", wanted(vec![])),
+        ("slots wanted, one returned", wanted(vec![returned])),
+        ("slots lent, one", answer),
+    ])
+}
+
 fn claim_messages() -> Result<Vec<Named>, SlopesError> {
     let claim = ClaimId { host: host_id(1)?, incarnation: RUN, number: CALL_ID };
     let key = ClaimKey {
--- a/crates/slopes/src/memory.rs
+++ b/crates/slopes/src/memory.rs
@@ -59,7 +59,7 @@
 const CHANGES: usize = 6;
 
 fn held(meter: &Meter, size: SiteSize) -> Result<HeldBytes, SlopesError> {
-    let published = Published::new(size, "slot-lease");
+    let published = Published::new(size, "load-aware");
     let text = published.base().len() + published.overlay(0).len();
     let (before, peak_before) = (meter.heap().live_bytes, meter.heap().peak_bytes);
     let mut host = LoadedHost::start(published)?;
--- a/crates/slopes/src/operator.rs
+++ b/crates/slopes/src/operator.rs
@@ -18,7 +18,7 @@
 pub fn measure(meter: &Meter) -> Result<Vec<Series>, SlopesError> {
     let (mut micros, mut bytes) = (Vec::new(), Vec::new());
     for size in SITE_SIZES {
-        let host = LoadedHost::start(Published::new(size, "slot-lease"))?;
+        let host = LoadedHost::start(Published::new(size, "load-aware"))?;
         let cost = meter.cost(TIMES, || (), |()| serde_json::to_value(host.core.dump()));
         let text =
             serde_json::to_string_pretty(&host.core.dump()).map_err(|_| SlopesError::Json)?;
--- a/crates/slopes/src/outage.rs
+++ b/crates/slopes/src/outage.rs
@@ -51,7 +51,7 @@
 }
 
 fn region(zones: usize) -> Result<Vec<Outage>, SlopesError> {
-    let mut site = VirtualSite::new(HOSTS, Published::new(SIZE, "slot-lease"))?;
+    let mut site = VirtualSite::new(HOSTS, Published::new(SIZE, "load-aware"))?;
     site.run_quiet(START_MS)?;
     if !site.is_ready() {
         return Err(SlopesError::NotReady);
--- a/crates/slopes/src/site.rs
+++ b/crates/slopes/src/site.rs
@@ -67,6 +67,7 @@
     series.extend(changing()?);
     series.extend(restarting()?);
     series.extend(loaded()?);
+    series.extend(leasing()?);
     Ok(series)
 }
 
@@ -87,6 +88,10 @@
         self.each(self.counts.claim_bytes)
     }
 
+    fn slots_sent(&self) -> f64 {
+        self.each(self.counts.slot_bytes)
+    }
+
     fn control_cpu(&self) -> f64 {
         self.each(self.counts.control_cpu_ns / 1e3)
     }
@@ -133,7 +138,7 @@
 fn quiet() -> Result<Vec<Series>, SlopesError> {
     let mut spans = Vec::new();
     for hosts in QUIET_HOSTS {
-        let mut site = ready_site(hosts, TODAY)?;
+        let mut site = ready_site(hosts, TODAY, POLICY)?;
         site.run_quiet(QUIET_MS)?;
         let span = Span { hosts, seconds: QUIET_MS.as_f64() / 1e3, counts: site.counts };
         spans.push((vec![hosts as f64], span));
@@ -149,9 +154,41 @@
 }
 
 fn loaded() -> Result<Vec<Series>, SlopesError> {
+    let spans = loaded_spans(POLICY)?;
+    let parts: [Part; 7] = [
+        ("loaded.sent_by_host", Unit::BytesPerSecond, Span::sent),
+        ("loaded.claims_sent_by_host", Unit::BytesPerSecond, Span::claims_sent),
+        ("loaded.frames_of_host", Unit::PerSecond, Span::frames),
+        ("loaded.control_cpu_of_host", Unit::CpuMicrosPerSecond, Span::control_cpu),
+        ("loaded.core_per_call", Unit::CpuMicros, Span::call_cpu),
+        ("loaded.refused_of_site", Unit::PerSecond, Span::refused),
+        ("loaded.probes_of_site", Unit::PerSecond, Span::probes),
+    ];
+    series_of(&parts, &LOADED_VARIABLES, &spans)
+}
+
+fn leasing() -> Result<Vec<Series>, SlopesError> {
+    let spans = loaded_spans("slot-lease")?;
+    let parts: [Part; 4] = [
+        ("leasing.sent_by_host", Unit::BytesPerSecond, Span::sent),
+        ("leasing.slots_sent_by_host", Unit::BytesPerSecond, Span::slots_sent),
+        ("leasing.control_cpu_of_host", Unit::CpuMicrosPerSecond, Span::control_cpu),
+        ("leasing.core_per_call", Unit::CpuMicros, Span::call_cpu),
+    ];
+    series_of(&parts, &LOADED_VARIABLES, &spans)
+}
+
+const LOADED_VARIABLES: [Variable; 4] = [
+    Variable::ListedHosts,
+    Variable::Upstreams,
+    Variable::CallsPerSecond,
+    Variable::KeyedCallsPerSecond,
+];
+
+fn loaded_spans(policy: &'static str) -> Result<Vec<(Vec<f64>, Span)>, SlopesError> {
     let mut spans = Vec::new();
     for Loaded { hosts, size, calls_per_second, keyed_per_second } in LOADED {
-        let mut site = ready_site(hosts, size)?;
+        let mut site = ready_site(hosts, size, policy)?;
         let load = Load {
             calls_per_second: calls_per_second * hosts as u64,
             keyed_per_second: keyed_per_second * hosts as u64,
@@ -165,22 +202,7 @@
         let span = Span { hosts, seconds: LOADED_MS.as_f64() / 1e3, counts: site.counts };
         spans.push((at, span));
     }
-    let parts: [Part; 7] = [
-        ("loaded.sent_by_host", Unit::BytesPerSecond, Span::sent),
-        ("loaded.claims_sent_by_host", Unit::BytesPerSecond, Span::claims_sent),
-        ("loaded.frames_of_host", Unit::PerSecond, Span::frames),
-        ("loaded.control_cpu_of_host", Unit::CpuMicrosPerSecond, Span::control_cpu),
-        ("loaded.core_per_call", Unit::CpuMicros, Span::call_cpu),
-        ("loaded.refused_of_site", Unit::PerSecond, Span::refused),
-        ("loaded.probes_of_site", Unit::PerSecond, Span::probes),
-    ];
-    let variables = [
-        Variable::ListedHosts,
-        Variable::Upstreams,
-        Variable::CallsPerSecond,
-        Variable::KeyedCallsPerSecond,
-    ];
-    series_of(&parts, &variables, &spans)
+    Ok(spans)
 }
 
 fn changing() -> Result<Vec<Series>, SlopesError> {
@@ -188,7 +210,7 @@
     let mut sent = Vec::new();
     let mut reads = Vec::new();
     for (hosts, size) in CHANGING {
-        let mut site = ready_site(hosts, size)?;
+        let mut site = ready_site(hosts, size, POLICY)?;
         let overlay_bytes = Published::new(size, POLICY).overlay(0).len() as f64;
         let took_ms = site.change(CHANGE_LIMIT_MS)?;
         site.run_quiet(SETTLE_MS)?;
@@ -208,7 +230,7 @@
 fn restarting() -> Result<Vec<Series>, SlopesError> {
     let (mut ready, mut sent, mut reads) = (Vec::new(), Vec::new(), Vec::new());
     for (hosts, size) in CHANGING {
-        let mut site = ready_site(hosts, size)?;
+        let mut site = ready_site(hosts, size, POLICY)?;
         let published = Published::new(size, POLICY);
         let text_bytes = (published.base().len() + published.overlay(0).len()) as f64;
         let took_ms = site.restart(CHANGE_LIMIT_MS)?;
@@ -225,10 +247,14 @@
     ])
 }
 
-const POLICY: &str = "slot-lease";
+const POLICY: &str = "load-aware";
 
-fn ready_site(hosts: usize, size: SiteSize) -> Result<VirtualSite, SlopesError> {
-    let mut site = VirtualSite::new(hosts, Published::new(size, POLICY))?;
+fn ready_site(
+    hosts: usize,
+    size: SiteSize,
+    policy: &'static str,
+) -> Result<VirtualSite, SlopesError> {
+    let mut site = VirtualSite::new(hosts, Published::new(size, policy))?;
     site.run_quiet(START_MS)?;
     if !site.is_ready() {
         return Err(SlopesError::NotReady);
--- a/crates/slopes/src/virtual_site.rs
+++ b/crates/slopes/src/virtual_site.rs
@@ -33,6 +33,8 @@
     pub peer_bytes: f64,
     /// The part of these that claims of keys take.
     pub claim_bytes: f64,
+    /// The part of these that lent slots take.
+    pub slot_bytes: f64,
     /// Peer frames sent, without confirmations.
     pub peer_frames: u64,
     /// Processor time on ticks, peers' messages and readings.
@@ -304,8 +306,12 @@
         self.counts.peer_frames += 1;
         let bytes = (frame_bytes + CONFIRMATION_FRAME_BYTES) as f64;
         self.counts.peer_bytes += bytes;
-        let of_claims = envelope.messages.iter().filter(|message| is_of_claims(message)).count();
-        self.counts.claim_bytes += bytes * of_claims as f64 / envelope.messages.len() as f64;
+        let share_of = |wanted: fn(MessageKind) -> bool| {
+            let of_kind = envelope.messages.iter().filter(|message| wanted(message.kind()));
+            of_kind.count() as f64 / envelope.messages.len() as f64
+        };
+        self.counts.claim_bytes += bytes * share_of(is_of_claims);
+        self.counts.slot_bytes += bytes * share_of(|kind| kind == MessageKind::Slots);
         let Some(&receiver) = self.numbers.get(to) else { return Ok(()) };
         if self.is_down[receiver] {
             return Ok(());
@@ -435,6 +441,6 @@
     }
 }
 
-fn is_of_claims(message: &PeerMessage) -> bool {
-    matches!(message.kind(), MessageKind::Claim | MessageKind::Standing)
+fn is_of_claims(kind: MessageKind) -> bool {
+    matches!(kind, MessageKind::Claim | MessageKind::Standing)
 }
--- a/crates/slopes/tests/sites.rs
+++ b/crates/slopes/tests/sites.rs
@@ -9,7 +9,7 @@
 const TODAY: SiteSize = SiteSize { upstreams: 34, services: 3 };
 
 fn published(size: SiteSize) -> Published {
-    Published::new(size, "slot-lease")
+    Published::new(size, "load-aware")
 }
 
 #[rstest]
