Let the head of a broken answer leave before its break

An HTTP/2 reset throws away what is still queued on its stream, the head included (h2 clears the stream's queue on send_reset). An upstream that broke off right after its head thus reached the caller as a bare reset whenever the connection's task ran later than the body's. That was the failure of speaks_http_2_with_prior_knowledge under load.

Ruled out: the upstream connection (the daemon's log and the attempt's stage were the same in good and bad runs; the client's error is a remote reset of the stream, not a refusal).

--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -4,7 +4,8 @@
 //! reaches no upstream. From then on a guard watches: when the server lets go of the
 //! request because its caller hung up, the core is told at once.
 
-use crate::answer::{Answer, AnswerBody};
+use crate::answer::AnswerBody;
+use crate::connections::{self, Admission, Connections};
 use crate::driver::{Driver, Reply};
 use crate::edge::{EdgeRefusal, RefusalBody};
 use crate::headers::{self, X_CALL, X_CAUSE, X_ENTRY_HOST, X_OUTCOME, X_UPSTREAM};
@@ -36,26 +37,27 @@
 /// Longest time that a caller may leave its answer unread.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// The server for callers, ready to serve [`router`].
-pub fn server(acceptor: TcpAcceptor) -> Server<TcpAcceptor> {
+/// The server for callers, ready to serve [`router`]; `connections` gets to know each one.
+pub fn server(acceptor: TcpAcceptor, connections: Connections) -> Server<TcpAcceptor> {
     let fuse = FuseConfig::default()
         .with_http1_header_timeout(HEAD_TIMEOUT)
         .with_request_body_timeout(BODY_TIMEOUT)
         .with_write_stall_timeout(WRITE_TIMEOUT);
-    let mut server = Server::new(acceptor).fuse_config(fuse);
+    let mut server = Server::new(acceptor).fuse_policy(Admission { connections, fuse });
     server.http1_mut().max_buf_size(MAX_HEAD_BYTES).max_headers(MAX_HEADERS);
     server.http2_mut().max_header_list_size(MAX_HEAD_BYTES as u32);
     server
 }
 
 /// Every path and method.
-pub fn router(driver: Arc<Driver>) -> Router {
-    Router::with_path("{**rest}").goal(CallHandler { driver })
+pub fn router(driver: Arc<Driver>, connections: Connections) -> Router {
+    Router::with_path("{**rest}").goal(CallHandler { driver, connections })
 }
 
 #[derive(Debug)]
 struct CallHandler {
     driver: Arc<Driver>,
+    connections: Connections,
 }
 
 #[async_trait]
@@ -71,7 +73,10 @@
         let head = take_head(request);
         let call = self.driver.next_call();
         match self.answer(call, head, body).await {
-            Ok(Reply::Answer { upstream, answer }) => write_answer(response, &upstream, answer),
+            Ok(Reply::Answer { upstream, answer }) => {
+                write_answer_head(response, &upstream, answer.status, answer.headers);
+                response.body(self.answer_body(request, answer.body));
+            }
             Ok(Reply::Refused(refusal)) => self.write_refusal(response, &refusal),
             Err(refusal) => self.write_edge_refusal(response, &refusal),
         }
@@ -121,6 +126,20 @@
         })
     }
 
+    fn answer_body(&self, request: &Request, body: AnswerBody) -> ResBody {
+        let rest = match body {
+            AnswerBody::Whole(bytes) => return ResBody::Once(bytes),
+            AnswerBody::Stream(rest) => rest,
+        };
+        // An error ends the connection, or the stream in HTTP/2, before the body's end.
+        match self.connections.at_address(request.remote_addr()) {
+            Some(connection) => {
+                ResBody::stream(connections::end_after_flush(rest, connection).map_err(cut))
+            }
+            None => ResBody::stream(rest.map_err(cut)),
+        }
+    }
+
     /// Says what an operator can ask for, and where.
     fn write_origin(&self, response: &mut Response, call: CallId) {
         let headers = response.headers_mut();
@@ -199,15 +218,15 @@
     }
 }
 
-fn write_answer(response: &mut Response, upstream: &UpstreamId, answer: Answer) {
-    response.status_code(answer.status);
-    *response.headers_mut() = answer.headers;
+fn write_answer_head(
+    response: &mut Response,
+    upstream: &UpstreamId,
+    status: StatusCode,
+    headers: HeaderMap,
+) {
+    response.status_code(status);
+    *response.headers_mut() = headers;
     response.headers_mut().insert(X_UPSTREAM, headers::id(upstream.as_str()));
-    response.body(match answer.body {
-        AnswerBody::Whole(bytes) => ResBody::Once(bytes),
-        // An error ends the connection, or the stream in HTTP/2, before the body's end.
-        AnswerBody::Stream(rest) => ResBody::stream(rest.map_err(cut)),
-    });
 }
 
 fn cut(stage: FailureStage) -> io::Error {
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -2,6 +2,7 @@
 
 use crate::attempts::{self, AttemptSender};
 use crate::clock::Clock;
+use crate::connections::Connections;
 use crate::driver::{Driver, Parts};
 use crate::error::{Role, StartError};
 use crate::metrics::Metrics;
@@ -115,7 +116,8 @@
 
 async fn serve(listeners: Listeners, driver: Arc<Driver>) -> Result<(), Report<StartError>> {
     let machine = StartError::Machine { what: "a listener" };
-    let caller = calls::server(acceptor(listeners.caller)?);
+    let connections = Connections::default();
+    let caller = calls::server(acceptor(listeners.caller)?, connections.clone());
     let caller_handle = caller.handle();
     let operator = Server::new(acceptor(listeners.operator)?);
     let operator_handle = operator.handle();
@@ -125,7 +127,8 @@
     let mut exit = driver.exit();
     let operator_router = operator::router(Arc::clone(&driver));
     let operator_done = tokio::spawn(operator.try_serve(operator_router));
-    let mut caller_done = tokio::spawn(caller.try_serve(calls::router(Arc::clone(&driver))));
+    let caller_router = calls::router(Arc::clone(&driver), connections);
+    let mut caller_done = tokio::spawn(caller.try_serve(caller_router));
 
     // The sender lives as long as the driver.
     let _ = exit.wait_for(|is_over| *is_over).await;
--- a/crates/daemon/tests/callers.rs
+++ b/crates/daemon/tests/callers.rs
@@ -282,3 +282,24 @@
     assert_eq!(requests.len(), 3);
     assert_eq!(header(&requests[0], "host"), Some(daemon.caller.to_string().as_str()));
 }
+
+/// The head of a streamed answer and what came before the break reach the caller, however
+/// soon the break follows.
+#[rstest]
+#[case::stated("content-length: 5000\r\n\r\nz")]
+#[case::stated_without_body("content-length: 5000\r\n\r\n")]
+#[tokio::test]
+async fn a_break_does_not_overtake_the_head(#[case] cut: &str, #[values(1, 2)] version: u8) {
+    let cut = format!("HTTP/1.1 200 OK\r\nx-mine: 1\r\n{cut}");
+    let (_upstream, daemon) = start(vec![Behaviour::write_and_close(&cut)]).await;
+    let builder = reqwest::Client::builder().no_proxy();
+    let builder = if version == 2 { builder.http2_prior_knowledge() } else { builder };
+    let client = builder.build().unwrap();
+    let url = format!("http://{}/parts", daemon.caller);
+    for _ in 0..10 {
+        let answer = client.get(&url).send().await.unwrap();
+        assert_eq!(answer.status(), 200);
+        assert_eq!(answer.headers()["x-mine"], "1");
+        answer.bytes().await.unwrap_err();
+    }
+}
