Close the callers' listener before the server stops

The HTTP server's graceful stop keeps its listening socket until the last connection ends: callers connected into the backlog, waited and were cut. A connection that had sent no byte did not see the stop at all, and one whose first bytes were just read was closed by it without an answer.

The listener now takes no new connection in (a packet filter that drops everything), hands out what has connected, and closes. Connections that are still silent get a second for their first byte; only then the server is told to stop, and those that are still silent are closed.

Ruled out: closing after the last accept without the filter.

--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -9,6 +9,7 @@
 use crate::driver::{Driver, Reply};
 use crate::edge::{EdgeRefusal, RefusalBody};
 use crate::headers::{self, X_CALL, X_CAUSE, X_ENTRY_HOST, X_OUTCOME, X_UPSTREAM};
+use crate::listen::Listener;
 use crate::metrics::CallOutcome;
 use crate::request::{self, CallRequest};
 use bytes::Bytes;
@@ -18,7 +19,6 @@
 use http::header::{self, HeaderMap, HeaderValue};
 use http::{StatusCode, request as http_request};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
-use salvo::conn::tcp::TcpAcceptor;
 use salvo::fuse::FuseConfig;
 use salvo::http::{ReqBody, ResBody};
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, Server, async_trait};
@@ -38,12 +38,12 @@
 const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// The server for callers, ready to serve [`router`]; `connections` gets to know each one.
-pub fn server(acceptor: TcpAcceptor, connections: Connections) -> Server<TcpAcceptor> {
+pub fn server(listener: Listener, connections: Connections) -> Server<Listener> {
     let fuse = FuseConfig::default()
         .with_http1_header_timeout(HEAD_TIMEOUT)
         .with_request_body_timeout(BODY_TIMEOUT)
         .with_write_stall_timeout(WRITE_TIMEOUT);
-    let mut server = Server::new(acceptor).fuse_policy(Admission { connections, fuse });
+    let mut server = Server::new(listener).fuse_policy(Admission { connections, fuse });
     server.http1_mut().max_buf_size(MAX_HEAD_BYTES).max_headers(MAX_HEADERS);
     server.http2_mut().max_header_list_size(MAX_HEAD_BYTES as u32);
     server
@@ -69,6 +69,7 @@
         response: &mut Response,
         _ctrl: &mut FlowCtrl,
     ) {
+        let _request = self.driver.request_begins();
         let body = request.take_body();
         let head = take_head(request);
         let call = self.driver.next_call();
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -22,7 +22,7 @@
 use futures_util::stream::{BoxStream, Stream};
 use http::HeaderValue;
 use std::pin::Pin;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -70,6 +70,7 @@
     parts: Parts,
     runtime: Handle,
     next_call: AtomicU64,
+    requests: AtomicUsize,
     next_tick_ms: AtomicU64,
     tick_changed: Notify,
     is_ready: AtomicBool,
@@ -134,6 +135,7 @@
             parts,
             runtime: Handle::current(),
             next_call: AtomicU64::new(1),
+            requests: AtomicUsize::new(0),
             next_tick_ms: AtomicU64::new(Millis::ZERO.0),
             tick_changed: Notify::new(),
             is_ready: AtomicBool::new(false),
@@ -153,6 +155,12 @@
         CallId(self.next_call.fetch_add(1, Ordering::Relaxed))
     }
 
+    /// Notes a request, which may still lack its body, until the guard is dropped.
+    pub fn request_begins(self: &Arc<Driver>) -> RequestGuard {
+        self.requests.fetch_add(1, Ordering::AcqRel);
+        RequestGuard { driver: Arc::clone(self) }
+    }
+
     /// Hands the core a new call; its reply comes through the receiver.
     pub fn open_call(
         self: &Arc<Driver>,
@@ -212,13 +220,13 @@
         self.exit.subscribe()
     }
 
-    /// Waits until no answer is open any more, and then for a while: the last bytes of an
+    /// Waits until no request and no answer is open any more, and then for a while: the last bytes of an
     /// answer may still be on their way out.
     pub async fn quiet(&self) {
         let mut quiet_for = Duration::ZERO;
         while quiet_for < QUIET {
             tokio::time::sleep(QUIET_STEP).await;
-            let is_quiet = self.lock().calls.is_empty() && self.lock().attempts.is_empty();
+            let is_quiet = self.requests.load(Ordering::Acquire) == 0 && self.lock().is_idle();
             quiet_for = if is_quiet { quiet_for + QUIET_STEP } else { Duration::ZERO };
         }
     }
@@ -432,6 +440,24 @@
     state.rejected = rejected;
 }
 
+impl State {
+    fn is_idle(&self) -> bool {
+        self.calls.is_empty() && self.attempts.is_empty()
+    }
+}
+
+/// A request that has no answer yet.
+#[derive(Debug)]
+pub struct RequestGuard {
+    driver: Arc<Driver>,
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.driver.requests.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 fn cancel(state: &mut State, attempt: AttemptId, discarded: &mut Discarded) {
     let Some(open) = state.attempts.get_mut(&attempt) else { return };
     let (spent, _) = oneshot::channel();
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -5,6 +5,7 @@
 use crate::connections::Connections;
 use crate::driver::{Driver, Parts};
 use crate::error::{Role, StartError};
+use crate::listen::Listener;
 use crate::metrics::Metrics;
 use crate::peers::{self, PeerLinks};
 use crate::platform::Platform;
@@ -117,7 +118,8 @@
 async fn serve(listeners: Listeners, driver: Arc<Driver>) -> Result<(), Report<StartError>> {
     let machine = StartError::Machine { what: "a listener" };
     let connections = Connections::default();
-    let caller = calls::server(acceptor(listeners.caller)?, connections.clone());
+    let (listener, closing) = Listener::new(listeners.caller)?;
+    let caller = calls::server(listener, connections.clone());
     let caller_handle = caller.handle();
     let operator = Server::new(acceptor(listeners.operator)?);
     let operator_handle = operator.handle();
@@ -127,13 +129,16 @@
     let mut exit = driver.exit();
     let operator_router = operator::router(Arc::clone(&driver));
     let operator_done = tokio::spawn(operator.try_serve(operator_router));
-    let caller_router = calls::router(Arc::clone(&driver), connections);
+    let caller_router = calls::router(Arc::clone(&driver), connections.clone());
     let mut caller_done = tokio::spawn(caller.try_serve(caller_router));
 
     // The sender lives as long as the driver.
     let _ = exit.wait_for(|is_over| *is_over).await;
     log::info!("calls: closing the callers' listener");
+    closing.close().await;
+    connections.wait_for_first_bytes().await;
     caller_handle.stop_graceful(None);
+    connections.close_silent();
     tokio::select! {
         _ = &mut caller_done => {}
         () = driver.quiet() => {
--- a/crates/daemon/tests/process.rs
+++ b/crates/daemon/tests/process.rs
@@ -9,12 +9,14 @@
 use jsonrpsee::rpc_params;
 use jsonrpsee::ws_client::WsClientBuilder;
 use rstest::rstest;
-use std::io::Write;
+use std::io::{ErrorKind, Write};
+use std::net::SocketAddr;
 use std::process::Command;
 use support::daemon::{Daemon, command, run, verdict};
-use support::{Behaviour, RawUpstream, header, read_to_end};
+use support::{Behaviour, PATIENCE, RawUpstream, header, read_to_end};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::task::JoinSet;
 
 const COMPLETE: &str = r#"{"host":"e1","site":"dar","availability_zone":"kariakoo",
     "caller_address":"127.0.0.1:0","peer_address":"127.0.0.1:0",
@@ -229,3 +231,44 @@
     assert_eq!(body, "y".repeat(length));
     assert_eq!(daemon.exit_status().await.code(), Some(0));
 }
+
+/// Asks on a new connection again and again, until one is refused; the answers.
+async fn ask_until_refused(caller: SocketAddr) -> Vec<String> {
+    let mut answers = Vec::new();
+    loop {
+        let mut stream = match TcpStream::connect(caller).await {
+            Ok(stream) => stream,
+            Err(error) if error.kind() == ErrorKind::ConnectionRefused => return answers,
+            Err(error) => panic!("neither accepted nor refused: {error}"),
+        };
+        let request = b"GET /parts HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n";
+        let answer = match stream.write_all(request).await {
+            Ok(()) => read_to_end(&mut stream).await,
+            Err(error) => error.to_string(),
+        };
+        answers.push(answer);
+    }
+}
+
+/// Callers that connect during the stop are answered or refused at connect, never cut, and
+/// one that has connected without a request does not hold the stop up.
+#[tokio::test]
+async fn a_connection_during_the_stop_is_answered_or_refused() {
+    let upstream = RawUpstream::start(vec![Behaviour::ok()]).await;
+    let daemon = Daemon::start(upstream.address).await;
+    let mut silent = TcpStream::connect(daemon.caller).await.unwrap();
+    let mut asking = JoinSet::new();
+    for _ in 0..8 {
+        asking.spawn(ask_until_refused(daemon.caller));
+    }
+    upstream.wait_for(|seen| seen.requests.len() > 8).await;
+    daemon.signal(libc::SIGTERM);
+    let answers = tokio::time::timeout(PATIENCE, asking.join_all()).await.unwrap().concat();
+    assert!(answers.len() > 8);
+    for answer in answers {
+        let (status, cause) = verdict(&answer);
+        assert!(status == 200 || cause.is_some(), "{answer:?}");
+    }
+    assert_eq!(read_to_end(&mut silent).await, "");
+    assert_eq!(daemon.exit_status().await.code(), Some(0));
+}
