Keep to this host's share of an upstream's connections

An upstream states how many connections it accepts from all entry hosts, but nothing held to it: 16 idle ones per upstream were kept, any number opened. The core now states with each attempt the upstream's connections divided by the listed hosts, at least one. The daemon takes a permit before an attempt uses or opens a connection; it waits no longer than the attempt's deadline and sends nothing before.

Permits alone were one too many: in 5 of 6 cases of the new test (200 attempts at once over 1, 2 or 7 connections) one more was opened, while another was on its way back to the pool. Ruled out: a delay before a permit is given back, which would halve what one connection carries and proves nothing.

Found on the way: an answer of stated length that was streamed ended as cancelled (2 of 2 in the test that now counts them), because the server doesn't ask a body for its end after the last byte. Both ends now count the bytes left.

Also the time left that the upstream is told is taken after the wait.

Attempt no longer derives Eq, as Connections has none.

--- a/crates/core/src/action.rs
+++ b/crates/core/src/action.rs
@@ -6,7 +6,9 @@
 use crate::event::ConfigKey;
 use crate::message::PeerMessage;
 use crate::refusal::Refusal;
-use domain::{AttemptId, CallId, HostId, Millis, ProbeId, ServiceName, UpstreamId, Version};
+use domain::{
+    AttemptId, CallId, Connections, HostId, Millis, ProbeId, ServiceName, UpstreamId, Version,
+};
 use serde::Serialize;
 use std::net::SocketAddr;
 
@@ -72,7 +74,7 @@
 }
 
 /// One sending of a call.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Attempt {
     /// Comes back in events.
     pub attempt: AttemptId,
@@ -90,4 +92,6 @@
     pub spent_attempts: u32,
     /// Depth to tell the upstream.
     pub depth: u32,
+    /// This host's share of the upstream's connections.
+    pub connections: Connections,
 }
--- a/crates/core/src/calls.rs
+++ b/crates/core/src/calls.rs
@@ -14,7 +14,7 @@
 use crate::service::{Avoid, ServiceState, TakenSlot};
 use crate::slots::LeaseAnswer;
 use config::{Policy, RepeatRule};
-use domain::{AttemptId, CallId, Millis, ServiceName, ZoneName};
+use domain::{AttemptId, CallId, Connections, Millis, ServiceName, ZoneName};
 use rand::RngExt;
 
 /// Shortest time that a caller is told to stay away.
@@ -347,8 +347,11 @@
         taken: TakenSlot,
         actions: &mut Vec<Action>,
     ) {
+        let hosts = self.membership.listed_count();
         let Some(call) = self.calls.get_mut(&id) else { return };
         let TakenSlot { upstream, address, rounds, lease } = taken;
+        let state = self.services.get(&call.service).and_then(|state| state.upstream(&upstream));
+        let connections = state.map_or(Connections(1), |state| state.connections_of_one(hosts));
         self.last_attempt.0 += 1;
         let attempt = self.last_attempt;
         call.note_sent(attempt, upstream.clone());
@@ -361,6 +364,7 @@
             deadline_ms: call.deadline_ms,
             spent_attempts: call.spent_attempts(),
             depth: call.head.depth + 1,
+            connections,
         }));
         let live = LiveAttempt {
             call: id,
--- a/crates/core/src/upstream.rs
+++ b/crates/core/src/upstream.rs
@@ -5,7 +5,7 @@
 //! probes and from peers. A leaving mark is never taken back by an older source.
 
 use config::Upstream;
-use domain::{Millis, UpstreamId};
+use domain::{Connections, Millis, UpstreamId};
 use serde::Serialize;
 
 use crate::estimate::LoadEstimate;
@@ -49,6 +49,12 @@
 }
 
 impl UpstreamState {
+    /// Connections that each of `hosts` listed entry hosts may have to it, at least one.
+    pub fn connections_of_one(&self, hosts: usize) -> Connections {
+        let hosts = u32::try_from(hosts).unwrap_or(u32::MAX).max(1);
+        Connections((self.published.connections.0 / hosts).max(1))
+    }
+
     /// An upstream not yet heard of.
     pub fn new(id: UpstreamId, published: Upstream, health: Health) -> UpstreamState {
         UpstreamState {
--- a/crates/core/tests/calls.rs
+++ b/crates/core/tests/calls.rs
@@ -8,8 +8,9 @@
     Action, AnswerHead, Attempt, AttemptEnd, CallHead, Event, FailureStage, RefusalCause,
     RunOutcome,
 };
-use domain::{CallId, Millis};
+use domain::{CallId, Connections, Millis};
 use rstest::rstest;
+use support::pump::host_list;
 use support::{Arrival, Bench, answer, head, refusal_of, refused_answer};
 
 const CALL: CallId = CallId(1);
@@ -205,3 +206,15 @@
     bench.handle(1600, Event::AttemptEnded { attempt, end: AttemptEnd::Completed });
     assert!(bench.tick(Millis::from_secs(3).0).contains(&Action::Exit));
 }
+
+/// All listed hosts together stay within the 20 connections that the upstreams state.
+#[rstest]
+#[case::alone(1, 20)]
+#[case::shared(3, 6)]
+#[case::more_hosts_than_connections(30, 1)]
+fn an_attempt_states_this_hosts_share_of_connections(#[case] hosts: usize, #[case] share: u32) {
+    let mut bench = Bench::configured();
+    bench.handle(0, Event::HostListRead(Some(host_list(2, hosts))));
+    let arrival = bench.arrive(CallId(1), RepeatRule::Idempotent);
+    assert_eq!(arrival.send().unwrap().connections, Connections(share));
+}
--- a/crates/daemon/src/answer.rs
+++ b/crates/daemon/src/answer.rs
@@ -27,14 +27,19 @@
     /// Here in full.
     Whole(Bytes),
     /// Still coming; dropping it closes the upstream's connection.
-    Stream(BoxStream<'static, Result<Bytes, FailureStage>>),
+    Stream {
+        /// All of it.
+        rest: BoxStream<'static, Result<Bytes, FailureStage>>,
+        /// Its length.
+        left: BytesLeft,
+    },
 }
 
 impl fmt::Debug for AnswerBody {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             AnswerBody::Whole(bytes) => write!(f, "Whole({} bytes)", bytes.len()),
-            AnswerBody::Stream(_) => f.write_str("Stream"),
+            AnswerBody::Stream { .. } => f.write_str("Stream"),
         }
     }
 }
@@ -65,6 +70,27 @@
     }
 }
 
+/// What is left of a body of stated length; its reader may not ask for the end after it.
+#[derive(Debug, Clone, Copy)]
+pub struct BytesLeft(Option<u64>);
+
+impl BytesLeft {
+    /// All of the body.
+    pub fn of(framing: Framing) -> BytesLeft {
+        match framing {
+            Framing::Empty => BytesLeft(Some(0)),
+            Framing::Length(length) => BytesLeft(Some(length)),
+            Framing::Chunked | Framing::UntilClose => BytesLeft(None),
+        }
+    }
+
+    /// A part was read; true if it was the last.
+    pub fn note_read(&mut self, bytes: usize) -> bool {
+        self.0 = self.0.map(|left| left.saturating_sub(bytes as u64));
+        self.0 == Some(0)
+    }
+}
+
 fn is_bodiless(status: StatusCode) -> bool {
     status == StatusCode::NO_CONTENT || status == StatusCode::NOT_MODIFIED
 }
--- a/crates/daemon/src/attempts.rs
+++ b/crates/daemon/src/attempts.rs
@@ -7,8 +7,11 @@
 //! A failure says how far the request got. "Before sending" needs a proof: no connection
 //! came about, or the [`SendGate`] was shut when the body was to be written.
 
-use crate::answer::{self, Answer, AnswerBody, Framing};
+use crate::answer::{self, Answer, AnswerBody, BytesLeft, Framing};
 use crate::clock::Clock;
+use crate::connection_share::{
+    ConnectionPermit, ConnectionShares, CountedConnecting, IDLE_TIMEOUT,
+};
 use crate::error::StartError;
 use crate::headers::{self, X_DEADLINE_MS, X_DEPTH, X_ENTRY_HOST, X_ENTRY_ZONE, X_SPENT_ATTEMPTS};
 use crate::request::CallRequest;
@@ -17,7 +20,7 @@
 use decision_core::{Attempt, FailureStage};
 use domain::{ByteCount, HostId, ZoneName};
 use error_stack::{Report, ResultExt};
-use futures_util::stream::{self, Stream, StreamExt};
+use futures_util::stream::{self, StreamExt};
 use reqwest::header::{HeaderMap, HeaderValue};
 use reqwest::{Body, Client, Request, Response, Url, redirect, retry};
 use std::future::Future;
@@ -29,10 +32,6 @@
 
 /// An upstream that does not accept within this time is out of reach.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Idle connections are closed here before upstreams usually do (5 s and more).
-const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
-/// Idle connections kept to one upstream.
-const MAX_IDLE_PER_UPSTREAM: usize = 16;
 
 /// A client that does nothing by itself.
 ///
@@ -49,7 +48,7 @@
         .tcp_nodelay(true)
         .connect_timeout(CONNECT_TIMEOUT)
         .pool_idle_timeout(IDLE_TIMEOUT)
-        .pool_max_idle_per_host(MAX_IDLE_PER_UPSTREAM)
+        .connector_layer(CountedConnecting)
         .build()
         .change_context(StartError::Machine { what: "an HTTP client" })
 }
@@ -59,6 +58,7 @@
 pub struct AttemptSender {
     client: Client,
     clock: Clock,
+    connections: ConnectionShares,
     entry_host: HeaderValue,
     entry_zone: HeaderValue,
 }
@@ -74,6 +74,7 @@
         AttemptSender {
             client,
             clock,
+            connections: ConnectionShares::default(),
             entry_host: headers::id(host.as_str()),
             entry_zone: headers::id(zone.as_str()),
         }
@@ -84,7 +85,7 @@
         SendGate::new(self.clock, attempt.deadline_ms)
     }
 
-    /// Sends an attempt and waits until its answer can be judged: whole if it is no larger
+    /// Waits for a connection, sends an attempt and waits until its answer can be judged: whole if it is no larger
     /// than `held`, else as soon as its head is here.
     ///
     /// # Errors
@@ -98,24 +99,28 @@
         held: ByteCount,
     ) -> Result<Answer, FailureStage> {
         let mut deadline = pin!(sleep(self.clock.until(attempt.deadline_ms)));
-        let to_send = self.request(attempt, request, gate);
-        let response = before(deadline.as_mut(), gate, self.execute(to_send, gate))
+        let response = before(deadline.as_mut(), gate, self.open(attempt, request, gate))
             .await
             .unwrap_or_else(|| Err(stage_of_timeout(gate)))?;
-        self.read(attempt, request, response, held, deadline).await
+        self.read(attempt, response, held, deadline).await
     }
 
-    async fn execute(&self, request: Request, gate: &SendGate) -> Result<Response, FailureStage> {
-        let has_body = request.body().is_some();
-        let may_go = match has_body {
-            true => !gate.is_expired(),
-            // Without a body nobody asks the gate later.
-            false => gate.pass(),
-        };
-        match may_go {
-            true => self.client.execute(request).await.map_err(|e| stage_of_error(&e, gate)),
-            false => Err(FailureStage::BeforeSending),
+    async fn open(
+        &self,
+        attempt: &Attempt,
+        request: &CallRequest,
+        gate: &Arc<SendGate>,
+    ) -> Result<OpenResponse, FailureStage> {
+        let mut permit = self.connections.permit(attempt.address, attempt.connections).await;
+        // Its headers state the time that is left now.
+        let to_send = self.request(attempt, request, gate);
+        if !may_go(&to_send, gate) {
+            return Err(FailureStage::BeforeSending);
         }
+        let sent = permit.opening(self.client.execute(to_send)).await;
+        let response = sent.map_err(|error| stage_of_error(&error, gate))?;
+        let framing = Framing::of(&request.method, response.status(), response.headers());
+        Ok(OpenResponse { response, framing, left: BytesLeft::of(framing), permit })
     }
 
     fn request(&self, attempt: &Attempt, call: &CallRequest, gate: &Arc<SendGate>) -> Request {
@@ -142,28 +147,28 @@
     async fn read(
         &self,
         attempt: &Attempt,
-        request: &CallRequest,
-        mut response: Response,
+        mut open: OpenResponse,
         held: ByteCount,
         deadline: std::pin::Pin<&mut Sleep>,
     ) -> Result<Answer, FailureStage> {
-        let status = response.status();
+        let status = open.response.status();
         if status.is_informational() {
             return Err(FailureStage::AfterSending);
         }
-        let headers = std::mem::take(response.headers_mut());
-        let body = match Framing::of(&request.method, status, &headers) {
+        let headers = std::mem::take(open.response.headers_mut());
+        let body = match open.framing {
             Framing::UntilClose => return Err(FailureStage::AnswerCut),
-            Framing::Empty => AnswerBody::Whole(Bytes::new()),
-            Framing::Length(length) if length > held.0 => {
-                AnswerBody::Stream(self.rest(attempt, Bytes::new(), response).boxed())
+            Framing::Empty => {
+                open.permit.note_returned();
+                AnswerBody::Whole(Bytes::new())
             }
+            Framing::Length(length) if length > held.0 => self.rest(attempt, Bytes::new(), open),
             Framing::Length(_) | Framing::Chunked => {
                 let held = usize::try_from(held.0).unwrap_or(usize::MAX);
                 tokio::select! {
                     biased;
                     () = deadline => return Err(FailureStage::TimedOut),
-                    body = self.hold(attempt, response, held) => body?,
+                    body = self.hold(attempt, open, held) => body?,
                 }
             }
         };
@@ -177,47 +182,63 @@
     async fn hold(
         &self,
         attempt: &Attempt,
-        mut response: Response,
+        mut open: OpenResponse,
         held: usize,
     ) -> Result<AnswerBody, FailureStage> {
         let mut first = Bytes::new();
         let mut rest = BytesMut::new();
-        while let Some(chunk) = response.chunk().await.map_err(|_| FailureStage::AnswerCut)? {
+        while let Some(chunk) = open.chunk().await? {
             match first.is_empty() {
                 true => first = chunk,
                 false => rest.extend_from_slice(&chunk),
             }
             if first.len() + rest.len() > held {
                 let read = joined(first, rest);
-                return Ok(AnswerBody::Stream(self.rest(attempt, read, response).boxed()));
+                return Ok(self.rest(attempt, read, open));
             }
         }
         Ok(AnswerBody::Whole(joined(first, rest)))
     }
 
     /// What was read, then what still comes; ends with an error if it is cut or late.
-    fn rest(
-        &self,
-        attempt: &Attempt,
-        read: Bytes,
-        response: Response,
-    ) -> impl Stream<Item = Result<Bytes, FailureStage>> + Send + use<> {
+    fn rest(&self, attempt: &Attempt, read: Bytes, open: OpenResponse) -> AnswerBody {
+        let left = BytesLeft::of(open.framing);
         let deadline = Box::pin(sleep(self.clock.until(attempt.deadline_ms)));
         let already_read = stream::iter((!read.is_empty()).then_some(Ok(read)));
-        let coming = stream::unfold(Some((response, deadline)), |state| async {
-            let (mut response, mut deadline) = state?;
+        let coming = stream::unfold(Some((open, deadline)), |state| async {
+            let (mut open, mut deadline) = state?;
             let chunk = tokio::select! {
                 biased;
                 () = &mut deadline => Err(FailureStage::TimedOut),
-                chunk = response.chunk() => chunk.map_err(|_| FailureStage::AnswerCut),
+                chunk = open.chunk() => chunk,
             };
             match chunk {
                 Ok(None) => None,
-                Ok(Some(bytes)) => Some((Ok(bytes), Some((response, deadline)))),
+                Ok(Some(bytes)) => Some((Ok(bytes), Some((open, deadline)))),
                 Err(stage) => Some((Err(stage), None)),
             }
         });
-        already_read.chain(coming)
+        AnswerBody::Stream { rest: already_read.chain(coming).boxed(), left }
+    }
+}
+
+/// An answer whose body is still to be read, and the right to its connection.
+#[derive(Debug)]
+struct OpenResponse {
+    response: Response,
+    framing: Framing,
+    left: BytesLeft,
+    permit: ConnectionPermit,
+}
+
+impl OpenResponse {
+    async fn chunk(&mut self) -> Result<Option<Bytes>, FailureStage> {
+        let chunk = self.response.chunk().await.map_err(|_| FailureStage::AnswerCut)?;
+        let is_end = chunk.as_ref().is_none_or(|bytes| self.left.note_read(bytes.len()));
+        if is_end {
+            self.permit.note_returned();
+        }
+        Ok(chunk)
     }
 }
 
@@ -228,6 +249,14 @@
     }
 }
 
+fn may_go(request: &Request, gate: &SendGate) -> bool {
+    match request.body() {
+        Some(_) => !gate.is_expired(),
+        // Without a body nobody asks the gate later.
+        None => gate.pass(),
+    }
+}
+
 fn url_at(url: &Url, address: SocketAddr) -> Url {
     let mut url = url.clone();
     // Neither can fail for an `http` URL that has a host.
--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -130,7 +130,7 @@
     fn answer_body(&self, request: &Request, body: AnswerBody) -> ResBody {
         let rest = match body {
             AnswerBody::Whole(bytes) => return ResBody::Once(bytes),
-            AnswerBody::Stream(rest) => rest,
+            AnswerBody::Stream { rest, .. } => rest,
         };
         // An error ends the connection, or the stream in HTTP/2, before the body's end.
         match self.connections.at_address(request.remote_addr()) {
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -4,7 +4,7 @@
 //! action out never waits: it sends on a channel or spawns a task. What an action lets go
 //! of is dropped after the lock is released, because a dropped answer is an event again.
 
-use crate::answer::{Answer, AnswerBody};
+use crate::answer::{Answer, AnswerBody, BytesLeft};
 use crate::attempts::AttemptSender;
 use crate::clock::Clock;
 use crate::metrics::Metrics;
@@ -396,10 +396,11 @@
     ) {
         let head = answer.head.clone();
         let is_whole = head.is_whole;
-        if let AnswerBody::Stream(rest) = answer.body {
+        if let AnswerBody::Stream { rest, left } = answer.body {
             let cut = AttemptEnd::Cancelled { unsent: false };
             let guard = AttemptGuard::new(self, attempt.attempt, cut);
-            answer.body = AnswerBody::Stream(Box::pin(GuardedStream { rest, cancelled, guard }));
+            let rest = Box::pin(GuardedStream { rest, left, cancelled, guard });
+            answer.body = AnswerBody::Stream { rest, left };
         }
         self.with_state(|driver, state, discarded| {
             let held = HeldAnswer { attempt: attempt.attempt, upstream: attempt.upstream, answer };
@@ -512,6 +513,7 @@
 /// The rest of an answer; its end, its cut or its being dropped ends the attempt.
 struct GuardedStream {
     rest: BoxStream<'static, Result<bytes::Bytes, FailureStage>>,
+    left: BytesLeft,
     cancelled: oneshot::Receiver<()>,
     guard: AttemptGuard,
 }
@@ -527,6 +529,9 @@
         match &next {
             None => self.guard.end = AttemptEnd::Completed,
             Some(Err(stage)) => self.guard.end = AttemptEnd::Failed { stage: *stage },
+            Some(Ok(bytes)) if self.left.note_read(bytes.len()) => {
+                self.guard.end = AttemptEnd::Completed;
+            }
             Some(Ok(_)) => {}
         }
         Poll::Ready(next)
--- a/crates/daemon/tests/attempts.rs
+++ b/crates/daemon/tests/attempts.rs
@@ -8,18 +8,21 @@
 use daemon::answer::{Answer, AnswerBody};
 use daemon::attempts::{AttemptSender, plain_client};
 use daemon::clock::Clock;
+use daemon::connection_share::ConnectionShares;
 use daemon::request::CallRequest;
 use daemon::send_gate::{GatedBody, SendGate};
 use decision_core::{Attempt, FailureStage};
-use domain::{AttemptId, ByteCount, CallId, Millis};
-use futures_util::StreamExt;
+use domain::{AttemptId, ByteCount, CallId, Connections, Millis};
+use futures_util::{FutureExt, StreamExt, future::join_all};
 use reqwest::{Body, Url};
 use rstest::rstest;
 use std::net::SocketAddr;
+use std::pin::pin;
 use support::{Behaviour, RawUpstream, header};
 
 const HELD: ByteCount = ByteCount(16);
 const LONG: Millis = Millis::from_secs(30);
+const PLENTY: Connections = Connections(16);
 
 /// How an attempt must end, as text that a table can hold.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -53,6 +56,7 @@
             deadline_ms: self.clock.now() + timeout,
             spent_attempts: 2,
             depth: 3,
+            connections: PLENTY,
         }
     }
 
@@ -86,7 +90,7 @@
         AnswerBody::Whole(bytes) => {
             End::Whole(status, String::from_utf8(bytes.to_vec()).unwrap().leak())
         }
-        AnswerBody::Stream(mut rest) => {
+        AnswerBody::Stream { mut rest, .. } => {
             let mut read = Vec::new();
             while let Some(chunk) = rest.next().await {
                 match chunk {
@@ -327,3 +331,74 @@
     drop(answer);
     upstream.wait_for(|seen| seen.closed == 1).await;
 }
+
+/// However many attempts there are, they use no more connections than allowed, and the
+/// later ones use those of the earlier ones.
+#[rstest]
+#[tokio::test(flavor = "multi_thread")]
+async fn stays_within_its_connections(
+    #[values(1, 2, 7)] connections: u32,
+    #[values("", "payload")] body: &'static str,
+) {
+    let mut script: Vec<_> =
+        [LARGE, LARGE_CHUNKED].repeat(20).into_iter().map(Behaviour::write).collect();
+    script.push(Behaviour::ok());
+    let upstream = RawUpstream::start(script).await;
+    let fixture = Fixture::new();
+    let mut attempt = fixture.attempt(upstream.address, LONG);
+    attempt.connections = Connections(connections);
+    let sending = (0..200).map(|_| async { end_of(fixture.send(&attempt, body).await).await });
+    for end in join_all(sending).await {
+        assert!(matches!(end, End::Whole(200, _)), "{end:?}");
+    }
+    let seen = upstream.seen();
+    assert_eq!(seen.requests.len(), 200);
+    assert!(seen.connections <= connections as usize, "{}", seen.connections);
+}
+
+/// An attempt that gets no connection has sent nothing by its deadline.
+#[rstest]
+#[tokio::test]
+async fn waits_for_a_connection_until_the_deadline(#[values("", "payload")] body: &'static str) {
+    let upstream = RawUpstream::start(vec![Behaviour::Silent]).await;
+    let fixture = Fixture::new();
+    let attempt = |timeout| Attempt {
+        connections: Connections(1),
+        ..fixture.attempt(upstream.address, timeout)
+    };
+    let (long, short) = (attempt(LONG), attempt(Millis(100)));
+    let mut first = pin!(fixture.send(&long, body));
+    tokio::select! {
+        _ = &mut first => panic!("answered"),
+        _ = upstream.wait_for(|seen| seen.requests.len() == 1) => {}
+    }
+    let end = end_of(fixture.send(&short, body).await).await;
+    assert_eq!(end, End::Failed(FailureStage::BeforeSending));
+    assert_eq!(upstream.seen().requests.len(), 1);
+    assert_eq!(upstream.seen().connections, 1);
+}
+
+/// The share that was stated last counts, also for connections in use; a connection comes
+/// free when its attempt is let go of.
+#[rstest]
+#[case::same(2, 2, 2)]
+#[case::more(1, 3, 3)]
+#[case::fewer(3, 1, 1)]
+#[tokio::test]
+async fn follows_a_change_of_its_connections(
+    #[case] before: u32,
+    #[case] after: u32,
+    #[case] expected: usize,
+) {
+    let shares = ConnectionShares::default();
+    let address = "127.0.0.1:1".parse().unwrap();
+    let take = |connections| shares.permit(address, Connections(connections)).now_or_never();
+    let used: Vec<_> = (0..before).map(|_| take(before).unwrap()).collect();
+    assert!(take(before).is_none());
+    let more: Vec<_> = std::iter::from_fn(|| take(after)).collect();
+    assert_eq!(more.len(), expected.saturating_sub(used.len()));
+    drop(used);
+    drop(more);
+    let again: Vec<_> = std::iter::from_fn(|| take(after)).collect();
+    assert_eq!(again.len(), expected);
+}
--- a/crates/daemon/tests/callers.rs
+++ b/crates/daemon/tests/callers.rs
@@ -223,11 +223,18 @@
         ),
         false => format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{body}"),
     };
-    let (_upstream, daemon) = start(vec![Behaviour::write(&answer)]).await;
-    let answer = daemon.call(GET).await;
-    assert!(is_complete(&answer));
-    let body = answer.split_once("\r\n\r\n").unwrap().1;
-    assert_eq!(body.bytes().filter(|&byte| byte == b'y').count(), length);
+    let (upstream, daemon) = start(vec![Behaviour::write(&answer)]).await;
+    for _ in 0..2 {
+        let answer = daemon.call(GET).await;
+        assert!(is_complete(&answer));
+        let body = answer.split_once("\r\n\r\n").unwrap().1;
+        assert_eq!(body.bytes().filter(|&byte| byte == b'y').count(), length);
+    }
+    // Each counts as completed, and its connection is kept.
+    let counted = |metrics: &str| metrics.contains("jujubedeal_attempts_total{");
+    let metrics = daemon.wait_for("/metrics", counted).await;
+    assert!(metrics.contains("jujubedeal_attempts_total{end=\"completed\""), "{metrics}");
+    assert_eq!(upstream.seen().connections, 1);
 }
 
 #[rstest]
