--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -10,13 +10,14 @@
 use decision_core::{Envelope, Event, PROTOCOL_VERSION, PeerMessage};
 use domain::{FastMap, HostId, Incarnation};
 use error_stack::{Report, ResultExt};
-use jsonrpsee::core::client::ClientT;
+use jsonrpsee::core::client::{ClientT, Error as ClientError};
 use jsonrpsee::server::{Server, ServerConfig, ServerHandle};
 use jsonrpsee::types::{ErrorObjectOwned, Params};
 use jsonrpsee::ws_client::{WsClient, WsClientBuilder};
 use jsonrpsee::{RpcModule, rpc_params};
 use serde::Deserialize;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::sync::{Semaphore, mpsc};
@@ -194,7 +195,7 @@
     from: HostId,
     incarnation: Incarnation,
     metrics: Arc<Metrics>,
-    client: Option<Arc<WsClient>>,
+    client: Option<Arc<Connection>>,
     backoff: Duration,
     next_connect: Instant,
 }
@@ -209,13 +210,9 @@
                 self.metrics.peer_messages_dropped(messages.len());
                 continue;
             };
-            let count = messages.len();
             let sending = send(client, self.envelope(messages), Arc::clone(&self.metrics));
-            let metrics = Arc::clone(&self.metrics);
             tokio::spawn(async move {
-                if sending.await.is_none() {
-                    metrics.peer_messages_dropped(count);
-                }
+                sending.await;
                 drop(permit);
             });
         }
@@ -230,9 +227,9 @@
         }
     }
 
-    async fn connected(&mut self) -> Option<Arc<WsClient>> {
+    async fn connected(&mut self) -> Option<Arc<Connection>> {
         match &self.client {
-            Some(client) if client.is_connected() => return Some(Arc::clone(client)),
+            Some(client) if client.is_usable() => return Some(Arc::clone(client)),
             _ if Instant::now() < self.next_connect => return None,
             _ => {}
         }
@@ -248,7 +245,8 @@
             Ok(client) => {
                 log::info!("peers: connected to {}", self.address);
                 self.backoff = MIN_BACKOFF;
-                self.client = Some(Arc::new(client));
+                self.client =
+                    Some(Arc::new(Connection { client, is_silent: AtomicBool::new(false) }));
             }
             Err(error) => {
                 log::debug!("peers: {} is out of reach: {error}", self.address);
@@ -261,6 +259,21 @@
     }
 }
 
+/// A connection that came about.
+#[derive(Debug)]
+struct Connection {
+    client: WsClient,
+    /// The peer left an envelope unconfirmed.
+    is_silent: AtomicBool,
+}
+
+impl Connection {
+    /// One on which the peer fell silent is given up: what it would still read is too old.
+    fn is_usable(&self) -> bool {
+        self.client.is_connected() && !self.is_silent.load(Ordering::Acquire)
+    }
+}
+
 /// The first message and what waits behind it, as far as one envelope takes it.
 fn batch(first: PeerMessage, queue: &mut mpsc::Receiver<PeerMessage>) -> Vec<PeerMessage> {
     let mut text_bytes = text_bytes(&first);
@@ -281,14 +294,25 @@
     }
 }
 
-async fn send(client: Arc<WsClient>, envelope: Envelope, metrics: Arc<Metrics>) -> Option<()> {
-    let json = serde_json::value::to_raw_value(&envelope).ok()?;
+/// Sends an envelope; its messages count as dropped unless the peer confirms them.
+async fn send(connection: Arc<Connection>, envelope: Envelope, metrics: Arc<Metrics>) {
+    let Ok(json) = serde_json::value::to_raw_value(&envelope) else { return };
     metrics.control_bytes(Direction::Out, json.get().len());
-    match client.request::<(), _>(DELIVER, rpc_params![json]).await {
-        Ok(()) => Some(()),
-        Err(error) => {
+    let request = connection.client.request::<(), _>(DELIVER, rpc_params![json]);
+    // The client's own timeout begins once the request is on its way.
+    match timeout(CONFIRM_TIMEOUT, request).await {
+        Ok(Ok(())) => return,
+        Ok(Err(ClientError::Call(refusal))) => {
+            log::debug!("peers: a message was refused: {refusal}");
+        }
+        Ok(Err(error)) => {
             log::debug!("peers: a message was not confirmed: {error}");
-            None
+            connection.is_silent.store(true, Ordering::Release);
+        }
+        Err(_) => {
+            log::debug!("peers: a message was not confirmed in time");
+            connection.is_silent.store(true, Ordering::Release);
         }
     }
+    metrics.peer_messages_dropped(envelope.messages.len());
 }
