--- a/crates/daemon/tests/support/mod.rs
+++ b/crates/daemon/tests/support/mod.rs
@@ -51,15 +51,6 @@
     pub closed: usize,
     /// Bytes received in all.
     pub bytes: usize,
-    /// Connections open at once, at most.
-    pub most_open: usize,
-}
-
-impl Seen {
-    fn note_connection(&mut self) {
-        self.connections += 1;
-        self.most_open = self.most_open.max(self.connections - self.closed);
-    }
 }
 
 /// An upstream that plays one behaviour per request; the last one stays.
@@ -85,7 +76,7 @@
         let accepting = upstream.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                accepting.seen.send_modify(Seen::note_connection);
+                accepting.seen.send_modify(|seen| seen.connections += 1);
                 tokio::spawn(accepting.clone().serve(stream));
             }
         });
