--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -28,6 +28,7 @@
 pub use relay::Relay;
 pub use site::Site;
 pub use stand_in::{
-    ConfigServiceProcess, Faults, HostListProcess, Noise, UpstreamProcess, UpstreamTotals,
+    ConfigFaults, ConfigServiceProcess, Faults, HostListFaults, HostListProcess, Noise,
+    UpstreamProcess, UpstreamTotals,
 };
 pub use wait::{LIMIT, wait_until};
--- a/crates/fleet/src/stand_in.rs
+++ b/crates/fleet/src/stand_in.rs
@@ -7,7 +7,7 @@
 use crate::process::{Process, ProcessSpec, Role};
 use crate::wait::LIMIT;
 use decision_core::HostList;
-use domain::{Millis, Share, SiteName, UpstreamId, Version, ZoneName};
+use domain::{HostId, Millis, Share, SiteName, UpstreamId, Version, ZoneName};
 use error_stack::{Report, ResultExt};
 use nix::sys::signal::Signal;
 use serde::{Deserialize, Serialize};
@@ -71,6 +71,29 @@
         let text = client.put(self.address, &path, overlay).await?;
         text.parse().change_context(FleetError::Request { url: path })
     }
+
+    /// Replaces all faults.
+    ///
+    /// # Errors
+    /// They are not taken.
+    pub async fn set_faults(
+        &self,
+        client: &Client,
+        faults: &ConfigFaults,
+    ) -> Result<(), Report<FleetError>> {
+        client.post(self.address, FAULTS_PATH, faults).await
+    }
+}
+
+/// Faults of the configuration service's stand-in; the default is none.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub struct ConfigFaults {
+    /// No reader gets an answer.
+    pub down: bool,
+    /// Serves no version newer than this.
+    pub stale_at: Option<Version>,
+    /// The only reader that `stale_at` holds for; all if unset.
+    pub stale_reader: Option<HostId>,
 }
 
 /// The host list's stand-in.
@@ -109,6 +132,25 @@
     ) -> Result<(), Report<FleetError>> {
         client.put(self.address, &format!("{HOSTS_PATH}{site}"), list).await.map(drop)
     }
+
+    /// Replaces all faults.
+    ///
+    /// # Errors
+    /// They are not taken.
+    pub async fn set_faults(
+        &self,
+        client: &Client,
+        faults: &HostListFaults,
+    ) -> Result<(), Report<FleetError>> {
+        client.post(self.address, FAULTS_PATH, faults).await
+    }
+}
+
+/// Faults of the host list's stand-in; the default is none.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize)]
+pub struct HostListFaults {
+    /// No reader gets an answer.
+    pub down: bool,
 }
 
 /// Faults of an upstream's stand-in.
