--- a/crates/core/src/message.rs
+++ b/crates/core/src/message.rs
@@ -161,6 +161,11 @@
 }
 
 impl PeerMessage {
+    /// Whether single calls make it necessary, and not the passing of time or a change.
+    pub fn goes_with_a_call(&self) -> bool {
+        self.kind() == MessageKind::Claim
+    }
+
     /// Its kind.
     pub fn kind(&self) -> MessageKind {
         match self {
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -19,6 +19,7 @@
     attempts: Counter<u64>,
     probes: Counter<u64>,
     control_bytes: Counter<u64>,
+    call_bytes: Counter<u64>,
     peer_messages_refused: Counter<u64>,
     peer_messages_dropped: Counter<u64>,
     platform_reads: Counter<u64>,
@@ -62,7 +63,7 @@
     }
 }
 
-/// Which way control bytes went.
+/// Which way bytes went.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Direction {
     /// From peers.
@@ -71,6 +72,16 @@
     Out,
 }
 
+impl Direction {
+    fn label(self) -> KeyValue {
+        let direction = match self {
+            Direction::In => "in",
+            Direction::Out => "out",
+        };
+        KeyValue::new("direction", direction)
+    }
+}
+
 /// Borders of the latency buckets, in milliseconds.
 const DURATION_BORDERS_MS: [f64; 14] =
     [0.5, 1.0, 2.0, 5.0, 10.0, 20.0, 50.0, 100.0, 200.0, 500.0, 1000.0, 2000.0, 5000.0, 10000.0];
@@ -96,7 +107,14 @@
             refusals: counter("jujubedeal_refusals", "The entry host's own answers by cause"),
             attempts: counter("jujubedeal_attempts", "Sendings by how they ended"),
             probes: counter("jujubedeal_probes", "Health requests to upstreams"),
-            control_bytes: counter("jujubedeal_control_bytes", "Bytes of peer messages"),
+            control_bytes: counter(
+                "jujubedeal_control_bytes",
+                "Bytes of peer messages, but for those that go with single calls",
+            ),
+            call_bytes: counter(
+                "jujubedeal_call_bytes",
+                "Bytes of peer messages that go with single calls: claims of keys",
+            ),
             peer_messages_refused: counter(
                 "jujubedeal_peer_messages_refused",
                 "Peer messages refused by cause",
@@ -140,13 +158,14 @@
         self.probes.add(1, &[]);
     }
 
-    /// A peer message travelled.
+    /// Peer messages of control travelled.
     pub fn control_bytes(&self, direction: Direction, bytes: usize) {
-        let label = match direction {
-            Direction::In => "in",
-            Direction::Out => "out",
-        };
-        self.control_bytes.add(bytes as u64, &[KeyValue::new("direction", label)]);
+        self.control_bytes.add(bytes as u64, &[direction.label()]);
+    }
+
+    /// Peer messages travelled that go with single calls.
+    pub fn call_bytes(&self, direction: Direction, bytes: usize) {
+        self.call_bytes.add(bytes as u64, &[direction.label()]);
     }
 
     /// A peer message was refused.
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -82,11 +82,12 @@
 
 fn receive(driver: &Arc<Driver>, params: &Params<'_>) -> Result<(), ErrorObjectOwned> {
     let bytes = params.as_str().map_or(0, str::len);
-    driver.metrics().control_bytes(Direction::In, bytes);
     let envelope = open(params).inspect_err(|refusal| {
+        driver.metrics().control_bytes(Direction::In, bytes);
         driver.metrics().peer_message_refused(refusal.label());
         log::debug!("peers: refused a message: {}", refusal.label());
     })?;
+    count_bytes(driver.metrics(), Direction::In, &envelope.messages, bytes);
     for message in envelope.messages {
         driver.apply(Event::PeerReceived {
             from: envelope.from.clone(),
@@ -97,6 +98,20 @@
     Ok(())
 }
 
+/// Counts an envelope: what goes with calls apart, the rest and the frame as control.
+fn count_bytes(metrics: &Metrics, direction: Direction, messages: &[PeerMessage], bytes: usize) {
+    let with_calls = messages.iter().filter(|message| message.goes_with_a_call());
+    let with_calls_bytes: usize = with_calls.map(json_bytes).sum();
+    metrics.control_bytes(direction, bytes.saturating_sub(with_calls_bytes));
+    if with_calls_bytes > 0 {
+        metrics.call_bytes(direction, with_calls_bytes);
+    }
+}
+
+fn json_bytes(message: &PeerMessage) -> usize {
+    serde_json::to_vec(message).map_or(0, |json| json.len())
+}
+
 /// Why a message is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum EnvelopeRefusal {
@@ -297,7 +312,7 @@
 /// Sends an envelope; its messages count as dropped unless the peer confirms them.
 async fn send(connection: Arc<Connection>, envelope: Envelope, metrics: Arc<Metrics>) {
     let Ok(json) = serde_json::value::to_raw_value(&envelope) else { return };
-    metrics.control_bytes(Direction::Out, json.get().len());
+    count_bytes(&metrics, Direction::Out, &envelope.messages, json.get().len());
     let request = connection.client.request::<(), _>(DELIVER, rpc_params![json]);
     // The client's own timeout begins once the request is on its way.
     match timeout(CONFIRM_TIMEOUT, request).await {
