--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -98,14 +98,17 @@
     Ok(())
 }
 
-/// Counts an envelope: what goes with calls apart, the rest and the frame as control.
+/// Counts an envelope: what goes with calls apart, the rest as control. The frame goes with
+/// the calls if nothing else is in it.
 fn count_bytes(metrics: &Metrics, direction: Direction, messages: &[PeerMessage], bytes: usize) {
-    let with_calls = messages.iter().filter(|message| message.goes_with_a_call());
-    let with_calls_bytes: usize = with_calls.map(json_bytes).sum();
+    let (with_calls, control): (Vec<_>, Vec<_>) =
+        messages.iter().partition(|message| message.goes_with_a_call());
+    let with_calls_bytes = match control.is_empty() {
+        true => bytes,
+        false => with_calls.into_iter().map(json_bytes).sum(),
+    };
     metrics.control_bytes(direction, bytes.saturating_sub(with_calls_bytes));
-    if with_calls_bytes > 0 {
-        metrics.call_bytes(direction, with_calls_bytes);
-    }
+    metrics.call_bytes(direction, with_calls_bytes);
 }
 
 fn json_bytes(message: &PeerMessage) -> usize {
