Ask after refused versions by their numbers, not by a copy of the reasons

Cause: while a refused configuration stands, each peer message, votes on keys included, copied its whole text of problems under the lock that serves calls, only to see that nothing had changed. The numbers tell that. With them the check is cheap enough for every event, so the special case for events that may bring a configuration goes; a refusal found on another event, such as a tick, is now logged at once. The gain was not measured.

--- a/crates/core/src/adoption/mod.rs
+++ b/crates/core/src/adoption/mod.rs
@@ -150,6 +150,11 @@
         Some(RejectedPair { base, overlay, problems: problems.clone() })
     }
 
+    /// Versions of [`Adoption::rejected`], cheap enough to ask after each event.
+    pub fn rejected_versions(&self) -> Option<VersionPair> {
+        self.refused.last_key_value().map(|(pair, _)| *pair)
+    }
+
     /// What the configuration service told that can't be right.
     pub fn faults(&self) -> &ReadingFaults {
         &self.faults
--- a/crates/core/src/dump.rs
+++ b/crates/core/src/dump.rs
@@ -80,6 +80,11 @@
         self.in_force.as_ref().map(|in_force| &in_force.config.limits)
     }
 
+    /// Versions of [`EntryHost::rejected`], without its text.
+    pub fn rejected_versions(&self) -> Option<VersionPair> {
+        self.adoption.rejected_versions()
+    }
+
     /// The newest pair of versions that was refused, and why.
     pub fn rejected(&self) -> Option<RejectedPair> {
         self.adoption.rejected()
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -83,7 +83,7 @@
 struct State {
     core: EntryHost,
     versions: VersionPair,
-    rejected: Option<RejectedPair>,
+    rejected: Option<VersionPair>,
     calls: FastMap<CallId, OpenCall>,
     attempts: FastMap<AttemptId, OpenAttempt>,
     actions: Vec<Action>,
@@ -271,7 +271,6 @@
     }
 
     fn handle(self: &Arc<Driver>, state: &mut State, event: Event, discarded: &mut Discarded) {
-        let brings_config = matches!(event, Event::ConfigRead(_) | Event::PeerReceived { .. });
         let mut actions = std::mem::take(&mut state.actions);
         state.core.handle(self.clock.now(), event, &mut actions);
         for action in actions.drain(..) {
@@ -280,9 +279,7 @@
         state.actions = actions;
         self.note_tick(state.core.next_tick_ms());
         self.note_versions(state);
-        if brings_config {
-            note_rejected(state);
-        }
+        note_rejected(state);
     }
 
     fn note_versions(&self, state: &mut State) {
@@ -431,14 +428,14 @@
 }
 
 fn note_rejected(state: &mut State) {
-    let rejected = state.core.rejected();
-    if rejected == state.rejected {
+    let versions = state.core.rejected_versions();
+    if versions == state.rejected {
         return;
     }
-    if let Some(RejectedPair { base, overlay, problems }) = &rejected {
+    state.rejected = versions;
+    if let Some(RejectedPair { base, overlay, problems }) = state.core.rejected() {
         log::warn!("config: base {base} with overlay {overlay} refused: {problems}");
     }
-    state.rejected = rejected;
 }
 
 impl State {
