--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -55,6 +55,8 @@
     pub news: Notify,
     /// Requests without a final answer.
     pub open_requests: Cell<usize>,
+    /// Callers' connections that are open.
+    pub open_sessions: Cell<usize>,
     /// Calls to the source so far.
     pub source_calls: Cell<u64>,
     /// Turns true when the process is to stop.
@@ -91,6 +93,7 @@
             metrics,
             news: Notify::new(),
             open_requests: Cell::new(0),
+            open_sessions: Cell::new(0),
             source_calls: Cell::new(0),
             stopping: watch::Sender::new(false),
             closing: watch::Sender::new(false),
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -130,10 +130,17 @@
     is_last: bool,
 }
 
-/// Takes callers' connections; never ends.
+/// Takes callers' connections until they are to be closed.
+///
+/// Then the port is closed too: a connection that nobody would read is better refused.
 pub async fn accept(host: Rc<Host>, listener: TcpListener) {
+    let mut closing = host.closing.subscribe();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = closing.changed() => return,
+        };
+        match accepted {
             Ok((stream, _)) => {
                 tokio::task::spawn_local(session(Rc::clone(&host), stream));
             }
@@ -163,11 +170,13 @@
         active: now,
         is_last: false,
     };
+    session.host.open_sessions.update(|open| open + 1);
     session.run().await;
     for pending in &session.pending {
         pending.abandon();
     }
     linger(&session.caller).await;
+    session.host.open_sessions.update(|open| open - 1);
 }
 
 /// Closes gently; see the module's head.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -369,6 +369,3 @@
     host.metrics.told_peers(bytes.len());
     stream.shutdown().await
 }
-
-/// Time within which a farewell is on its way before the process ends.
-pub const FAREWELL: Duration = Duration::from_millis(20);
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -10,7 +10,7 @@
 use crate::ingress;
 use crate::metrics::Metrics;
 use crate::operator::{self, Audience};
-use crate::peers::{FAREWELL, Peers};
+use crate::peers::Peers;
 use crate::reading::Readings;
 use crate::settings::Settings;
 use crate::source::Source;
@@ -34,6 +34,9 @@
 /// Before the process would be killed, it ends by itself.
 const STOP_MARGIN_MS: Millis = Millis(350);
 
+/// Time between two looks at whether a stop is done.
+const STOP_STEP: Duration = Duration::from_millis(10);
+
 /// Callers that wait to be accepted; a second's worth of new connections of a busy host.
 const BACKLOG: u32 = 1_024;
 
@@ -145,11 +148,11 @@
     peers.say_bye();
     tokio::time::sleep(NOTICE.min(duration(limit_ms))).await;
     host.closing.send_replace(true);
-    while host.open_requests.get() > 0 && host.now_ms().since(begun_ms) < limit_ms {
-        tokio::time::sleep(Duration::from_millis(20)).await;
+    let is_busy = || host.open_requests.get() > 0 || host.open_sessions.get() > 0;
+    while is_busy() && host.now_ms().since(begun_ms) < limit_ms {
+        tokio::time::sleep(STOP_STEP).await;
     }
-    // The last answers leave, and connections close behind them.
-    tokio::time::sleep(FAREWELL).await;
+    // Nothing is awaited from here on, so no request can be read that nobody would answer.
     host.log.write(&LogEvent::Stopped { open_requests: host.open_requests.get() });
     host.log.flush();
 }
