--- a/crates/dispatch/src/attempts.rs
+++ b/crates/dispatch/src/attempts.rs
@@ -100,6 +100,8 @@
     SlowRequest,
     /// No upstream takes work.
     NoUpstream,
+    /// No upstream could do it in time.
+    Overloaded,
     /// Upstreams refused it, each with proof that it did not run.
     UpstreamsRefused,
     /// The upstream broke off, or spoilt its answer.
@@ -115,7 +117,7 @@
     pub fn status(self) -> u16 {
         match self {
             Cause::NotConfigured | Cause::NoUpstream | Cause::UpstreamsRefused => 503,
-            Cause::Expired => 503,
+            Cause::Expired | Cause::Overloaded => 503,
             Cause::NoRoute => 404,
             Cause::BadRequest => 400,
             Cause::HeadTooLarge => 431,
@@ -136,6 +138,7 @@
             Cause::BodyTooLarge => "body-too-large",
             Cause::SlowRequest => "slow-request",
             Cause::NoUpstream => "no-upstream",
+            Cause::Overloaded => "overloaded",
             Cause::UpstreamsRefused => "upstreams-refused",
             Cause::UpstreamFailed => "upstream-failed",
             Cause::Expired => "expired",
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,12 +9,14 @@
 pub mod budget;
 mod choice;
 mod load;
+mod patience;
 mod split;
 mod upstream;
 mod upstream_set;
 
 pub use choice::{ASKED_AT_ONCE, Candidate, GOOD_ENOUGH, expected_work};
 pub use load::LoadReport;
+pub use patience::{Offer, Patience, Verdict};
 pub use split::SplitTable;
 pub use upstream::{AskFailure, Known, SendFailure};
 pub use upstream_set::UpstreamSet;
--- a/crates/dispatch/src/upstream_set.rs
+++ b/crates/dispatch/src/upstream_set.rs
@@ -12,18 +12,30 @@
 /// that know the same don't all ask the same.
 const SHAKE: f64 = 0.5;
 
+/// Weight of one answer in the usual working time of a service: some twenty answers count.
+const USUAL_WEIGHT: f64 = 0.05;
+
+/// Answers that were expected to take longer than this tell little of the usual time.
+const MOST_WORK_LEARNED: f64 = 1.6;
+
 /// What is known of all upstreams.
 #[derive(Debug)]
 pub struct UpstreamSet {
     zone: ZoneName,
     known: FastMap<UpstreamId, Known>,
     services: FastMap<ServiceName, Vec<UpstreamId>>,
+    usual_ms: FastMap<ServiceName, f64>,
 }
 
 impl UpstreamSet {
     /// None yet, seen from an availability zone.
     pub fn new(zone: ZoneName) -> UpstreamSet {
-        UpstreamSet { zone, known: FastMap::default(), services: FastMap::default() }
+        UpstreamSet {
+            zone,
+            known: FastMap::default(),
+            services: FastMap::default(),
+            usual_ms: FastMap::default(),
+        }
     }
 
     /// Takes the published entries: new ones join, missing ones go, the rest keeps what is known.
@@ -78,6 +90,21 @@
         Some(Candidate { upstream: id.clone(), work })
     }
 
+    /// An answer took so long where so much work was expected.
+    pub fn note_duration(&mut self, service: &ServiceName, took_ms: Millis, work: f64) {
+        if work > MOST_WORK_LEARNED {
+            return;
+        }
+        let told_ms = took_ms.as_f64() / work.max(1.0);
+        let usual_ms = self.usual_ms.entry(service.clone()).or_insert(told_ms);
+        *usual_ms += (told_ms - *usual_ms) * USUAL_WEIGHT;
+    }
+
+    /// How long so much work is expected to take; none before anything was learned.
+    pub fn expected_ms(&self, service: &ServiceName, work: f64) -> Option<Millis> {
+        self.usual_ms.get(service).map(|usual_ms| Millis((usual_ms * work) as u64))
+    }
+
     /// Whom to ask next: the best by what is remembered, own availability zone first.
     ///
     /// Those in `excluded` are left out, and those that are left alone, as long as any other is there.
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -12,8 +12,6 @@
 use serde::Serialize;
 use std::cell::RefCell;
 use std::fs::File;
-use std::io::{ErrorKind, Write};
-use std::os::fd::AsFd;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 /// Most bytes that wait for the reader of standard output.
@@ -219,21 +217,39 @@
     dropped_routine: u64,
     dropped_telling: u64,
     dropped_ever: u64,
-    out: Option<File>,
+    out: Option<Out>,
+}
+
+/// Where lines go.
+#[derive(Debug)]
+pub enum Out {
+    /// Standard output, which must not block.
+    Stdout,
+    /// A file or pipe, which must not block either.
+    File(File),
+}
+
+impl Out {
+    fn write(&self, bytes: &[u8]) -> rustix::io::Result<usize> {
+        match self {
+            // Past the library's own buffer, which would wait for the reader.
+            Out::Stdout => rustix::io::write(std::io::stdout(), bytes),
+            Out::File(file) => rustix::io::write(file, bytes),
+        }
+    }
 }
 
 impl EventLog {
     /// A log that is written to standard output.
     pub fn to_stdout(host: HostId) -> std::io::Result<EventLog> {
-        let out = std::io::stdout().as_fd().try_clone_to_owned()?;
-        let file = File::from(out);
-        let flags = rustix::fs::fcntl_getfl(&file)?;
-        rustix::fs::fcntl_setfl(&file, flags | rustix::fs::OFlags::NONBLOCK)?;
-        Ok(EventLog::new(host, Some(file)))
+        let out = std::io::stdout();
+        let flags = rustix::fs::fcntl_getfl(&out)?;
+        rustix::fs::fcntl_setfl(&out, flags | rustix::fs::OFlags::NONBLOCK)?;
+        Ok(EventLog::new(host, Some(Out::Stdout)))
     }
 
-    /// A log that is written to a file, or kept until it is full.
-    pub fn new(host: HostId, out: Option<File>) -> EventLog {
+    /// A log that is written elsewhere, or kept until it is full.
+    pub fn new(host: HostId, out: Option<Out>) -> EventLog {
         let state = State {
             waiting: Vec::new(),
             dropped_routine: 0,
@@ -281,7 +297,7 @@
         while !waiting.is_empty() {
             match out.write(waiting) {
                 Ok(written) => drop(waiting.drain(..written)),
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(rustix::io::Errno::INTR) => {}
                 // A reader that is slow or gone must not hold up anything; lines wait or drop.
                 Err(_) => break,
             }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -7,7 +7,7 @@
 use crate::http1::{RequestHead, write_request};
 use crate::ingress::Caller;
 use dispatch::attempts::{self, Answered, Cause, End, Next, Refusal, Standing};
-use dispatch::{SendFailure, UpstreamSet};
+use dispatch::{Offer, Patience, SendFailure, UpstreamSet, Verdict};
 use domain::{Millis, ServiceName, UpstreamId};
 use futures_util::future::LocalBoxFuture;
 use futures_util::stream::{FuturesUnordered, StreamExt};
@@ -277,6 +277,15 @@
             let now_ms = self.host.now_ms();
             self.check_time(now_ms, tally)?;
             let Some(chosen) = chosen else { break };
+            match self.weigh(now_ms, &chosen, tally) {
+                Verdict::Take => {}
+                Verdict::AskAgain(pause_ms) => {
+                    self.host.pool.borrow_mut().put(&chosen.upstream, chosen.connection);
+                    tokio::time::sleep(duration(pause_ms)).await;
+                    continue;
+                }
+                Verdict::Refuse => return Err(Refusal::not_run(Cause::Overloaded)),
+            }
             if now_ms.since(begun_ms) > STALE_CHOICE_MS {
                 self.check_caller().await;
             }
@@ -290,6 +299,21 @@
         })
     }
 
+    /// Only a first sending is kept back: what was sent once has lost its time already.
+    fn weigh(&self, now_ms: Millis, chosen: &Chosen, tally: &Tally) -> Verdict {
+        if tally.sent > 0 {
+            return Verdict::Take;
+        }
+        let patience = Patience {
+            arrived_ms: self.request.arrived_ms,
+            objective_ms: self.route().objective_ms,
+            end_ms: self.end_ms,
+        };
+        let upstreams = self.host.upstreams.borrow();
+        let expected_ms = upstreams.expected_ms(&self.service, chosen.work);
+        patience.weigh(now_ms, Offer { expected_ms })
+    }
+
     /// After a pause of this process the caller may be gone without our knowing. It never
     /// returns then: the request is withdrawn by whoever reads the caller's connection.
     async fn check_caller(&self) {
@@ -373,7 +397,13 @@
             }
             self.host.pool.borrow_mut().put(&upstream, chosen.connection);
         }
-        guard.end(failure_of(end));
+        let failure = failure_of(end);
+        guard.end(failure);
+        if failure.is_none() {
+            let took_ms = self.host.now_ms().since(sent_ms);
+            let mut upstreams = self.host.upstreams.borrow_mut();
+            upstreams.note_duration(&self.service, took_ms, chosen.work);
+        }
         Ended { upstream, end, answer, sent_ms }
     }
 
