--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,9 +1,10 @@
 //! What entry hosts tell each other.
 //!
-//! Datagrams of JSON carry who is there and what was read: most of it fits one, nothing
-//! waits for a silent peer, and no connection has to be kept for it, which `jsonrpsee`
-//! over WebSocket would need between any two hosts. A lost datagram is found by revision
-//! and digest; the whole picture is then fetched over a connection.
+//! Datagrams carry who is there and what was read: most of it fits one, nothing waits for
+//! a silent peer, and no connection has to be kept for it, which `jsonrpsee` over WebSocket
+//! would need between any two hosts. A lost datagram is found by revision and digest; the
+//! whole picture is then fetched over a connection. Bytes between availability zones are
+//! paid for, so both are in the compact `postcard` encoding.
 
 use crate::event_log::LogEvent;
 use crate::host::Host;
@@ -42,7 +43,6 @@
 
 /// A datagram.
 #[derive(Debug, Serialize, Deserialize)]
-#[serde(tag = "kind", rename_all = "kebab-case")]
 pub enum Datagram {
     /// A host is there.
     Hello {
@@ -175,7 +175,7 @@
     }
 
     fn send(&self, datagram: &Datagram, to: &[SocketAddr]) {
-        let encoded = serde_json::to_vec(datagram).unwrap_or_default();
+        let encoded = postcard::to_stdvec(datagram).unwrap_or_default();
         let encoded = match datagram {
             Datagram::News(news) if encoded.len() > MAX_DATAGRAM_BYTES => without_changes(news),
             _ => encoded,
@@ -193,7 +193,7 @@
         let mut buffer = vec![0; 64 * 1024];
         loop {
             match self.socket.recv_from(&mut buffer).await {
-                Ok((read, from)) => match serde_json::from_slice(&buffer[..read]) {
+                Ok((read, from)) => match postcard::from_bytes(&buffer[..read]) {
                     Ok(datagram) => self.take(datagram, from),
                     Err(e) => self.host.log.write(&LogEvent::PeerUnreadable {
                         from: from.to_string(),
@@ -347,14 +347,14 @@
         after: news.revision,
         changes: Some(Vec::new()),
     };
-    serde_json::to_vec(&Datagram::News(short)).unwrap_or_default()
+    postcard::to_stdvec(&Datagram::News(short)).unwrap_or_default()
 }
 
 async fn fetch_picture(address: SocketAddr) -> std::io::Result<Told> {
     let mut stream = TcpSocket::new_v4()?.connect(address).await?;
     let mut bytes = Vec::new();
     (&mut stream).take(MAX_PICTURE_BYTES).read_to_end(&mut bytes).await?;
-    Ok(serde_json::from_slice(&bytes)?)
+    postcard::from_bytes(&bytes).map_err(std::io::Error::other)
 }
 
 async fn give_picture(host: &Host, mut stream: TcpStream) -> std::io::Result<()> {
@@ -364,7 +364,7 @@
         let Some(age_ms) = picture.age_ms(host.now_ms()) else { return Ok(()) };
         Told { age_ms, whole: picture.whole() }
     };
-    let bytes = serde_json::to_vec(&told)?;
+    let bytes = postcard::to_stdvec(&told).map_err(std::io::Error::other)?;
     stream.write_all(&bytes).await?;
     host.metrics.told_peers(bytes.len());
     stream.shutdown().await
