Remove hedges; count repeats in the window itself

With fresh knowledge a second sending comes too late to help and takes room from others.

Repeats: a bucket of 2.5 a host kept failed requests from being sent again; what is allowed is now counted over the window, 0.8 of the share and half of the slack.

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -1,15 +1,20 @@
 //! The host's part of what the whole fleet may spend.
 //!
-//! The fleet may repeat a share of the requests for a service, and a fixed number more in
-//! each window. The share is earned request by request, so it needs no count of hosts;
-//! the fixed number is divided by the hosts that are known. Both are kept below what is
-//! allowed by [`MARGIN`], since hosts restart with a fresh allowance and know each other
-//! late.
+//! The fleet may repeat a share of the requests for a service, and a fixed number more, in
+//! any window. The share is counted against this host's own requests of the window, so it
+//! needs no count of hosts; the fixed number is divided by the hosts that are known. Both
+//! are kept below what is allowed, since hosts restart and forget what they spent, and
+//! know each other late.
 
 use domain::{FastMap, Millis, PerSecond, ServiceName, Share, UpstreamId};
+use std::collections::VecDeque;
 
-/// Part of what is allowed that is spent.
-const MARGIN: f64 = 0.7;
+/// Part of the allowed share that is spent.
+const RATIO_MARGIN: f64 = 0.8;
+
+/// Part of the fixed number that is spent: a fleet that restarts in the middle of a window
+/// has it twice.
+const SLACK_MARGIN: f64 = 0.5;
 
 /// Until so long after its start a host takes the fleet to be at least [`UNKNOWN_HOSTS`].
 const KNOWING_MS: Millis = Millis(3_000);
@@ -17,6 +22,9 @@
 /// Hosts that a fleet is taken to have before its hosts are known.
 const UNKNOWN_HOSTS: u32 = 20;
 
+/// Width of one count within a window.
+const COUNT_MS: Millis = Millis(1_000);
+
 /// What all hosts together may repeat for one service.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct FleetRepeats {
@@ -24,6 +32,8 @@
     pub ratio: Share,
     /// Repeats in each window beyond that.
     pub slack: f64,
+    /// The window.
+    pub window_ms: Millis,
 }
 
 /// This host's repeats, by service.
@@ -31,13 +41,27 @@
 pub struct RepeatBudget {
     allowed: FleetRepeats,
     started_ms: Millis,
-    tokens: FastMap<ServiceName, f64>,
+    hosts: u32,
+    services: FastMap<ServiceName, Window>,
+}
+
+/// Requests and repeats of one service, second by second.
+#[derive(Debug, Default)]
+struct Window {
+    counts: VecDeque<Count>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Count {
+    second: u64,
+    requests: u32,
+    repeats: u32,
 }
 
 impl RepeatBudget {
     /// A budget of a host that has just started.
     pub fn new(allowed: FleetRepeats, started_ms: Millis) -> RepeatBudget {
-        RepeatBudget { allowed, started_ms, tokens: FastMap::default() }
+        RepeatBudget { allowed, started_ms, hosts: UNKNOWN_HOSTS, services: FastMap::default() }
     }
 
     /// Takes another allowance into force.
@@ -47,32 +71,53 @@
 
     /// A request for the service came in.
     pub fn earn(&mut self, now_ms: Millis, service: &ServiceName, hosts: u32) {
-        let cap = self.cap(now_ms, hosts);
-        let earned = self.allowed.ratio.0 * MARGIN;
-        let tokens = self.tokens.entry(service.clone()).or_insert(cap / 2.0);
-        *tokens = (*tokens + earned).min(cap.max(1.0));
+        let is_new = now_ms.since(self.started_ms) < KNOWING_MS;
+        self.hosts = if is_new { hosts.max(UNKNOWN_HOSTS) } else { hosts };
+        let window_ms = self.allowed.window_ms;
+        self.window(service).count(now_ms, window_ms).requests += 1;
     }
 
     /// Takes one repeat, if there is one left.
-    pub fn take(&mut self, service: &ServiceName) -> bool {
-        match self.tokens.get_mut(service) {
-            Some(tokens) if *tokens >= 1.0 => {
-                *tokens -= 1.0;
-                true
-            }
-            _ => false,
+    pub fn take(&mut self, now_ms: Millis, service: &ServiceName) -> bool {
+        if self.left(now_ms, service) < 1.0 {
+            return false;
         }
+        let window_ms = self.allowed.window_ms;
+        self.window(service).count(now_ms, window_ms).repeats += 1;
+        true
     }
 
     /// Repeats left for a service.
-    pub fn left(&self, service: &ServiceName) -> f64 {
-        self.tokens.get(service).copied().unwrap_or(0.0)
+    pub fn left(&self, now_ms: Millis, service: &ServiceName) -> f64 {
+        let since = now_ms.since(self.allowed.window_ms).0 / COUNT_MS.0;
+        let counts = self.services.get(service).map(|window| &window.counts);
+        let recent = counts.into_iter().flatten().filter(|count| count.second >= since);
+        let (requests, repeats) = recent.fold((0, 0), |(requests, repeats), count| {
+            (requests + count.requests, repeats + count.repeats)
+        });
+        let share = self.allowed.ratio.0 * RATIO_MARGIN * f64::from(requests);
+        let slack = self.allowed.slack * SLACK_MARGIN / f64::from(self.hosts.max(1));
+        share + slack.max(1.0) - f64::from(repeats)
     }
 
-    fn cap(&self, now_ms: Millis, hosts: u32) -> f64 {
-        let is_new = now_ms.since(self.started_ms) < KNOWING_MS;
-        let hosts = if is_new { hosts.max(UNKNOWN_HOSTS) } else { hosts };
-        self.allowed.slack * MARGIN / f64::from(hosts.max(1))
+    fn window(&mut self, service: &ServiceName) -> &mut Window {
+        self.services.entry(service.clone()).or_default()
+    }
+}
+
+impl Window {
+    /// The count of this moment; counts that left the window are dropped.
+    fn count(&mut self, now_ms: Millis, window_ms: Millis) -> &mut Count {
+        let second = now_ms.0 / COUNT_MS.0;
+        let since = now_ms.since(window_ms).0 / COUNT_MS.0;
+        while self.counts.front().is_some_and(|count| count.second < since) {
+            self.counts.pop_front();
+        }
+        if self.counts.back().is_none_or(|count| count.second != second) {
+            self.counts.push_back(Count { second, requests: 0, repeats: 0 });
+        }
+        let last = self.counts.len() - 1;
+        &mut self.counts[last]
     }
 }
 
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -103,8 +103,6 @@
         is_not_run: bool,
         repeats_left: f64,
     },
-    /// A second sending goes out beside the first, which is late.
-    Hedged { id: &'a str, after_ms: Millis, repeats_left: f64 },
     /// An answer was handed to the caller.
     Delivered {
         id: &'a str,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -10,17 +10,10 @@
 use dispatch::{Offer, Patience, SendFailure, UpstreamSet, Verdict};
 use domain::{Millis, ServiceName, UpstreamId};
 use futures_util::future::LocalBoxFuture;
-use futures_util::stream::{FuturesUnordered, StreamExt};
 use published::{MatchedRoute, Repeat, Route};
 use std::cell::Cell;
 use std::rc::Rc;
 
-/// Part of the objective after which an idempotent request is sent a second time.
-const HEDGE_AT: f64 = 0.6;
-
-/// Repeats that are left for failures; hedges take what is above.
-const HEDGE_RESERVE: f64 = 2.0;
-
 /// Time between the choice and the sending past which the world is looked at again.
 const STALE_CHOICE_MS: Millis = Millis(40);
 
@@ -208,7 +201,6 @@
     sent: u32,
     arrived: u32,
     not_run: u32,
-    has_hedged: bool,
 }
 
 impl Serving {
@@ -218,26 +210,13 @@
 
     async fn run(self) -> Result<Reply, Refusal> {
         let mut tally = Tally::default();
-        let mut sendings: FuturesUnordered<Sending<'_>> = FuturesUnordered::new();
-        let hedge_ms = self.request.arrived_ms
-            + Millis((self.route().objective_ms.as_f64() * HEDGE_AT) as u64);
         loop {
-            if sendings.is_empty() {
-                sendings.push(self.send_next(&mut tally).await?);
-            }
-            let may_hedge = self.may_hedge(&tally);
+            let sending = self.send_next(&mut tally).await?;
             tokio::select! {
                 biased;
-                Some(ended) = sendings.next() => {
-                    match self.settle(ended, &mut tally, sendings.len()) {
-                        Some(outcome) => return outcome,
-                        None => continue,
-                    }
-                }
-                () = tokio::time::sleep(self.host.clock.until(hedge_ms)), if may_hedge => {
-                    tally.has_hedged = true;
-                    if let Some(sending) = self.hedge(&mut tally).await {
-                        sendings.push(sending);
+                ended = sending => {
+                    if let Some(outcome) = self.settle(ended, &mut tally) {
+                        return outcome;
                     }
                 }
                 () = tokio::time::sleep(self.host.clock.until(self.end_ms)) => {
@@ -247,27 +226,6 @@
         }
     }
 
-    fn may_hedge(&self, tally: &Tally) -> bool {
-        self.route().repeat == Repeat::Idempotent
-            && !tally.has_hedged
-            && tally.arrived < self.route().attempts
-            && self.host.repeats.borrow().left(&self.service) > HEDGE_RESERVE
-    }
-
-    async fn hedge(&self, tally: &mut Tally) -> Option<Sending<'_>> {
-        let now_ms = self.host.now_ms();
-        if now_ms >= self.end_ms || !self.host.repeats.borrow_mut().take(&self.service) {
-            return None;
-        }
-        self.host.log.write(&LogEvent::Hedged {
-            id: &self.id,
-            after_ms: now_ms.since(self.request.arrived_ms),
-            repeats_left: self.host.repeats.borrow().left(&self.service),
-        });
-        let chosen = ask::choose(&self.host, &self.service, &tally.tried).await?;
-        self.dispatch(chosen, tally).ok()
-    }
-
     /// Chooses an upstream and sends; refuses if there is none or no time left.
     async fn send_next(&self, tally: &mut Tally) -> Result<Sending<'_>, Refusal> {
         while tally.sent < MAX_SENDINGS {
@@ -304,14 +262,17 @@
         if tally.sent > 0 {
             return Verdict::Take;
         }
-        let patience = Patience {
+        let upstreams = self.host.upstreams.borrow();
+        let expected_ms = upstreams.expected_ms(&self.service, chosen.work);
+        self.patience().weigh(now_ms, Offer { expected_ms })
+    }
+
+    fn patience(&self) -> Patience {
+        Patience {
             arrived_ms: self.request.arrived_ms,
             objective_ms: self.route().objective_ms,
             end_ms: self.end_ms,
-        };
-        let upstreams = self.host.upstreams.borrow();
-        let expected_ms = upstreams.expected_ms(&self.service, chosen.work);
-        patience.weigh(now_ms, Offer { expected_ms })
+        }
     }
 
     /// After a pause of this process the caller may be gone without our knowing. It never
@@ -416,13 +377,8 @@
         Answered { status, not_run, is_sealed: fields.get(dialect.seal).is_some() && is_plain }
     }
 
-    /// What follows on an ended sending; none to wait or send on.
-    fn settle(
-        &self,
-        ended: Ended,
-        tally: &mut Tally,
-        still_open: usize,
-    ) -> Option<Result<Reply, Refusal>> {
+    /// What follows on an ended sending; none to send again.
+    fn settle(&self, ended: Ended, tally: &mut Tally) -> Option<Result<Reply, Refusal>> {
         let now_ms = self.host.now_ms();
         if attempts::is_not_run(ended.end) {
             tally.not_run += 1;
@@ -431,21 +387,21 @@
             tally.arrived -= 1;
         }
         self.note_failure(&ended, now_ms);
-        let needs_repeat = tally.arrived > 0 && still_open == 0;
+        let needs_repeat = tally.arrived > 0;
         let standing = Standing {
             repeat: self.route().repeat,
             may_have_run: tally.sent - tally.not_run,
             sent: tally.sent,
             attempts: self.route().attempts,
             left_ms: self.end_ms.since(now_ms),
-            is_budget_spent: needs_repeat && self.host.repeats.borrow().left(&self.service) < 1.0,
+            is_budget_spent: needs_repeat
+                && self.host.repeats.borrow().left(self.host.now_ms(), &self.service) < 1.0,
         };
         match attempts::next(standing, ended.end) {
             Next::Deliver => Some(self.deliver(ended, tally, now_ms)),
-            _ if still_open > 0 => None,
             Next::SendAgain => {
                 if needs_repeat {
-                    self.host.repeats.borrow_mut().take(&self.service);
+                    self.host.repeats.borrow_mut().take(now_ms, &self.service);
                 }
                 None
             }
@@ -479,7 +435,7 @@
             after_ms: now_ms.since(ended.sent_ms),
             status: ended.answer.as_ref().map(|answer| answer.head.status),
             is_not_run: attempts::is_not_run(ended.end),
-            repeats_left: self.host.repeats.borrow().left(&self.service),
+            repeats_left: self.host.repeats.borrow().left(self.host.now_ms(), &self.service),
         });
     }
 }
