--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -14,6 +14,9 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
+/// How long a request waits for the first routing: two tries to read it.
+const ROUTING_WAIT_MS: Millis = Millis(120);
+
 /// Time between the choice and the sending past which the world is looked at again.
 const STALE_CHOICE_MS: Millis = Millis(40);
 
@@ -101,6 +104,7 @@
         progress: Rc::clone(&progress),
         is_answered: false,
     };
+    wait_for_routing(&host).await;
     let (route, outcome) = match route(&host, &caller, &request, &progress, &id) {
         Ok(serving) => {
             let name = serving.matched.route.name.clone();
@@ -118,6 +122,18 @@
     }
 }
 
+/// A host that has just started knows the routing within some milliseconds, so requests
+/// that come before it wait for a moment in place of being refused.
+async fn wait_for_routing(host: &Host) {
+    let until_ms = host.now_ms() + ROUTING_WAIT_MS;
+    while host.table.borrow().is_none() && host.now_ms() < until_ms {
+        tokio::select! {
+            () = host.news.notified() => {}
+            () = tokio::time::sleep(host.clock.until(until_ms)) => {}
+        }
+    }
+}
+
 fn note_refusal(
     host: &Host,
     id: &str,
--- a/crates/published/src/reading.rs
+++ b/crates/published/src/reading.rs
@@ -36,8 +36,12 @@
 /// Longest pause after failed readings: the source's return must be noticed within 2 s.
 const MAX_PAUSE_MS: Millis = Millis(1_200);
 
-/// How long a host that has just started waits for a peer's picture before it reads.
-const START_WAIT_MS: Millis = Millis(250);
+/// How long a host that has just started waits for a peer's picture before it reads: the
+/// way there and back, twice. Longer waits cost requests where all hosts start at once.
+const START_WAIT_MS: Millis = Millis(20);
+
+/// Longest further wait, drawn by each host, so that the first to read tells the others.
+const START_SPREAD_MS: u64 = 80;
 
 /// Pause between a change and the next wait at the source: changes that come in quick
 /// succession are read together.
@@ -59,6 +63,7 @@
 pub struct Reader {
     rng: Pcg64Mcg,
     started_ms: Millis,
+    start_spread_ms: Millis,
     is_seed: bool,
     is_reading: bool,
     needs_whole: bool,
@@ -68,10 +73,12 @@
 
 impl Reader {
     /// A host that has just started; a seed is asked by the others, so it reads at once.
-    pub fn new(rng: Pcg64Mcg, now_ms: Millis, is_seed: bool) -> Reader {
+    pub fn new(mut rng: Pcg64Mcg, now_ms: Millis, is_seed: bool) -> Reader {
+        let start_spread_ms = Millis(rng.random_range(0..=START_SPREAD_MS));
         Reader {
             rng,
             started_ms: now_ms,
+            start_spread_ms,
             is_seed,
             is_reading: false,
             needs_whole: true,
@@ -129,7 +136,7 @@
 
     fn due_ms(&mut self, now_ms: Millis, members: &Members, picture: &Picture) -> Millis {
         let Some(confirmed_ms) = picture.confirmed_ms() else {
-            return self.first_due_ms(members);
+            return self.first_due_ms();
         };
         let rank = members.reader_rank();
         let has_better = members.better_readers(now_ms) >= READERS;
@@ -142,10 +149,10 @@
         }
     }
 
-    fn first_due_ms(&self, members: &Members) -> Millis {
+    fn first_due_ms(&self) -> Millis {
         match self.is_seed {
             true => self.started_ms,
-            false => self.started_ms + START_WAIT_MS + turn_ms(members.reader_rank()),
+            false => self.started_ms + START_WAIT_MS + self.start_spread_ms,
         }
     }
 }
