Ask and connect to a subset of upstreams where there are many

Cause: with 103 to 124 hosts and 222 to 235 upstreams each host's part of an upstream's health checks was 0.3 a second, so most requests were sent without asking, and each host kept connections to all. Each host now prefers 10 upstreams a service, its own zone's first, by rendezvous hashing; health checks are divided by the hosts that share an upstream.

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -150,8 +150,8 @@
     }
 
     /// Takes one question to the upstream, if there is one left.
-    pub fn take(&mut self, now_ms: Millis, upstream: &UpstreamId, hosts: u32) -> bool {
-        let rate = self.per_second.0 * ASK_MARGIN / f64::from(hosts.max(1));
+    pub fn take(&mut self, now_ms: Millis, upstream: &UpstreamId, sharing_hosts: f64) -> bool {
+        let rate = self.per_second.0 * ASK_MARGIN / sharing_hosts.max(1.0);
         let first = (rate * ASK_START_S).max(1.0);
         let (tokens, at_ms) = self.tokens.entry(upstream.clone()).or_insert((first, now_ms));
         let gained = now_ms.since(*at_ms).as_f64() / 1000.0 * rate;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 mod load;
 mod patience;
 mod split;
+mod subset;
 mod upstream;
 mod upstream_set;
 
@@ -18,5 +19,6 @@
 pub use load::LoadReport;
 pub use patience::{Offer, Patience, Verdict};
 pub use split::SplitTable;
+pub use subset::{FleetShape, SUBSET, Subset};
 pub use upstream::{AskFailure, Known, SendFailure};
 pub use upstream_set::UpstreamSet;
--- a/crates/dispatch/src/upstream_set.rs
+++ b/crates/dispatch/src/upstream_set.rs
@@ -1,8 +1,9 @@
 //! All upstreams, by service.
 
 use crate::choice::{Candidate, weigh};
+use crate::subset::{FleetShape, Subset};
 use crate::upstream::Known;
-use domain::{FastMap, Millis, ServiceName, UpstreamId, ZoneName};
+use domain::{FastMap, HostId, Millis, ServiceName, UpstreamId, ZoneName};
 use published::{Entry, Upstream, UpstreamMode};
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
@@ -21,17 +22,21 @@
 /// What is known of all upstreams.
 #[derive(Debug)]
 pub struct UpstreamSet {
+    host: HostId,
     zone: ZoneName,
     known: FastMap<UpstreamId, Known>,
     services: FastMap<ServiceName, Vec<UpstreamId>>,
+    subsets: FastMap<ServiceName, Subset>,
     usual_ms: FastMap<ServiceName, f64>,
 }
 
 impl UpstreamSet {
-    /// None yet, seen from an availability zone.
-    pub fn new(zone: ZoneName) -> UpstreamSet {
+    /// None yet, seen from a host in an availability zone.
+    pub fn new(host: HostId, zone: ZoneName) -> UpstreamSet {
         UpstreamSet {
+            host,
             zone,
+            subsets: FastMap::default(),
             known: FastMap::default(),
             services: FastMap::default(),
             usual_ms: FastMap::default(),
@@ -55,6 +60,21 @@
             service.push(id.clone());
             self.known.insert(id, known);
         }
+        let choose = |(service, upstreams): (&ServiceName, &Vec<UpstreamId>)| {
+            (service.clone(), Subset::choose(&self.host, &self.zone, upstreams, &self.known))
+        };
+        self.subsets = self.services.iter().map(choose).collect();
+    }
+
+    /// About how many hosts share the health checks of an upstream.
+    pub fn sharing_hosts(
+        &self,
+        service: &ServiceName,
+        id: &UpstreamId,
+        fleet: FleetShape,
+    ) -> f64 {
+        let subset = self.subsets.get(service);
+        subset.map_or(f64::from(fleet.hosts), |subset| subset.sharing_hosts(id, fleet))
     }
 
     /// One upstream.
@@ -104,7 +124,8 @@
         self.usual_ms.get(service).map(|usual_ms| Millis((usual_ms * work) as u64))
     }
 
-    /// Whom to ask next: the best by what is remembered, own availability zone first.
+    /// Whom to ask next: the best by what is remembered, the host's subset and its own
+    /// availability zone first.
     ///
     /// Those in `excluded` are left out, and those that are left alone, as long as any other is there.
     pub fn to_ask(
@@ -120,16 +141,19 @@
             .iter()
             .filter(|id| self.takes_work(id) && !excluded.contains(id))
             .filter_map(|id| self.known.get(id).map(|known| (id, known)));
-        let mut ranked: Vec<(bool, bool, f64, &UpstreamId)> = eligible
+        let subset = self.subsets.get(service);
+        let is_outside = |id: &UpstreamId| subset.is_some_and(|subset| !subset.contains(id));
+        let mut ranked: Vec<((bool, bool, bool), f64, &UpstreamId)> = eligible
             .map(|(id, known)| {
                 let cost = weigh(id, known, now_ms, false).cost;
                 let shaken = cost * (1.0 + SHAKE * rng.random::<f64>());
-                (known.is_avoided(now_ms), self.is_other_zone(id), shaken, id)
+                let is_avoided = known.is_avoided(now_ms);
+                ((is_avoided, is_outside(id), self.is_other_zone(id)), shaken, id)
             })
             .collect();
-        ranked.sort_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)).then(a.2.total_cmp(&b.2)));
-        let has_any = ranked.first().is_some_and(|first| !first.0);
-        let wanted = ranked.into_iter().filter(|&(avoided, ..)| !avoided || !has_any);
+        ranked.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
+        let has_any = ranked.first().is_some_and(|first| !first.0.0);
+        let wanted = ranked.into_iter().filter(|((avoided, ..), ..)| !avoided || !has_any);
         wanted.take(most).map(|(.., id)| id.clone()).collect()
     }
 }
--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -169,8 +169,8 @@
 }
 
 async fn ask(host: &Rc<Host>, service: &ServiceName, upstream: UpstreamId) -> Asked {
-    let hosts = host.hosts();
-    let may_ask = host.asks.borrow_mut().take(host.now_ms(), &upstream, hosts);
+    let sharing = host.upstreams.borrow().sharing_hosts(service, &upstream, host.fleet_shape());
+    let may_ask = host.asks.borrow_mut().take(host.now_ms(), &upstream, sharing);
     if !may_ask {
         let connection = unasked(host, &upstream).await;
         return Asked { upstream, connection, is_well: true };
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -10,7 +10,7 @@
 use crate::settings::Settings;
 use clock::Clock;
 use dispatch::budget::{AskBudget, RepeatBudget};
-use dispatch::{SplitTable, UpstreamSet};
+use dispatch::{FleetShape, SplitTable, UpstreamSet};
 use domain::Millis;
 use published::{Belief, Member, Members, Picture, RouteTable};
 use rand::SeedableRng;
@@ -82,7 +82,10 @@
             clock,
             picture: RefCell::default(),
             table: RefCell::new(None),
-            upstreams: RefCell::new(UpstreamSet::new(settings.availability_zone.clone())),
+            upstreams: RefCell::new(UpstreamSet::new(
+                settings.host.clone(),
+                settings.availability_zone.clone(),
+            )),
             members: RefCell::new(Members::new(own)),
             repeats: RefCell::new(RepeatBudget::new(settings.limits.repeats, now_ms)),
             asks: RefCell::new(AskBudget::new(settings.limits.asks)),
@@ -126,6 +129,12 @@
         self.members.borrow().count()
     }
 
+    /// Hosts that share health checks.
+    pub fn fleet_shape(&self) -> FleetShape {
+        let members = self.members.borrow();
+        FleetShape { hosts: members.count(), hosts_in_zone: members.count_in_zone() }
+    }
+
     /// Puts a changed picture to use, and tells operators.
     pub fn picture_changed(&self, beliefs: &[Belief], from: &str) {
         for belief in beliefs {
--- a/crates/published/src/members.rs
+++ b/crates/published/src/members.rs
@@ -70,6 +70,13 @@
         u32::try_from(self.others.len()).unwrap_or(u32::MAX).saturating_add(1)
     }
 
+    /// How many of them stand in this host's availability zone.
+    pub fn count_in_zone(&self) -> u32 {
+        let zone = &self.own.availability_zone;
+        let near = self.others().filter(|member| member.availability_zone == *zone).count();
+        u32::try_from(near).unwrap_or(u32::MAX).saturating_add(1)
+    }
+
     /// Takes what a host says of itself, or what another says of it; true if that was news.
     pub fn note(&mut self, now_ms: Millis, member: Member) -> bool {
         if member.host == self.own.host {
