--- a/crates/dispatch/src/upstream_set.rs
+++ b/crates/dispatch/src/upstream_set.rs
@@ -67,12 +67,7 @@
     }
 
     /// About how many hosts share the health checks of an upstream.
-    pub fn sharing_hosts(
-        &self,
-        service: &ServiceName,
-        id: &UpstreamId,
-        fleet: FleetShape,
-    ) -> f64 {
+    pub fn sharing_hosts(&self, service: &ServiceName, id: &UpstreamId, fleet: FleetShape) -> f64 {
         let subset = self.subsets.get(service);
         subset.map_or(f64::from(fleet.hosts), |subset| subset.sharing_hosts(id, fleet))
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -48,8 +48,10 @@
     Hello {
         /// Itself.
         from: Member,
-        /// Hosts that it knows.
-        hosts: u32,
+        /// Whether it wants to be told of others, and of the picture.
+        asks: bool,
+        /// Digest of the hosts that it knows; equal sets need not be told.
+        digest: u64,
     },
     /// Hosts that are known.
     Known {
@@ -125,12 +127,12 @@
         let seed = seeds.choose(&mut *self.host.rng.borrow_mut()).copied();
         let other = others.choose(&mut *self.host.rng.borrow_mut()).copied();
         match is_alone {
-            true => seeds.iter().for_each(|&seed| self.hello(seed)),
+            true => seeds.iter().for_each(|&seed| self.hello(seed, true)),
             // A seed now and then: after a split, each side knows only its own.
             false if self.host.rng.borrow_mut().random_bool(0.3) => {
-                seed.into_iter().for_each(|seed| self.hello(seed));
+                seed.into_iter().for_each(|seed| self.hello(seed, true));
             }
-            false => other.into_iter().for_each(|other| self.hello(other)),
+            false => other.into_iter().for_each(|other| self.hello(other, true)),
         }
     }
 
@@ -141,9 +143,10 @@
         settings.seeds.iter().filter(is_other).map(|&ip| SocketAddr::new(ip, port)).collect()
     }
 
-    fn hello(&self, to: SocketAddr) {
+    fn hello(&self, to: SocketAddr, asks: bool) {
         let members = self.host.members.borrow();
-        let hello = Datagram::Hello { from: members.own().clone(), hosts: members.count() };
+        let (from, digest) = (members.own().clone(), members.digest());
+        let hello = Datagram::Hello { from, asks, digest };
         self.send(&hello, &[to]);
     }
 
@@ -208,12 +211,11 @@
 
     fn take(self: &Rc<Peers>, datagram: Datagram, sender: SocketAddr) {
         match datagram {
-            Datagram::Hello { from, hosts } => {
-                let is_news = self.note(from);
-                if is_news || hosts < self.host.hosts() {
+            Datagram::Hello { from, asks, digest } => {
+                self.note(from);
+                let differs = digest != self.host.members.borrow().digest();
+                if asks && differs {
                     self.tell_members(sender);
-                }
-                if is_news {
                     self.tell_picture(sender);
                 }
             }
@@ -221,7 +223,7 @@
                 for member in members {
                     let address = member.address;
                     if self.note(member) {
-                        self.hello(address);
+                        self.hello(address, false);
                     }
                 }
             }
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -16,7 +16,7 @@
 use crate::source::Source;
 use domain::{Incarnation, Millis};
 use error_stack::{Report, ResultExt};
-use published::{Member, Reader};
+use published::{Member, Reader, Start};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use std::fmt;
@@ -95,6 +95,7 @@
         .change_context(StartError::Setup("standard output"))?;
     let metrics = Metrics::new().change_context(StartError::Setup("metrics"))?;
     let is_seed = settings.seeds.contains(&settings.peers.ip());
+    let start = Start { is_seed, is_first: settings.is_first_start };
     let listeners = Listeners::bind(&settings).await?;
     let mut terminate =
         signal(SignalKind::terminate()).change_context(StartError::Setup("signals"))?;
@@ -104,7 +105,7 @@
     log_start(&host, incarnation);
     let peers = Peers::new(Rc::clone(&host), listeners.datagrams);
     let rng = Pcg64Mcg::seed_from_u64(incarnation.0.wrapping_add(1));
-    let reader = Reader::new(rng, host.now_ms(), is_seed);
+    let reader = Reader::new(rng, host.now_ms(), start);
     let readings = Readings::new(Rc::clone(&host), Rc::clone(&peers), source, reader);
     spawn_local(ingress::accept(Rc::clone(&host), listeners.callers));
     let platform = operator::listen(Rc::clone(&host), listeners.readiness, Audience::Platform);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -21,6 +21,8 @@
     pub peers: SocketAddr,
     /// Hosts that may know others.
     pub seeds: Vec<IpAddr>,
+    /// Whether the whole system starts for the first time.
+    pub is_first_start: bool,
     /// What the whole fleet may spend, and for how long it may take to stop.
     pub limits: FleetLimits,
 }
--- a/crates/published/src/lib.rs
+++ b/crates/published/src/lib.rs
@@ -18,7 +18,7 @@
 pub use picture::{
     AWAY_MS, Belief, Change, Entry, Item, Picture, RETURN_GRACE_MS, Removal, Revision, Whole,
 };
-pub use reading::{READERS, ReadStep, Reader, WATCH_MS};
+pub use reading::{READERS, ReadStep, Reader, Start, WATCH_MS};
 pub use routing::{
     CallerLimits, Destination, MatchedRoute, Repeat, Route, RouteTable, Routing, ServiceSettings,
 };
--- a/crates/published/src/members.rs
+++ b/crates/published/src/members.rs
@@ -77,6 +77,15 @@
         u32::try_from(near).unwrap_or(u32::MAX).saturating_add(1)
     }
 
+    /// Equal for equal sets of runs.
+    pub fn digest(&self) -> u64 {
+        let mix = |sum: u64, member: &Member| {
+            let weight = reader_weight(member);
+            sum.wrapping_add(weight ^ member.incarnation.0.wrapping_mul(0x9e37_79b9_7f4a_7c15))
+        };
+        self.others().chain(std::iter::once(&self.own)).fold(0, mix)
+    }
+
     /// Takes what a host says of itself, or what another says of it; true if that was news.
     pub fn note(&mut self, now_ms: Millis, member: Member) -> bool {
         if member.host == self.own.host {
--- a/crates/published/src/reading.rs
+++ b/crates/published/src/reading.rs
@@ -43,6 +43,19 @@
 /// Longest further wait, drawn by each host, so that the first to read tells the others.
 const START_SPREAD_MS: u64 = 80;
 
+/// The same where the whole system starts for the first time: callers come later, and a
+/// hundred hosts that all read would be paid for.
+const FIRST_START_SPREAD_MS: u64 = 1_500;
+
+/// How a host came to start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Start {
+    /// The others ask this host first, so it reads at once.
+    pub is_seed: bool,
+    /// The whole system starts for the first time.
+    pub is_first: bool,
+}
+
 /// Pause between a change and the next wait at the source: changes that come in quick
 /// succession are read together.
 const BATCH_MS: Millis = Millis(120);
@@ -72,14 +85,15 @@
 }
 
 impl Reader {
-    /// A host that has just started; a seed is asked by the others, so it reads at once.
-    pub fn new(mut rng: Pcg64Mcg, now_ms: Millis, is_seed: bool) -> Reader {
-        let start_spread_ms = Millis(rng.random_range(0..=START_SPREAD_MS));
+    /// A host that has just started.
+    pub fn new(mut rng: Pcg64Mcg, now_ms: Millis, start: Start) -> Reader {
+        let spread_ms = if start.is_first { FIRST_START_SPREAD_MS } else { START_SPREAD_MS };
+        let start_spread_ms = Millis(rng.random_range(0..=spread_ms));
         Reader {
             rng,
             started_ms: now_ms,
             start_spread_ms,
-            is_seed,
+            is_seed: start.is_seed,
             is_reading: false,
             needs_whole: true,
             failures: 0,
