--- /dev/null
+++ b/crates/dispatch/tests/attempts.rs
@@ -0,0 +1,126 @@
+//! What follows an ended sending: "not run" is told with proof only, and nothing that must
+//! run once is sent twice.
+
+use dispatch::attempts::{Answered, Cause, End, Next, Refusal, Standing, is_not_run, next};
+use domain::Millis;
+use published::Repeat;
+use rstest::rstest;
+
+fn answered(status: u16) -> End {
+    End::Answered(Answered { status, not_run: false, is_sealed: true })
+}
+
+fn unsealed(status: u16) -> End {
+    End::Answered(Answered { status, not_run: false, is_sealed: false })
+}
+
+fn shed(status: u16) -> End {
+    End::Answered(Answered { status, not_run: true, is_sealed: false })
+}
+
+fn standing(repeat: Repeat) -> Standing {
+    Standing {
+        repeat,
+        may_have_run: 1,
+        sent: 1,
+        attempts: 2,
+        left_ms: Millis(500),
+        is_budget_spent: false,
+    }
+}
+
+/// Short names of what may follow.
+fn name(next: Next) -> &'static str {
+    match next {
+        Next::Deliver => "deliver",
+        Next::SendAgain => "again",
+        Next::Refuse(Refusal { is_not_run: true, .. }) => "not-run",
+        Next::Refuse(Refusal { is_not_run: false, .. }) => "unknown",
+    }
+}
+
+fn check(repeat: Repeat, end: End, wanted: &str) {
+    let mut standing = standing(repeat);
+    if is_not_run(end) {
+        standing.may_have_run = 0;
+    }
+    assert_eq!(name(next(standing, end)), wanted, "{repeat:?} {end:?}");
+}
+
+#[rstest]
+#[case::success(answered(200), "deliver", "deliver")]
+#[case::success_without_seal(unsealed(200), "again", "unknown")]
+#[case::redirect(answered(302), "deliver", "deliver")]
+#[case::about_the_request(answered(404), "deliver", "deliver")]
+#[case::own_failure(answered(500), "again", "deliver")]
+#[case::own_deadline(answered(504), "again", "deliver")]
+#[case::failure_without_seal(unsealed(500), "again", "unknown")]
+#[case::promise_without_proof(answered(503), "again", "unknown")]
+#[case::limit_without_proof(answered(429), "again", "unknown")]
+#[case::timeout_without_proof(answered(408), "again", "unknown")]
+#[case::shed(shed(503), "again", "again")]
+#[case::limited(shed(429), "again", "again")]
+#[case::other_upstream(shed(421), "again", "again")]
+#[case::faulty_request(shed(400), "deliver", "deliver")]
+#[case::not_sent(End::NotSent, "again", "again")]
+#[case::broken(End::Broken, "again", "unknown")]
+#[case::silent(End::Silent, "again", "unknown")]
+fn follows(#[case] end: End, #[case] idempotent: &str, #[case] at_most_once: &str) {
+    check(Repeat::Idempotent, end, idempotent);
+    check(Repeat::AtMostOnce, end, at_most_once);
+}
+
+#[rstest]
+#[case::no_budget(Standing { is_budget_spent: true, ..standing(Repeat::Idempotent) })]
+#[case::no_attempt_left(Standing { may_have_run: 2, ..standing(Repeat::Idempotent) })]
+#[case::no_time_left(Standing { left_ms: Millis(5), ..standing(Repeat::Idempotent) })]
+fn nothing_is_sent_again_without_leave(#[case] standing: Standing) {
+    assert_eq!(name(next(standing, End::Broken)), "unknown");
+    assert_eq!(name(next(standing, answered(500))), "deliver");
+    assert_eq!(name(next(standing, shed(503))), "unknown");
+}
+
+#[test]
+fn what_was_shed_everywhere_is_told_as_not_run_with_a_time_to_come_back() {
+    for repeat in [Repeat::Idempotent, Repeat::AtMostOnce] {
+        let standing = Standing { may_have_run: 0, sent: 4, ..standing(repeat) };
+        let Next::Refuse(refusal) = next(standing, shed(503)) else { panic!("not refused") };
+        assert_eq!(refusal.cause, Cause::UpstreamsRefused);
+        assert!(refusal.is_not_run);
+        assert!(refusal.retry_after_ms.is_some());
+        assert_eq!(refusal.cause.status(), 503);
+    }
+}
+
+#[test]
+fn what_may_have_run_once_is_never_told_as_not_run() {
+    let standing = Standing { sent: 4, ..standing(Repeat::Idempotent) };
+    let Next::Refuse(refusal) = next(standing, shed(503)) else { panic!("not refused") };
+    assert!(!refusal.is_not_run);
+    assert_eq!(refusal.cause.status(), 502);
+}
+
+#[rstest]
+fn statuses_that_promise_come_with_proof_only(
+    #[values(
+        Cause::NotConfigured,
+        Cause::NoRoute,
+        Cause::BadRequest,
+        Cause::HeadTooLarge,
+        Cause::BodyTooLarge,
+        Cause::SlowRequest,
+        Cause::NoUpstream,
+        Cause::Overloaded,
+        Cause::UpstreamsRefused,
+        Cause::UpstreamFailed,
+        Cause::Expired,
+        Cause::TimedOut
+    )]
+    cause: Cause,
+) {
+    let promises = matches!(cause.status(), 408 | 421 | 429 | 503);
+    let is_after_sending = matches!(cause, Cause::UpstreamFailed | Cause::TimedOut);
+    assert!(!(promises && is_after_sending), "{cause:?}");
+    let refusal = Refusal::not_run(cause);
+    assert_eq!(refusal.retry_after_ms.is_some(), cause.status() == 503);
+}
--- /dev/null
+++ b/crates/dispatch/tests/choice.rs
@@ -0,0 +1,150 @@
+//! Which upstream is preferred, and whom a host asks.
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use dispatch::{AskFailure, Known, SendFailure, weigh};
+use domain::Millis;
+use published::UpstreamMode;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use rstest::rstest;
+use support::{entry, entry_in, id, known, report, set};
+
+const NOW: Millis = Millis(10_000);
+
+fn told(running: u32, waiting: u32, slowness_percent: u32, age_ms: u64) -> Known {
+    let mut known = known("i-1");
+    known.note_report(NOW - Millis(age_ms), report(running, waiting, slowness_percent));
+    known
+}
+
+fn failing(failures: u32) -> Known {
+    let mut known = told(0, 0, 100, 0);
+    for _ in 0..failures {
+        known.note_sent();
+        known.note_ended(NOW, Some(SendFailure::Broken));
+    }
+    known.note_report(NOW, report(0, 0, 100));
+    known
+}
+
+fn cost(known: &Known) -> f64 {
+    weigh(&id("i-1"), known, NOW, false).cost
+}
+
+#[rstest]
+#[case::idle_before_busy(told(0, 0, 100, 0), told(5, 0, 100, 0))]
+#[case::busy_before_full(told(5, 0, 100, 0), told(6, 3, 100, 0))]
+#[case::usual_before_slow(told(3, 0, 100, 0), told(0, 0, 700, 0))]
+#[case::full_before_very_slow(told(6, 1, 100, 0), told(0, 0, 700, 0))]
+#[case::fresh_good_before_unknown(told(2, 0, 100, 0), known("i-1"))]
+#[case::unknown_before_fresh_slow(known("i-1"), told(0, 0, 700, 0))]
+#[case::fresh_fair_before_old_slow(told(1, 0, 150, 0), told(0, 0, 700, 500))]
+#[case::sound_before_failing(told(4, 0, 100, 0), failing(3))]
+fn prefers(#[case] better: Known, #[case] worse: Known) {
+    assert!(cost(&better) < cost(&worse), "{} {}", cost(&better), cost(&worse));
+}
+
+#[test]
+fn failures_make_it_worse_but_not_longer() {
+    let (sound, failing) = (told(0, 0, 100, 0), failing(5));
+    let work = |known| weigh(&id("i-1"), known, NOW, false).work;
+    assert!((work(&sound) - work(&failing)).abs() < 1e-9);
+}
+
+#[test]
+fn failures_are_forgotten() {
+    let known = failing(5);
+    assert!(known.failure_share(NOW) > 0.5);
+    assert!(known.failure_share(NOW + Millis(20_000)) < 0.1);
+}
+
+#[test]
+fn what_was_sent_since_a_report_counts() {
+    let mut known = told(0, 0, 100, 0);
+    let idle = cost(&known);
+    for _ in 0..6 {
+        known.note_sent();
+    }
+    assert!(cost(&known) > idle + 0.5);
+    known.note_withdrawn();
+    assert_eq!(known.open(), 5);
+}
+
+#[test]
+fn another_zone_is_dearer() {
+    let known = told(0, 0, 100, 0);
+    let near = weigh(&id("i-1"), &known, NOW, false);
+    let far = weigh(&id("i-1"), &known, NOW, true);
+    assert!(far.cost > near.cost);
+    assert!((far.work - near.work).abs() < 1e-9);
+}
+
+fn asked(set: &dispatch::UpstreamSet, excluded: &[&str], most: usize) -> Vec<String> {
+    let mut rng = Pcg64Mcg::seed_from_u64(7);
+    let excluded: Vec<_> = excluded.iter().map(|name| id(name)).collect();
+    let ids = set.to_ask(NOW, &"parts".parse().unwrap(), &excluded, most, &mut rng);
+    let mut names: Vec<String> = ids.iter().map(ToString::to_string).collect();
+    names.sort();
+    names
+}
+
+#[test]
+fn its_own_zone_is_asked_first() {
+    let set =
+        set(&[entry("far-1", "temeke"), entry("near-1", "kariakoo"), entry("near-2", "kariakoo")]);
+    assert_eq!(asked(&set, &[], 2), ["near-1", "near-2"]);
+    assert_eq!(asked(&set, &["near-1"], 2), ["far-1", "near-2"]);
+}
+
+#[test]
+fn who_leaves_is_not_asked() {
+    let set = set(&[entry("i-1", "kariakoo"), entry_in("i-2", "kariakoo", UpstreamMode::Draining)]);
+    assert_eq!(asked(&set, &[], 3), ["i-1"]);
+    assert!(!set.takes_work(&id("i-2")));
+    assert_eq!(set.count(&"parts".parse().unwrap()), 1);
+}
+
+#[test]
+fn who_can_not_be_reached_is_left_alone_unless_nobody_else_is_there() {
+    let mut set = set(&[entry("i-1", "kariakoo"), entry("i-2", "kariakoo")]);
+    set.get_mut(&id("i-1")).unwrap().note_ask_failed(NOW, AskFailure::Unreachable);
+    assert_eq!(asked(&set, &[], 3), ["i-2"]);
+    assert_eq!(asked(&set, &["i-2"], 3), ["i-1"]);
+    set.get_mut(&id("i-1")).unwrap().note_asked();
+    assert_eq!(asked(&set, &[], 3), ["i-1", "i-2"]);
+}
+
+#[test]
+fn the_time_it_is_left_alone_grows_and_ends() {
+    let mut known = known("i-1");
+    let mut spans = Vec::new();
+    for _ in 0..6 {
+        known.note_ask_failed(NOW, AskFailure::Silent);
+        let span = (0..10_000).find(|&ms| !known.is_avoided(NOW + Millis(ms))).unwrap();
+        spans.push(span);
+    }
+    assert_eq!(spans, [250, 500, 1_000, 2_000, 2_000, 2_000]);
+}
+
+#[test]
+fn knowledge_stays_over_a_change_of_entries() {
+    let mut set = set(&[entry("i-1", "kariakoo"), entry("i-2", "kariakoo")]);
+    set.get_mut(&id("i-1")).unwrap().note_report(NOW, report(5, 0, 100));
+    set.sync(NOW, [entry("i-1", "kariakoo"), entry("i-3", "kariakoo")].iter());
+    assert!(set.get(&id("i-1")).unwrap().report(NOW).is_some());
+    assert!(set.get(&id("i-2")).is_none());
+    assert!(set.get(&id("i-3")).unwrap().report(NOW).is_none());
+}
+
+#[test]
+fn the_usual_time_is_learned_from_answers_that_were_expected_soon() {
+    let mut set = set(&[entry("i-1", "kariakoo")]);
+    let service = "parts".parse().unwrap();
+    assert_eq!(set.expected_ms(&service, 1.0), None);
+    set.note_duration(&service, Millis(9_000), 5.0);
+    assert_eq!(set.expected_ms(&service, 1.0), None);
+    set.note_duration(&service, Millis(100), 1.0);
+    assert_eq!(set.expected_ms(&service, 2.0), Some(Millis(200)));
+}
--- /dev/null
+++ b/crates/dispatch/tests/subset.rs
@@ -0,0 +1,78 @@
+//! Each host has a subset of many upstreams; together they cover all.
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use dispatch::{FleetShape, SUBSET, UpstreamSet};
+use domain::{FastMap, Millis};
+use published::{Entry, Upstream};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use rstest::rstest;
+use std::sync::Arc;
+use support::entry;
+
+const ZONES: [&str; 3] = ["kariakoo", "msasani", "temeke"];
+
+fn upstreams(per_zone: usize) -> Vec<Entry<Arc<Upstream>>> {
+    let each =
+        |zone: &'static str| (0..per_zone).map(move |at| entry(&format!("{zone}-{at}"), zone));
+    ZONES.into_iter().flat_map(each).collect()
+}
+
+/// How many hosts have each upstream among those they ask by preference.
+fn coverage(hosts_per_zone: usize, entries: &[Entry<Arc<Upstream>>]) -> FastMap<String, usize> {
+    let mut counts: FastMap<String, usize> = FastMap::default();
+    for zone in ZONES {
+        for host in 0..hosts_per_zone {
+            let name = format!("front-{zone}-{host}");
+            let mut set = UpstreamSet::new(name.parse().unwrap(), zone.parse().unwrap());
+            set.sync(Millis::ZERO, entries.iter());
+            let mut rng = Pcg64Mcg::seed_from_u64(host as u64);
+            let asked = set.to_ask(Millis(1), &"parts".parse().unwrap(), &[], SUBSET, &mut rng);
+            for id in asked {
+                *counts.entry(id.to_string()).or_default() += 1;
+            }
+        }
+    }
+    counts
+}
+
+#[test]
+fn hosts_together_cover_all_upstreams() {
+    let entries = upstreams(33);
+    let counts = coverage(41, &entries);
+    assert_eq!(counts.len(), entries.len());
+    let most = counts.values().max().unwrap();
+    assert!(*most <= 25, "{most}");
+}
+
+#[rstest]
+#[case::few_upstreams(3, 6)]
+#[case::a_zone_that_fills_a_subset(12, 6)]
+#[case::many(33, 41)]
+#[case::small_zones(5, 41)]
+fn hosts_that_share_an_upstream_are_not_underrated(
+    #[case] per_zone: usize,
+    #[case] hosts_per_zone: usize,
+) {
+    let entries = upstreams(per_zone);
+    let counts = coverage(hosts_per_zone, &entries);
+    let mean = counts.values().sum::<usize>() as f64 / counts.len() as f64;
+    let mut set =
+        UpstreamSet::new("front-kariakoo-0".parse().unwrap(), "kariakoo".parse().unwrap());
+    set.sync(Millis::ZERO, entries.iter());
+    let mut rng = Pcg64Mcg::seed_from_u64(0);
+    let asked = set.to_ask(Millis(1), &"parts".parse().unwrap(), &[], 1, &mut rng);
+    let hosts = u32::try_from(hosts_per_zone).unwrap();
+    let fleet = FleetShape { hosts: hosts * 3, hosts_in_zone: hosts };
+    let sharing = set.sharing_hosts(&"parts".parse().unwrap(), &asked[0], fleet);
+    assert!(sharing >= mean * 0.9, "{sharing} of {mean}");
+}
+
+#[test]
+fn an_upstream_that_joins_is_asked_by_some_hosts() {
+    let mut entries = upstreams(33);
+    entries.push(entry("newcomer", "temeke"));
+    assert!(coverage(41, &entries).get("newcomer").is_some_and(|&hosts| hosts >= 3));
+}
--- /dev/null
+++ b/crates/dispatch/tests/support/mod.rs
@@ -0,0 +1,45 @@
+//! Upstreams for the tests.
+#![allow(clippy::unwrap_used, dead_code)]
+
+use dispatch::{Known, LoadReport, UpstreamSet};
+use domain::{Millis, Slots, UpstreamId};
+use published::{Entry, Revision, Upstream, UpstreamMode};
+use std::sync::Arc;
+
+pub const SLOTS: u32 = 6;
+
+pub fn id(name: &str) -> UpstreamId {
+    name.parse().unwrap()
+}
+
+pub fn entry(name: &str, zone: &str) -> Entry<Arc<Upstream>> {
+    entry_in(name, zone, UpstreamMode::Ready)
+}
+
+pub fn entry_in(name: &str, zone: &str, mode: UpstreamMode) -> Entry<Arc<Upstream>> {
+    let value = Upstream {
+        id: id(name),
+        service: "parts".parse().unwrap(),
+        address: "127.0.0.1:8080".parse().unwrap(),
+        availability_zone: zone.parse().unwrap(),
+        slots: Slots(SLOTS),
+        mode,
+        warmup_left_ms: Millis::ZERO,
+    };
+    Entry { revision: Revision(1), value: Arc::new(value) }
+}
+
+pub fn known(name: &str) -> Known {
+    Known::new(entry(name, "kariakoo").value, Millis::ZERO)
+}
+
+pub fn report(running: u32, waiting: u32, slowness_percent: u32) -> LoadReport {
+    LoadReport { running, waiting, slots: Slots(SLOTS), slowness_percent }
+}
+
+/// Seen from a host in `kariakoo`.
+pub fn set(entries: &[Entry<Arc<Upstream>>]) -> UpstreamSet {
+    let mut set = UpstreamSet::new("front-1".parse().unwrap(), "kariakoo".parse().unwrap());
+    set.sync(Millis::ZERO, entries.iter());
+    set
+}
--- a/crates/gateway/src/reading.rs
+++ b/crates/gateway/src/reading.rs
@@ -5,7 +5,7 @@
 use crate::peers::Peers;
 use crate::source::{Changes, Reading, Source, SourceError, Unreadable};
 use domain::Millis;
-use published::{Change, ReadStep, Reader, Revision, WATCH_MS, Whole};
+use published::{Change, ReadStep, Reader, Revision, Whole};
 use std::rc::Rc;
 
 /// A host's reading.
@@ -41,7 +41,7 @@
                     }
                 }
                 ReadStep::Whole => self.read_whole().await,
-                ReadStep::Changes => self.read_changes().await,
+                ReadStep::Changes(wait_ms) => self.read_changes(wait_ms).await,
             }
             self.host.source_calls.set(self.source.calls());
         }
@@ -78,9 +78,9 @@
             .tell_news(if beliefs.is_empty() { after.min(revision) } else { revision }, changes);
     }
 
-    async fn read_changes(&mut self) {
+    async fn read_changes(&mut self, wait_ms: Millis) {
         let after = self.host.picture.borrow().revision();
-        match self.source.read_changes(after, WATCH_MS).await {
+        match self.source.read_changes(after, wait_ms).await {
             Ok(reading) => self.take_changes(after, reading),
             Err(error) => self.note_failure(&error),
         }
--- a/crates/published/src/picture.rs
+++ b/crates/published/src/picture.rs
@@ -12,8 +12,8 @@
 use std::fmt;
 use std::sync::Arc;
 
-/// Without a confirmed reading for so long, entries may have lapsed at the source. Half of
-/// the three heartbeat intervals (of 1.5 s) after which an entry lapses.
+/// Without a confirmed reading for so long, entries may have lapsed at the source: they do
+/// after three heartbeat intervals of 1.5 s, of which one may have passed before.
 pub const AWAY_MS: Millis = Millis(2_200);
 
 /// Entries that lapsed are registered anew within this time of the source's return: two
@@ -119,6 +119,13 @@
         /// When it is gone unless it came back.
         until_ms: Millis,
     },
+    /// An upstream's entry that had lapsed was written anew.
+    UpstreamReturned {
+        /// Its id.
+        upstream: UpstreamId,
+        /// Its revision.
+        revision: Revision,
+    },
     /// An upstream's entry is gone.
     UpstreamGone {
         /// Its id.
@@ -344,6 +351,7 @@
         }
         if self.lapsed.get(&id).is_some_and(|lapsed| lapsed.revision < revision) {
             self.lapsed.remove(&id);
+            beliefs.push(Belief::UpstreamReturned { upstream: id.clone(), revision });
         }
         let was = held.map(|held| held.value.mode);
         match entry.value.mode {
--- a/crates/published/src/reading.rs
+++ b/crates/published/src/reading.rs
@@ -67,8 +67,8 @@
     Wait(Millis),
     /// Read everything.
     Whole,
-    /// Wait at the source for changes.
-    Changes,
+    /// Read what changed, and wait at the source for so long if nothing did.
+    Changes(Millis),
 }
 
 /// A host's own part in reading.
@@ -117,7 +117,9 @@
         match picture.confirmed_ms() {
             None => ReadStep::Whole,
             Some(_) if self.needs_whole => ReadStep::Whole,
-            Some(_) => ReadStep::Changes,
+            // Who steps in for a silent reader tells the others at once that it has.
+            Some(at_ms) if now_ms.since(at_ms) >= PATIENCE_MS => ReadStep::Changes(Millis::ZERO),
+            Some(_) => ReadStep::Changes(WATCH_MS),
         }
     }
 
--- /dev/null
+++ b/crates/published/tests/picture.rs
@@ -0,0 +1,222 @@
+//! What is believed moves forward only, and nothing that lapsed is dropped too soon.
+#![allow(clippy::unwrap_used)]
+
+use domain::{Millis, Slots, UpstreamId, Version};
+use published::{
+    AWAY_MS, Belief, Change, Entry, Item, Picture, RETURN_GRACE_MS, Removal, Revision, Upstream,
+    UpstreamMode, Whole,
+};
+use rstest::rstest;
+use std::sync::Arc;
+
+fn id(name: &str) -> UpstreamId {
+    name.parse().unwrap()
+}
+
+fn upstream(name: &str, mode: UpstreamMode) -> Arc<Upstream> {
+    Arc::new(Upstream {
+        id: id(name),
+        service: "parts".parse().unwrap(),
+        address: "127.0.0.1:8080".parse().unwrap(),
+        availability_zone: "kariakoo".parse().unwrap(),
+        slots: Slots(6),
+        mode,
+        warmup_left_ms: Millis::ZERO,
+    })
+}
+
+fn written(revision: u64, name: &str) -> Change {
+    let value = Item::Upstream(upstream(name, UpstreamMode::Ready));
+    Change::Written(Entry { revision: Revision(revision), value })
+}
+
+fn draining(revision: u64, name: &str) -> Change {
+    let value = Item::Upstream(upstream(name, UpstreamMode::Draining));
+    Change::Written(Entry { revision: Revision(revision), value })
+}
+
+fn removed(revision: u64, name: &str) -> Change {
+    Change::Removed(Removal { upstream: id(name), revision: Revision(revision) })
+}
+
+fn routing(revision: u64, version: u64) -> Change {
+    let routing = published::Routing {
+        version: Version(version),
+        limits: published::CallerLimits {
+            head_bytes: domain::ByteCount(1),
+            body_bytes: domain::ByteCount(1),
+            head_timeout_ms: Millis(1),
+            idle_timeout_ms: Millis(1),
+        },
+        routes: Vec::new(),
+        services: Vec::new(),
+    };
+    Change::Written(Entry { revision: Revision(revision), value: Item::Routing(Arc::new(routing)) })
+}
+
+fn whole(revision: u64, items: Vec<Change>) -> Whole {
+    let entry = |change| match change {
+        Change::Written(entry) => entry,
+        Change::Removed(_) => unreachable!("a whole reading holds entries only"),
+    };
+    Whole { revision: Revision(revision), items: items.into_iter().map(entry).collect() }
+}
+
+/// Applies changes one by one at one moment; returns who is left, in order.
+fn after(changes: Vec<Change>) -> Vec<String> {
+    let mut picture = Picture::default();
+    for change in changes {
+        picture.take_changes(Millis(10), Revision(0), Revision(0), vec![change]);
+    }
+    names(&picture)
+}
+
+fn names(picture: &Picture) -> Vec<String> {
+    let name = |entry: &Entry<Arc<Upstream>>| {
+        let mode = if entry.value.mode == UpstreamMode::Ready { "" } else { "-" };
+        format!("{mode}{}", entry.value.id)
+    };
+    let mut names: Vec<String> = picture.upstreams().map(name).collect();
+    names.sort();
+    names
+}
+
+#[rstest]
+#[case::in_order(vec![written(1, "a"), draining(2, "a")], &["-a"])]
+#[case::late_news_of_an_older_state(vec![draining(2, "a"), written(1, "a")], &["-a"])]
+#[case::removed(vec![written(1, "a"), removed(2, "a")], &[])]
+#[case::late_news_of_a_removed_entry(vec![written(1, "a"), removed(3, "a"), written(2, "a")], &[])]
+#[case::removal_before_its_entry(vec![removed(3, "a"), written(2, "a")], &[])]
+#[case::late_removal(vec![written(5, "a"), removed(3, "a")], &["a"])]
+#[case::written_anew(vec![written(1, "a"), removed(2, "a"), written(3, "a")], &["a"])]
+#[case::others_are_left_alone(vec![written(1, "a"), written(2, "b"), removed(3, "a")], &["b"])]
+fn entries_move_forward_only(#[case] changes: Vec<Change>, #[case] left: &[&str]) {
+    assert_eq!(after(changes), left);
+}
+
+#[rstest]
+#[case::newer(vec![routing(1, 10), routing(2, 11)], 11)]
+#[case::late(vec![routing(2, 11), routing(1, 10)], 11)]
+#[case::smaller_version_under_a_greater_revision(vec![routing(1, 10), routing(2, 9)], 10)]
+#[case::twice(vec![routing(1, 10), routing(1, 10)], 10)]
+fn routing_never_goes_back(#[case] changes: Vec<Change>, #[case] in_force: u64) {
+    let mut picture = Picture::default();
+    for change in changes {
+        picture.take_changes(Millis(10), Revision(0), Revision(0), vec![change]);
+    }
+    assert_eq!(picture.routing().unwrap().value.version, Version(in_force));
+}
+
+#[test]
+fn missing_entries_of_a_whole_reading_are_gone() {
+    let mut picture = Picture::default();
+    picture.take_whole(Millis(10), whole(5, vec![written(1, "a"), written(2, "b")]));
+    let beliefs = picture.take_whole(Millis(20), whole(9, vec![written(2, "b")]));
+    assert_eq!(names(&picture), ["b"]);
+    assert_eq!(beliefs, [Belief::UpstreamGone { upstream: id("a"), revision: Revision(9) }]);
+}
+
+#[test]
+fn an_older_whole_reading_removes_nothing() {
+    let mut picture = Picture::default();
+    picture.take_whole(Millis(10), whole(9, vec![written(7, "a")]));
+    picture.take_whole(Millis(20), whole(5, Vec::new()));
+    assert_eq!(names(&picture), ["a"]);
+}
+
+#[test]
+fn an_entry_newer_than_a_whole_reading_stays() {
+    let mut picture = Picture::default();
+    picture.take_whole(Millis(10), whole(5, vec![written(1, "a")]));
+    picture.take_changes(Millis(11), Revision(5), Revision(5), vec![written(8, "b")]);
+    picture.take_whole(Millis(20), whole(7, vec![written(1, "a")]));
+    assert_eq!(names(&picture), ["a", "b"]);
+}
+
+/// A picture that was last confirmed at 1 s and read again after the source was away.
+fn returned(at_ms: Millis) -> Picture {
+    let mut picture = Picture::default();
+    picture.take_whole(Millis(1_000), whole(5, vec![written(1, "a"), draining(2, "b")]));
+    picture.take_changes(at_ms, Revision(5), Revision(9), vec![removed(8, "a"), removed(9, "b")]);
+    picture
+}
+
+#[test]
+fn what_lapsed_while_the_source_was_away_is_kept_for_its_return() {
+    let at_ms = Millis(1_001) + AWAY_MS;
+    let mut picture = returned(at_ms);
+    // One that had said it was leaving is gone for good.
+    assert_eq!(names(&picture), ["a"]);
+    assert!(picture.settle(at_ms + RETURN_GRACE_MS - Millis(1)).is_empty());
+    assert_eq!(names(&picture), ["a"]);
+    let beliefs = picture.settle(at_ms + RETURN_GRACE_MS);
+    assert_eq!(beliefs, [Belief::UpstreamGone { upstream: id("a"), revision: Revision(8) }]);
+    assert!(names(&picture).is_empty());
+}
+
+#[test]
+fn what_came_back_stays() {
+    let at_ms = Millis(1_001) + AWAY_MS;
+    let mut picture = returned(at_ms);
+    let (beliefs, _) =
+        picture.take_changes(at_ms, Revision(9), Revision(10), vec![written(10, "a")]);
+    assert_eq!(beliefs, [Belief::UpstreamReturned { upstream: id("a"), revision: Revision(10) }]);
+    assert!(picture.settle(at_ms + RETURN_GRACE_MS).is_empty());
+    assert_eq!(names(&picture), ["a"]);
+}
+
+#[test]
+fn in_calm_times_a_removal_is_final_at_once() {
+    assert!(names(&returned(Millis(1_000) + AWAY_MS)).is_empty());
+}
+
+#[test]
+fn a_removal_long_after_the_return_is_final_at_once() {
+    let at_ms = Millis(1_001) + AWAY_MS;
+    let mut picture = Picture::default();
+    picture.take_whole(Millis(1_000), whole(5, vec![written(1, "a")]));
+    picture.confirm(at_ms, Revision(5));
+    for step in 0..4 {
+        picture.confirm(at_ms + Millis(700 * step), Revision(5));
+    }
+    let late_ms = at_ms + RETURN_GRACE_MS;
+    picture.take_changes(late_ms, Revision(5), Revision(6), vec![removed(6, "a")]);
+    assert!(names(&picture).is_empty());
+}
+
+#[test]
+fn a_gap_is_told_and_confirms_nothing() {
+    let mut picture = Picture::default();
+    picture.take_whole(Millis(10), whole(5, vec![written(1, "a")]));
+    let (_, is_gapless) =
+        picture.take_changes(Millis(500), Revision(7), Revision(9), vec![written(9, "b")]);
+    assert!(!is_gapless);
+    assert_eq!(picture.revision(), Revision(5));
+    assert_eq!(picture.confirmed_ms(), Some(Millis(10)));
+    assert_eq!(names(&picture), ["a", "b"]);
+}
+
+#[test]
+fn a_confirmation_of_what_is_not_held_counts_nothing() {
+    let mut picture = Picture::default();
+    picture.take_whole(Millis(10), whole(5, Vec::new()));
+    picture.confirm(Millis(500), Revision(6));
+    assert_eq!(picture.confirmed_ms(), Some(Millis(10)));
+    picture.confirm(Millis(500), Revision(5));
+    assert_eq!(picture.confirmed_ms(), Some(Millis(500)));
+    picture.confirm(Millis(400), Revision(5));
+    assert_eq!(picture.confirmed_ms(), Some(Millis(500)));
+}
+
+#[test]
+fn a_peer_that_takes_the_whole_holds_the_same() {
+    let mut picture = Picture::default();
+    let items = vec![routing(1, 3), written(2, "a"), draining(3, "b")];
+    picture.take_whole(Millis(10), whole(5, items));
+    let mut peer = Picture::default();
+    assert_ne!(peer.digest(), picture.digest());
+    peer.take_whole(Millis(20), picture.whole());
+    assert_eq!(peer.digest(), picture.digest());
+    assert_eq!(peer.revision(), picture.revision());
+    assert_eq!(names(&peer), names(&picture));
+}
--- /dev/null
+++ b/crates/published/tests/reading.rs
@@ -0,0 +1,214 @@
+//! Who reads the source: one host in calm times, another soon after it fell silent.
+#![allow(clippy::unwrap_used)]
+
+use domain::{HostId, Incarnation, Millis};
+use published::{Member, Members, Picture, ReadStep, Reader, Revision, Start, Whole};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use rstest::rstest;
+
+const HOSTS: u64 = 17;
+
+/// Time of an answer of the source.
+const ANSWER_MS: Millis = Millis(4);
+
+/// Changes have to be in force this long after they were acknowledged.
+const BOUND_MS: Millis = Millis(2_000);
+
+fn member(number: u64) -> Member {
+    Member {
+        host: format!("host-{number}").parse().unwrap(),
+        incarnation: Incarnation(1),
+        availability_zone: "kariakoo".parse().unwrap(),
+        address: format!("127.0.0.{number}:7000").parse().unwrap(),
+    }
+}
+
+/// One host of a fleet that knows all others.
+struct Host {
+    members: Members,
+    picture: Picture,
+    reader: Reader,
+}
+
+impl Host {
+    fn new(number: u64, start: Start) -> Host {
+        let mut members = Members::new(member(number));
+        for other in 1..=HOSTS {
+            members.note(Millis::ZERO, member(other));
+        }
+        let rng = Pcg64Mcg::seed_from_u64(number);
+        Host { members, picture: Picture::default(), reader: Reader::new(rng, Millis::ZERO, start) }
+    }
+
+    fn step(&mut self, now_ms: Millis) -> ReadStep {
+        self.reader.step(now_ms, &self.members, &self.picture)
+    }
+
+    fn read(&mut self, now_ms: Millis) {
+        let whole = Whole { revision: Revision(1), items: Vec::new() };
+        self.picture.take_whole(now_ms, whole);
+        self.reader.succeeded(now_ms, false);
+    }
+
+    fn hear(&mut self, now_ms: Millis, reader: &HostId) {
+        let whole = Whole { revision: Revision(1), items: Vec::new() };
+        self.picture.take_whole(now_ms, whole);
+        self.members.note_reader(now_ms, reader);
+        self.reader.was_told();
+    }
+}
+
+/// A fleet; `silent` hosts neither read nor hear.
+struct Fleet {
+    hosts: Vec<Host>,
+    /// When the reading of each host that reads comes back.
+    due: Vec<Option<Millis>>,
+}
+
+impl Fleet {
+    fn new() -> Fleet {
+        let start = Start { is_seed: false, is_first: false };
+        let mut hosts: Vec<Host> = (1..=HOSTS).map(|number| Host::new(number, start)).collect();
+        for host in &mut hosts {
+            host.read(Millis::ZERO);
+        }
+        let due = hosts.iter().map(|_| None).collect();
+        Fleet { hosts, due }
+    }
+
+    /// Plays to `to_ms`; returns how many calls were made.
+    fn play(&mut self, from_ms: Millis, to_ms: Millis, silent: &[usize]) -> usize {
+        let mut calls = 0;
+        for now in from_ms.0..to_ms.0 {
+            let now_ms = Millis(now);
+            let mut told = Vec::new();
+            for (at, host) in self.hosts.iter_mut().enumerate() {
+                if silent.contains(&at) {
+                    continue;
+                }
+                match self.due[at] {
+                    Some(due_ms) if due_ms <= now_ms => {
+                        self.due[at] = None;
+                        host.read(now_ms);
+                        told.push((at, host.members.own().host.clone()));
+                    }
+                    Some(_) => {}
+                    None => {
+                        let took_ms = match host.step(now_ms) {
+                            ReadStep::Wait(_) => continue,
+                            ReadStep::Whole => ANSWER_MS,
+                            ReadStep::Changes(wait_ms) => wait_ms + ANSWER_MS,
+                        };
+                        calls += 1;
+                        self.due[at] = Some(now_ms + took_ms);
+                    }
+                }
+            }
+            for (teller, reader) in told {
+                for (at, host) in self.hosts.iter_mut().enumerate() {
+                    if at != teller && !silent.contains(&at) {
+                        host.hear(now_ms, &reader);
+                    }
+                }
+            }
+        }
+        calls
+    }
+
+    fn readers(&self) -> Vec<usize> {
+        let reads = |at: &usize| self.hosts[*at].reader.is_reading();
+        (0..self.hosts.len()).filter(reads).collect()
+    }
+}
+
+#[test]
+fn one_host_reads_for_all() {
+    let mut fleet = Fleet::new();
+    fleet.play(Millis::ZERO, Millis(5_000), &[]);
+    assert_eq!(fleet.readers().len(), 1);
+    let calls = fleet.play(Millis(5_000), Millis(12_000), &[]);
+    assert!(calls <= 11, "{calls} calls in 7 s");
+}
+
+#[test]
+fn a_silent_reader_is_replaced_within_the_bound() {
+    let mut fleet = Fleet::new();
+    fleet.play(Millis::ZERO, Millis(5_000), &[]);
+    let gone = fleet.readers();
+    let rest = |at: &usize| !gone.contains(at);
+    let (mut oldest_ms, mut calls) = (Millis::ZERO, 0);
+    for step in 0..60 {
+        let from_ms = Millis(5_000 + step * 50);
+        calls += fleet.play(from_ms, from_ms + Millis(50), &gone);
+        let now_ms = from_ms + Millis(50);
+        let ages = (0..fleet.hosts.len())
+            .filter(rest)
+            .map(|at| now_ms.since(fleet.hosts[at].picture.confirmed_ms().unwrap()));
+        oldest_ms = oldest_ms.max(ages.max().unwrap());
+    }
+    assert!(oldest_ms < BOUND_MS, "{oldest_ms}");
+    // 3 s of one reader, and the one that stepped in: the others did not all read.
+    assert!(calls <= 7, "{calls}");
+}
+
+#[test]
+fn the_first_reader_takes_over_again() {
+    let mut fleet = Fleet::new();
+    fleet.play(Millis::ZERO, Millis(5_000), &[]);
+    let first = fleet.readers();
+    fleet.play(Millis(5_000), Millis(9_000), &first);
+    fleet.play(Millis(9_000), Millis(14_000), &[]);
+    assert_eq!(fleet.readers(), first);
+}
+
+#[test]
+fn two_silent_readers_are_replaced_too() {
+    let mut fleet = Fleet::new();
+    fleet.play(Millis::ZERO, Millis(5_000), &[]);
+    let first = fleet.readers();
+    fleet.play(Millis(5_000), Millis(9_000), &first);
+    let both: Vec<usize> = first.iter().chain(&fleet.readers()).copied().collect();
+    fleet.play(Millis(9_000), Millis(12_000), &both);
+    let heard = fleet.readers().into_iter().filter(|at| !both.contains(at)).count();
+    assert_eq!(heard, 1);
+}
+
+#[rstest]
+#[case::seed(Start { is_seed: true, is_first: true }, Millis::ZERO)]
+#[case::restart(Start { is_seed: false, is_first: false }, Millis(100))]
+#[case::first_start(Start { is_seed: false, is_first: true }, Millis(1_520))]
+fn a_start_reads_in_time(#[case] start: Start, #[case] latest_ms: Millis) {
+    let mut host = Host::new(3, start);
+    let due_ms = match host.step(Millis::ZERO) {
+        ReadStep::Wait(until_ms) => until_ms,
+        ReadStep::Whole | ReadStep::Changes(_) => Millis::ZERO,
+    };
+    assert!(due_ms <= latest_ms, "{due_ms}");
+    assert_eq!(host.step(latest_ms), ReadStep::Whole);
+}
+
+#[test]
+fn failures_are_followed_by_growing_pauses_that_end() {
+    let mut host = Host::new(3, Start { is_seed: true, is_first: false });
+    let mut now_ms = Millis::ZERO;
+    let mut pauses = Vec::new();
+    for _ in 0..8 {
+        host.reader.failed(now_ms);
+        match host.step(now_ms) {
+            ReadStep::Wait(until_ms) => pauses.push(until_ms.since(now_ms)),
+            step => panic!("{step:?} right after a failure"),
+        }
+        now_ms = now_ms + *pauses.last().unwrap();
+    }
+    assert!(pauses[0] >= Millis(250) && pauses[0] < Millis(350), "{pauses:?}");
+    assert!(pauses.iter().all(|pause| *pause <= Millis(1_600)), "{pauses:?}");
+}
+
+#[test]
+fn lost_history_is_followed_by_a_whole_reading() {
+    let mut host = Host::new(3, Start { is_seed: true, is_first: false });
+    host.read(Millis(10));
+    host.reader.needs_whole();
+    assert_eq!(host.step(Millis(2_000)), ReadStep::Whole);
+}
