Say nothing but farewell while stopping; take a watch that missed events for lost history

Both found by the fleet's tests: a host that stopped went on greeting for its notice, so its peers counted on it again; and a watch whose history was dropped while it waited came back without events under a newer revision, which was believed.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -177,7 +177,11 @@
         self.send(&bye, &to);
     }
 
+    /// A host that stops says nothing but farewell: its peers count on it no more.
     fn send(&self, datagram: &Datagram, to: &[SocketAddr]) {
+        if self.host.is_stopping() && !matches!(datagram, Datagram::Bye { .. }) {
+            return;
+        }
         let encoded = postcard::to_stdvec(datagram).unwrap_or_default();
         let encoded = match datagram {
             Datagram::News(news) if encoded.len() > MAX_DATAGRAM_BYTES => without_changes(news),
--- /dev/null
+++ b/crates/gateway/tests/fleet.rs
@@ -0,0 +1,201 @@
+//! Several hosts and a source that fails: what one reads all believe, and nothing is lost.
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use domain::{Millis, Version};
+use gateway::run::Gateway;
+use gateway::source::SourceError;
+use std::time::Duration;
+use support::caller::{Caller, get};
+use support::source::Published;
+use support::upstream::StandInUpstream;
+use support::{callers, on_one_thread, routing, service, settings, start, until, upstream_item};
+
+fn version(gateway: &Gateway) -> Option<Version> {
+    let table = gateway.host().table.borrow();
+    table.as_ref().map(|table| table.routing().version)
+}
+
+fn count(gateway: &Gateway) -> usize {
+    gateway.host().upstreams.borrow().count(&service())
+}
+
+/// Hosts that find each other through the first.
+async fn fleet(size: usize, published: &Published) -> Vec<Gateway> {
+    let first = settings(&[]);
+    let seed = first.peers;
+    let mut hosts = vec![start(settings_with(first, seed), published).await];
+    for _ in 1..size {
+        hosts.push(start(settings(&[seed]), published).await);
+    }
+    until("all know each other", || hosts.iter().all(|host| host.host().hosts() as usize == size))
+        .await;
+    hosts
+}
+
+fn settings_with(
+    mut settings: gateway::settings::Settings,
+    seed: std::net::SocketAddr,
+) -> gateway::settings::Settings {
+    settings.seeds = vec![seed.ip()];
+    settings
+}
+
+async fn published(upstreams: &[&StandInUpstream]) -> Published {
+    let published = Published::default();
+    published.write_routing(routing(1));
+    for upstream in upstreams {
+        published.write("servers", upstream_item(upstream.id(), upstream.address()));
+    }
+    published
+}
+
+#[test]
+fn a_change_reaches_all_though_one_reads() {
+    on_one_thread(async {
+        let published = published(&[]).await;
+        let hosts = fleet(5, &published).await;
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        let before = published.calls();
+        published.write_routing(routing(2));
+        until("it is in force", || hosts.iter().all(|h| version(h) == Some(Version(2)))).await;
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        let calls = published.calls() - before;
+        assert!(calls <= 8, "{calls} calls of five hosts in 1.5 s");
+    });
+}
+
+#[test]
+fn a_large_change_reaches_all_too() {
+    on_one_thread(async {
+        let published = published(&[]).await;
+        let hosts = fleet(3, &published).await;
+        let mut large = routing(2);
+        for number in 0..500 {
+            let mut route = large.routes[0].clone();
+            route.name = format!("route-{number}");
+            route.prefix = format!("/p{number}/");
+            large.routes.push(route);
+        }
+        published.write_routing(large);
+        until("it is in force", || hosts.iter().all(|h| version(h) == Some(Version(2)))).await;
+    });
+}
+
+#[test]
+fn upstreams_that_join_and_go_are_known_everywhere() {
+    on_one_thread(async {
+        let upstream = StandInUpstream::start("i-1").await;
+        let published = published(&[&upstream]).await;
+        let hosts = fleet(3, &published).await;
+        until("all know it", || hosts.iter().all(|h| count(h) == 1)).await;
+        published.remove(&"i-1".parse().unwrap());
+        until("all know that it is gone", || hosts.iter().all(|h| count(h) == 0)).await;
+    });
+}
+
+#[test]
+fn lost_history_is_read_anew() {
+    on_one_thread(async {
+        let published = published(&[]).await;
+        let hosts = fleet(2, &published).await;
+        published.write_routing(routing(2));
+        published.forget_history();
+        until("it is in force", || hosts.iter().all(|h| version(h) == Some(Version(2)))).await;
+    });
+}
+
+#[test]
+fn a_source_that_is_down_stops_nothing_and_is_heard_of_when_it_is_back() {
+    on_one_thread(async {
+        let upstream = StandInUpstream::start("i-1").await;
+        let published = published(&[&upstream]).await;
+        let hosts = fleet(2, &published).await;
+        until("both are ready", || hosts.iter().all(|h| count(h) == 1)).await;
+        published.fail(Some(SourceError::Refused { status: 503 }));
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        for host in &hosts {
+            let got = Caller::connect(callers(host)).await.ask(&get("/any/x", "id-1")).await;
+            assert_eq!(got.status, 200);
+        }
+        published.write_routing(routing(2));
+        published.fail(None);
+        until("it is in force", || hosts.iter().all(|h| version(h) == Some(Version(2)))).await;
+        let log: String = hosts.iter().map(|h| h.host().log.take_waiting()).collect();
+        assert!(log.contains("\"event\":\"source-lost\""), "{log}");
+        assert!(log.contains("\"event\":\"source-regained\""), "{log}");
+    });
+}
+
+#[test]
+fn without_a_first_routing_it_is_not_ready_and_says_when_to_come_back() {
+    on_one_thread(async {
+        let published = Published::default();
+        published.fail(Some(SourceError::Unreachable("cut".to_owned())));
+        let gateway = start(settings(&[]), &published).await;
+        let got = Caller::connect(callers(&gateway)).await.ask(&get("/any/x", "id-1")).await;
+        assert_eq!((got.status, got.cause.as_str()), (503, "not-configured"));
+        assert!(got.retry_after.is_some());
+        assert!(!gateway.host().is_ready());
+        published.fail(None);
+        published.write_routing(routing(1));
+        until("it is ready", || gateway.host().is_ready()).await;
+    });
+}
+
+#[test]
+fn a_request_waits_for_a_routing_that_is_on_its_way() {
+    on_one_thread(async {
+        let upstream = StandInUpstream::start("i-1").await;
+        let published = published(&[&upstream]).await;
+        let gateway = start(settings(&[]), &published).await;
+        // Nothing was read yet.
+        assert!(!gateway.host().is_ready());
+        let got = Caller::connect(callers(&gateway)).await.ask(&get("/any/x", "id-1")).await;
+        assert_eq!(got.status, 200, "{got:?}");
+    });
+}
+
+#[test]
+fn a_stop_cuts_nothing() {
+    on_one_thread(async {
+        let upstream = StandInUpstream::start("i-1").await;
+        let published = published(&[&upstream]).await;
+        let hosts = fleet(2, &published).await;
+        until("both are ready", || hosts.iter().all(|h| count(h) == 1)).await;
+        let (leaving, staying) = (&hosts[0], &hosts[1]);
+        upstream.plays([support::upstream::Act::Slow(2_800)]);
+        let mut slow = Caller::connect(callers(leaving)).await;
+        let mut kept = Caller::connect(callers(leaving)).await;
+        // Longer than the route allows, if it did not stop: the answer counts, not the time.
+        slow.send(&get("/any/x", "id-slow")).await;
+        until("it arrived", || upstream.seen().len() == 1).await;
+        let stopping = leaving.stop();
+        let asking = async {
+            until("it is stopping", || leaving.host().is_stopping()).await;
+            assert!(!leaving.host().is_ready());
+            let got = kept.ask(&get("/any/y", "id-kept")).await;
+            assert_eq!((got.status, got.closes), (200, true));
+            let got = Caller::connect(callers(leaving)).await.ask(&get("/any/y", "id-new")).await;
+            assert_eq!((got.status, got.closes), (200, true));
+            let got = slow.receive().await.expect("cut");
+            assert!(matches!(got.status, 200 | 504), "{got:?}");
+        };
+        tokio::join!(stopping, asking);
+        assert_eq!(leaving.host().open_sessions.get(), 0);
+        until("the other knows", || staying.host().hosts() == 1).await;
+    });
+}
+
+#[test]
+fn two_views_of_the_fleet_count_the_same_hosts() {
+    on_one_thread(async {
+        let published = published(&[]).await;
+        let hosts = fleet(4, &published).await;
+        let digests: Vec<u64> = hosts.iter().map(|h| h.host().members.borrow().digest()).collect();
+        assert!(digests.windows(2).all(|pair| pair[0] == pair[1]), "{digests:?}");
+        assert_eq!(hosts[0].host().fleet_shape().hosts, 4);
+        assert!(hosts[0].host().picture_age_ms().unwrap() < Millis(5_000));
+    });
+}
--- a/crates/gateway/tests/support/source.rs
+++ b/crates/gateway/tests/support/source.rs
@@ -124,6 +124,9 @@
             let changed = state.changed.notified();
             let _ = tokio::time::timeout(Duration::from_millis(wait_ms.0), changed).await;
         }
+        if after.0 < state.forgotten.get() {
+            return Err(SourceError::HistoryGone);
+        }
         let changes = self.published.changes(after);
         let value = Changes { revision: Revision(state.revision.get()), changes };
         Ok(Reading { value, unreadable: Vec::new() })
