Tell a request's story from log files; build test binaries once; survive a hangup

jujubectl explain request ID [FILE...] merges the structured logs of any hosts. The fleet's tests asked cargo for two packages alone, which compiled their libraries a second time with other features; they now ask for what the test command builds. jujubedeald died of SIGHUP.

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -100,6 +100,13 @@
         #[command(flatten)]
         target: Target,
     },
+    /// What hosts logged about a request, merged by time, with its cause.
+    Request {
+        /// Its id, as the caller set it.
+        id: String,
+        /// Log files of any hosts; standard input if none is named.
+        files: Vec<PathBuf>,
+    },
 }
 
 /// A running process.
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -9,6 +9,7 @@
 mod explain;
 mod operator;
 mod output;
+mod story;
 
 use args::{Args, Command, ExplainTarget};
 use clap::Parser;
@@ -47,6 +48,9 @@
         Command::Explain { what: ExplainTarget::Call { id, target } } => {
             operator::Client::new(&target)?.explain(format, ExplainKind::Call, &id).await
         }
+        Command::Explain { what: ExplainTarget::Request { id, files } } => {
+            story::explain(format, &id, &files)
+        }
         Command::Drain { target } => operator::Client::new(&target)?.drain(format).await,
         Command::Health { target } => operator::Client::new(&target)?.health(format).await,
     }
--- /dev/null
+++ b/crates/ctl/tests/story.rs
@@ -0,0 +1,111 @@
+//! The story of a request, from log files.
+#![allow(clippy::unwrap_used)]
+
+use rstest::rstest;
+use std::io::Write;
+use std::process::{Command, Output, Stdio};
+use tempfile::NamedTempFile;
+
+const FRONT_1: &str = r#"{"at_ms":1000,"host":"front-1","event":"source-lost","problem":"no answer"}
+{"at_ms":2000,"host":"front-1","event":"routed","id":"abc","route":"r","service":"parts","left_ms":1200}
+{"at_ms":2003,"host":"front-1","event":"chosen","id":"abc","upstream":"i-1","expected_work":1.1}
+{"at_ms":2004,"host":"front-1","event":"sent","id":"abc","upstream":"i-1","sending":1}
+{"at_ms":2005,"host":"front-1","event":"sent","id":"other","upstream":"i-1","sending":1}
+{"at_ms":2100,"host":"front-1","event":"belief","belief":"upstream-gone","upstream":"i-1"}
+{"at_ms":2101,"host":"front-1","event":"belief","belief":"upstream-gone","upstream":"i-9"}
+{"at_ms":2104,"host":"front-1","event":"send-failed","id":"abc","upstream":"i-1","failure":"broken","after_ms":100}
+{"at_ms":2104,"host":"front-1","event":"refused","id":"abc","status":502,"cause":"upstream-failed","is_not_run":false,"after_ms":104}
+"#;
+
+const FRONT_2: &str = r#"  12.3 front-2 {"at_ms":1500,"host":"front-2","event":"routed","id":"abc","route":"r"}
+{"at_ms":1510,"host":"front-2","event":"refused","id":"abc","status":503,"cause":"overloaded","is_not_run":true,"after_ms":10}
+{"at_ms":1511,"host":"fro
+not JSON at all
+"#;
+
+fn file(text: &str) -> NamedTempFile {
+    let mut file = NamedTempFile::new().unwrap();
+    file.write_all(text.as_bytes()).unwrap();
+    file
+}
+
+fn explain(id: &str, files: &[&NamedTempFile]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_jujubectl"));
+    command.args(["explain", "request", id]);
+    command.args(files.iter().map(|file| file.path())).output().unwrap()
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+#[test]
+fn files_are_merged_by_time_with_the_cause_last() {
+    let (one, two) = (file(FRONT_1), file(FRONT_2));
+    let output = explain("abc", &[&one, &two]);
+    assert!(output.status.success());
+    let told = text(&output.stdout);
+    let lines: Vec<&str> = told.lines().collect();
+    assert!(lines[0].contains("request abc"), "{told}");
+    assert!(lines.last().unwrap().starts_with("cause: upstream-failed: answered 502"), "{told}");
+    assert!(lines.last().unwrap().contains("it may have run"), "{told}");
+    assert!(lines.last().unwrap().contains("broken at i-1"), "{told}");
+    let place = |part: &str| lines.iter().position(|line| line.contains(part)).unwrap();
+    assert!(place("overloaded") < place("chosen"), "{told}");
+    // What happened around it is told too, other requests and upstreams are not.
+    assert!(told.contains("source-lost"), "{told}");
+    assert!(told.contains("upstream-gone upstream=i-1") || told.contains("upstream=i-1"), "{told}");
+    assert!(!told.contains("other"), "{told}");
+    assert!(!told.contains("i-9"), "{told}");
+}
+
+#[test]
+fn broken_lines_are_named_and_passed_over() {
+    let two = file(FRONT_2);
+    let output = explain("abc", &[&two]);
+    assert!(output.status.success());
+    let problems = text(&output.stderr);
+    let path = two.path().display().to_string();
+    assert!(problems.contains(&format!("{path}:3: passed over")), "{problems}");
+    assert!(problems.contains(&format!("{path}:4: passed over: no JSON object")), "{problems}");
+}
+
+#[test]
+fn standard_input_will_do() {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_jujubectl"))
+        .args(["--json", "explain", "request", "abc"])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    child.stdin.take().unwrap().write_all(FRONT_1.as_bytes()).unwrap();
+    let output = child.wait_with_output().unwrap();
+    let story: serde_json::Value = serde_json::from_slice(&output.stdout).unwrap();
+    assert_eq!(story["id"], "abc");
+    assert_eq!(story["lines"][0]["event"], "source-lost");
+}
+
+#[rstest]
+#[case::unknown_id("nobody", 1, "give the logs of all hosts")]
+fn an_unknown_request_has_a_remedy(#[case] id: &str, #[case] code: i32, #[case] remedy: &str) {
+    let one = file(FRONT_1);
+    let output = explain(id, &[&one]);
+    assert_eq!(output.status.code(), Some(code));
+    assert!(text(&output.stderr).contains(remedy), "{}", text(&output.stderr));
+}
+
+#[test]
+fn a_file_that_is_not_there_is_wrong_usage() {
+    let output = Command::new(env!("CARGO_BIN_EXE_jujubectl"))
+        .args(["explain", "request", "abc", "/nowhere.log"])
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(2));
+}
+
+#[test]
+fn a_request_without_an_end_says_so() {
+    let cut: String = FRONT_1.lines().take(4).map(|line| format!("{line}\n")).collect();
+    let output = explain("abc", &[&file(&cut)]);
+    assert!(text(&output.stdout).contains("cause: no end is logged"));
+}
--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -46,6 +46,7 @@
     let driver = driver(&settings)?;
     tokio::spawn(Arc::clone(&driver).tick());
     tokio::spawn(watch_signals(Arc::clone(&driver), signals));
+    tokio::spawn(watch_hangups(stop_signal(SignalKind::hangup())?));
     driver.apply(Event::Tick);
     serve(listeners, driver).await
 }
@@ -115,6 +116,13 @@
     }
 }
 
+/// Without a handler a hangup would end the process; its settings hold until it ends.
+async fn watch_hangups(mut hangup: Signal) {
+    while hangup.recv().await.is_some() {
+        log::info!("settings: a hangup changes nothing, restart the host to change them");
+    }
+}
+
 async fn serve(listeners: Listeners, driver: Arc<Driver>) -> Result<(), Report<StartError>> {
     let machine = StartError::Machine { what: "a listener" };
     let connections = Connections::default();
--- a/crates/daemon/tests/process.rs
+++ b/crates/daemon/tests/process.rs
@@ -272,3 +272,17 @@
     assert_eq!(read_to_end(&mut silent).await, "");
     assert_eq!(daemon.exit_status().await.code(), Some(0));
 }
+
+#[tokio::test]
+async fn a_hangup_changes_nothing() {
+    let upstream = RawUpstream::start(vec![Behaviour::ok()]).await;
+    let daemon = Daemon::start(upstream.address).await;
+    daemon.signal(libc::SIGHUP);
+    for _ in 0..5 {
+        let answer =
+            daemon.call("GET /parts HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n").await;
+        assert_eq!(verdict(&answer).0, 200, "{answer}");
+    }
+    daemon.signal(libc::SIGTERM);
+    assert_eq!(daemon.exit_status().await.code(), Some(0));
+}
--- a/crates/fleet/src/binaries.rs
+++ b/crates/fleet/src/binaries.rs
@@ -19,6 +19,8 @@
 pub enum Profile {
     /// Quick to build.
     Dev,
+    /// As the tests of the workspace are built, so that they find everything built already.
+    Tests,
     /// For measurements.
     Release,
 }
@@ -61,8 +63,16 @@
 fn cargo_build(profile: Profile) -> Result<Vec<PathBuf>, Report<FleetError>> {
     let cargo = std::env::var_os("CARGO").unwrap_or_else(|| "cargo".into());
     let mut command = Command::new(cargo);
+    // Other packages would be compiled with other features of their libraries, a second time.
+    let selection: &[&str] = match profile {
+        Profile::Tests => &["--workspace", "--bins", "--tests"],
+        Profile::Dev | Profile::Release => {
+            &["--package", "daemon", "--package", "standins", "--bins"]
+        }
+    };
     command
-        .args(["build", "--package", "daemon", "--package", "standins", "--bins"])
+        .arg("build")
+        .args(selection)
         .arg("--message-format=json-render-diagnostics")
         .current_dir(Path::new(env!("CARGO_MANIFEST_DIR")))
         .stderr(Stdio::inherit());
--- a/crates/fleet/tests/support/mod.rs
+++ b/crates/fleet/tests/support/mod.rs
@@ -66,7 +66,7 @@
     /// Builds the binaries once, and starts a site when no other one runs.
     pub async fn start(plan: SitePlan) -> Trial {
         let alone = ONE_SITE.lock().await;
-        let binaries = BINARIES.get_or_init(|| Binaries::build(Profile::Dev).unwrap()).clone();
+        let binaries = BINARIES.get_or_init(|| Binaries::build(Profile::Tests).unwrap()).clone();
         // No pool: a request never meets a connection of a process that has ended.
         let http = reqwest::Client::builder()
             .redirect(reqwest::redirect::Policy::none())
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -386,10 +386,10 @@
             true => Repeat::Idempotent,
             false => Repeat::AtMostOnce,
         };
-        let is_alone = self.pending.is_empty();
         let all_read = repeat == Repeat::Idempotent
             && self.pending.iter().all(|pending| pending.repeat == Repeat::Idempotent);
-        if !is_alone && !(all_read && self.pending.len() < MAX_PIPELINED) {
+        let may_begin = self.pending.is_empty() || all_read && self.pending.len() < MAX_PIPELINED;
+        if !may_begin {
             self.whole = Some(request);
             return false;
         }
