Ask the kept connection's test for reuse over many calls

Cause: an answer that is held goes to its caller when its last byte is there; its connection is idle only when its own task has seen the end. The second call of the test could come in between and open another connection (20 of 240 runs with six copies side by side, always the held chunked case; 0 of 60 beside ten busy loops with one copy). The connection is kept all the same. The test now makes twelve calls and allows half of the last ten to meet that moment; without keeping, each would open one.

--- a/crates/daemon/tests/callers.rs
+++ b/crates/daemon/tests/callers.rs
@@ -234,9 +234,18 @@
     let counted = |metrics: &str| metrics.contains("jujubedeal_attempts_total{");
     let metrics = daemon.wait_for("/metrics", counted).await;
     assert!(metrics.contains("jujubedeal_attempts_total{end=\"completed\""), "{metrics}");
-    assert_eq!(upstream.seen().connections, 1);
+    // A kept connection is idle a moment after its answer; a call in that moment opens
+    // another. Without keeping, each call would.
+    for _ in 0..MORE_CALLS {
+        daemon.call(GET).await;
+    }
+    let connections = upstream.seen().connections;
+    assert!(connections <= 1 + MORE_CALLS / 2, "{connections}");
 }
 
+/// Calls that must share connections.
+const MORE_CALLS: usize = 10;
+
 #[rstest]
 #[case::before_head("")]
 #[case::held("HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nok")]
