--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -6,7 +6,7 @@
 //! `log` and `env_logger` write sentences and block, so they serve the tools only.
 
 use dispatch::attempts::Refusal;
-use dispatch::{AskFailure, SendFailure};
+use dispatch::{AskFailure, SendFailure, Verdict};
 use domain::{HostId, Incarnation, Millis, ServiceName, UpstreamId, Version};
 use published::{Belief, Revision};
 use serde::Serialize;
@@ -90,6 +90,16 @@
         report_age_ms: Option<Millis>,
         is_other_zone: bool,
     },
+    /// The best offer of a round was declined.
+    Declined {
+        id: &'a str,
+        upstream: &'a UpstreamId,
+        expected_ms: Option<Millis>,
+        asked: usize,
+        answered: usize,
+        objective_left_ms: Millis,
+        verdict: Verdict,
+    },
     /// Asking an upstream failed.
     AskFailed { upstream: &'a UpstreamId, failure: AskFailureName },
     /// A request left for an upstream.
@@ -177,6 +187,7 @@
             LogEvent::Routed { .. } | LogEvent::Chosen { .. } | LogEvent::Sent { .. } => {
                 Weight::Routine
             }
+            LogEvent::Declined { verdict: Verdict::AskAgain(_), .. } => Weight::Routine,
             LogEvent::Delivered { status, after_ms, objective_ms, .. }
                 if *status < 400 && after_ms <= objective_ms =>
             {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -278,17 +278,25 @@
         if tally.sent > 0 {
             return Verdict::Take;
         }
-        let upstreams = self.host.upstreams.borrow();
-        let expected_ms = upstreams.expected_ms(&self.service, chosen.work);
-        self.patience().weigh(now_ms, Offer { expected_ms })
-    }
-
-    fn patience(&self) -> Patience {
-        Patience {
+        let patience = Patience {
             arrived_ms: self.request.arrived_ms,
             objective_ms: self.route().objective_ms,
             end_ms: self.end_ms,
+        };
+        let expected_ms = self.host.upstreams.borrow().expected_ms(&self.service, chosen.work);
+        let verdict = patience.weigh(now_ms, Offer { expected_ms });
+        if verdict != Verdict::Take {
+            self.host.log.write(&LogEvent::Declined {
+                id: &self.id,
+                upstream: &chosen.upstream,
+                expected_ms,
+                asked: chosen.asked,
+                answered: chosen.answered,
+                objective_left_ms: (patience.arrived_ms + patience.objective_ms).since(now_ms),
+                verdict,
+            });
         }
+        verdict
     }
 
     /// After a pause of this process the caller may be gone without our knowing. It never
