--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -44,6 +44,8 @@
     ReloadFailed { problem: &'a str },
     /// No caller's connection could be taken.
     AcceptFailed { problem: String },
+    /// The address for metrics can't be listened on.
+    NoMetrics { problem: String },
     /// A peer's message can't be read.
     PeerUnreadable { from: String, problem: String },
     /// Readiness changed.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -140,6 +140,16 @@
         if let Some(listener) = listeners.operator {
             spawn_local(operator::listen(Rc::clone(&host), listener, Audience::Operators));
         }
+        match listeners.metrics {
+            Some(Ok(listener)) => {
+                spawn_local(operator::listen(Rc::clone(&host), listener, Audience::Operators));
+            }
+            Some(Err(report)) => {
+                let problem = report.current_context().to_string();
+                host.log.write(&LogEvent::NoMetrics { problem });
+            }
+            None => {}
+        }
         spawn_local(Rc::clone(&peers).listen());
         spawn_local(Rc::clone(&peers).give(listeners.pictures));
         spawn_local(Rc::clone(&peers).greet());
@@ -236,6 +246,7 @@
     callers: TcpListener,
     readiness: TcpListener,
     operator: Option<TcpListener>,
+    metrics: Option<Result<TcpListener, Report<StartError>>>,
     pictures: TcpListener,
     datagrams: UdpSocket,
 }
@@ -247,6 +258,7 @@
             callers: listen(settings.callers)?,
             readiness: listen(settings.readiness)?,
             operator: settings.operator.map(listen).transpose()?,
+            metrics: settings.metrics.map(listen),
             pictures: listen(settings.peers)?,
             datagrams: datagrams.change_context(StartError::Listen(settings.peers))?,
         })
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -17,6 +17,8 @@
     pub readiness: SocketAddr,
     /// Where operators find metrics and the state dump; none to serve neither.
     pub operator: Option<SocketAddr>,
+    /// Where metrics are fetched besides; the process serves without it if it can't be had.
+    pub metrics: Option<SocketAddr>,
     /// Where peers are heard, by datagram and by connection.
     pub peers: SocketAddr,
     /// Hosts that may know others.
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -96,6 +96,7 @@
         callers: at(18_080),
         readiness: at(18_081),
         operator: Some(at(18_082)),
+        metrics: None,
         peers: at(PEER_PORT),
         seeds: seeds.iter().map(SocketAddr::ip).collect(),
         is_first_start: false,
