--- a/crates/daemon/tests/docs.rs
+++ b/crates/daemon/tests/docs.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 fn page() -> String {
-    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/operating.md");
+    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/OPERATIONS.md");
     std::fs::read_to_string(page).unwrap()
 }
 
