Ask other availability zones where the own one has no room

Ruled out: health checks running out (3 a request), the store. Subsets now hold 8 near and 4 far upstreams, and the second round asks two far and one near.

--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -12,7 +12,7 @@
 pub const ASKED_AT_ONCE: usize = 3;
 
 /// Cost up to which nobody else is asked.
-pub const GOOD_ENOUGH: f64 = 1.6;
+pub const GOOD_ENOUGH: f64 = 2.0;
 
 /// What another availability zone adds: its bytes are paid for, and the way is longer.
 const OTHER_ZONE: f64 = 0.35;
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -19,6 +19,6 @@
 pub use load::LoadReport;
 pub use patience::{Offer, Patience, Verdict};
 pub use split::SplitTable;
-pub use subset::{FleetShape, SUBSET, Subset};
+pub use subset::{ALL, FAR, FleetShape, NEAR, Subset};
 pub use upstream::{AskFailure, Known, SendFailure};
-pub use upstream_set::UpstreamSet;
+pub use upstream_set::{Reach, UpstreamSet};
--- a/crates/dispatch/src/subset.rs
+++ b/crates/dispatch/src/subset.rs
@@ -10,9 +10,16 @@
 use decision_core::{Job, Role};
 use domain::{FastMap, FastSet, HostId, UpstreamId, ZoneName};
 
-/// Upstreams of one service in a host's subset. Three are asked at a time, so there have to
-/// be some more to choose from; each costs two connections.
-pub const SUBSET: usize = 10;
+/// Up to so many upstreams of a service, a host's subset is all of them.
+pub const ALL: usize = 20;
+
+/// Upstreams of its own availability zone in a host's subset of a service. Three are asked
+/// at a time, so there have to be some more to choose from; each costs two connections.
+pub const NEAR: usize = 8;
+
+/// Upstreams of other zones in it, for what the own zone has no room for. Without them
+/// requests queued at full upstreams while other zones' were idle: 0.80 of the credit.
+pub const FAR: usize = 4;
 
 /// How many times as many hosts as there are share what is asked outside of subsets.
 const OUTSIDE: f64 = 8.0;
@@ -44,11 +51,20 @@
     ) -> Subset {
         let is_near =
             |id: &UpstreamId| known.get(id).is_some_and(|k| k.entry.availability_zone == *zone);
-        let upstreams_in_zone = upstreams.iter().filter(|id| is_near(id)).count();
         let weight = |id: &UpstreamId| Job { role: Role::Prober, name: id.as_str() }.weight(host);
-        let mut ranked: Vec<&UpstreamId> = upstreams.iter().collect();
-        ranked.sort_by_cached_key(|id| (!is_near(id), std::cmp::Reverse(weight(id))));
-        let members = ranked.into_iter().take(SUBSET).cloned().collect();
+        let (mut near, mut far): (Vec<&UpstreamId>, Vec<&UpstreamId>) =
+            upstreams.iter().partition(|id| is_near(id));
+        for part in [&mut near, &mut far] {
+            part.sort_by_cached_key(|id| std::cmp::Reverse(weight(id)));
+        }
+        let upstreams_in_zone = near.len();
+        let is_all = upstreams.len() <= ALL;
+        let (most_near, most_far) = match is_all {
+            true => (ALL, ALL),
+            false => (NEAR, FAR + NEAR.saturating_sub(near.len())),
+        };
+        let chosen = near.into_iter().take(most_near).chain(far.into_iter().take(most_far));
+        let members = chosen.cloned().collect();
         Subset { members, upstreams: upstreams.len(), upstreams_in_zone }
     }
 
@@ -61,13 +77,18 @@
     pub fn sharing_hosts(&self, id: &UpstreamId, fleet: FleetShape) -> f64 {
         let hosts = f64::from(fleet.hosts.max(1));
         let near = f64::from(fleet.hosts_in_zone.clamp(1, fleet.hosts.max(1)));
-        let part = |upstreams: usize| (SUBSET as f64 / upstreams.max(1) as f64).min(1.0);
+        let part = |most: usize, of: usize| (most as f64 / of.max(1) as f64).min(1.0);
+        let is_all = self.upstreams <= ALL;
         match self.contains(id) {
             false => hosts * OUTSIDE,
-            true if self.upstreams <= SUBSET => hosts,
-            true if self.upstreams_in_zone >= SUBSET => near * part(self.upstreams_in_zone),
-            // The zones of the others are as small: they fill their subsets from here.
-            true => (near + hosts * part(self.upstreams)).min(hosts),
+            true if is_all => hosts,
+            true => {
+                let near_part = near * part(NEAR, self.upstreams_in_zone);
+                // Zones whose own upstreams are few fill up from all others.
+                let spare = NEAR.saturating_sub(self.upstreams_in_zone);
+                let far_part = hosts * part(FAR + spare, self.upstreams);
+                (near_part + far_part).min(hosts)
+            }
         }
     }
 }
--- a/crates/dispatch/src/upstream_set.rs
+++ b/crates/dispatch/src/upstream_set.rs
@@ -19,6 +19,15 @@
 /// Answers that were expected to take longer than this tell little of the usual time.
 const MOST_WORK_LEARNED: f64 = 1.6;
 
+/// Which upstreams come first when some are to be asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reach {
+    /// Those of the host's own availability zone.
+    Near,
+    /// Those of other zones: the own zone had no good offer.
+    Far,
+}
+
 /// What is known of all upstreams.
 #[derive(Debug)]
 pub struct UpstreamSet {
@@ -119,8 +128,8 @@
         self.usual_ms.get(service).map(|usual_ms| Millis((usual_ms * work) as u64))
     }
 
-    /// Whom to ask next: the best by what is remembered, the host's subset and its own
-    /// availability zone first.
+    /// Whom to ask next: the best by what is remembered, the host's subset and the wanted
+    /// availability zones first.
     ///
     /// Those in `excluded` are left out, and those that are left alone, as long as any other is there.
     pub fn to_ask(
@@ -128,7 +137,7 @@
         now_ms: Millis,
         service: &ServiceName,
         excluded: &[UpstreamId],
-        most: usize,
+        (most, reach): (usize, Reach),
         rng: &mut Pcg64Mcg,
     ) -> Vec<UpstreamId> {
         let upstreams = self.services.get(service).map_or(&[][..], Vec::as_slice);
@@ -143,7 +152,8 @@
                 let cost = weigh(id, known, now_ms, false).cost;
                 let shaken = cost * (1.0 + SHAKE * rng.random::<f64>());
                 let is_avoided = known.is_avoided(now_ms);
-                ((is_avoided, is_outside(id), self.is_other_zone(id)), shaken, id)
+                let is_unwanted = self.is_other_zone(id) != (reach == Reach::Far);
+                ((is_avoided, is_outside(id), is_unwanted), shaken, id)
             })
             .collect();
         ranked.sort_by(|a, b| a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)));
--- a/crates/dispatch/tests/choice.rs
+++ b/crates/dispatch/tests/choice.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use dispatch::{AskFailure, Known, SendFailure, weigh};
+use dispatch::{AskFailure, Known, Reach, SendFailure, weigh};
 use domain::Millis;
 use published::UpstreamMode;
 use rand::SeedableRng;
@@ -82,9 +82,18 @@
 }
 
 fn asked(set: &dispatch::UpstreamSet, excluded: &[&str], most: usize) -> Vec<String> {
+    reached(set, excluded, most, Reach::Near)
+}
+
+fn reached(
+    set: &dispatch::UpstreamSet,
+    excluded: &[&str],
+    most: usize,
+    reach: Reach,
+) -> Vec<String> {
     let mut rng = Pcg64Mcg::seed_from_u64(7);
     let excluded: Vec<_> = excluded.iter().map(|name| id(name)).collect();
-    let ids = set.to_ask(NOW, &"parts".parse().unwrap(), &excluded, most, &mut rng);
+    let ids = set.to_ask(NOW, &"parts".parse().unwrap(), &excluded, (most, reach), &mut rng);
     let mut names: Vec<String> = ids.iter().map(ToString::to_string).collect();
     names.sort();
     names
@@ -96,6 +105,8 @@
         set(&[entry("far-1", "temeke"), entry("near-1", "kariakoo"), entry("near-2", "kariakoo")]);
     assert_eq!(asked(&set, &[], 2), ["near-1", "near-2"]);
     assert_eq!(asked(&set, &["near-1"], 2), ["far-1", "near-2"]);
+    assert_eq!(reached(&set, &[], 1, Reach::Far), ["far-1"]);
+    assert_eq!(reached(&set, &["far-1"], 2, Reach::Far), ["near-1", "near-2"]);
 }
 
 #[test]
--- a/crates/dispatch/tests/subset.rs
+++ b/crates/dispatch/tests/subset.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use dispatch::{FleetShape, SUBSET, UpstreamSet};
+use dispatch::{FAR, FleetShape, NEAR, Reach, UpstreamSet};
 use domain::{FastMap, Millis};
 use published::{Entry, Upstream};
 use rand::SeedableRng;
@@ -29,7 +29,13 @@
             let mut set = UpstreamSet::new(name.parse().unwrap(), zone.parse().unwrap());
             set.sync(Millis::ZERO, entries.iter());
             let mut rng = Pcg64Mcg::seed_from_u64(host as u64);
-            let asked = set.to_ask(Millis(1), &"parts".parse().unwrap(), &[], SUBSET, &mut rng);
+            let asked = set.to_ask(
+                Millis(1),
+                &"parts".parse().unwrap(),
+                &[],
+                (NEAR + FAR, Reach::Near),
+                &mut rng,
+            );
             for id in asked {
                 *counts.entry(id.to_string()).or_default() += 1;
             }
@@ -63,7 +69,7 @@
         UpstreamSet::new("front-kariakoo-0".parse().unwrap(), "kariakoo".parse().unwrap());
     set.sync(Millis::ZERO, entries.iter());
     let mut rng = Pcg64Mcg::seed_from_u64(0);
-    let asked = set.to_ask(Millis(1), &"parts".parse().unwrap(), &[], 1, &mut rng);
+    let asked = set.to_ask(Millis(1), &"parts".parse().unwrap(), &[], (1, Reach::Near), &mut rng);
     let hosts = u32::try_from(hosts_per_zone).unwrap();
     let fleet = FleetShape { hosts: hosts * 3, hosts_in_zone: hosts };
     let sharing = set.sharing_hosts(&"parts".parse().unwrap(), &asked[0], fleet);
--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -9,7 +9,7 @@
 use crate::connection::{Connection, Expected};
 use crate::event_log::LogEvent;
 use crate::host::Host;
-use dispatch::{ASKED_AT_ONCE, AskFailure, Candidate, GOOD_ENOUGH, LoadReport};
+use dispatch::{ASKED_AT_ONCE, AskFailure, Candidate, GOOD_ENOUGH, LoadReport, Reach};
 use domain::{Millis, ServiceName, UpstreamId};
 use std::rc::Rc;
 use std::time::Duration;
@@ -35,8 +35,9 @@
 /// Without asking, a connection that was used within this time is taken to be alive.
 const UNASKED_IDLE: Duration = Duration::from_millis(300);
 
-/// Rounds of questions before the best so far is taken.
-const ROUNDS: usize = 2;
+/// How many are asked in each round: the own zone, then mostly others.
+const ROUNDS: [&[(usize, Reach)]; 2] =
+    [&[(ASKED_AT_ONCE, Reach::Near)], &[(ASKED_AT_ONCE - 1, Reach::Far), (1, Reach::Near)]];
 
 /// What makes an upstream that says it is unwell the last resort: its word may be false.
 const UNWELL_COST: f64 = 50.0;
@@ -74,13 +75,12 @@
     let mut excluded = excluded.to_vec();
     let mut best: Option<Chosen> = None;
     let (mut asked, mut answered) = (0, 0);
-    for _ in 0..ROUNDS {
-        let candidates = next_candidates(host, service, &excluded);
+    for round in ROUNDS {
+        let candidates = next_candidates(host, service, &mut excluded, round);
         if candidates.is_empty() {
             break;
         }
         asked += candidates.len();
-        excluded.extend(candidates.iter().cloned());
         let (chosen, replies) = ask_round(host, service, candidates).await;
         answered += replies;
         best = better(host, best, chosen);
@@ -91,10 +91,20 @@
     best.map(|chosen| Chosen { asked, answered, ..chosen })
 }
 
-fn next_candidates(host: &Host, service: &ServiceName, excluded: &[UpstreamId]) -> Vec<UpstreamId> {
+fn next_candidates(
+    host: &Host,
+    service: &ServiceName,
+    excluded: &mut Vec<UpstreamId>,
+    round: &[(usize, Reach)],
+) -> Vec<UpstreamId> {
     let upstreams = host.upstreams.borrow();
     let mut rng = host.rng.borrow_mut();
-    upstreams.to_ask(host.now_ms(), service, excluded, ASKED_AT_ONCE, &mut rng)
+    let begin = excluded.len();
+    for &part in round {
+        let next = upstreams.to_ask(host.now_ms(), service, excluded, part, &mut rng);
+        excluded.extend(next);
+    }
+    excluded[begin..].to_vec()
 }
 
 fn better(host: &Host, best: Option<Chosen>, other: Option<Chosen>) -> Option<Chosen> {
