--- /dev/null
+++ b/crates/gateway/tests/docs.rs
@@ -0,0 +1,54 @@
+//! The operators' page names every metric and every cause with its status.
+#![allow(clippy::unwrap_used)]
+
+use dispatch::attempts::Cause;
+use gateway::metrics::{Metrics, StateFigures};
+use rstest::rstest;
+use std::path::Path;
+use std::time::Duration;
+
+fn page() -> String {
+    let page = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/OPERATIONS.md");
+    std::fs::read_to_string(page).unwrap()
+}
+
+#[test]
+fn page_names_every_metric() {
+    let metrics = Metrics::new().unwrap();
+    metrics.answered("r", 200, Duration::from_millis(3));
+    metrics.refused("r", Cause::NoRoute);
+    metrics.sent(true);
+    metrics.asked();
+    metrics.connected();
+    metrics.told_peers(3);
+    metrics.caller_gone();
+    let picture_age = Some(Duration::ZERO);
+    let figures =
+        StateFigures { source_calls: 1, log_lines_dropped: 0, open_requests: 0, picture_age };
+    metrics.note_state(&figures);
+    let (page, text) = (page(), metrics.render());
+    let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+    let names: Vec<&str> = types.filter_map(|line| line.split(' ').next()).collect();
+    assert_eq!(names.len(), 13, "{names:?}");
+    for name in names {
+        assert!(page.contains(&format!("`{name}`")), "{name}");
+    }
+}
+
+#[rstest]
+fn page_states_every_cause_with_its_status(
+    #[values(
+        Cause::NotConfigured,
+        Cause::NoRoute,
+        Cause::NoUpstream,
+        Cause::Overloaded,
+        Cause::UpstreamsRefused,
+        Cause::Expired,
+        Cause::UpstreamFailed,
+        Cause::TimedOut
+    )]
+    cause: Cause,
+) {
+    let row = format!("| `{}` | {} |", cause.as_str(), cause.status());
+    assert!(page().contains(&row), "{row}");
+}
