--- a/xtask/src/error.rs
+++ b/xtask/src/error.rs
@@ -13,6 +13,8 @@
     Load,
     /// The results could not be read or written.
     Results,
+    /// A deployment's file can't be read, or days can't be written.
+    Files,
     /// Cargo could not be started.
     Cargo,
     /// Signals can't be received.
@@ -26,6 +28,7 @@
             TaskError::Change => "a change under load did not work: see the causes",
             TaskError::Load => "the load could not be run: see the causes",
             TaskError::Results => "no results: see the causes",
+            TaskError::Files => "give a deployment's file and a folder outside of the repository",
             TaskError::Cargo => "cargo did not start: run the task as `cargo xtask`",
             TaskError::Signals => "signals can't be received: check the limits of the process",
         })
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,10 +1,12 @@
 //! Repetitive work on the project.
 //!
 //! `cargo xtask demo` runs the main job end to end on loopback, `cargo xtask measure`
-//! compares policies on running processes, `cargo xtask search` plays random scenarios.
+//! compares policies on running processes, `cargo xtask search` plays random scenarios,
+//! `cargo xtask days` random days of the users' deployments.
 //! Every process that is started belongs to a value that kills it when dropped, so errors,
 //! signals and panics leave none behind.
 
+mod days;
 mod demo;
 mod error;
 mod measure;
@@ -29,6 +31,8 @@
 
 #[derive(Debug, Subcommand)]
 enum Task {
+    /// Play random days on changed copies of a deployment with the users' player.
+    Days(days::Args),
     /// Build and run the main job end to end: entry hosts, upstreams, callers, changes.
     Demo(demo::Args),
     /// Measure policies side by side on running processes.
@@ -57,6 +61,7 @@
 
 async fn run(task: Task) -> Result<ExitCode, Report<TaskError>> {
     match task {
+        Task::Days(args) => days::run(&args).await,
         Task::Demo(args) => demo::run(&args).await,
         Task::Measure(args) => measure::run(&args).await,
         Task::Search(args) => search::run(&args),
