--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -51,6 +51,8 @@
     pub log: EventLog,
     /// Counts.
     pub metrics: Metrics,
+    /// When a peer last offered its picture.
+    pub offered_ms: Cell<Option<Millis>>,
     /// Woken when the picture changed or was confirmed.
     pub news: Notify,
     /// Requests without a final answer.
@@ -94,6 +96,7 @@
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
             log,
             metrics,
+            offered_ms: Cell::new(None),
             news: Notify::new(),
             open_requests: Cell::new(0),
             open_sessions: Cell::new(0),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -279,6 +279,7 @@
         let at_ms = now_ms - news.age_ms;
         let peer = news.from.clone();
         self.note(news.from);
+        self.host.offered_ms.set(Some(now_ms));
         // Only a host that reads tells changes, even none; one that passes on tells none.
         if news.changes.is_some() {
             self.host.members.borrow_mut().note_reader(now_ms, &peer.host);
@@ -309,11 +310,18 @@
         }
         self.fetched_ms.set(self.host.now_ms());
         let peers = Rc::clone(self);
+        let near = self.near_teller();
         tokio::task::spawn_local(async move {
-            let fetching = fetch_picture(peer.address);
-            let told = tokio::time::timeout(FETCH_LIMIT, fetching).await;
+            let mut told = None;
+            for member in near.iter().chain([&peer]) {
+                let fetching = fetch_picture(member.address);
+                let fetched = tokio::time::timeout(FETCH_LIMIT, fetching).await;
+                told = fetched.ok().and_then(Result::ok);
+                if told.is_some() {
+                    break;
+                }
+            }
             peers.is_fetching.set(false);
-            let told = told.ok().and_then(Result::ok);
             let revision = told.as_ref().map_or(Revision(0), |told| told.whole.revision);
             let is_done = told.is_some();
             let name = peer.host.as_str();
@@ -326,6 +334,19 @@
         });
     }
 
+    /// Who is asked for a first picture before the teller: a host of the own zone has the same,
+    /// and its bytes are not paid for.
+    fn near_teller(&self) -> Option<Member> {
+        if self.host.picture.borrow().confirmed_ms().is_some() {
+            return None;
+        }
+        let members = self.host.members.borrow();
+        let zone = &members.own().availability_zone;
+        let near = members.others().filter(|member| member.availability_zone == *zone);
+        let near: Vec<&Member> = near.collect();
+        near.choose(&mut *self.host.rng.borrow_mut()).map(|member| (*member).clone())
+    }
+
     /// Gives the picture to peers that ask for it; never ends.
     pub async fn give(self: Rc<Peers>, listener: TcpListener) {
         loop {
--- a/crates/gateway/src/reading.rs
+++ b/crates/gateway/src/reading.rs
@@ -5,9 +5,15 @@
 use crate::peers::Peers;
 use crate::source::{Changes, Reading, Source, SourceError, Unreadable};
 use domain::Millis;
-use published::{Change, ReadStep, Reader, Revision, Whole};
+use published::{ReadStep, Reader, Revision, Whole};
 use std::rc::Rc;
 
+/// How long an offered picture is waited for: a fetch on a slow machine.
+const OFFER_MS: Millis = Millis(250);
+
+/// How often it is looked whether the picture has come.
+const OFFER_STEP_MS: Millis = Millis(25);
+
 /// A host's reading.
 pub struct Readings<S> {
     host: Rc<Host>,
@@ -33,13 +39,12 @@
                 self.reader.step(self.host.now_ms(), &members, &picture)
             };
             self.note_part();
+            if self.is_being_told() {
+                self.wait_until(self.host.now_ms() + OFFER_STEP_MS).await;
+                continue;
+            }
             match step {
-                ReadStep::Wait(until_ms) => {
-                    tokio::select! {
-                        () = self.host.news.notified() => {}
-                        () = tokio::time::sleep(self.host.clock.until(until_ms)) => {}
-                    }
-                }
+                ReadStep::Wait(until_ms) => self.wait_until(until_ms).await,
                 ReadStep::Whole => self.read_whole().await,
                 ReadStep::Changes(wait_ms) => self.read_changes(wait_ms).await,
             }
@@ -47,6 +52,21 @@
         }
     }
 
+    async fn wait_until(&self, until_ms: Millis) {
+        tokio::select! {
+            () = self.host.news.notified() => {}
+            () = tokio::time::sleep(self.host.clock.until(until_ms)) => {}
+        }
+    }
+
+    /// A host that has just started and was offered a picture by a peer waits for it.
+    fn is_being_told(&self) -> bool {
+        let has_picture = self.host.picture.borrow().confirmed_ms().is_some();
+        let offered_ms = self.host.offered_ms.get();
+        let now_ms = self.host.now_ms();
+        !has_picture && offered_ms.is_some_and(|at_ms| now_ms.since(at_ms) < OFFER_MS)
+    }
+
     fn note_part(&mut self) {
         let is_reading = self.reader.is_reading();
         if std::mem::replace(&mut self.was_reading, is_reading) != is_reading {
@@ -92,7 +112,7 @@
         let Changes { revision, changes } = reading.value;
         self.note_success(now_ms, revision);
         self.reader.succeeded(now_ms, !changes.is_empty());
-        let told: Vec<Change> = changes.clone();
+        let told = self.host.picture.borrow().patched(&changes);
         let (beliefs, _) =
             self.host.picture.borrow_mut().take_changes(now_ms, after, revision, changes);
         self.host.picture_changed(&beliefs, "source");
--- a/crates/gateway/tests/support/source.rs
+++ b/crates/gateway/tests/support/source.rs
@@ -79,6 +79,7 @@
     fn changes(&self, after: Revision) -> Vec<Change> {
         let is_later = |change: &&Change| match change {
             Change::Written(entry) => entry.revision > after,
+            Change::Patched(entry) => entry.revision > after,
             Change::Removed(removal) => removal.revision > after,
         };
         self.state.history.borrow().iter().filter(is_later).cloned().collect()
--- a/crates/published/src/lib.rs
+++ b/crates/published/src/lib.rs
@@ -9,12 +9,14 @@
 //! This crate knows nothing of IO, and time is handed in.
 
 mod members;
+mod patch;
 mod picture;
 mod reading;
 mod routing;
 mod upstream;
 
 pub use members::{Member, Members};
+pub use patch::RoutingPatch;
 pub use picture::{
     AWAY_MS, Belief, Change, Entry, Item, Picture, RETURN_GRACE_MS, Removal, Revision, Whole,
 };
--- a/crates/published/src/picture.rs
+++ b/crates/published/src/picture.rs
@@ -6,7 +6,7 @@
 //! outage waits for [`RETURN_GRACE_MS`], since entries lapse while instances can't renew
 //! them.
 
-use crate::{Routing, Upstream, UpstreamMode};
+use crate::{Routing, RoutingPatch, Upstream, UpstreamMode};
 use domain::{FastMap, Millis, UpstreamId, Version};
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -67,6 +67,8 @@
 pub enum Change {
     /// A value was written.
     Written(Entry<Item>),
+    /// The routing was written, told as the difference from the one before.
+    Patched(Entry<RoutingPatch>),
     /// An entry was removed.
     Removed(Removal),
 }
@@ -256,13 +258,14 @@
     ) -> (Vec<Belief>, bool) {
         self.note_return(at_ms);
         let mut beliefs = Vec::new();
+        let mut is_gapless = after <= self.revision;
         for change in changes {
             match change {
                 Change::Written(entry) => self.write(entry, &mut beliefs),
+                Change::Patched(entry) => is_gapless &= self.patch(&entry, &mut beliefs),
                 Change::Removed(removal) => self.remove(at_ms, removal, &mut beliefs),
             }
         }
-        let is_gapless = after <= self.revision;
         if is_gapless {
             self.revision = self.revision.max(revision);
             self.confirm(at_ms, revision);
@@ -326,6 +329,37 @@
         }
     }
 
+    /// False if the routing that the patch is for is not held.
+    fn patch(&mut self, entry: &Entry<RoutingPatch>, beliefs: &mut Vec<Belief>) -> bool {
+        let patched = match &self.routing {
+            Some(held) if held.revision >= entry.revision => return true,
+            Some(held) if held.revision == entry.value.base => entry.value.apply(&held.value),
+            _ => return false,
+        };
+        let value = Arc::new(patched);
+        self.write_routing(Entry { revision: entry.revision, value }, beliefs);
+        true
+    }
+
+    /// The same changes with the routing told as its difference from the one held now.
+    pub fn patched(&self, changes: &[Change]) -> Vec<Change> {
+        let mut held = self.routing.clone();
+        let patch = |change: &Change| {
+            let Change::Written(Entry { revision, value: Item::Routing(routing) }) = change else {
+                return change.clone();
+            };
+            let entry = Entry { revision: *revision, value: Arc::clone(routing) };
+            match held.replace(entry) {
+                Some(old) if old.revision < *revision => {
+                    let value = RoutingPatch::between(old.revision, &old.value, routing);
+                    Change::Patched(Entry { revision: *revision, value })
+                }
+                _ => change.clone(),
+            }
+        };
+        changes.iter().map(patch).collect()
+    }
+
     fn write_routing(&mut self, entry: Entry<Arc<Routing>>, beliefs: &mut Vec<Belief>) {
         let version = entry.value.version;
         match &self.routing {
--- a/crates/published/tests/picture.rs
+++ b/crates/published/tests/picture.rs
@@ -57,7 +57,7 @@
 fn whole(revision: u64, items: Vec<Change>) -> Whole {
     let entry = |change| match change {
         Change::Written(entry) => entry,
-        Change::Removed(_) => unreachable!("a whole reading holds entries only"),
+        _ => unreachable!("a whole reading holds entries only"),
     };
     Whole { revision: Revision(revision), items: items.into_iter().map(entry).collect() }
 }
@@ -220,3 +220,69 @@
     assert_eq!(peer.revision(), picture.revision());
     assert_eq!(names(&peer), names(&picture));
 }
+
+fn route(name: &str, timeout_ms: u64) -> published::Route {
+    published::Route {
+        name: name.to_owned(),
+        host: "a.example".to_owned(),
+        prefix: format!("/{name}/"),
+        repeat: published::Repeat::Idempotent,
+        objective_ms: Millis(400),
+        timeout_ms: Millis(timeout_ms),
+        attempts: 2,
+        priority: 0,
+        split: Vec::new(),
+    }
+}
+
+fn routing_with(revision: u64, routes: Vec<published::Route>) -> Change {
+    let Change::Written(Entry { value: Item::Routing(empty), .. }) = routing(revision, revision)
+    else {
+        unreachable!("a routing was written");
+    };
+    let full = published::Routing { routes, ..(*empty).clone() };
+    Change::Written(Entry { revision: Revision(revision), value: Item::Routing(Arc::new(full)) })
+}
+
+fn routes(picture: &Picture) -> Vec<(String, u64)> {
+    let routes = &picture.routing().unwrap().value.routes;
+    let mut routes: Vec<(String, u64)> =
+        routes.iter().map(|route| (route.name.clone(), route.timeout_ms.0)).collect();
+    routes.sort();
+    routes
+}
+
+#[test]
+fn a_routing_told_as_a_difference_is_the_same() {
+    let old = routing_with(1, vec![route("a", 100), route("b", 100), route("c", 100)]);
+    let new = routing_with(2, vec![route("a", 100), route("b", 200), route("d", 100)]);
+    let newest = routing_with(3, vec![route("a", 100), route("b", 300)]);
+    let mut reader = Picture::default();
+    let mut peer = Picture::default();
+    for picture in [&mut reader, &mut peer] {
+        picture.take_changes(Millis(1), Revision(0), Revision(1), vec![old.clone()]);
+    }
+    let changes = vec![new, newest];
+    let told = reader.patched(&changes);
+    assert!(told.iter().all(|change| matches!(change, Change::Patched(_))), "{told:?}");
+    reader.take_changes(Millis(2), Revision(1), Revision(3), changes);
+    let (_, is_gapless) = peer.take_changes(Millis(2), Revision(1), Revision(3), told);
+    assert!(is_gapless);
+    assert_eq!(routes(&peer), routes(&reader));
+    assert_eq!(routes(&peer), [("a".to_owned(), 100), ("b".to_owned(), 300)]);
+    assert_eq!(peer.digest(), reader.digest());
+}
+
+#[test]
+fn a_difference_from_a_routing_that_is_not_held_is_a_gap() {
+    let old = routing_with(1, vec![route("a", 100)]);
+    let new = routing_with(2, vec![route("b", 100)]);
+    let mut reader = Picture::default();
+    reader.take_changes(Millis(1), Revision(0), Revision(1), vec![old]);
+    let told = reader.patched(&[new]);
+    let mut peer = Picture::default();
+    let (beliefs, is_gapless) = peer.take_changes(Millis(2), Revision(0), Revision(2), told);
+    assert!(beliefs.is_empty());
+    assert!(!is_gapless);
+    assert_eq!(peer.revision(), Revision(0));
+}
