Keep connections for longer

Cause: connections to upstreams were given up after 0.6 of the stated idle time, though a question goes first on each.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -21,10 +21,11 @@
 const UNANSWERED_MS: Millis = Millis(3_000);
 
 /// Idle time after which a connection isn't trusted where the upstream states none.
-const UNSTATED_IDLE: Duration = Duration::from_secs(4);
+const UNSTATED_IDLE: Duration = Duration::from_secs(8);
 
-/// Part of a stated idle time that is used.
-const IDLE_PART: f64 = 0.6;
+/// Part of a stated idle time that is used. A question goes first on each kept connection, so
+/// one that was closed early costs no request; with 0.6 a third more were opened.
+const IDLE_PART: f64 = 0.9;
 
 /// Answers of earlier requests that are skipped before the connection is given up.
 const MAX_STRAYS: u32 = 4;
