--- /dev/null
+++ b/crates/gateway/src/event_log/event.rs
@@ -0,0 +1,189 @@
+//! The events of the log: each a decision, with the inputs that decided it.
+
+use dispatch::attempts::Refusal;
+use dispatch::{AskFailure, SendFailure, Verdict};
+use domain::{HostId, Incarnation, Millis, ServiceName, UpstreamId, Version};
+use published::{Belief, Revision};
+use serde::Serialize;
+
+/// How much a line matters.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Weight {
+    /// Dropped first.
+    Routine,
+    /// Kept as long as there is room.
+    Telling,
+}
+
+/// One decision.
+#[expect(missing_docs, reason = "the fields are the inputs, named as the log names them")]
+#[derive(Debug, Serialize)]
+#[serde(tag = "event", rename_all = "kebab-case", rename_all_fields = "snake_case")]
+pub enum LogEvent<'a> {
+    /// The process began to serve.
+    Started { incarnation: Incarnation, version: &'a str, callers: String, seeds: usize },
+    /// The process was asked to stop.
+    Stopping { open_requests: usize },
+    /// The process ends.
+    Stopped { open_requests: usize },
+    /// Settings were read again.
+    Reloaded { changed: bool },
+    /// Settings could not be read again; the last good ones stay.
+    ReloadFailed { problem: &'a str },
+    /// No caller's connection could be taken.
+    AcceptFailed { problem: String },
+    /// The address for metrics can't be listened on.
+    NoMetrics { problem: String },
+    /// A peer's message can't be read.
+    PeerUnreadable { from: String, problem: String },
+    /// Readiness changed.
+    Ready { is_ready: bool, reason: &'a str },
+    /// The process stood still and looks at the world anew.
+    Paused { for_ms: Millis },
+    /// Something else is believed.
+    Belief {
+        #[serde(flatten)]
+        belief: &'a Belief,
+        from: &'a str,
+    },
+    /// A published value can't be read; the last good one stays.
+    Unreadable { key: &'a str, revision: Revision, problem: &'a str },
+    /// The source answers.
+    SourceRegained { after_ms: Millis, revision: Revision },
+    /// The source doesn't answer.
+    SourceLost { problem: String, picture_age_ms: Option<Millis> },
+    /// This host reads for the others from now on, or no longer.
+    Reading { is_reading: bool, rank: usize, picture_age_ms: Option<Millis> },
+    /// A peer was heard of for the first time, or in a new run.
+    PeerHeard { peer: &'a HostId, hosts: u32 },
+    /// A peer left or was silent for long.
+    PeerGone { peer: &'a HostId, hosts: u32 },
+    /// The picture was fetched from a peer.
+    Fetched { peer: &'a str, revision: Revision, is_done: bool },
+    /// A request was taken and routed.
+    Routed {
+        id: &'a str,
+        route: &'a str,
+        service: &'a ServiceName,
+        routing: Version,
+        left_ms: Millis,
+        picture_age_ms: Option<Millis>,
+    },
+    /// Upstreams were asked and one was chosen.
+    Chosen {
+        id: &'a str,
+        upstream: &'a UpstreamId,
+        expected_work: f64,
+        cost: f64,
+        asked: usize,
+        answered: usize,
+        report_age_ms: Option<Millis>,
+        is_other_zone: bool,
+    },
+    /// The best offer of a round was declined.
+    Declined {
+        id: &'a str,
+        upstream: &'a UpstreamId,
+        expected_ms: Option<Millis>,
+        asked: usize,
+        answered: usize,
+        objective_left_ms: Millis,
+        verdict: Verdict,
+    },
+    /// Asking an upstream failed.
+    AskFailed { upstream: &'a UpstreamId, failure: AskFailureName },
+    /// A request left for an upstream.
+    Sent { id: &'a str, upstream: &'a UpstreamId, sending: u32, left_ms: Millis },
+    /// A sending failed.
+    SendFailed {
+        id: &'a str,
+        upstream: &'a UpstreamId,
+        failure: SendFailureName,
+        after_ms: Millis,
+        status: Option<u16>,
+        is_not_run: bool,
+        repeats_left: f64,
+    },
+    /// An answer was handed to the caller.
+    Delivered {
+        id: &'a str,
+        upstream: &'a UpstreamId,
+        status: u16,
+        after_ms: Millis,
+        objective_ms: Millis,
+        sendings: u32,
+    },
+    /// The host gave a final answer of its own.
+    Refused {
+        id: &'a str,
+        status: u16,
+        #[serde(flatten)]
+        refusal: Refusal,
+        after_ms: Millis,
+        sendings: u32,
+        picture_age_ms: Option<Millis>,
+    },
+    /// The caller hung up.
+    CallerGone { id: &'a str, after_ms: Millis, sendings: u32, runs_on: bool },
+}
+
+/// Names of [`AskFailure`] in logs.
+#[expect(missing_docs, reason = "named as the failures themselves")]
+#[derive(Debug, Clone, Copy, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum AskFailureName {
+    Unreachable,
+    Unwell,
+    OtherUpstream,
+    Silent,
+}
+
+impl From<AskFailure> for AskFailureName {
+    fn from(failure: AskFailure) -> AskFailureName {
+        match failure {
+            AskFailure::Unreachable => AskFailureName::Unreachable,
+            AskFailure::Unwell => AskFailureName::Unwell,
+            AskFailure::OtherUpstream => AskFailureName::OtherUpstream,
+            AskFailure::Silent => AskFailureName::Silent,
+        }
+    }
+}
+
+/// Names of [`SendFailure`] in logs.
+#[expect(missing_docs, reason = "named as the failures themselves")]
+#[derive(Debug, Clone, Copy, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum SendFailureName {
+    ErrorAnswer,
+    Shed,
+    Broken,
+    Silent,
+}
+
+impl From<SendFailure> for SendFailureName {
+    fn from(failure: SendFailure) -> SendFailureName {
+        match failure {
+            SendFailure::ErrorAnswer => SendFailureName::ErrorAnswer,
+            SendFailure::Shed => SendFailureName::Shed,
+            SendFailure::Broken => SendFailureName::Broken,
+            SendFailure::Silent => SendFailureName::Silent,
+        }
+    }
+}
+
+impl LogEvent<'_> {
+    pub(super) fn weight(&self) -> Weight {
+        match self {
+            LogEvent::Routed { .. } | LogEvent::Chosen { .. } | LogEvent::Sent { .. } => {
+                Weight::Routine
+            }
+            LogEvent::Declined { verdict: Verdict::AskAgain(_), .. } => Weight::Routine,
+            LogEvent::Delivered { status, after_ms, objective_ms, .. }
+                if *status < 400 && after_ms <= objective_ms =>
+            {
+                Weight::Routine
+            }
+            _ => Weight::Telling,
+        }
+    }
+}
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -6,20 +6,22 @@
 //! closes gently: the write half first, then what is still on its way is read and dropped,
 //! since closing over unread bytes would destroy the answer.
 
+mod caller;
+mod render;
+
+pub use caller::Caller;
+
 use crate::event_log::LogEvent;
 use crate::host::{Host, duration};
-use crate::http1::{
-    AnswerWriter, BodyReader, Progress as BodyProgress, RequestError, RequestHead, is_hop_by_hop,
-    read_request,
-};
+use crate::http1::{BodyReader, Progress as BodyProgress, RequestError, RequestHead, read_request};
 use crate::serve::{Progress, Reply, Request, serve};
+use caller::linger;
 use dispatch::attempts::{Cause, Refusal};
 use domain::{ByteCount, Millis};
 use published::{CallerLimits, Repeat};
-use rand::RngExt;
+use render::{render, render_refusal};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::io::{self, ErrorKind};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -37,62 +39,9 @@
 /// Requests of one connection that are served at the same time.
 const MAX_PIPELINED: usize = 32;
 
-/// Bytes that are read ahead of the requests in progress.
-const MAX_READ_AHEAD: usize = 256 * 1024;
-
-/// Bytes read at once.
-const READ_BYTES: usize = 16 * 1024;
-
 /// A caller that doesn't take its answer for so long is given up.
 const WRITE_LIMIT: Duration = Duration::from_secs(5);
 
-/// After the last answer, what the caller still sends is read for so long.
-const LINGER: Duration = Duration::from_millis(600);
-
-/// Part by which the time to come back is jittered, so that refused callers spread.
-const RETRY_JITTER: f64 = 1.0;
-
-/// A caller's connection, as its requests see it.
-#[derive(Debug)]
-pub struct Caller {
-    stream: TcpStream,
-    inbox: RefCell<Vec<u8>>,
-    is_gone: Cell<bool>,
-}
-
-impl Caller {
-    /// Reads what is there, and tells whether the caller hung up.
-    pub fn is_gone_now(&self) -> bool {
-        self.fill();
-        self.is_gone.get()
-    }
-
-    fn fill(&self) {
-        let mut chunk = [0; READ_BYTES];
-        let mut inbox = self.inbox.borrow_mut();
-        while !self.is_gone.get() && inbox.len() < MAX_READ_AHEAD {
-            match self.stream.try_read(&mut chunk) {
-                Ok(0) => self.is_gone.set(true),
-                Ok(read) => inbox.extend_from_slice(&chunk[..read]),
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
-                Err(_) => self.is_gone.set(true),
-            }
-        }
-    }
-
-    async fn write(&self, bytes: &[u8]) -> io::Result<()> {
-        let mut left = bytes;
-        while !left.is_empty() {
-            match self.stream.try_write(left) {
-                Ok(written) => left = &left[written..],
-                Err(e) if e.kind() == ErrorKind::WouldBlock => self.stream.writable().await?,
-                Err(e) => return Err(e),
-            }
-        }
-        Ok(())
-    }
-}
-
 /// A request whose answer is still to be written.
 struct Pending {
     request: Rc<Request>,
@@ -179,25 +128,6 @@
     session.host.open_sessions.update(|open| open - 1);
 }
 
-/// Closes gently; see the module's head.
-async fn linger(caller: &Caller) {
-    if caller.is_gone.get()
-        || socket2::SockRef::from(&caller.stream).shutdown(std::net::Shutdown::Write).is_err()
-    {
-        return;
-    }
-    let until = Instant::now() + LINGER;
-    let mut chunk = [0; READ_BYTES];
-    while tokio::time::timeout_at(until, caller.stream.readable()).await.is_ok() {
-        match caller.stream.try_read(&mut chunk) {
-            Ok(0) => return,
-            Ok(_) => {}
-            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-            Err(_) => return,
-        }
-    }
-}
-
 /// What a session waits for next.
 enum Next {
     Read,
@@ -250,7 +180,7 @@
     }
 
     async fn wait(&mut self) -> Next {
-        let is_reading = self.caller.inbox.borrow().len() < MAX_READ_AHEAD;
+        let is_reading = self.caller.has_room();
         let late = self.late_at();
         let mut closing = self.host.closing.subscribe();
         let is_closing = *closing.borrow();
@@ -427,45 +357,3 @@
         let _ = tokio::time::timeout(WRITE_LIMIT, self.caller.write(&bytes)).await;
     }
 }
-
-fn render(host: &Host, request: &Request, reply: &Reply, closes: bool) -> Vec<u8> {
-    match reply {
-        Reply::Refused(refusal) => render_refusal(host, Some(request), *refusal, closes),
-        Reply::Answer(answer) => {
-            let status = answer.head.status;
-            let fields = &answer.head.fields;
-            let mut writer = AnswerWriter::new(status);
-            for (name, value) in fields.iter().filter(|(name, _)| !is_hop_by_hop(name, fields)) {
-                writer = writer.field(name, value);
-            }
-            match request.head.method == "HEAD" {
-                true => writer.no_body(fields.all("content-length").next(), closes),
-                false => writer.body(status, &answer.body, closes),
-            }
-        }
-    }
-}
-
-fn render_refusal(
-    host: &Host,
-    request: Option<&Request>,
-    refusal: Refusal,
-    closes: bool,
-) -> Vec<u8> {
-    let status = refusal.cause.status();
-    let mut writer =
-        AnswerWriter::new(status).field(host.dialect.cause, refusal.cause.as_str().as_bytes());
-    let id = request.and_then(|request| request.head.fields.get(host.dialect.request_id));
-    if let Some(id) = id {
-        writer = writer.field(host.dialect.request_id, id.as_bytes());
-    }
-    if let Some(after_ms) = refusal.retry_after_ms {
-        let jitter = 1.0 + RETRY_JITTER * host.rng.borrow_mut().random::<f64>();
-        let seconds = format!("{:.3}", after_ms.as_f64() * jitter / 1000.0);
-        writer = writer.field("retry-after", seconds.as_bytes());
-    }
-    match request.is_some_and(|request| request.head.method == "HEAD") {
-        true => writer.no_body(None, closes),
-        false => writer.body(status, b"", closes),
-    }
-}
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -6,19 +6,23 @@
 //! whole picture is then fetched over a connection. Bytes between availability zones are
 //! paid for, so both are in the compact `postcard` encoding.
 
+mod datagram;
+mod picture;
+
+pub use datagram::{Datagram, News};
+
 use crate::event_log::LogEvent;
 use crate::host::Host;
-use domain::{HostId, Incarnation, Millis};
-use published::{Change, Member, Revision, Whole};
+use domain::Millis;
+use picture::{fetch_picture, give_picture};
+use published::{Change, Member, Revision};
 use rand::RngExt;
 use rand::seq::IndexedRandom;
-use serde::{Deserialize, Serialize};
 use std::cell::Cell;
 use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpSocket, TcpStream, UdpSocket};
+use tokio::net::{TcpListener, UdpSocket};
 
 /// Largest datagram that is sent; larger news is fetched.
 const MAX_DATAGRAM_BYTES: usize = 8 * 1024;
@@ -38,61 +42,6 @@
 /// Shortest time between two fetches.
 const FETCH_PAUSE_MS: Millis = Millis(150);
 
-/// Largest picture taken from a peer: thousands of upstreams and routes.
-const MAX_PICTURE_BYTES: u64 = 32 * 1024 * 1024;
-
-/// A datagram.
-#[derive(Debug, Serialize, Deserialize)]
-pub enum Datagram {
-    /// A host is there.
-    Hello {
-        /// Itself.
-        from: Member,
-        /// Whether it wants to be told of others, and of the picture.
-        asks: bool,
-        /// Digest of the hosts that it knows; equal sets need not be told.
-        digest: u64,
-    },
-    /// Hosts that are known.
-    Known {
-        /// Some of them.
-        members: Vec<Member>,
-    },
-    /// What a host read.
-    News(News),
-    /// A host leaves.
-    Bye {
-        /// Its id.
-        host: HostId,
-        /// The run that ends.
-        incarnation: Incarnation,
-    },
-}
-
-/// What a host read from the source.
-#[derive(Debug, Serialize, Deserialize)]
-pub struct News {
-    /// The reader.
-    pub from: Member,
-    /// Nothing newer than this was published, so long ago.
-    pub revision: Revision,
-    /// Age of the reading.
-    pub age_ms: Millis,
-    /// Digest of the reader's picture.
-    pub digest: u64,
-    /// `changes` holds all after this.
-    pub after: Revision,
-    /// The changes; none if they don't fit.
-    pub changes: Option<Vec<Change>>,
-}
-
-/// What is told over a connection.
-#[derive(Debug, Serialize, Deserialize)]
-struct Told {
-    age_ms: Millis,
-    whole: Whole,
-}
-
 /// The host's voice towards its peers.
 #[derive(Debug)]
 pub struct Peers {
@@ -376,23 +325,3 @@
     };
     postcard::to_stdvec(&Datagram::News(short)).unwrap_or_default()
 }
-
-async fn fetch_picture(address: SocketAddr) -> std::io::Result<Told> {
-    let mut stream = TcpSocket::new_v4()?.connect(address).await?;
-    let mut bytes = Vec::new();
-    (&mut stream).take(MAX_PICTURE_BYTES).read_to_end(&mut bytes).await?;
-    postcard::from_bytes(&bytes).map_err(std::io::Error::other)
-}
-
-async fn give_picture(host: &Host, mut stream: TcpStream) -> std::io::Result<()> {
-    let told = {
-        let picture = host.picture.borrow();
-        // A host without a picture closes the connection, and another is asked.
-        let Some(age_ms) = picture.age_ms(host.now_ms()) else { return Ok(()) };
-        Told { age_ms, whole: picture.whole() }
-    };
-    let bytes = postcard::to_stdvec(&told).map_err(std::io::Error::other)?;
-    stream.write_all(&bytes).await?;
-    host.metrics.told_peers(bytes.len());
-    stream.shutdown().await
-}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,5 +1,8 @@
 //! One request, from its arrival to its final answer.
 
+mod in_progress;
+mod routing;
+
 use crate::ask::{self, Chosen};
 use crate::connection::{Answer, ExchangeError, Expected};
 use crate::event_log::LogEvent;
@@ -10,13 +13,12 @@
 use dispatch::{Offer, Patience, SendFailure, UpstreamSet, Verdict};
 use domain::{Millis, ServiceName, UpstreamId};
 use futures_util::future::LocalBoxFuture;
+use in_progress::InProgress;
 use published::{MatchedRoute, Repeat, Route};
+use routing::{next_service, wait_for_routing};
 use std::cell::Cell;
 use std::rc::Rc;
 
-/// How long a request waits for the first routing: two tries to read it.
-const ROUTING_WAIT_MS: Millis = Millis(120);
-
 /// Time between the choice and the sending past which the world is looked at again.
 const STALE_CHOICE_MS: Millis = Millis(40);
 
@@ -122,18 +124,6 @@
     }
 }
 
-/// A host that has just started knows the routing within some milliseconds, so requests
-/// that come before it wait for a moment in place of being refused.
-async fn wait_for_routing(host: &Host) {
-    let until_ms = host.now_ms() + ROUTING_WAIT_MS;
-    while host.table.borrow().is_none() && host.now_ms() < until_ms {
-        tokio::select! {
-            () = host.news.notified() => {}
-            () = tokio::time::sleep(host.clock.until(until_ms)) => {}
-        }
-    }
-}
-
 fn note_refusal(
     host: &Host,
     id: &str,
@@ -194,12 +184,6 @@
     })
 }
 
-fn next_service(host: &Host, route: &Route) -> Result<ServiceName, Refusal> {
-    let mut splits = host.splits.borrow_mut();
-    let service = splits.next(&route.name, &route.split, &mut host.rng.borrow_mut());
-    service.ok_or(Refusal::not_run(Cause::NoRoute))
-}
-
 /// How a sending ended.
 struct Ended {
     upstream: UpstreamId,
@@ -485,47 +469,3 @@
         End::Silent => Some(SendFailure::Silent),
     }
 }
-
-/// A sending in progress at an upstream, until it ends or is withdrawn.
-struct InProgress {
-    host: Rc<Host>,
-    upstream: UpstreamId,
-    begun_ms: Millis,
-    is_ended: bool,
-}
-
-impl InProgress {
-    fn begin(host: &Rc<Host>, upstream: &UpstreamId) -> InProgress {
-        if let Some(known) = host.upstreams.borrow_mut().get_mut(upstream) {
-            known.note_sent();
-        }
-        let begun_ms = host.now_ms();
-        InProgress { host: Rc::clone(host), upstream: upstream.clone(), begun_ms, is_ended: false }
-    }
-
-    fn end(mut self, failure: Option<SendFailure>) {
-        self.is_ended = true;
-        let now_ms = self.host.now_ms();
-        if let Some(known) = self.host.upstreams.borrow_mut().get_mut(&self.upstream) {
-            known.note_ended(now_ms, failure);
-        }
-    }
-}
-
-/// A sending that is withdrawn after so long was no good: its upstream is silent or slow.
-const SILENT_MS: Millis = Millis(400);
-
-impl Drop for InProgress {
-    fn drop(&mut self) {
-        if self.is_ended {
-            return;
-        }
-        let now_ms = self.host.now_ms();
-        if let Some(known) = self.host.upstreams.borrow_mut().get_mut(&self.upstream) {
-            match now_ms.since(self.begun_ms) > SILENT_MS {
-                true => known.note_ended(now_ms, Some(SendFailure::Silent)),
-                false => known.note_withdrawn(),
-            }
-        }
-    }
-}
--- /dev/null
+++ b/crates/published/src/belief.rs
@@ -0,0 +1,60 @@
+//! Changes of what is believed, for logs.
+
+use crate::Revision;
+use domain::{Millis, UpstreamId, Version};
+use serde::Serialize;
+
+/// A change of what is believed, for logs.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+#[serde(tag = "belief", rename_all = "kebab-case")]
+pub enum Belief {
+    /// A routing is in force.
+    RoutingInForce {
+        /// Its version.
+        version: Version,
+        /// Its revision.
+        revision: Revision,
+    },
+    /// A routing with a smaller version came under a greater revision, and was not taken.
+    RoutingRefused {
+        /// Its version.
+        version: Version,
+        /// What is in force.
+        in_force: Version,
+    },
+    /// An upstream takes work.
+    UpstreamJoined {
+        /// Its id.
+        upstream: UpstreamId,
+        /// Its revision.
+        revision: Revision,
+    },
+    /// An upstream says that it is leaving.
+    UpstreamLeaving {
+        /// Its id.
+        upstream: UpstreamId,
+        /// Its revision.
+        revision: Revision,
+    },
+    /// An upstream's entry lapsed while the source was away; it is kept for a while.
+    UpstreamLapsed {
+        /// Its id.
+        upstream: UpstreamId,
+        /// When it is gone unless it came back.
+        until_ms: Millis,
+    },
+    /// An upstream's entry that had lapsed was written anew.
+    UpstreamReturned {
+        /// Its id.
+        upstream: UpstreamId,
+        /// Its revision.
+        revision: Revision,
+    },
+    /// An upstream's entry is gone.
+    UpstreamGone {
+        /// Its id.
+        upstream: UpstreamId,
+        /// The revision that removed it.
+        revision: Revision,
+    },
+}
--- a/crates/published/src/lib.rs
+++ b/crates/published/src/lib.rs
@@ -8,6 +8,8 @@
 //!
 //! This crate knows nothing of IO, and time is handed in.
 
+mod belief;
+mod change;
 mod members;
 mod patch;
 mod picture;
@@ -15,11 +17,11 @@
 mod routing;
 mod upstream;
 
+pub use belief::Belief;
+pub use change::{Change, Entry, Item, Removal, Revision, Whole};
 pub use members::{Member, Members};
 pub use patch::RoutingPatch;
-pub use picture::{
-    AWAY_MS, Belief, Change, Entry, Item, Picture, RETURN_GRACE_MS, Removal, Revision, Whole,
-};
+pub use picture::{AWAY_MS, Picture, RETURN_GRACE_MS};
 pub use reading::{READERS, ReadStep, Reader, Start, WATCH_MS};
 pub use routing::{
     CallerLimits, Destination, MatchedRoute, Repeat, Route, RouteTable, Routing, ServiceSettings,
--- a/crates/published/src/picture.rs
+++ b/crates/published/src/picture.rs
@@ -6,10 +6,11 @@
 //! outage waits for [`RETURN_GRACE_MS`], since entries lapse while instances can't renew
 //! them.
 
-use crate::{Routing, RoutingPatch, Upstream, UpstreamMode};
-use domain::{FastMap, Millis, UpstreamId, Version};
-use serde::{Deserialize, Serialize};
-use std::fmt;
+use crate::{
+    Belief, Change, Entry, Item, Removal, Revision, Routing, RoutingPatch, Upstream, UpstreamMode,
+    Whole,
+};
+use domain::{FastMap, Millis, UpstreamId};
 use std::sync::Arc;
 
 /// Without a confirmed reading for so long, entries may have lapsed at the source: they do
@@ -20,123 +21,6 @@
 /// seconds by the platform's word, and a tenth for the way.
 pub const RETURN_GRACE_MS: Millis = Millis(2_200);
 
-/// Place of a change in the order of all changes.
-#[derive(
-    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
-#[serde(transparent)]
-pub struct Revision(pub u64);
-
-impl fmt::Display for Revision {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}", self.0)
-    }
-}
-
-/// A value and the revision that wrote it.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Entry<T> {
-    /// Its last change.
-    pub revision: Revision,
-    /// The value.
-    pub value: T,
-}
-
-/// One published value.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Item {
-    /// The routing.
-    Routing(Arc<Routing>),
-    /// An upstream's entry.
-    Upstream(Arc<Upstream>),
-}
-
-/// The end of an upstream's entry.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Removal {
-    /// Whose entry.
-    pub upstream: UpstreamId,
-    /// The change that removed it.
-    pub revision: Revision,
-}
-
-/// A change of what is published.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Change {
-    /// A value was written.
-    Written(Entry<Item>),
-    /// The routing was written, told as the difference from the one before.
-    Patched(Entry<RoutingPatch>),
-    /// An entry was removed.
-    Removed(Removal),
-}
-
-/// Everything that is published, as of a revision.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct Whole {
-    /// No change up to here is missing.
-    pub revision: Revision,
-    /// All values.
-    pub items: Vec<Entry<Item>>,
-}
-
-/// A change of what is believed, for logs.
-#[derive(Debug, Clone, PartialEq, Serialize)]
-#[serde(tag = "belief", rename_all = "kebab-case")]
-pub enum Belief {
-    /// A routing is in force.
-    RoutingInForce {
-        /// Its version.
-        version: Version,
-        /// Its revision.
-        revision: Revision,
-    },
-    /// A routing with a smaller version came under a greater revision, and was not taken.
-    RoutingRefused {
-        /// Its version.
-        version: Version,
-        /// What is in force.
-        in_force: Version,
-    },
-    /// An upstream takes work.
-    UpstreamJoined {
-        /// Its id.
-        upstream: UpstreamId,
-        /// Its revision.
-        revision: Revision,
-    },
-    /// An upstream says that it is leaving.
-    UpstreamLeaving {
-        /// Its id.
-        upstream: UpstreamId,
-        /// Its revision.
-        revision: Revision,
-    },
-    /// An upstream's entry lapsed while the source was away; it is kept for a while.
-    UpstreamLapsed {
-        /// Its id.
-        upstream: UpstreamId,
-        /// When it is gone unless it came back.
-        until_ms: Millis,
-    },
-    /// An upstream's entry that had lapsed was written anew.
-    UpstreamReturned {
-        /// Its id.
-        upstream: UpstreamId,
-        /// Its revision.
-        revision: Revision,
-    },
-    /// An upstream's entry is gone.
-    UpstreamGone {
-        /// Its id.
-        upstream: UpstreamId,
-        /// The revision that removed it.
-        revision: Revision,
-    },
-}
-
 /// What is believed to be published.
 #[derive(Debug, Default)]
 pub struct Picture {
