--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -84,21 +84,47 @@
     peers: Rc<Peers>,
 }
 
+/// Signals that the process listens for.
+///
+/// Listening begins before anything else: a hangup that meets a process without a handler
+/// ends it.
+#[derive(Debug)]
+pub struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    _hangup: Signal,
+}
+
+impl Signals {
+    /// Begins to listen.
+    pub fn listen() -> Result<Signals, Report<StartError>> {
+        Ok(Signals {
+            _hangup: listen_for(SignalKind::hangup())?,
+            terminate: listen_for(SignalKind::terminate())?,
+            interrupt: listen_for(SignalKind::interrupt())?,
+        })
+    }
+
+    /// Waits until the process is told to stop.
+    async fn stop(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
+        }
+    }
+}
+
 /// Runs the process until it is told to stop.
 pub async fn run<S: Source, R: Reload>(
+    mut signals: Signals,
     settings: Settings,
     dialect: Dialect,
     source: S,
     reload: R,
     log: EventLog,
 ) -> Result<(), Report<StartError>> {
-    let mut terminate = listen_for(SignalKind::terminate())?;
-    let mut interrupt = listen_for(SignalKind::interrupt())?;
     let gateway = Gateway::start(settings, dialect, source, reload, log).await?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+    signals.stop().await;
     gateway.stop().await;
     Ok(())
 }
