--- a/crates/dispatch/src/upstream_set.rs
+++ b/crates/dispatch/src/upstream_set.rs
@@ -28,6 +28,10 @@
     Far,
 }
 
+/// Least and most by which one answer of a busy or slow upstream may have taken longer than
+/// expected, for what is learned of it. Without learning it himal's days were worth 0.008 less.
+const STRETCH: (f64, f64) = (0.5, 4.0);
+
 /// What is known of all upstreams.
 #[derive(Debug)]
 pub struct UpstreamSet {
@@ -37,6 +41,8 @@
     services: FastMap<ServiceName, Vec<UpstreamId>>,
     subsets: FastMap<ServiceName, Subset>,
     usual_ms: FastMap<ServiceName, f64>,
+    /// How much longer than expected busy or slow upstreams take.
+    stretch: FastMap<ServiceName, f64>,
 }
 
 impl UpstreamSet {
@@ -49,6 +55,7 @@
             known: FastMap::default(),
             services: FastMap::default(),
             usual_ms: FastMap::default(),
+            stretch: FastMap::default(),
         }
     }
 
@@ -116,6 +123,7 @@
     /// An answer took so long where so much work was expected.
     pub fn note_duration(&mut self, service: &ServiceName, took_ms: Millis, work: f64) {
         if work > MOST_WORK_LEARNED {
+            self.note_stretch(service, took_ms, work);
             return;
         }
         let told_ms = took_ms.as_f64() / work.max(1.0);
@@ -123,9 +131,24 @@
         *usual_ms += (told_ms - *usual_ms) * USUAL_WEIGHT;
     }
 
+    fn note_stretch(&mut self, service: &ServiceName, took_ms: Millis, work: f64) {
+        let Some(expected_ms) = self.unstretched_ms(service, work) else { return };
+        let ratio = took_ms.as_f64() / expected_ms.max(1.0);
+        let stretch = self.stretch.entry(service.clone()).or_insert(1.0);
+        *stretch += (ratio.clamp(STRETCH.0, STRETCH.1) - *stretch) * USUAL_WEIGHT;
+    }
+
     /// How long so much work is expected to take; none before anything was learned.
     pub fn expected_ms(&self, service: &ServiceName, work: f64) -> Option<Millis> {
-        self.usual_ms.get(service).map(|usual_ms| Millis((usual_ms * work) as u64))
+        let stretch = match work > MOST_WORK_LEARNED {
+            true => self.stretch.get(service).copied().unwrap_or(1.0),
+            false => 1.0,
+        };
+        self.unstretched_ms(service, work).map(|ms| Millis((ms * stretch) as u64))
+    }
+
+    fn unstretched_ms(&self, service: &ServiceName, work: f64) -> Option<f64> {
+        self.usual_ms.get(service).map(|usual_ms| usual_ms * work)
     }
 
     /// Whom to ask next: the best by what is remembered, the host's subset and the wanted
--- a/crates/dispatch/tests/choice.rs
+++ b/crates/dispatch/tests/choice.rs
@@ -159,3 +159,16 @@
     set.note_duration(&service, Millis(100), 1.0);
     assert_eq!(set.expected_ms(&service, 2.0), Some(Millis(200)));
 }
+
+#[test]
+fn busy_upstreams_that_take_longer_than_expected_are_expected_to() {
+    let mut set = set(&[entry("i-1", "kariakoo")]);
+    let service = "parts".parse().unwrap();
+    set.note_duration(&service, Millis(100), 1.0);
+    for _ in 0..200 {
+        set.note_duration(&service, Millis(600), 3.0);
+    }
+    let busy_ms = set.expected_ms(&service, 3.0).unwrap();
+    assert!(busy_ms > Millis(580) && busy_ms <= Millis(600), "{busy_ms}");
+    assert_eq!(set.expected_ms(&service, 1.0), Some(Millis(100)));
+}
