--- a/crates/dispatch/src/attempts.rs
+++ b/crates/dispatch/src/attempts.rs
@@ -27,8 +27,6 @@
     NotSent,
     /// The request left, at least in part, and no whole answer came.
     Broken,
-    /// It was given up as too slow; it may still run.
-    Silent,
 }
 
 /// What a whole answer says.
@@ -165,7 +163,7 @@
     match end {
         End::Answered(answered) => answered.not_run,
         End::NotSent => true,
-        End::Broken | End::Silent => false,
+        End::Broken => false,
     }
 }
 
@@ -179,7 +177,7 @@
             true => Next::SendAgain,
             false => Next::Deliver,
         },
-        End::Answered(_) | End::Broken | End::Silent => match again(standing) {
+        End::Answered(_) | End::Broken => match again(standing) {
             true => Next::SendAgain,
             false => Next::Refuse(Refusal::unknown(Cause::UpstreamFailed)),
         },
--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -8,6 +8,7 @@
 use crate::LoadReport;
 use domain::Millis;
 use published::Upstream;
+use serde::Serialize;
 use std::sync::Arc;
 
 /// A report's weight falls to 1/e in this time; the load of upstreams shifts within 500 ms.
@@ -32,7 +33,8 @@
 const UNKNOWN_SLOWNESS: f64 = 1.8;
 
 /// How asking an upstream failed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum AskFailure {
     /// No connection, or it broke.
     Unreachable,
@@ -45,7 +47,8 @@
 }
 
 /// How sending a request failed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum SendFailure {
     /// It answered with an error of its own.
     ErrorAnswer,
--- a/crates/dispatch/tests/attempts.rs
+++ b/crates/dispatch/tests/attempts.rs
@@ -64,7 +64,6 @@
 #[case::faulty_request(shed(400), "deliver", "deliver")]
 #[case::not_sent(End::NotSent, "again", "again")]
 #[case::broken(End::Broken, "again", "unknown")]
-#[case::silent(End::Silent, "again", "unknown")]
 fn follows(#[case] end: End, #[case] idempotent: &str, #[case] at_most_once: &str) {
     check(Repeat::Idempotent, end, idempotent);
     check(Repeat::AtMostOnce, end, at_most_once);
--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -216,7 +216,7 @@
     if let Some(known) = host.upstreams.borrow_mut().get_mut(upstream) {
         known.note_ask_failed(now_ms, failure);
     }
-    host.log.write(&LogEvent::AskFailed { upstream, failure: failure.into() });
+    host.log.write(&LogEvent::AskFailed { upstream, failure });
 }
 
 async fn unasked(host: &Rc<Host>, upstream: &UpstreamId) -> Option<Connection> {
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -7,7 +7,7 @@
 
 mod event;
 
-pub use event::{AskFailureName, LogEvent, SendFailureName};
+pub use event::LogEvent;
 
 use domain::HostId;
 use event::Weight;
--- a/crates/gateway/src/event_log/event.rs
+++ b/crates/gateway/src/event_log/event.rs
@@ -91,14 +91,14 @@
         verdict: Verdict,
     },
     /// Asking an upstream failed.
-    AskFailed { upstream: &'a UpstreamId, failure: AskFailureName },
+    AskFailed { upstream: &'a UpstreamId, failure: AskFailure },
     /// A request left for an upstream.
     Sent { id: &'a str, upstream: &'a UpstreamId, sending: u32, left_ms: Millis },
     /// A sending failed.
     SendFailed {
         id: &'a str,
         upstream: &'a UpstreamId,
-        failure: SendFailureName,
+        failure: SendFailure,
         after_ms: Millis,
         status: Option<u16>,
         is_not_run: bool,
@@ -127,50 +127,6 @@
     CallerGone { id: &'a str, after_ms: Millis, sendings: u32, runs_on: bool },
 }
 
-/// Names of [`AskFailure`] in logs.
-#[expect(missing_docs, reason = "named as the failures themselves")]
-#[derive(Debug, Clone, Copy, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum AskFailureName {
-    Unreachable,
-    Unwell,
-    OtherUpstream,
-    Silent,
-}
-
-impl From<AskFailure> for AskFailureName {
-    fn from(failure: AskFailure) -> AskFailureName {
-        match failure {
-            AskFailure::Unreachable => AskFailureName::Unreachable,
-            AskFailure::Unwell => AskFailureName::Unwell,
-            AskFailure::OtherUpstream => AskFailureName::OtherUpstream,
-            AskFailure::Silent => AskFailureName::Silent,
-        }
-    }
-}
-
-/// Names of [`SendFailure`] in logs.
-#[expect(missing_docs, reason = "named as the failures themselves")]
-#[derive(Debug, Clone, Copy, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum SendFailureName {
-    ErrorAnswer,
-    Shed,
-    Broken,
-    Silent,
-}
-
-impl From<SendFailure> for SendFailureName {
-    fn from(failure: SendFailure) -> SendFailureName {
-        match failure {
-            SendFailure::ErrorAnswer => SendFailureName::ErrorAnswer,
-            SendFailure::Shed => SendFailureName::Shed,
-            SendFailure::Broken => SendFailureName::Broken,
-            SendFailure::Silent => SendFailureName::Silent,
-        }
-    }
-}
-
 impl LogEvent<'_> {
     pub(super) fn weight(&self) -> Weight {
         match self {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -440,7 +440,7 @@
         self.host.log.write(&LogEvent::SendFailed {
             id: &self.id,
             upstream: &ended.upstream,
-            failure: failure.into(),
+            failure,
             after_ms: now_ms.since(ended.sent_ms),
             status: ended.answer.as_ref().map(|answer| answer.head.status),
             is_not_run: attempts::is_not_run(ended.end),
@@ -466,6 +466,5 @@
         }
         End::Answered(_) => None,
         End::NotSent | End::Broken => Some(SendFailure::Broken),
-        End::Silent => Some(SendFailure::Silent),
     }
 }
--- a/crates/published/src/reading.rs
+++ b/crates/published/src/reading.rs
@@ -95,7 +95,7 @@
             start_spread_ms,
             is_seed: start.is_seed,
             is_reading: false,
-            needs_whole: true,
+            needs_whole: false,
             failures: 0,
             not_before_ms: Millis::ZERO,
         }
@@ -145,11 +145,6 @@
         self.needs_whole = true;
     }
 
-    /// The picture came whole from a peer.
-    pub fn was_told(&mut self) {
-        self.needs_whole = false;
-    }
-
     fn due_ms(&mut self, now_ms: Millis, members: &Members, picture: &Picture) -> Millis {
         let Some(confirmed_ms) = picture.confirmed_ms() else {
             return self.first_due_ms();
--- a/crates/published/tests/reading.rs
+++ b/crates/published/tests/reading.rs
@@ -55,7 +55,6 @@
         let whole = Whole { revision: Revision(1), items: Vec::new() };
         self.picture.take_whole(now_ms, whole);
         self.members.note_reader(now_ms, reader);
-        self.reader.was_told();
     }
 }
 
@@ -212,3 +211,11 @@
     host.reader.needs_whole();
     assert_eq!(host.step(Millis(2_000)), ReadStep::Whole);
 }
+
+#[test]
+fn a_picture_from_a_peer_need_not_be_read_again() {
+    let mut host = Host::new(3, Start { is_seed: true, is_first: false });
+    let reader = member(4).host;
+    host.hear(Millis(10), &reader);
+    assert!(matches!(host.step(Millis(5_000)), ReadStep::Changes(_)));
+}
