--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -52,10 +52,18 @@
 
 impl Pending {
     /// The caller left: withdraws the request, unless it runs at most once and was sent.
-    fn abandon(&self) {
+    fn abandon(&self, host: &Host) {
         if !self.progress.runs_on.get() {
             self.task.abort();
+            return;
         }
+        host.metrics.caller_gone();
+        host.log.write(&LogEvent::CallerGone {
+            id: self.request.head.fields.get(host.dialect.request_id).unwrap_or_default(),
+            after_ms: host.now_ms().since(self.request.arrived_ms),
+            sendings: self.progress.sendings.get(),
+            runs_on: true,
+        });
     }
 }
 
@@ -122,7 +130,7 @@
     session.host.open_sessions.update(|open| open + 1);
     session.run().await;
     for pending in &session.pending {
-        pending.abandon();
+        pending.abandon(&session.host);
     }
     linger(&session.caller).await;
     session.host.open_sessions.update(|open| open - 1);
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -22,7 +22,7 @@
 /// Time between the choice and the sending past which the world is looked at again.
 const STALE_CHOICE_MS: Millis = Millis(40);
 
-/// Requests sent to one upstream at a time by one request.
+/// Most sendings of one request, whatever becomes of them.
 const MAX_SENDINGS: u32 = 8;
 
 /// A request that has arrived whole.
@@ -51,7 +51,8 @@
     /// It was sent and must not be broken off when its caller leaves: it runs at most once,
     /// and an order half done helps nobody.
     pub runs_on: Cell<bool>,
-    sendings: Cell<u32>,
+    /// Sendings so far.
+    pub sendings: Cell<u32>,
 }
 
 struct Serving {
@@ -63,7 +64,6 @@
     matched: MatchedRoute,
     service: ServiceName,
     end_ms: Millis,
-    deadline_ms: Millis,
 }
 
 /// Counts a request as open, and tells when its caller left it.
@@ -180,7 +180,6 @@
         matched,
         service,
         end_ms,
-        deadline_ms,
     })
 }
 
@@ -335,7 +334,7 @@
     }
 
     fn encode(&self, upstream: &UpstreamId, now_ms: Millis) -> Vec<u8> {
-        let left_ms = self.end_ms.min(self.deadline_ms).since(now_ms).0.max(1).to_string();
+        let left_ms = self.end_ms.since(now_ms).0.max(1).to_string();
         let marks = [
             (self.host.dialect.deadline_ms, left_ms.as_str()),
             (self.host.dialect.expected_upstream, upstream.as_str()),
--- a/crates/gateway/tests/serving.rs
+++ b/crates/gateway/tests/serving.rs
@@ -224,6 +224,11 @@
         drop(caller);
         until("it ended", || gateway.host().open_requests.get() == 0).await;
         assert_eq!(upstream.abandoned(), 0);
+        let log = gateway.host().log.take_waiting();
+        assert!(
+            log.contains("\"event\":\"caller-gone\"") && log.contains("\"runs_on\":true"),
+            "{log}"
+        );
     });
 }
 
