--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -284,9 +284,10 @@
             callers: listen(settings.callers)?,
             readiness: listen(settings.readiness)?,
             operator: settings.operator.map(listen).transpose()?,
-            metrics: settings.metrics.map(listen),
             pictures: listen(settings.peers)?,
             datagrams: datagrams.change_context(StartError::Listen(settings.peers))?,
+            // Last: it must not take an address that is needed.
+            metrics: settings.metrics.map(listen),
         })
     }
 }
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -199,3 +199,18 @@
         assert!(hosts[0].host().picture_age_ms().unwrap() < Millis(5_000));
     });
 }
+
+#[test]
+fn an_address_for_metrics_that_is_taken_stops_nothing() {
+    on_one_thread(async {
+        let upstream = StandInUpstream::start("i-1").await;
+        let published = published(&[&upstream]).await;
+        let mut settings = settings(&[]);
+        settings.metrics = Some(settings.peers);
+        let gateway = start(settings, &published).await;
+        let got = Caller::connect(callers(&gateway)).await.ask(&get("/any/x", "id-1")).await;
+        assert_eq!(got.status, 200);
+        let log = gateway.host().log.take_waiting();
+        assert!(log.contains("\"event\":\"no-metrics\""), "{log}");
+    });
+}
