--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -20,6 +20,9 @@
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
 
+/// Pause after a connection could not be accepted: out of descriptors, some close meanwhile.
+pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
 /// The entry host.
 #[derive(Debug)]
 pub struct Host {
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -12,7 +12,7 @@
 pub use caller::Caller;
 
 use crate::event_log::LogEvent;
-use crate::host::{Host, duration};
+use crate::host::{ACCEPT_PAUSE, Host, duration};
 use crate::http1::{BodyReader, Progress as BodyProgress, RequestError, RequestHead, read_request};
 use crate::serve::{Progress, Reply, Request, serve};
 use caller::linger;
@@ -104,7 +104,7 @@
             Err(e) => {
                 // Out of descriptors, or the caller was faster; the next may do better.
                 host.log.write(&LogEvent::AcceptFailed { problem: e.to_string() });
-                tokio::time::sleep(Duration::from_millis(20)).await;
+                tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -1,6 +1,6 @@
 //! Readiness for the platform, and metrics and state for operators.
 
-use crate::host::Host;
+use crate::host::{ACCEPT_PAUSE, Host};
 use crate::http1::{AnswerWriter, read_request};
 use crate::metrics::StateFigures;
 use domain::Millis;
@@ -63,7 +63,7 @@
                     let _ = answer_all(&host, stream, audience).await;
                 });
             }
-            Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
         }
     }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -12,7 +12,7 @@
 pub use datagram::{Datagram, News};
 
 use crate::event_log::LogEvent;
-use crate::host::Host;
+use crate::host::{ACCEPT_PAUSE, Host};
 use domain::Millis;
 use picture::{fetch_picture, give_picture};
 use published::{Change, Member, Revision};
@@ -36,6 +36,18 @@
 /// Time between greetings to one known host, which repair what was lost.
 const GREETINGS: Duration = Duration::from_secs(3);
 
+/// Part of the greetings that goes to a seed: after a split each side knows only its own.
+const SEED_GREETINGS: f64 = 0.3;
+
+/// Hosts that start together must not greet together for ever.
+const GREETING_JITTER: std::ops::Range<f64> = 0.8..1.2;
+
+/// Largest datagram that can come.
+const LARGEST_DATAGRAM_BYTES: usize = 64 * 1024;
+
+/// Pause after an error of the socket, which an earlier datagram to nobody causes.
+const RECEIVE_PAUSE: Duration = Duration::from_millis(5);
+
 /// Longest time to fetch a picture.
 const FETCH_LIMIT: Duration = Duration::from_millis(800);
 
@@ -64,7 +76,7 @@
             let is_alone = self.host.hosts() <= 1;
             self.greet_once(is_alone);
             let pause = if is_alone { FIRST_GREETINGS } else { GREETINGS };
-            let jitter = self.host.rng.borrow_mut().random_range(0.8..1.2);
+            let jitter = self.host.rng.borrow_mut().random_range(GREETING_JITTER);
             tokio::time::sleep(pause.mul_f64(jitter)).await;
         }
     }
@@ -77,8 +89,7 @@
         let other = others.choose(&mut *self.host.rng.borrow_mut()).copied();
         match is_alone {
             true => seeds.iter().for_each(|&seed| self.hello(seed, true)),
-            // A seed now and then: after a split, each side knows only its own.
-            false if self.host.rng.borrow_mut().random_bool(0.3) => {
+            false if self.host.rng.borrow_mut().random_bool(SEED_GREETINGS) => {
                 seed.into_iter().for_each(|seed| self.hello(seed, true));
             }
             false => other.into_iter().for_each(|other| self.hello(other, true)),
@@ -146,7 +157,7 @@
 
     /// Takes datagrams; never ends.
     pub async fn listen(self: Rc<Peers>) {
-        let mut buffer = vec![0; 64 * 1024];
+        let mut buffer = vec![0; LARGEST_DATAGRAM_BYTES];
         loop {
             match self.socket.recv_from(&mut buffer).await {
                 Ok((read, from)) => match postcard::from_bytes(&buffer[..read]) {
@@ -157,7 +168,7 @@
                     }),
                 },
                 // An earlier datagram found nobody; the socket itself is sound.
-                Err(_) => tokio::time::sleep(Duration::from_millis(5)).await,
+                Err(_) => tokio::time::sleep(RECEIVE_PAUSE).await,
             }
         }
     }
@@ -308,7 +319,7 @@
                         let _ = tokio::time::timeout(FETCH_LIMIT, giving).await;
                     });
                 }
-                Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+                Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
             }
         }
     }
--- a/crates/gateway/src/reading.rs
+++ b/crates/gateway/src/reading.rs
@@ -91,11 +91,10 @@
         let beliefs = self.host.picture.borrow_mut().take_whole(now_ms, reading.value);
         self.reader.succeeded(now_ms, true);
         self.host.picture_changed(&beliefs, "source");
-        let changes = Vec::new();
-        let revision = self.host.picture.borrow().revision();
-        // Peers that hold less find the digest different, or the gap, and fetch.
-        self.peers
-            .tell_news(if beliefs.is_empty() { after.min(revision) } else { revision }, changes);
+        // Told without the changes, peers that hold less find a gap and fetch.
+        let is_unchanged = beliefs.is_empty();
+        let told_after = if is_unchanged { after } else { self.host.picture.borrow().revision() };
+        self.peers.tell_news(told_after, Vec::new());
     }
 
     async fn read_changes(&mut self, wait_ms: Millis) {
