Don't take a caller that waits for its answer for one that sends too slowly

Cause: the idle time of a connection ran on while its request was served, and then a 408 of no request was written behind the answer. Found by reading; the test fails without the change.

--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -165,10 +165,12 @@
                         return;
                     }
                 }
-                Next::Late => match self.is_idle() {
-                    true => return,
-                    false => self.faulty = Some(Refusal::not_run(Cause::SlowRequest)),
-                },
+                Next::Late if self.is_idle() => return,
+                Next::Late if self.is_arriving() => {
+                    self.faulty = Some(Refusal::not_run(Cause::SlowRequest));
+                }
+                // What is being served has times of its own.
+                Next::Late => {}
                 Next::Closing if self.is_idle() => return,
                 Next::Closing => self.is_last = true,
             }
@@ -182,6 +184,10 @@
             && self.caller.inbox.borrow().is_empty()
     }
 
+    fn is_arriving(&self) -> bool {
+        self.arriving.is_some() || self.head_since.is_some()
+    }
+
     fn limits(&self) -> CallerLimits {
         let table = self.host.table.borrow();
         table.as_ref().map_or(FIRST_LIMITS, |table| table.routing().limits)
--- a/crates/gateway/tests/serving.rs
+++ b/crates/gateway/tests/serving.rs
@@ -330,3 +330,25 @@
         assert!(got.body.is_empty());
     });
 }
+
+#[test]
+fn a_caller_that_waits_for_longer_than_it_may_be_idle_is_not_taken_for_slow() {
+    on_one_thread(async {
+        let upstream = StandInUpstream::start("i-1").await;
+        let (gateway, published) = ready(&[&upstream]).await;
+        let mut impatient = support::routing(2);
+        impatient.limits.idle_timeout_ms = domain::Millis(100);
+        published.write_routing(impatient);
+        until("it is in force", || {
+            let table = gateway.host().table.borrow();
+            table.as_ref().is_some_and(|table| table.routing().version == domain::Version(2))
+        })
+        .await;
+        upstream.plays([Act::Slow(500)]);
+        let mut caller = Caller::connect(callers(&gateway)).await;
+        let got = caller.ask(&get("/any/x", "id-1")).await;
+        assert_eq!((got.status, got.id.as_str()), (200, "id-1"));
+        // Then it is idle, and nothing but the end comes.
+        assert!(caller.receive().await.is_none());
+    });
+}
