--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -151,9 +151,7 @@
             if self.caller.is_gone.get() {
                 return;
             }
-            if !self.take_requests().await {
-                return;
-            }
+            self.take_requests().await;
             if self.pending.is_empty() && (self.is_last || self.faulty.is_some()) {
                 self.write_fault().await;
                 return;
@@ -236,17 +234,16 @@
         }
     }
 
-    /// Begins to serve what has arrived; false if the caller can't be written to.
-    async fn take_requests(&mut self) -> bool {
+    /// Begins to serve what has arrived.
+    async fn take_requests(&mut self) {
         while !self.is_last && self.faulty.is_none() {
             if self.whole.is_none() && !self.take_whole().await {
-                return true;
+                return;
             }
             if !self.begin() {
-                return true;
+                return;
             }
         }
-        true
     }
 
     /// Takes one whole request off the inbox, if it is there.
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -12,7 +12,6 @@
 use dispatch::attempts::{self, Answered, Cause, End, Next, Refusal, Standing};
 use dispatch::{Offer, Patience, SendFailure, UpstreamSet, Verdict};
 use domain::{Millis, ServiceName, UpstreamId};
-use futures_util::future::LocalBoxFuture;
 use in_progress::InProgress;
 use published::{MatchedRoute, Repeat, Route};
 use routing::{next_service, wait_for_routing};
@@ -191,7 +190,13 @@
     sent_ms: Millis,
 }
 
-type Sending<'s> = LocalBoxFuture<'s, Ended>;
+/// A request that is about to leave for an upstream.
+struct Sending {
+    chosen: Chosen,
+    bytes: Vec<u8>,
+    guard: InProgress,
+    sent_ms: Millis,
+}
 
 /// What the sendings of a request came to so far.
 #[derive(Default)]
@@ -213,7 +218,7 @@
             let sending = self.send_next(&mut tally).await?;
             tokio::select! {
                 biased;
-                ended = sending => {
+                ended = self.send(sending) => {
                     if let Some(outcome) = self.settle(ended, &mut tally) {
                         return outcome;
                     }
@@ -226,7 +231,7 @@
     }
 
     /// Chooses an upstream and sends; refuses if there is none or no time left.
-    async fn send_next(&self, tally: &mut Tally) -> Result<Sending<'_>, Refusal> {
+    async fn send_next(&self, tally: &mut Tally) -> Result<Sending, Refusal> {
         while tally.sent < MAX_SENDINGS {
             let begun_ms = self.host.now_ms();
             self.check_time(begun_ms, tally)?;
@@ -298,7 +303,7 @@
         }
     }
 
-    fn dispatch(&self, chosen: Chosen, tally: &mut Tally) -> Result<Sending<'_>, Refusal> {
+    fn dispatch(&self, chosen: Chosen, tally: &mut Tally) -> Result<Sending, Refusal> {
         let now_ms = self.host.now_ms();
         self.check_time(now_ms, tally)?;
         tally.sent += 1;
@@ -309,7 +314,7 @@
         self.note_dispatch(&chosen, now_ms, tally.sent);
         let guard = InProgress::begin(&self.host, &chosen.upstream);
         let bytes = self.encode(&chosen.upstream, now_ms);
-        Ok(Box::pin(self.send(chosen, bytes, guard, now_ms)))
+        Ok(Sending { chosen, bytes, guard, sent_ms: now_ms })
     }
 
     fn note_dispatch(&self, chosen: &Chosen, now_ms: Millis, sending: u32) {
@@ -342,13 +347,8 @@
         write_request(&self.request.head, &self.request.body, &marks)
     }
 
-    async fn send(
-        &self,
-        mut chosen: Chosen,
-        bytes: Vec<u8>,
-        guard: InProgress,
-        sent_ms: Millis,
-    ) -> Ended {
+    async fn send(&self, sending: Sending) -> Ended {
+        let Sending { mut chosen, bytes, guard, sent_ms } = sending;
         let expected = Expected {
             has_body: self.request.head.method != "HEAD",
             id: Some((self.host.dialect.request_id, &self.id)),
--- a/crates/published/src/picture.rs
+++ b/crates/published/src/picture.rs
@@ -175,11 +175,6 @@
         beliefs
     }
 
-    /// When [`Picture::settle`] has something to do.
-    pub fn settle_due_ms(&self) -> Option<Millis> {
-        self.lapsed.values().map(|lapsed| lapsed.until_ms).min()
-    }
-
     fn note_return(&mut self, at_ms: Millis) {
         if self.confirmed_ms.is_some_and(|last| at_ms.since(last) > AWAY_MS) {
             self.returned_ms = Some(at_ms);
