Draw differently on hosts that start in the same microsecond

Cause: the seed of a host's randomness was the time of its start alone. Ruled out: slow machines; the pauses were equal to the millisecond on hosts of different speed.

--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -154,10 +154,11 @@
         let is_seed = settings.seeds.contains(&settings.peers.ip());
         let start = Start { is_seed, is_first: settings.is_first_start };
         let listeners = Listeners::bind(&settings).await?;
-        let host = Host::new(settings, dialect, own, log, metrics, incarnation.0);
+        let seed = own.seed();
+        let host = Host::new(settings, dialect, own, log, metrics, seed);
         log_start(&host, incarnation);
         let peers = Peers::new(Rc::clone(&host), listeners.datagrams);
-        let rng = Pcg64Mcg::seed_from_u64(incarnation.0.wrapping_add(1));
+        let rng = Pcg64Mcg::seed_from_u64(seed.wrapping_add(1));
         let reader = Reader::new(rng, host.now_ms(), start);
         let readings = Readings::new(Rc::clone(&host), Rc::clone(&peers), source, reader);
         spawn_local(ingress::accept(Rc::clone(&host), listeners.callers));
--- a/crates/published/src/members.rs
+++ b/crates/published/src/members.rs
@@ -30,6 +30,19 @@
     pub address: SocketAddr,
 }
 
+impl Member {
+    /// Seed of this run's randomness.
+    ///
+    /// Machines that get their power back together start in the same microsecond. With the
+    /// time alone as seed they drew the same pauses and the same upstreams.
+    pub fn seed(&self) -> u64 {
+        reader_weight(self) ^ self.incarnation.0.wrapping_mul(SPREAD_BITS)
+    }
+}
+
+/// Spreads small differences over all bits: 2^64 over the golden ratio.
+const SPREAD_BITS: u64 = 0x9e37_79b9_7f4a_7c15;
+
 /// The hosts heard of.
 #[derive(Debug)]
 pub struct Members {
@@ -79,11 +92,8 @@
 
     /// Equal for equal sets of runs.
     pub fn digest(&self) -> u64 {
-        let mix = |sum: u64, member: &Member| {
-            let weight = reader_weight(member);
-            sum.wrapping_add(weight ^ member.incarnation.0.wrapping_mul(0x9e37_79b9_7f4a_7c15))
-        };
-        self.others().chain(std::iter::once(&self.own)).fold(0, mix)
+        let all = self.others().chain(std::iter::once(&self.own));
+        all.fold(0, |sum: u64, member| sum.wrapping_add(member.seed()))
     }
 
     /// Takes what a host says of itself, or what another says of it; true if that was news.
--- a/crates/published/tests/members.rs
+++ b/crates/published/tests/members.rs
@@ -69,3 +69,11 @@
     ranks.sort_unstable();
     assert_eq!(ranks, [0, 1, 2, 3]);
 }
+
+#[test]
+fn hosts_that_start_at_the_same_moment_draw_differently() {
+    let seeds = [("a", 1), ("b", 1), ("a", 2)].map(|(name, run)| member(name, run).seed());
+    assert_ne!(seeds[0], seeds[1], "two hosts");
+    assert_ne!(seeds[0], seeds[2], "two runs of one host");
+    assert_eq!(seeds[0], member("a", 1).seed());
+}
