Fill gaps by what changed instead of by whole pictures

Cause: a host that missed news fetched everything again, mostly from another availability zone. Ruled out: requests (1.5% go to another zone), greetings and lists of members (2.7 MB).

Now the host that asks says what it holds, and is told entries and removals since, and the routing as its difference. A routing whose routes share names is told whole: they can't be told apart, and one would have been lost at peers.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -14,8 +14,7 @@
 use crate::event_log::LogEvent;
 use crate::host::{ACCEPT_PAUSE, Host};
 use domain::Millis;
-use picture::{fetch_picture, give_picture};
-use published::{Change, Member, Revision};
+use published::{CatchUp, Change, Held, Member, Revision};
 use rand::RngExt;
 use rand::seq::IndexedRandom;
 use std::cell::Cell;
@@ -257,12 +256,15 @@
             let picture = self.host.picture.borrow();
             picture.revision() == news.revision && picture.digest() != news.digest
         };
-        if !is_gapless || differs {
-            self.fetch(peer);
+        let held = self.host.picture.borrow().held();
+        match is_gapless {
+            false => self.fetch(peer, held),
+            true if differs => self.fetch(peer, held.without_entries()),
+            true => {}
         }
     }
 
-    fn fetch(self: &Rc<Peers>, peer: Member) {
+    fn fetch(self: &Rc<Peers>, peer: Member, held: Held) {
         let is_early = self.host.now_ms().since(self.fetched_ms.get()) < FETCH_PAUSE_MS
             && self.host.picture.borrow().confirmed_ms().is_some();
         if is_early || self.is_fetching.replace(true) {
@@ -274,7 +276,7 @@
         tokio::task::spawn_local(async move {
             let mut told = None;
             for member in near.iter().chain([&peer]) {
-                let fetching = fetch_picture(member.address);
+                let fetching = picture::fetch(member.address, held);
                 let fetched = tokio::time::timeout(FETCH_LIMIT, fetching).await;
                 told = fetched.ok().and_then(Result::ok);
                 if told.is_some() {
@@ -282,18 +284,23 @@
                 }
             }
             peers.is_fetching.set(false);
-            let revision = told.as_ref().map_or(Revision(0), |told| told.whole.revision);
-            let is_done = told.is_some();
-            let name = peer.host.as_str();
-            peers.host.log.write(&LogEvent::Fetched { peer: name, revision, is_done });
-            if let Some(told) = told {
-                let at_ms = peers.host.now_ms() - told.age_ms;
-                let beliefs = peers.host.picture.borrow_mut().take_whole(at_ms, told.whole);
-                peers.host.picture_changed(&beliefs, name);
-            }
+            peers.take_told(&peer, told);
         });
     }
 
+    fn take_told(&self, peer: &Member, told: Option<picture::Told>) {
+        let name = peer.host.as_str();
+        let is_done = told.is_some();
+        let revision = told.as_ref().map(|told| told.catch_up.revision()).unwrap_or_default();
+        let is_whole = matches!(&told, Some(told) if matches!(told.catch_up, CatchUp::Whole(_)));
+        self.host.log.write(&LogEvent::Fetched { peer: name, revision, is_done, is_whole });
+        let Some(told) = told else { return };
+        let at_ms = self.host.now_ms() - told.age_ms;
+        // What is missing still shows at the next news.
+        let (beliefs, _) = self.host.picture.borrow_mut().take_catch_up(at_ms, told.catch_up);
+        self.host.picture_changed(&beliefs, name);
+    }
+
     /// Who is asked for a first picture before the teller: a host of the own zone has the same,
     /// and its bytes are not paid for.
     fn near_teller(&self) -> Option<Member> {
@@ -315,7 +322,7 @@
                     let host = Rc::clone(&self.host);
                     tokio::task::spawn_local(async move {
                         // A peer that is gone asks another.
-                        let giving = give_picture(&host, stream);
+                        let giving = picture::give(&host, stream);
                         let _ = tokio::time::timeout(FETCH_LIMIT, giving).await;
                     });
                 }
--- a/crates/gateway/src/reading.rs
+++ b/crates/gateway/src/reading.rs
@@ -113,7 +113,7 @@
         self.reader.succeeded(now_ms, !changes.is_empty());
         let told = self.host.picture.borrow().patched(&changes);
         let (beliefs, _) =
-            self.host.picture.borrow_mut().take_changes(now_ms, after, revision, changes);
+            self.host.picture.borrow_mut().take_changes(now_ms, after, revision, told.clone());
         self.host.picture_changed(&beliefs, "source");
         self.peers.tell_news(after, told);
     }
--- a/crates/published/src/lib.rs
+++ b/crates/published/src/lib.rs
@@ -21,7 +21,7 @@
 pub use change::{Change, Entry, Item, Removal, Revision, Whole};
 pub use members::{Member, Members};
 pub use patch::RoutingPatch;
-pub use picture::{AWAY_MS, Picture, RETURN_GRACE_MS};
+pub use picture::{AWAY_MS, CatchUp, Held, Picture, RETURN_GRACE_MS};
 pub use reading::{READERS, ReadStep, Reader, Start, WATCH_MS};
 pub use routing::{
     CallerLimits, Destination, MatchedRoute, Repeat, Route, RouteTable, Routing, ServiceSettings,
--- a/crates/published/src/patch.rs
+++ b/crates/published/src/patch.rs
@@ -36,19 +36,25 @@
 
 impl RoutingPatch {
     /// The difference from `old`, which has the revision `base`, to `new`.
-    pub fn between(base: Revision, old: &Routing, new: &Routing) -> RoutingPatch {
+    ///
+    /// None where two routes bear one name: they could not be told apart.
+    pub fn between(base: Revision, old: &Routing, new: &Routing) -> Option<RoutingPatch> {
         let before = by_key(old);
         let after = by_key(new);
+        let has_twins = before.len() < old.routes.len() || after.len() < new.routes.len();
+        if has_twins {
+            return None;
+        }
         let removed = before.keys().filter(|key| !after.contains_key(*key)).cloned().collect();
         let is_other = |route: &&Route| before.get(&RouteKey::of(route)) != Some(route);
-        RoutingPatch {
+        Some(RoutingPatch {
             base,
             version: new.version,
             limits: new.limits,
             services: new.services.clone(),
             removed,
             written: new.routes.iter().filter(is_other).cloned().collect(),
-        }
+        })
     }
 
     /// The later routing.
--- a/crates/published/src/picture.rs
+++ b/crates/published/src/picture.rs
@@ -6,6 +6,10 @@
 //! outage waits for [`RETURN_GRACE_MS`], since entries lapse while instances can't renew
 //! them.
 
+mod catch_up;
+
+pub use catch_up::{CatchUp, Held};
+
 use crate::{
     Belief, Change, Entry, Item, Removal, Revision, Routing, RoutingPatch, Upstream, UpstreamMode,
     Whole,
@@ -31,6 +35,10 @@
     revision: Revision,
     confirmed_ms: Option<Millis>,
     returned_ms: Option<Millis>,
+    /// The difference that made the routing in force, if it came as one.
+    last_patch: Option<Entry<RoutingPatch>>,
+    /// Every removal after this is among the tombstones.
+    removals_since: Revision,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -117,6 +125,9 @@
         self.note_return(at_ms);
         let mut beliefs = Vec::new();
         let is_newest = whole.revision >= self.revision;
+        if self.confirmed_ms.is_none() {
+            self.removals_since = whole.revision;
+        }
         let missing = if is_newest { self.missing_from(&whole) } else { Vec::new() };
         for entry in whole.items {
             self.write(entry, &mut beliefs);
@@ -157,6 +168,18 @@
         (beliefs, is_gapless)
     }
 
+    /// Takes what a peer told of what was missing, known to it at `at_ms`.
+    ///
+    /// Returns false beside the beliefs where something is missing still.
+    pub fn take_catch_up(&mut self, at_ms: Millis, catch_up: CatchUp) -> (Vec<Belief>, bool) {
+        match catch_up {
+            CatchUp::Whole(whole) => (self.take_whole(at_ms, whole), true),
+            CatchUp::Changes { after, revision, changes } => {
+                self.take_changes(at_ms, after, revision, changes)
+            }
+        }
+    }
+
     /// Drops lapsed entries whose time to come back is over.
     pub fn settle(&mut self, now_ms: Millis) -> Vec<Belief> {
         let is_over = |lapsed: &Lapsed| lapsed.until_ms <= now_ms;
@@ -171,10 +194,18 @@
             self.lapsed.remove(&removal.upstream);
             self.drop_entry(now_ms, removal, &mut beliefs);
         }
-        self.removed.retain(|_, tombstone| now_ms.since(tombstone.since_ms) < TOMBSTONE_MS);
+        self.drop_tombstones(now_ms);
         beliefs
     }
 
+    fn drop_tombstones(&mut self, now_ms: Millis) {
+        let is_old = |tombstone: &Tombstone| now_ms.since(tombstone.since_ms) >= TOMBSTONE_MS;
+        let old = self.removed.values().filter(|tombstone| is_old(tombstone));
+        let last = old.map(|tombstone| tombstone.revision).max();
+        self.removals_since = self.removals_since.max(last.unwrap_or_default());
+        self.removed.retain(|_, tombstone| !is_old(tombstone));
+    }
+
     fn note_return(&mut self, at_ms: Millis) {
         if self.confirmed_ms.is_some_and(|last| at_ms.since(last) > AWAY_MS) {
             self.returned_ms = Some(at_ms);
@@ -217,6 +248,7 @@
         };
         let value = Arc::new(patched);
         self.write_routing(Entry { revision: entry.revision, value }, beliefs);
+        self.last_patch = Some(entry.clone());
         true
     }
 
@@ -228,12 +260,12 @@
                 return change.clone();
             };
             let entry = Entry { revision: *revision, value: Arc::clone(routing) };
-            match held.replace(entry) {
-                Some(old) if old.revision < *revision => {
-                    let value = RoutingPatch::between(old.revision, &old.value, routing);
-                    Change::Patched(Entry { revision: *revision, value })
-                }
-                _ => change.clone(),
+            let old = held.replace(entry).filter(|old| old.revision < *revision);
+            let value =
+                old.and_then(|old| RoutingPatch::between(old.revision, &old.value, routing));
+            match value {
+                Some(value) => Change::Patched(Entry { revision: *revision, value }),
+                None => change.clone(),
             }
         };
         changes.iter().map(patch).collect()
@@ -276,6 +308,8 @@
                 beliefs.push(Belief::UpstreamLeaving { upstream: id.clone(), revision });
             }
         }
+        // From here on the newer entry guards against late news.
+        self.removed.remove(&id);
         self.upstreams.insert(id, entry);
     }
 
--- /dev/null
+++ b/crates/published/tests/catch_up.rs
@@ -0,0 +1,96 @@
+//! A host that missed news is told what it lacks, and no more.
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use domain::Millis;
+use published::{CatchUp, Change, Picture, RETURN_GRACE_MS, Revision};
+use rstest::rstest;
+use support::{draining, removed, routing, whole, written};
+
+const BEGIN_MS: Millis = Millis(10);
+
+/// A picture as of revision 10.
+fn picture() -> Picture {
+    let mut picture = Picture::default();
+    let items = vec![routing(1, 7), written(2, "a"), written(3, "b"), written(4, "c")];
+    picture.take_whole(BEGIN_MS, whole(10, items));
+    picture
+}
+
+fn take(picture: &mut Picture, changes: &[Change]) {
+    let after = picture.revision();
+    let told = picture.patched(changes);
+    let revision = Revision(after.0 + 10);
+    assert!(picture.take_changes(Millis(20), after, revision, told).1);
+}
+
+#[rstest]
+#[case::nothing_changed(&[], 0)]
+#[case::an_entry_written(&[written(11, "d")], 1)]
+#[case::an_entry_leaving(&[draining(11, "a")], 1)]
+#[case::an_entry_removed(&[removed(11, "a")], 1)]
+#[case::written_and_removed(&[written(11, "d"), removed(12, "d")], 1)]
+#[case::removed_and_written(&[removed(11, "a"), written(12, "a")], 1)]
+#[case::the_routing(&[routing(11, 8)], 1)]
+#[case::the_routing_twice(&[routing(11, 8), routing(12, 9)], 1)]
+#[case::all_of_it(&[routing(11, 8), written(12, "d"), removed(13, "b"), draining(14, "c")], 4)]
+fn a_peer_that_missed_it_catches_up(#[case] changes: &[Change], #[case] told: usize) {
+    let (mut teller, mut behind) = (picture(), picture());
+    take(&mut teller, changes);
+    let catch_up = teller.catch_up(behind.held());
+    match &catch_up {
+        CatchUp::Changes { changes, .. } => assert_eq!(changes.len(), told, "{changes:?}"),
+        CatchUp::Whole(_) => panic!("told everything"),
+    }
+    assert!(behind.take_catch_up(Millis(30), catch_up).1);
+    assert_eq!(behind.digest(), teller.digest());
+    assert_eq!(behind.revision(), teller.revision());
+    assert_eq!(behind.routing().unwrap().value, teller.routing().unwrap().value);
+}
+
+#[test]
+fn a_routing_is_told_as_its_difference() {
+    let (mut teller, behind) = (picture(), picture());
+    take(&mut teller, &[routing(11, 8)]);
+    let CatchUp::Changes { changes, .. } = teller.catch_up(behind.held()) else { panic!() };
+    assert!(matches!(&changes[..], [Change::Patched(_)]), "{changes:?}");
+}
+
+#[test]
+fn who_holds_nothing_is_told_everything() {
+    let teller = picture();
+    let mut new = Picture::default();
+    let CatchUp::Whole(everything) = teller.catch_up(new.held()) else { panic!() };
+    assert_eq!(everything.items.len(), 4);
+    new.take_catch_up(Millis(20), CatchUp::Whole(everything));
+    assert_eq!(new.digest(), teller.digest());
+}
+
+#[test]
+fn who_holds_another_set_under_the_same_revision_is_told_all_entries_but_no_routing() {
+    let (teller, mut other) = (picture(), picture());
+    take(&mut other, &[]);
+    let mut torn = Picture::default();
+    torn.take_whole(BEGIN_MS, whole(10, vec![routing(1, 7), written(2, "a"), written(5, "x")]));
+    assert_ne!(torn.digest(), teller.digest());
+    let CatchUp::Whole(everything) = teller.catch_up(torn.held().without_entries()) else {
+        panic!()
+    };
+    assert_eq!(everything.items.len(), 3, "{everything:?}");
+    torn.take_catch_up(Millis(20), CatchUp::Whole(everything));
+    assert_eq!(torn.digest(), teller.digest());
+}
+
+#[test]
+fn a_removal_whose_tombstone_is_gone_is_not_missed() {
+    let (mut teller, mut behind) = (picture(), picture());
+    take(&mut teller, &[removed(11, "a")]);
+    teller.settle(Millis(100_000));
+    let catch_up = teller.catch_up(behind.held());
+    assert!(matches!(catch_up, CatchUp::Whole(_)), "{catch_up:?}");
+    behind.take_catch_up(Millis(100_001), catch_up);
+    // For the one behind the source was away so long; entries may come back.
+    behind.settle(Millis(100_001) + RETURN_GRACE_MS);
+    assert_eq!(behind.digest(), teller.digest());
+}
--- a/crates/published/tests/picture.rs
+++ b/crates/published/tests/picture.rs
@@ -1,66 +1,16 @@
 //! What is believed moves forward only, and nothing that lapsed is dropped too soon.
 #![allow(clippy::unwrap_used)]
 
-use domain::{Millis, Slots, UpstreamId, Version};
+mod support;
+
+use domain::{Millis, Version};
 use published::{
-    AWAY_MS, Belief, Change, Entry, Item, Picture, RETURN_GRACE_MS, Removal, Revision, Upstream,
-    UpstreamMode, Whole,
+    AWAY_MS, Belief, Change, Entry, Item, Picture, RETURN_GRACE_MS, Revision, Upstream,
+    UpstreamMode,
 };
 use rstest::rstest;
 use std::sync::Arc;
-
-fn id(name: &str) -> UpstreamId {
-    name.parse().unwrap()
-}
-
-fn upstream(name: &str, mode: UpstreamMode) -> Arc<Upstream> {
-    Arc::new(Upstream {
-        id: id(name),
-        service: "parts".parse().unwrap(),
-        address: "127.0.0.1:8080".parse().unwrap(),
-        availability_zone: "kariakoo".parse().unwrap(),
-        slots: Slots(6),
-        mode,
-        warmup_left_ms: Millis::ZERO,
-    })
-}
-
-fn written(revision: u64, name: &str) -> Change {
-    let value = Item::Upstream(upstream(name, UpstreamMode::Ready));
-    Change::Written(Entry { revision: Revision(revision), value })
-}
-
-fn draining(revision: u64, name: &str) -> Change {
-    let value = Item::Upstream(upstream(name, UpstreamMode::Draining));
-    Change::Written(Entry { revision: Revision(revision), value })
-}
-
-fn removed(revision: u64, name: &str) -> Change {
-    Change::Removed(Removal { upstream: id(name), revision: Revision(revision) })
-}
-
-fn routing(revision: u64, version: u64) -> Change {
-    let routing = published::Routing {
-        version: Version(version),
-        limits: published::CallerLimits {
-            head_bytes: domain::ByteCount(1),
-            body_bytes: domain::ByteCount(1),
-            head_timeout_ms: Millis(1),
-            idle_timeout_ms: Millis(1),
-        },
-        routes: Vec::new(),
-        services: Vec::new(),
-    };
-    Change::Written(Entry { revision: Revision(revision), value: Item::Routing(Arc::new(routing)) })
-}
-
-fn whole(revision: u64, items: Vec<Change>) -> Whole {
-    let entry = |change| match change {
-        Change::Written(entry) => entry,
-        _ => unreachable!("a whole reading holds entries only"),
-    };
-    Whole { revision: Revision(revision), items: items.into_iter().map(entry).collect() }
-}
+use support::{draining, id, removed, routing, whole, written};
 
 /// Applies changes one by one at one moment; returns who is left, in order.
 fn after(changes: Vec<Change>) -> Vec<String> {
@@ -286,3 +236,17 @@
     assert!(!is_gapless);
     assert_eq!(peer.revision(), Revision(0));
 }
+
+#[test]
+fn routes_that_share_a_name_are_told_whole() {
+    let mut second = route("a", 300);
+    second.prefix = "/other/".to_owned();
+    let old = routing_with(1, vec![route("a", 100)]);
+    let new = routing_with(2, vec![route("a", 100), second]);
+    let mut reader = Picture::default();
+    reader.take_changes(Millis(1), Revision(0), Revision(1), vec![old.clone()]);
+    let told = reader.patched(&[new]);
+    assert!(matches!(&told[..], [Change::Written(_)]), "{told:?}");
+    reader.take_changes(Millis(2), Revision(1), Revision(2), told);
+    assert_eq!(routes(&reader).len(), 2);
+}
--- /dev/null
+++ b/crates/published/tests/support/mod.rs
@@ -0,0 +1,59 @@
+//! Published values for tests.
+#![allow(clippy::unwrap_used, dead_code)]
+
+use domain::{Millis, Slots, UpstreamId, Version};
+use published::{Change, Entry, Item, Removal, Revision, Upstream, UpstreamMode, Whole};
+use std::sync::Arc;
+
+pub fn id(name: &str) -> UpstreamId {
+    name.parse().unwrap()
+}
+
+pub fn upstream(name: &str, mode: UpstreamMode) -> Arc<Upstream> {
+    Arc::new(Upstream {
+        id: id(name),
+        service: "parts".parse().unwrap(),
+        address: "127.0.0.1:8080".parse().unwrap(),
+        availability_zone: "kariakoo".parse().unwrap(),
+        slots: Slots(6),
+        mode,
+        warmup_left_ms: Millis::ZERO,
+    })
+}
+
+pub fn written(revision: u64, name: &str) -> Change {
+    let value = Item::Upstream(upstream(name, UpstreamMode::Ready));
+    Change::Written(Entry { revision: Revision(revision), value })
+}
+
+pub fn draining(revision: u64, name: &str) -> Change {
+    let value = Item::Upstream(upstream(name, UpstreamMode::Draining));
+    Change::Written(Entry { revision: Revision(revision), value })
+}
+
+pub fn removed(revision: u64, name: &str) -> Change {
+    Change::Removed(Removal { upstream: id(name), revision: Revision(revision) })
+}
+
+pub fn routing(revision: u64, version: u64) -> Change {
+    let routing = published::Routing {
+        version: Version(version),
+        limits: published::CallerLimits {
+            head_bytes: domain::ByteCount(1),
+            body_bytes: domain::ByteCount(1),
+            head_timeout_ms: Millis(1),
+            idle_timeout_ms: Millis(1),
+        },
+        routes: Vec::new(),
+        services: Vec::new(),
+    };
+    Change::Written(Entry { revision: Revision(revision), value: Item::Routing(Arc::new(routing)) })
+}
+
+pub fn whole(revision: u64, items: Vec<Change>) -> Whole {
+    let entry = |change| match change {
+        Change::Written(entry) => entry,
+        _ => unreachable!("a whole reading holds entries only"),
+    };
+    Whole { revision: Revision(revision), items: items.into_iter().map(entry).collect() }
+}
