Say that the source is regained also where a peer read it

The host that lost the source told of its return only when it read itself; where the other read first, its log ended with source-lost for good, and whoever traces a failure believes it blind.

--- a/crates/gateway/src/event_log/event.rs
+++ b/crates/gateway/src/event_log/event.rs
@@ -48,8 +48,8 @@
     },
     /// A published value can't be read; the last good one stays.
     Unreadable { key: &'a str, revision: Revision, problem: &'a str },
-    /// The source answers.
-    SourceRegained { after_ms: Millis, revision: Revision },
+    /// The source answers, to this host or to a peer that told of it.
+    SourceRegained { after_ms: Millis, revision: Revision, by: &'a str },
     /// The source doesn't answer.
     SourceLost { problem: String, picture_age_ms: Option<Millis> },
     /// This host reads for the others from now on, or no longer.
--- a/crates/gateway/src/reading.rs
+++ b/crates/gateway/src/reading.rs
@@ -39,6 +39,7 @@
                 self.reader.step(self.host.now_ms(), &members, &picture)
             };
             self.note_part();
+            self.note_told();
             if self.is_being_told() {
                 self.wait_until(self.host.now_ms() + OFFER_STEP_MS).await;
                 continue;
@@ -127,10 +128,24 @@
     fn note_success(&mut self, now_ms: Millis, revision: Revision) {
         if let Some(lost_ms) = self.lost_ms.take() {
             let after_ms = now_ms.since(lost_ms);
-            self.host.log.write(&LogEvent::SourceRegained { after_ms, revision });
+            self.host.log.write(&LogEvent::SourceRegained { after_ms, revision, by: "itself" });
         }
     }
 
+    /// A peer read what this host could not: what is believed is confirmed again.
+    fn note_told(&mut self) {
+        let (confirmed_ms, revision) = {
+            let picture = self.host.picture.borrow();
+            (picture.confirmed_ms(), picture.revision())
+        };
+        let Some(lost_ms) = self.lost_ms.filter(|&lost_ms| confirmed_ms > Some(lost_ms)) else {
+            return;
+        };
+        self.lost_ms = None;
+        let after_ms = self.host.now_ms().since(lost_ms);
+        self.host.log.write(&LogEvent::SourceRegained { after_ms, revision, by: "a peer" });
+    }
+
     fn note_failure(&mut self, error: &SourceError) {
         let now_ms = self.host.now_ms();
         if *error == SourceError::HistoryGone {
