Pass news on within each availability zone

Cause: the host that reads told each of 123 others itself.

Now it tells its own zone, and two hosts of each other zone that pass it on and answer; one that doesn't answer is replaced at the next news.

--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -13,7 +13,7 @@
 
 use crate::event_log::LogEvent;
 use crate::host::{ACCEPT_PAUSE, Host};
-use domain::Millis;
+use domain::{HostId, Millis};
 use published::{CatchUp, Change, Held, Member, Revision};
 use rand::RngExt;
 use rand::seq::IndexedRandom;
@@ -109,22 +109,34 @@
         self.send(&hello, &[to]);
     }
 
-    /// Tells all peers what was read.
+    /// Tells the fleet what was read: this zone itself, the others through a few of their hosts.
     pub fn tell_news(&self, after: Revision, changes: Vec<Change>) {
-        let news = {
-            let picture = self.host.picture.borrow();
-            News {
-                from: self.host.members.borrow().own().clone(),
-                revision: picture.revision(),
-                age_ms: picture.age_ms(self.host.now_ms()).unwrap_or_default(),
-                digest: picture.digest(),
-                after,
-                changes: Some(changes),
-            }
-        };
-        let to: Vec<SocketAddr> =
-            self.host.members.borrow().others().map(|member| member.address).collect();
-        self.send(&Datagram::News(news), &to);
+        let news = self.news(after, Some(changes));
+        let listeners = self.host.members.borrow_mut().listeners(self.host.now_ms());
+        for passes_on in [true, false] {
+            let told = listeners.iter().filter(|listener| listener.passes_on == passes_on);
+            let to: Vec<SocketAddr> = told.map(|listener| listener.address).collect();
+            self.send(&Datagram::News { news: news.clone(), passes_on }, &to);
+        }
+    }
+
+    /// What this host holds, as news.
+    fn news(&self, after: Revision, changes: Option<Vec<Change>>) -> News {
+        let picture = self.host.picture.borrow();
+        News {
+            reader: self.host.members.borrow().own().clone(),
+            revision: picture.revision(),
+            age_ms: picture.age_ms(self.host.now_ms()).unwrap_or_default(),
+            digest: picture.digest(),
+            after,
+            changes,
+        }
+    }
+
+    /// Tells the other hosts of this zone what a reader told this one.
+    fn pass_on(&self, news: News) {
+        let to = self.host.members.borrow().neighbours();
+        self.send(&Datagram::News { news, passes_on: false }, &to);
     }
 
     /// Tells all peers that this host leaves.
@@ -143,7 +155,9 @@
         }
         let encoded = postcard::to_stdvec(datagram).unwrap_or_default();
         let encoded = match datagram {
-            Datagram::News(news) if encoded.len() > MAX_DATAGRAM_BYTES => without_changes(news),
+            Datagram::News { news, passes_on } if encoded.len() > MAX_DATAGRAM_BYTES => {
+                without_changes(news, *passes_on)
+            }
             _ => encoded,
         };
         for &address in to {
@@ -175,7 +189,9 @@
     fn take(self: &Rc<Peers>, datagram: Datagram, sender: SocketAddr) {
         match datagram {
             Datagram::Hello { from, asks, digest } => {
+                let host = from.host.clone();
                 self.note(from);
+                self.host.members.borrow_mut().note_answer(&host);
                 let differs = digest != self.host.members.borrow().digest();
                 if asks && differs {
                     self.tell_members(sender);
@@ -190,7 +206,7 @@
                     }
                 }
             }
-            Datagram::News(news) => self.take_news(news),
+            Datagram::News { news, passes_on } => self.take_news(news, passes_on, sender),
             Datagram::Bye { host, incarnation } => {
                 if self.host.members.borrow_mut().leave(&host, incarnation) {
                     let hosts = self.host.hosts();
@@ -219,64 +235,75 @@
 
     /// A host that is new is told that there is a picture to be had here.
     fn tell_picture(&self, to: SocketAddr) {
-        let picture = self.host.picture.borrow();
-        let Some(age_ms) = picture.age_ms(self.host.now_ms()) else { return };
-        let news = News {
-            from: self.host.members.borrow().own().clone(),
-            revision: picture.revision(),
-            age_ms,
-            digest: picture.digest(),
-            after: picture.revision(),
-            changes: None,
-        };
-        drop(picture);
-        self.send(&Datagram::News(news), &[to]);
+        if self.host.picture_age_ms().is_none() {
+            return;
+        }
+        let revision = self.host.picture.borrow().revision();
+        let news = self.news(revision, None);
+        self.send(&Datagram::News { news, passes_on: false }, &[to]);
     }
 
-    fn take_news(self: &Rc<Peers>, news: News) {
+    fn take_news(self: &Rc<Peers>, news: News, passes_on: bool, teller: SocketAddr) {
         let now_ms = self.host.now_ms();
-        let at_ms = now_ms - news.age_ms;
-        let peer = news.from.clone();
-        self.note(news.from);
+        self.note(news.reader.clone());
         self.host.offered_ms.set(Some(now_ms));
-        // Only a host that reads tells changes, even none; one that passes on tells none.
+        // Only a host that reads tells changes, even none; one that offers tells none.
         if news.changes.is_some() {
-            self.host.members.borrow_mut().note_reader(now_ms, &peer.host);
+            self.host.members.borrow_mut().note_reader(now_ms, &news.reader.host);
         }
-        let (beliefs, is_gapless) = {
-            let mut picture = self.host.picture.borrow_mut();
-            let changes = news.changes.unwrap_or_default();
-            let is_complete = news.after <= picture.revision() && news.after <= news.revision;
-            let revision = if is_complete { news.revision } else { picture.revision() };
-            let (beliefs, is_gapless) = picture.take_changes(at_ms, news.after, revision, changes);
-            (beliefs, is_gapless && is_complete)
-        };
-        self.host.picture_changed(&beliefs, peer.host.as_str());
+        if passes_on {
+            self.hello(teller, false);
+        }
+        let is_gapless = self.take_changes(&news);
         let differs = {
             let picture = self.host.picture.borrow();
             picture.revision() == news.revision && picture.digest() != news.digest
         };
         let held = self.host.picture.borrow().held();
         match is_gapless {
-            false => self.fetch(peer, held),
-            true if differs => self.fetch(peer, held.without_entries()),
-            true => {}
+            false => self.fetch(teller, held, Some(news).filter(|_| passes_on)),
+            true => {
+                if differs {
+                    self.fetch(teller, held.without_entries(), None);
+                }
+                if passes_on {
+                    self.pass_on(news);
+                }
+            }
         }
     }
 
-    fn fetch(self: &Rc<Peers>, peer: Member, held: Held) {
+    /// False if something before them is missing.
+    fn take_changes(&self, news: &News) -> bool {
+        let at_ms = self.host.now_ms() - news.age_ms;
+        let (beliefs, is_gapless) = {
+            let mut picture = self.host.picture.borrow_mut();
+            let changes = news.changes.clone().unwrap_or_default();
+            let is_complete = news.after <= picture.revision() && news.after <= news.revision;
+            let revision = if is_complete { news.revision } else { picture.revision() };
+            let (beliefs, is_gapless) = picture.take_changes(at_ms, news.after, revision, changes);
+            (beliefs, is_gapless && is_complete)
+        };
+        self.host.picture_changed(&beliefs, news.reader.host.as_str());
+        is_gapless
+    }
+
+    /// Asks whoever told of something newer; then passes the news on, if that is asked for.
+    fn fetch(self: &Rc<Peers>, teller: SocketAddr, held: Held, passed_on: Option<News>) {
         let is_early = self.host.now_ms().since(self.fetched_ms.get()) < FETCH_PAUSE_MS
             && self.host.picture.borrow().confirmed_ms().is_some();
         if is_early || self.is_fetching.replace(true) {
+            passed_on.into_iter().for_each(|news| self.pass_on(news));
             return;
         }
-        self.fetched_ms.set(self.host.now_ms());
+        let begun_ms = self.host.now_ms();
+        self.fetched_ms.set(begun_ms);
         let peers = Rc::clone(self);
         let near = self.near_teller();
         tokio::task::spawn_local(async move {
             let mut told = None;
-            for member in near.iter().chain([&peer]) {
-                let fetching = picture::fetch(member.address, held);
+            for address in near.into_iter().chain([teller]) {
+                let fetching = picture::fetch(address, held);
                 let fetched = tokio::time::timeout(FETCH_LIMIT, fetching).await;
                 told = fetched.ok().and_then(Result::ok);
                 if told.is_some() {
@@ -284,12 +311,17 @@
                 }
             }
             peers.is_fetching.set(false);
-            peers.take_told(&peer, told);
+            peers.take_told(teller, told);
+            if let Some(news) = passed_on {
+                let age_ms = news.age_ms + peers.host.now_ms().since(begun_ms);
+                peers.pass_on(News { age_ms, ..news });
+            }
         });
     }
 
-    fn take_told(&self, peer: &Member, told: Option<picture::Told>) {
-        let name = peer.host.as_str();
+    fn take_told(&self, teller: SocketAddr, told: Option<picture::Told>) {
+        let host = self.host.members.borrow().host_at(teller).cloned();
+        let name = host.as_ref().map_or("unknown", HostId::as_str);
         let is_done = told.is_some();
         let revision = told.as_ref().map(|told| told.catch_up.revision()).unwrap_or_default();
         let is_whole = matches!(&told, Some(told) if matches!(told.catch_up, CatchUp::Whole(_)));
@@ -303,15 +335,12 @@
 
     /// Who is asked for a first picture before the teller: a host of the own zone has the same,
     /// and its bytes are not paid for.
-    fn near_teller(&self) -> Option<Member> {
+    fn near_teller(&self) -> Option<SocketAddr> {
         if self.host.picture.borrow().confirmed_ms().is_some() {
             return None;
         }
-        let members = self.host.members.borrow();
-        let zone = &members.own().availability_zone;
-        let near = members.others().filter(|member| member.availability_zone == *zone);
-        let near: Vec<&Member> = near.collect();
-        near.choose(&mut *self.host.rng.borrow_mut()).map(|member| (*member).clone())
+        let near = self.host.members.borrow().neighbours();
+        near.choose(&mut *self.host.rng.borrow_mut()).copied()
     }
 
     /// Gives the picture to peers that ask for it; never ends.
@@ -332,14 +361,7 @@
     }
 }
 
-fn without_changes(news: &News) -> Vec<u8> {
-    let short = News {
-        from: news.from.clone(),
-        revision: news.revision,
-        age_ms: news.age_ms,
-        digest: news.digest,
-        after: news.revision,
-        changes: Some(Vec::new()),
-    };
-    postcard::to_stdvec(&Datagram::News(short)).unwrap_or_default()
+fn without_changes(news: &News, passes_on: bool) -> Vec<u8> {
+    let news = News { after: news.revision, changes: Some(Vec::new()), ..news.clone() };
+    postcard::to_stdvec(&Datagram::News { news, passes_on }).unwrap_or_default()
 }
--- a/crates/gateway/src/peers/datagram.rs
+++ b/crates/gateway/src/peers/datagram.rs
@@ -22,7 +22,12 @@
         members: Vec<Member>,
     },
     /// What a host read.
-    News(News),
+    News {
+        /// What it read.
+        news: News,
+        /// Whether the host that hears it is to pass it on in its availability zone.
+        passes_on: bool,
+    },
     /// A host leaves.
     Bye {
         /// Its id.
@@ -32,11 +37,11 @@
     },
 }
 
-/// What a host read from the source.
-#[derive(Debug, Serialize, Deserialize)]
+/// What a host read from the source, told by itself or passed on.
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct News {
-    /// The reader.
-    pub from: Member,
+    /// The host that read it.
+    pub reader: Member,
     /// Nothing newer than this was published, so long ago.
     pub revision: Revision,
     /// Age of the reading.
@@ -45,6 +50,6 @@
     pub digest: u64,
     /// `changes` holds all after this.
     pub after: Revision,
-    /// The changes; none if they don't fit.
+    /// The changes; none from a host that only offers what it holds.
     pub changes: Option<Vec<Change>>,
 }
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -6,6 +6,7 @@
 use domain::{Millis, Version};
 use gateway::run::Gateway;
 use gateway::source::SourceError;
+use rstest::rstest;
 use std::time::Duration;
 use support::caller::{Caller, get};
 use support::source::Published;
@@ -66,19 +67,60 @@
     });
 }
 
+/// Hosts of two availability zones; the first is the seed.
+async fn fleet_of_two_zones(sizes: [(&str, usize); 2], published: &Published) -> Vec<Gateway> {
+    let mut hosts = Vec::new();
+    let mut seeds = Vec::new();
+    for (zone, size) in sizes {
+        for _ in 0..size {
+            let mut own = settings(&seeds);
+            own.availability_zone = zone.parse().unwrap();
+            seeds.truncate(1);
+            seeds.push(own.peers);
+            own.seeds = vec![seeds[0].ip()];
+            hosts.push(start(own, published).await);
+        }
+    }
+    let all = hosts.len();
+    until("all know each other", || hosts.iter().all(|host| host.host().hosts() as usize == all))
+        .await;
+    hosts
+}
+
+#[rstest]
+#[case::small(2)]
+#[case::larger_than_a_datagram(500)]
+fn a_change_reaches_another_zone_through_a_few_of_its_hosts(#[case] routes: usize) {
+    on_one_thread(async move {
+        let published = published(&[]).await;
+        let hosts = fleet_of_two_zones([("kariakoo", 4), ("temeke", 5)], &published).await;
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        let before = published.calls();
+        published.write_routing(large_routing(2, routes));
+        until("it is in force", || hosts.iter().all(|h| version(h) == Some(Version(2)))).await;
+        tokio::time::sleep(Duration::from_millis(1_500)).await;
+        let calls = published.calls() - before;
+        assert!(calls <= 8, "{calls} calls of nine hosts in 1.5 s");
+    });
+}
+
+fn large_routing(version: u64, routes: usize) -> published::Routing {
+    let mut large = routing(version);
+    for number in large.routes.len()..routes {
+        let mut route = large.routes[0].clone();
+        route.name = format!("route-{number}");
+        route.prefix = format!("/p{number}/");
+        large.routes.push(route);
+    }
+    large
+}
+
 #[test]
 fn a_large_change_reaches_all_too() {
     on_one_thread(async {
         let published = published(&[]).await;
         let hosts = fleet(3, &published).await;
-        let mut large = routing(2);
-        for number in 0..500 {
-            let mut route = large.routes[0].clone();
-            route.name = format!("route-{number}");
-            route.prefix = format!("/p{number}/");
-            large.routes.push(route);
-        }
-        published.write_routing(large);
+        published.write_routing(large_routing(2, 500));
         until("it is in force", || hosts.iter().all(|h| version(h) == Some(Version(2)))).await;
     });
 }
--- a/crates/published/src/lib.rs
+++ b/crates/published/src/lib.rs
@@ -19,7 +19,7 @@
 
 pub use belief::Belief;
 pub use change::{Change, Entry, Item, Removal, Revision, Whole};
-pub use members::{Member, Members};
+pub use members::{Listener, Member, Members};
 pub use patch::RoutingPatch;
 pub use picture::{AWAY_MS, CatchUp, Held, Picture, RETURN_GRACE_MS};
 pub use reading::{READERS, ReadStep, Reader, Start, WATCH_MS};
--- a/crates/published/src/members.rs
+++ b/crates/published/src/members.rs
@@ -5,6 +5,10 @@
 //! for all, and by how many a budget of the fleet is to be divided. The second must not
 //! grow while hosts are out of sight, so a host is forgotten long after it was last heard.
 
+mod telling;
+
+pub use telling::Listener;
+
 use decision_core::{Job, Role};
 use domain::{FastMap, HostId, Incarnation, Millis, ZoneName};
 use serde::{Deserialize, Serialize};
@@ -55,6 +59,8 @@
     member: Member,
     heard_ms: Millis,
     read_ms: Option<Millis>,
+    /// When it was first asked to pass news on and has not been heard since.
+    asked_ms: Option<Millis>,
 }
 
 impl Members {
@@ -110,13 +116,26 @@
                 is_news
             }
             None => {
-                let known = Known { member: member.clone(), heard_ms: now_ms, read_ms: None };
-                self.others.insert(member.host, known);
+                let host = member.host.clone();
+                let known = Known { member, heard_ms: now_ms, read_ms: None, asked_ms: None };
+                self.others.insert(host, known);
                 true
             }
         }
     }
 
+    /// A host spoke itself: it is there.
+    pub fn note_answer(&mut self, host: &HostId) {
+        if let Some(known) = self.others.get_mut(host) {
+            known.asked_ms = None;
+        }
+    }
+
+    /// The host that hears its peers at an address.
+    pub fn host_at(&self, address: SocketAddr) -> Option<&HostId> {
+        self.others().find(|member| member.address == address).map(|member| &member.host)
+    }
+
     /// Notes that a host just told what it read.
     pub fn note_reader(&mut self, now_ms: Millis, host: &HostId) {
         if let Some(known) = self.others.get_mut(host) {
--- /dev/null
+++ b/crates/published/src/members/telling.rs
@@ -0,0 +1,73 @@
+//! Whom a host tells what it read.
+//!
+//! Bytes between availability zones are paid for, and a small host's link is full for a
+//! second if it tells a hundred others of a large change. So a reader tells the hosts of
+//! its own zone, and in each other zone a few that pass it on there. One that doesn't
+//! answer is replaced by the next round of news; both silent at once cost that zone a
+//! reading of its own.
+
+use super::{Known, Members, reader_weight};
+use domain::{FastMap, Millis, ZoneName};
+use std::cmp::Reverse;
+use std::net::SocketAddr;
+
+/// Hosts of another zone that pass news on. Two, so that the loss of one is no gap.
+const RELAYS: usize = 2;
+
+/// A relay that did not answer for so long is passed over: less than the time between two
+/// rounds of news, more than a slow host needs.
+const RELAY_SILENT_MS: Millis = Millis(500);
+
+/// A host that is to be told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Listener {
+    /// Where it hears its peers.
+    pub address: SocketAddr,
+    /// Whether it is to pass the news on in its availability zone, and to answer.
+    pub passes_on: bool,
+}
+
+impl Members {
+    /// Whom a reader tells.
+    pub fn listeners(&mut self, now_ms: Millis) -> Vec<Listener> {
+        let own_zone = self.own.availability_zone.clone();
+        let mut zones: FastMap<ZoneName, Vec<&mut Known>> = FastMap::default();
+        for known in self.others.values_mut() {
+            zones.entry(known.member.availability_zone.clone()).or_default().push(known);
+        }
+        let tell = |(zone, hosts): (ZoneName, Vec<&mut Known>)| match zone == own_zone {
+            true => hosts.iter().map(|known| known.listener(false)).collect(),
+            false => tell_zone(now_ms, hosts),
+        };
+        zones.into_iter().flat_map(tell).collect()
+    }
+
+    /// The other hosts of this host's availability zone.
+    pub fn neighbours(&self) -> Vec<SocketAddr> {
+        let zone = &self.own.availability_zone;
+        let near = self.others().filter(|member| member.availability_zone == *zone);
+        near.map(|member| member.address).collect()
+    }
+}
+
+fn tell_zone(now_ms: Millis, mut hosts: Vec<&mut Known>) -> Vec<Listener> {
+    if hosts.len() <= RELAYS {
+        return hosts.iter().map(|known| known.listener(false)).collect();
+    }
+    hosts.sort_by_key(|known| (known.is_silent(now_ms), Reverse(reader_weight(&known.member))));
+    let ask = |known: &mut Known| {
+        known.asked_ms.get_or_insert(now_ms);
+        known.listener(true)
+    };
+    hosts.into_iter().take(RELAYS).map(ask).collect()
+}
+
+impl Known {
+    fn listener(&self, passes_on: bool) -> Listener {
+        Listener { address: self.member.address, passes_on }
+    }
+
+    fn is_silent(&self, now_ms: Millis) -> bool {
+        self.asked_ms.is_some_and(|at_ms| now_ms.since(at_ms) >= RELAY_SILENT_MS)
+    }
+}
--- a/crates/published/tests/members.rs
+++ b/crates/published/tests/members.rs
@@ -2,7 +2,9 @@
 #![allow(clippy::unwrap_used)]
 
 use domain::{Incarnation, Millis};
-use published::{Member, Members};
+use published::{Listener, Member, Members};
+use rstest::rstest;
+use std::net::SocketAddr;
 
 fn member(name: &str, incarnation: u64) -> Member {
     Member {
@@ -77,3 +79,74 @@
     assert_ne!(seeds[0], seeds[2], "two runs of one host");
     assert_eq!(seeds[0], member("a", 1).seed());
 }
+
+/// A host in one of the zones; its number is its address's port.
+fn in_zone(zone: &str, number: u16) -> Member {
+    Member {
+        host: format!("{zone}-{number}").parse().unwrap(),
+        incarnation: Incarnation(1),
+        availability_zone: zone.parse().unwrap(),
+        address: SocketAddr::new([127, 0, 0, 1].into(), number),
+    }
+}
+
+/// A reader in the zone `a` that knows so many others of each zone.
+fn reader(zones: &[(&str, u16)]) -> Members {
+    let mut members = Members::new(in_zone("a", 1));
+    let begin = |zone: &str| 1_000 * u16::from(zone.as_bytes()[0] - b'a') + 2;
+    for &(zone, hosts) in zones {
+        for number in 0..hosts {
+            members.note(Millis::ZERO, in_zone(zone, begin(zone) + number));
+        }
+    }
+    members
+}
+
+fn relays(told: &[Listener]) -> Vec<SocketAddr> {
+    let mut relays: Vec<SocketAddr> =
+        told.iter().filter(|listener| listener.passes_on).map(|l| l.address).collect();
+    relays.sort();
+    relays
+}
+
+#[rstest]
+#[case::its_own_zone_itself(&[("a", 5)], 5, 0)]
+#[case::others_through_two(&[("a", 5), ("b", 40), ("c", 40)], 9, 4)]
+#[case::two_hosts_need_no_relay(&[("b", 2), ("c", 1)], 3, 0)]
+#[case::nobody(&[], 0, 0)]
+fn a_reader_tells_its_zone_and_a_few_of_others(
+    #[case] zones: &[(&str, u16)],
+    #[case] told: usize,
+    #[case] passing_on: usize,
+) {
+    let listeners = reader(zones).listeners(Millis(10));
+    assert_eq!((listeners.len(), relays(&listeners).len()), (told, passing_on), "{listeners:?}");
+}
+
+#[test]
+fn a_relay_that_does_not_answer_is_replaced_until_it_is_heard() {
+    let mut members = reader(&[("b", 5)]);
+    let first = relays(&members.listeners(Millis(0)));
+    assert_eq!(relays(&members.listeners(Millis(120))), first, "it had no time to answer");
+    let silent = members.host_at(first[0]).unwrap().clone();
+    let sound = members.host_at(first[1]).unwrap().clone();
+    members.note_answer(&sound);
+    let second = relays(&members.listeners(Millis(700)));
+    assert!(!second.contains(&first[0]) && second.contains(&first[1]), "{first:?}, {second:?}");
+    members.note_answer(&silent);
+    members.note_answer(&sound);
+    assert_eq!(relays(&members.listeners(Millis(800))), first);
+}
+
+#[test]
+fn where_all_relays_are_silent_some_are_told_all_the_same() {
+    let mut members = reader(&[("b", 3)]);
+    for round in 0..6 {
+        assert_eq!(relays(&members.listeners(Millis(round * 700))).len(), 2, "round {round}");
+    }
+}
+
+#[test]
+fn neighbours_are_the_others_of_the_own_zone() {
+    assert_eq!(reader(&[("a", 3), ("b", 4)]).neighbours().len(), 3);
+}
