Take an upstream of which nothing recent is known to be like its service

Ruled out: the caller's part of the time (chosen within 60 ms), other availability zones (0.3 of the sendings, no slower).

Reports fade now to the load that upstreams of the service told of late. With the old prior two of the four new cases fail (all full: an old report, nothing known).

--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -4,6 +4,7 @@
 //! is expected to take there is made of slowness, waiting and warming up; failures and the
 //! price of another availability zone add to the cost by which upstreams are compared.
 
+use crate::service_load::ServiceLoad;
 use crate::upstream::Known;
 use domain::{Millis, UpstreamId};
 
@@ -45,20 +46,26 @@
 }
 
 /// Weighs an upstream for a request that would be sent now.
-pub fn weigh(id: &UpstreamId, known: &Known, now_ms: Millis, is_other_zone: bool) -> Candidate {
-    let work = expected_work(known, now_ms);
+pub fn weigh(
+    id: &UpstreamId,
+    known: &Known,
+    service: ServiceLoad,
+    now_ms: Millis,
+    is_other_zone: bool,
+) -> Candidate {
+    let work = expected_work(known, service, now_ms);
     let other_zone = if is_other_zone { OTHER_ZONE } else { 0.0 };
     let cost = work * (1.0 + FAILURE_WEIGHT * known.failure_share(now_ms)) + other_zone;
     Candidate { upstream: id.clone(), work, cost }
 }
 
-fn expected_work(known: &Known, now_ms: Millis) -> f64 {
+fn expected_work(known: &Known, service: ServiceLoad, now_ms: Millis) -> f64 {
     let slots = f64::from(known.entry.slots.0.max(1));
-    let occupied = known.occupied(now_ms);
+    let occupied = known.occupied(now_ms, service);
     let used = ((occupied + 1.0) / slots).min(1.0);
     let knee = 1.0 + KNEE_SLOWDOWN * ((used - KNEE) / (1.0 - KNEE)).max(0.0);
     let wait = ((occupied + 1.0 - slots) / slots).max(0.0);
     let warming_up = if known.is_warming_up(now_ms) { WARMING_UP } else { 1.0 };
-    let slow = known.slowness(now_ms).max(0.1) * warming_up;
+    let slow = known.slowness(now_ms, service).max(0.1) * warming_up;
     slow * (knee + wait + USED_WEIGHT * used)
 }
--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -6,6 +6,7 @@
 //! idle.
 
 use crate::LoadReport;
+use crate::service_load::{ServiceLoad, told_slowness};
 use domain::Millis;
 use published::Upstream;
 use serde::Serialize;
@@ -24,14 +25,6 @@
 /// Longest time that an upstream is left alone before it is asked again.
 const MAX_AVOID_MS: u64 = 2_000;
 
-/// Percent that stands for the usual working time.
-const USUAL_PERCENT: f64 = 100.0;
-
-/// Slowness of an upstream of which nothing recent is known, between the usual and the
-/// mean where a quarter of the upstreams works seven times slower. With 1 here, a report
-/// of a slow upstream that is half a second old beats fresh ones of better upstreams.
-const UNKNOWN_SLOWNESS: f64 = 1.8;
-
 /// How asking an upstream failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -118,20 +111,22 @@
         now_ms.since(self.joined_ms) < self.entry.warmup_left_ms
     }
 
-    /// Slowness as far as it is still known, in times of the usual.
-    pub fn slowness(&self, now_ms: Millis) -> f64 {
-        let Some((report, age_ms)) = self.report(now_ms) else { return UNKNOWN_SLOWNESS };
-        let told = f64::from(report.slowness_percent) / USUAL_PERCENT;
-        let fade = (-age_ms.as_f64() / REPORT_FADE_MS).exp();
-        UNKNOWN_SLOWNESS + (told - UNKNOWN_SLOWNESS) * fade
+    /// Slowness as far as it is still known, in times of the usual; what is not known is
+    /// taken from the load of the service.
+    pub fn slowness(&self, now_ms: Millis, service: ServiceLoad) -> f64 {
+        let Some((report, age_ms)) = self.report(now_ms) else { return service.slowness };
+        let told = told_slowness(&report);
+        service.slowness + (told - service.slowness) * known_part(age_ms)
     }
 
     /// Requests running and waiting there, as far as known, with what this host sent since.
-    pub fn occupied(&self, now_ms: Millis) -> f64 {
-        let Some((report, age_ms)) = self.report(now_ms) else { return f64::from(self.open) };
+    pub fn occupied(&self, now_ms: Millis, service: ServiceLoad) -> f64 {
+        let usual = service.occupied * f64::from(self.entry.slots.0);
+        let open = f64::from(self.open);
+        let Some((report, age_ms)) = self.report(now_ms) else { return usual.max(open) };
         let told = f64::from(report.running + report.waiting);
-        let remembered = told * (-age_ms.as_f64() / REPORT_FADE_MS).exp();
-        (remembered + f64::from(self.sent_since_report)).max(f64::from(self.open))
+        let remembered = usual + (told - usual) * known_part(age_ms);
+        (remembered + f64::from(self.sent_since_report)).max(open)
     }
 
     /// It told its load.
@@ -183,6 +178,11 @@
     }
 }
 
+/// Part of a report that still holds.
+fn known_part(age_ms: Millis) -> f64 {
+    (-age_ms.as_f64() / REPORT_FADE_MS).exp()
+}
+
 /// A sum that fades.
 #[derive(Debug, Default)]
 struct Fading {
--- a/crates/dispatch/src/upstream_set.rs
+++ b/crates/dispatch/src/upstream_set.rs
@@ -1,6 +1,8 @@
 //! All upstreams, by service.
 
+use crate::LoadReport;
 use crate::choice::{Candidate, weigh};
+use crate::service_load::ServiceLoad;
 use crate::subset::{FleetShape, Subset};
 use crate::upstream::Known;
 use domain::{FastMap, HostId, Millis, ServiceName, UpstreamId, ZoneName};
@@ -41,6 +43,7 @@
     services: FastMap<ServiceName, Vec<UpstreamId>>,
     subsets: FastMap<ServiceName, Subset>,
     usual_ms: FastMap<ServiceName, f64>,
+    loads: FastMap<ServiceName, ServiceLoad>,
     /// How much longer than expected busy or slow upstreams take.
     stretch: FastMap<ServiceName, f64>,
 }
@@ -55,6 +58,7 @@
             known: FastMap::default(),
             services: FastMap::default(),
             usual_ms: FastMap::default(),
+            loads: FastMap::default(),
             stretch: FastMap::default(),
         }
     }
@@ -117,7 +121,20 @@
     /// What a request would cost at an upstream now.
     pub fn weigh(&self, now_ms: Millis, id: &UpstreamId) -> Option<Candidate> {
         let known = self.known.get(id)?;
-        Some(weigh(id, known, now_ms, self.is_other_zone(id)))
+        let load = self.load(&known.entry.service);
+        Some(weigh(id, known, load, now_ms, self.is_other_zone(id)))
+    }
+
+    /// An upstream told its load.
+    pub fn note_report(&mut self, now_ms: Millis, id: &UpstreamId, report: LoadReport) {
+        let Some(known) = self.known.get_mut(id) else { return };
+        known.note_report(now_ms, report);
+        self.loads.entry(known.entry.service.clone()).or_default().note(&report);
+    }
+
+    /// How loaded the upstreams of a service are.
+    pub fn load(&self, service: &ServiceName) -> ServiceLoad {
+        self.loads.get(service).copied().unwrap_or_default()
     }
 
     /// An answer took so long where so much work was expected.
@@ -168,11 +185,12 @@
             .iter()
             .filter(|id| self.takes_work(id) && !excluded.contains(id))
             .filter_map(|id| self.known.get(id).map(|known| (id, known)));
+        let load = self.load(service);
         let subset = self.subsets.get(service);
         let is_outside = |id: &UpstreamId| subset.is_some_and(|subset| !subset.contains(id));
         let mut ranked: Vec<((bool, bool, bool), f64, &UpstreamId)> = eligible
             .map(|(id, known)| {
-                let cost = weigh(id, known, now_ms, false).cost;
+                let cost = weigh(id, known, load, now_ms, false).cost;
                 let shaken = cost * (1.0 + SHAKE * rng.random::<f64>());
                 let is_avoided = known.is_avoided(now_ms);
                 let is_unwanted = self.is_other_zone(id) != (reach == Reach::Far);
--- a/crates/dispatch/tests/choice.rs
+++ b/crates/dispatch/tests/choice.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use dispatch::{AskFailure, Known, Reach, SendFailure, weigh};
+use dispatch::{AskFailure, Known, Reach, SendFailure, ServiceLoad, weigh};
 use domain::Millis;
 use published::UpstreamMode;
 use rand::SeedableRng;
@@ -30,7 +30,7 @@
 }
 
 fn cost(known: &Known) -> f64 {
-    weigh(&id("i-1"), known, NOW, false).cost
+    weigh(&id("i-1"), known, ServiceLoad::default(), NOW, false).cost
 }
 
 #[rstest]
@@ -46,10 +46,41 @@
     assert!(cost(&better) < cost(&worse), "{} {}", cost(&better), cost(&worse));
 }
 
+/// A service whose upstreams told this load over and over.
+fn service(running: u32, waiting: u32, slowness_percent: u32) -> ServiceLoad {
+    let mut load = ServiceLoad::default();
+    for _ in 0..200 {
+        load.note(&report(running, waiting, slowness_percent));
+    }
+    load
+}
+
+#[rstest]
+#[case::all_full_the_old_report_is_no_idle_upstream(
+    service(6, 8, 300),
+    told(6, 6, 300, 0),
+    told(6, 8, 300, 900)
+)]
+#[case::all_full_nothing_known(service(6, 8, 300), told(6, 4, 300, 0), known("i-1"))]
+#[case::all_idle_nothing_known(service(0, 0, 100), known("i-1"), told(4, 0, 150, 0))]
+#[case::all_idle_an_old_report_of_a_full_one(
+    service(0, 0, 100),
+    told(6, 8, 300, 2_000),
+    told(4, 0, 150, 0)
+)]
+fn what_is_not_known_is_as_the_service(
+    #[case] load: ServiceLoad,
+    #[case] better: Known,
+    #[case] worse: Known,
+) {
+    let cost = |known| weigh(&id("i-1"), known, load, NOW, false).cost;
+    assert!(cost(&better) < cost(&worse), "{} {}", cost(&better), cost(&worse));
+}
+
 #[test]
 fn failures_make_it_worse_but_not_longer() {
     let (sound, failing) = (told(0, 0, 100, 0), failing(5));
-    let work = |known| weigh(&id("i-1"), known, NOW, false).work;
+    let work = |known| weigh(&id("i-1"), known, ServiceLoad::default(), NOW, false).work;
     assert!((work(&sound) - work(&failing)).abs() < 1e-9);
 }
 
@@ -75,8 +106,8 @@
 #[test]
 fn another_zone_is_dearer() {
     let known = told(0, 0, 100, 0);
-    let near = weigh(&id("i-1"), &known, NOW, false);
-    let far = weigh(&id("i-1"), &known, NOW, true);
+    let near = weigh(&id("i-1"), &known, ServiceLoad::default(), NOW, false);
+    let far = weigh(&id("i-1"), &known, ServiceLoad::default(), NOW, true);
     assert!(far.cost > near.cost);
     assert!((far.work - near.work).abs() < 1e-9);
 }
@@ -142,7 +173,7 @@
 #[test]
 fn knowledge_stays_over_a_change_of_entries() {
     let mut set = set(&[entry("i-1", "kariakoo"), entry("i-2", "kariakoo")]);
-    set.get_mut(&id("i-1")).unwrap().note_report(NOW, report(5, 0, 100));
+    set.note_report(NOW, &id("i-1"), report(5, 0, 100));
     set.sync(NOW, [entry("i-1", "kariakoo"), entry("i-3", "kariakoo")].iter());
     assert!(set.get(&id("i-1")).unwrap().report(NOW).is_some());
     assert!(set.get(&id("i-2")).is_none());
--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -295,7 +295,5 @@
 /// Notes what an upstream told of its load.
 pub fn note_report(host: &Host, upstream: &UpstreamId, report: LoadReport) {
     let now_ms: Millis = host.now_ms();
-    if let Some(known) = host.upstreams.borrow_mut().get_mut(upstream) {
-        known.note_report(now_ms, report);
-    }
+    host.upstreams.borrow_mut().note_report(now_ms, upstream, report);
 }
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -130,7 +130,7 @@
             entry: entry.clone(),
             open: known.open(),
             failure_share: known.failure_share(now_ms),
-            slowness: known.slowness(now_ms),
+            slowness: known.slowness(now_ms, upstreams.load(&entry.value.service)),
             is_avoided: known.is_avoided(now_ms),
         })
     };
