Decide what peers are told in a core without IO

What a host does about its peers' messages stood among the sockets of `gateway`: who is told, who passes on, what is fetched and of whom. It could only be tried on processes. It is `published::Gossip` now: messages, readings and time go in, effects come out, and `gateway` carries them out. Behaviour as before.

--- a/crates/gateway/src/event_log/event.rs
+++ b/crates/gateway/src/event_log/event.rs
@@ -58,8 +58,8 @@
     PeerHeard { peer: &'a HostId, hosts: u32 },
     /// A peer left or was silent for long.
     PeerGone { peer: &'a HostId, hosts: u32 },
-    /// What was missing was fetched from a peer; all of it, or what changed.
-    Fetched { peer: &'a str, revision: Revision, is_done: bool, is_whole: bool },
+    /// What was missing was fetched from a peer, all of it or what changed; or none told.
+    Fetched { peer: &'a str, revision: Option<Revision>, is_whole: bool },
     /// A request was taken and routed.
     Routed {
         id: &'a str,
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -12,10 +12,10 @@
 use dispatch::budget::{AskBudget, RepeatBudget};
 use dispatch::{FleetShape, SplitTable, UpstreamSet};
 use domain::Millis;
-use published::{Belief, Member, Members, Picture, RouteTable};
+use published::{Belief, Gossip, Member, Members, Picture, RouteTable};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, Ref, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{Notify, watch};
@@ -32,14 +32,12 @@
     pub clock: Clock,
     /// Settings in force.
     pub settings: RefCell<Settings>,
-    /// What is believed to be published.
-    pub picture: RefCell<Picture>,
+    /// What is believed to be published, and of the fleet.
+    pub gossip: RefCell<Gossip>,
     /// The routing in force, prepared.
     pub table: RefCell<Option<Rc<RouteTable>>>,
     /// What is known of upstreams.
     pub upstreams: RefCell<UpstreamSet>,
-    /// Hosts heard of.
-    pub members: RefCell<Members>,
     /// Repeats that this host may spend.
     pub repeats: RefCell<RepeatBudget>,
     /// Health checks that this host may spend.
@@ -54,8 +52,6 @@
     pub log: EventLog,
     /// Counts.
     pub metrics: Metrics,
-    /// When a peer last offered its picture.
-    pub offered_ms: Cell<Option<Millis>>,
     /// Woken when the picture changed or was confirmed.
     pub news: Notify,
     /// Requests without a final answer.
@@ -85,13 +81,12 @@
         Rc::new(Host {
             dialect,
             clock,
-            picture: RefCell::default(),
+            gossip: RefCell::new(Gossip::new(own, Pcg64Mcg::seed_from_u64(seed.wrapping_add(2)))),
             table: RefCell::new(None),
             upstreams: RefCell::new(UpstreamSet::new(
                 settings.host.clone(),
                 settings.availability_zone.clone(),
             )),
-            members: RefCell::new(Members::new(own)),
             repeats: RefCell::new(RepeatBudget::new(settings.limits.repeats, now_ms)),
             asks: RefCell::new(AskBudget::new(settings.limits.asks)),
             splits: RefCell::default(),
@@ -99,7 +94,6 @@
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
             log,
             metrics,
-            offered_ms: Cell::new(None),
             news: Notify::new(),
             open_requests: Cell::new(0),
             open_sessions: Cell::new(0),
@@ -115,9 +109,19 @@
         self.clock.now()
     }
 
+    /// What is believed to be published.
+    pub fn picture(&self) -> Ref<'_, Picture> {
+        Ref::map(self.gossip.borrow(), Gossip::picture)
+    }
+
+    /// Hosts heard of.
+    pub fn members(&self) -> Ref<'_, Members> {
+        Ref::map(self.gossip.borrow(), Gossip::members)
+    }
+
     /// Age of the picture.
     pub fn picture_age_ms(&self) -> Option<Millis> {
-        self.picture.borrow().age_ms(self.now_ms())
+        self.picture().age_ms(self.now_ms())
     }
 
     /// Whether the process is to stop.
@@ -132,12 +136,12 @@
 
     /// Hosts that share the fleet's budgets.
     pub fn hosts(&self) -> u32 {
-        self.members.borrow().count()
+        self.members().count()
     }
 
     /// Hosts that share health checks.
     pub fn fleet_shape(&self) -> FleetShape {
-        let members = self.members.borrow();
+        let members = self.members();
         FleetShape { hosts: members.count(), hosts_in_zone: members.count_in_zone() }
     }
 
@@ -165,7 +169,7 @@
     }
 
     fn adopt(&self) {
-        let picture = self.picture.borrow();
+        let picture = self.picture();
         let now_ms = self.now_ms();
         self.upstreams.borrow_mut().sync(now_ms, picture.upstreams());
         let is_known = |id: &domain::UpstreamId| picture.upstream(id).is_some();
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -122,7 +122,7 @@
 
 fn state(host: &Host) -> (u16, &'static str, String) {
     let now_ms = host.now_ms();
-    let picture = host.picture.borrow();
+    let picture = host.picture();
     let upstreams = host.upstreams.borrow();
     let dump_upstream = |entry: &Entry<Arc<Upstream>>| {
         let known = upstreams.get(&entry.value.id)?;
--- a/crates/gateway/src/reading.rs
+++ b/crates/gateway/src/reading.rs
@@ -8,9 +8,6 @@
 use published::{ReadStep, Reader, Revision, Whole};
 use std::rc::Rc;
 
-/// How long an offered picture is waited for: a fetch on a slow machine.
-const OFFER_MS: Millis = Millis(250);
-
 /// How often it is looked whether the picture has come.
 const OFFER_STEP_MS: Millis = Millis(25);
 
@@ -34,13 +31,12 @@
     pub async fn run(mut self) {
         loop {
             let step = {
-                let members = self.host.members.borrow();
-                let picture = self.host.picture.borrow();
-                self.reader.step(self.host.now_ms(), &members, &picture)
+                let gossip = self.host.gossip.borrow();
+                self.reader.step(self.host.now_ms(), gossip.members(), gossip.picture())
             };
             self.note_part();
             self.note_told();
-            if self.is_being_told() {
+            if self.host.gossip.borrow().is_being_told(self.host.now_ms()) {
                 self.wait_until(self.host.now_ms() + OFFER_STEP_MS).await;
                 continue;
             }
@@ -60,18 +56,10 @@
         }
     }
 
-    /// A host that has just started and was offered a picture by a peer waits for it.
-    fn is_being_told(&self) -> bool {
-        let has_picture = self.host.picture.borrow().confirmed_ms().is_some();
-        let offered_ms = self.host.offered_ms.get();
-        let now_ms = self.host.now_ms();
-        !has_picture && offered_ms.is_some_and(|at_ms| now_ms.since(at_ms) < OFFER_MS)
-    }
-
     fn note_part(&mut self) {
         let is_reading = self.reader.is_reading();
         if std::mem::replace(&mut self.was_reading, is_reading) != is_reading {
-            let rank = self.host.members.borrow().reader_rank();
+            let rank = self.host.members().reader_rank();
             let picture_age_ms = self.host.picture_age_ms();
             self.host.log.write(&LogEvent::Reading { is_reading, rank, picture_age_ms });
         }
@@ -88,18 +76,12 @@
         let now_ms = self.host.now_ms();
         self.note_unreadable(&reading.unreadable);
         self.note_success(now_ms, reading.value.revision);
-        let after = self.host.picture.borrow().revision();
-        let beliefs = self.host.picture.borrow_mut().take_whole(now_ms, reading.value);
+        self.peers.act(|gossip| gossip.take_whole(now_ms, reading.value));
         self.reader.succeeded(now_ms, true);
-        self.host.picture_changed(&beliefs, "source");
-        // Told without the changes, peers that hold less find a gap and fetch.
-        let is_unchanged = beliefs.is_empty();
-        let told_after = if is_unchanged { after } else { self.host.picture.borrow().revision() };
-        self.peers.tell_news(told_after, Vec::new());
     }
 
     async fn read_changes(&mut self, wait_ms: Millis) {
-        let after = self.host.picture.borrow().revision();
+        let after = self.host.picture().revision();
         match self.source.read_changes(after, wait_ms).await {
             Ok(reading) => self.take_changes(after, reading),
             Err(error) => self.note_failure(&error),
@@ -112,11 +94,7 @@
         let Changes { revision, changes } = reading.value;
         self.note_success(now_ms, revision);
         self.reader.succeeded(now_ms, !changes.is_empty());
-        let told = self.host.picture.borrow().patched(&changes);
-        let (beliefs, _) =
-            self.host.picture.borrow_mut().take_changes(now_ms, after, revision, told.clone());
-        self.host.picture_changed(&beliefs, "source");
-        self.peers.tell_news(after, told);
+        self.peers.act(|gossip| gossip.take_changes(now_ms, after, revision, &changes));
     }
 
     fn note_unreadable(&self, unreadable: &[Unreadable]) {
@@ -135,7 +113,7 @@
     /// A peer read what this host could not: what is believed is confirmed again.
     fn note_told(&mut self) {
         let (confirmed_ms, revision) = {
-            let picture = self.host.picture.borrow();
+            let picture = self.host.picture();
             (picture.confirmed_ms(), picture.revision())
         };
         let Some(lost_ms) = self.lost_ms.filter(|&lost_ms| confirmed_ms > Some(lost_ms)) else {
@@ -153,7 +131,7 @@
             return;
         }
         self.reader.failed(now_ms);
-        self.peers.tell_unread();
+        self.peers.act(|gossip| gossip.tell_unread(now_ms));
         if self.lost_ms.is_none() {
             self.lost_ms = Some(now_ms);
             let picture_age_ms = self.host.picture_age_ms();
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -16,7 +16,7 @@
 use crate::source::Source;
 use domain::{Incarnation, Millis};
 use error_stack::{Report, ResultExt};
-use published::{Member, Reader, Start};
+use published::{Gossip, Member, Reader, Start};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use std::fmt;
@@ -181,7 +181,7 @@
         spawn_local(Rc::clone(&peers).give(listeners.pictures));
         spawn_local(Rc::clone(&peers).greet());
         spawn_local(readings.run());
-        spawn_local(chores(Rc::clone(&host), reload, hangup));
+        spawn_local(chores(Rc::clone(&host), Rc::clone(&peers), reload, hangup));
         let flushing = Rc::clone(&host);
         spawn_local(async move { flushing.log.run().await });
         Ok(Gateway { host, peers })
@@ -209,14 +209,14 @@
     host.log.flush();
 }
 
-async fn stop(host: &Rc<Host>, peers: &Peers) {
+async fn stop(host: &Rc<Host>, peers: &Rc<Peers>) {
     let begun_ms = host.now_ms();
     let limit_ms = host.settings.borrow().limits.stop_ms - STOP_MARGIN_MS;
     let open_requests = host.open_requests.get();
     host.log.write(&LogEvent::Stopping { open_requests });
     host.log.write(&LogEvent::Ready { is_ready: false, reason: "stopping" });
     host.stopping.send_replace(true);
-    peers.say_bye();
+    peers.act(Gossip::leave);
     tokio::time::sleep(NOTICE.min(duration(limit_ms))).await;
     host.closing.send_replace(true);
     let is_busy = || host.open_requests.get() > 0 || host.open_sessions.get() > 0;
@@ -229,7 +229,7 @@
 }
 
 /// What is due now and then: settings, lapsed entries, forgotten peers, idle connections.
-async fn chores<R: Reload>(host: Rc<Host>, mut reload: R, mut hangup: Signal) {
+async fn chores<R: Reload>(host: Rc<Host>, peers: Rc<Peers>, mut reload: R, mut hangup: Signal) {
     let mut round: u32 = 0;
     loop {
         let begun_ms = host.now_ms();
@@ -249,15 +249,8 @@
                 }
             }
         }
-        let beliefs = host.picture.borrow_mut().settle(now_ms);
-        if !beliefs.is_empty() {
-            host.picture_changed(&beliefs, "time");
-        }
-        let forgotten = host.members.borrow_mut().forget(now_ms);
-        for peer in &forgotten {
-            host.log.write(&LogEvent::PeerGone { peer, hosts: host.hosts() });
-        }
-        let picture = host.picture.borrow();
+        peers.act(|gossip| gossip.settle(now_ms));
+        let picture = host.picture();
         host.pool.borrow_mut().prune(|id| picture.upstream(id).is_some());
     }
 }
--- a/crates/gateway/src/peers/datagram.rs
+++ b/crates/published/src/gossip/message.rs
@@ -1,12 +1,12 @@
-//! Datagrams between hosts.
+//! What hosts tell each other.
 
+use crate::{Change, Member, Revision};
 use domain::{HostId, Incarnation, Millis};
-use published::{Change, Member, Revision};
 use serde::{Deserialize, Serialize};
 
-/// A datagram.
-#[derive(Debug, Serialize, Deserialize)]
-pub enum Datagram {
+/// A message that may be lost, doubled, late or out of order.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Message {
     /// A host is there.
     Hello {
         /// Itself.
@@ -45,7 +45,7 @@
 }
 
 /// What a host read from the source, told by itself or passed on.
-#[derive(Debug, Clone, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct News {
     /// The host that read it.
     pub reader: Member,
@@ -60,3 +60,10 @@
     /// The changes; none from a host that only offers what it holds.
     pub changes: Option<Vec<Change>>,
 }
+
+impl News {
+    /// The same for hosts that fetch what they lack: the changes are too large to be told.
+    pub fn without_changes(&self) -> News {
+        News { after: self.revision, changes: Some(Vec::new()), ..self.clone() }
+    }
+}
--- a/crates/published/src/lib.rs
+++ b/crates/published/src/lib.rs
@@ -4,12 +4,14 @@
 //! entry for each instance that registers itself. One revision orders every change of
 //! either, so what is newer never has to be asked of anybody. [`Picture`] holds what is
 //! believed and keeps the rules: nothing older is ever put in force, nothing that lapsed
-//! while the source was away is dropped before it had time to come back.
+//! while the source was away is dropped before it had time to come back. [`Gossip`] is a
+//! host's part in telling the fleet, [`Reader`] its part in reading.
 //!
 //! This crate knows nothing of IO, and time is handed in.
 
 mod belief;
 mod change;
+mod gossip;
 mod members;
 mod patch;
 mod picture;
@@ -19,6 +21,7 @@
 
 pub use belief::Belief;
 pub use change::{Change, Entry, Item, Removal, Revision, Whole};
+pub use gossip::{Effect, Fetch, Gossip, Message, News, Origin, Told};
 pub use members::{Listener, Member, Members};
 pub use patch::RoutingPatch;
 pub use picture::{AWAY_MS, CatchUp, Held, Picture, RETURN_GRACE_MS};
