Tell peers that catch up what lapsed while the source was away

The host that read after an outage waits 2.2 s for lapsed entries to come back; peers that caught up in that time were told its entries, with what had lapsed, and took the revision for complete. The removal never reached them, and the one host that knew better fetched from them with each news. The same could happen with whole pictures before. Ruled out: lost messages, the order of readings (one host read, its picture was right).

Now a lapse is told as the removal that it is, and each peer waits by itself; a host that is new isn't told of it. Both new tests of `catch_up` failed before.

--- a/crates/published/src/picture.rs
+++ b/crates/published/src/picture.rs
@@ -96,9 +96,11 @@
         self.upstreams.values().fold(routing, mix)
     }
 
-    /// Everything, for a peer.
+    /// Everything, for a peer. What lapsed is left out: a peer that holds it waits for its
+    /// return by itself, one that doesn't would wait for ever.
     pub fn whole(&self) -> Whole {
-        let upstreams = self.upstreams.values().map(|entry| Entry {
+        let present = self.upstreams.values().filter(|e| !self.lapsed.contains_key(&e.value.id));
+        let upstreams = present.map(|entry| Entry {
             revision: entry.revision,
             value: Item::Upstream(Arc::clone(&entry.value)),
         });
--- a/crates/published/src/picture/catch_up.rs
+++ b/crates/published/src/picture/catch_up.rs
@@ -85,10 +85,12 @@
             let value = Item::Upstream(Arc::clone(&entry.value));
             Change::Written(Entry { revision: entry.revision, value })
         });
-        let removed = self.removed.iter().filter(|(_, tombstone)| is_news(tombstone.revision));
-        let removed = removed.map(|(id, tombstone)| {
-            Change::Removed(Removal { upstream: id.clone(), revision: tombstone.revision })
-        });
+        let removed = self.removed.iter().map(|(id, tombstone)| (id, tombstone.revision));
+        // Who is told of a lapse waits for the return by itself.
+        let lapsed = self.lapsed.iter().map(|(id, lapsed)| (id, lapsed.revision));
+        let removed = removed.chain(lapsed).filter(|(_, revision)| is_news(*revision));
+        let removed = removed
+            .map(|(id, revision)| Change::Removed(Removal { upstream: id.clone(), revision }));
         let routing = self.routing.as_ref().filter(|entry| held.routing < Some(entry.revision));
         let routing = routing.map(|entry| self.routing_since(entry, held.routing));
         routing.into_iter().chain(written).chain(removed).collect()
--- a/crates/published/tests/catch_up.rs
+++ b/crates/published/tests/catch_up.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use domain::Millis;
-use published::{CatchUp, Change, Picture, RETURN_GRACE_MS, Revision};
+use published::{AWAY_MS, CatchUp, Change, Picture, RETURN_GRACE_MS, Revision};
 use rstest::rstest;
 use support::{draining, removed, routing, whole, written};
 
@@ -94,3 +94,32 @@
     behind.settle(Millis(100_001) + RETURN_GRACE_MS);
     assert_eq!(behind.digest(), teller.digest());
 }
+
+/// A teller whose entry `a` lapsed while the source was away, and a peer that missed it.
+fn lapsed() -> (Picture, Picture) {
+    let (mut teller, behind) = (picture(), picture());
+    let return_ms = BEGIN_MS + AWAY_MS + Millis(1);
+    teller.take_changes(return_ms, Revision(10), Revision(11), vec![removed(11, "a")]);
+    assert!(teller.upstreams().any(|entry| entry.value.id.as_str() == "a"));
+    (teller, behind)
+}
+
+#[test]
+fn a_lapse_is_told_though_the_teller_still_waits_for_the_return() {
+    let (mut teller, mut behind) = lapsed();
+    let told_ms = BEGIN_MS + AWAY_MS + Millis(100);
+    behind.take_catch_up(told_ms, teller.catch_up(behind.held()));
+    assert_eq!(behind.digest(), teller.digest(), "both wait");
+    teller.settle(told_ms + RETURN_GRACE_MS);
+    behind.settle(told_ms + RETURN_GRACE_MS);
+    assert_eq!(behind.digest(), teller.digest(), "both gave it up");
+    assert_eq!(behind.upstreams().count(), 2);
+}
+
+#[test]
+fn who_is_new_is_not_told_of_what_lapsed() {
+    let (teller, _) = lapsed();
+    let mut new = Picture::default();
+    new.take_catch_up(BEGIN_MS + AWAY_MS, teller.catch_up(new.held()));
+    assert_eq!(new.upstreams().count(), 2);
+}
--- a/crates/published/tests/support/mod.rs
+++ b/crates/published/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Published values for tests.
 #![allow(clippy::unwrap_used, dead_code)]
 
+pub mod site;
+
 use domain::{Millis, Slots, UpstreamId, Version};
 use published::{Change, Entry, Item, Removal, Revision, Upstream, UpstreamMode, Whole};
 use std::sync::Arc;
--- /dev/null
+++ b/crates/published/tests/support/site.rs
@@ -0,0 +1,481 @@
+//! A site in scripted time: real gossip and readers, a source and a network that fail.
+//!
+//! After every step the promises are checked: nothing goes back, and a change is in force
+//! within its bound at every host that nothing has harmed for a while.
+
+use super::{id, removed, routing, written};
+use domain::{Incarnation, Millis};
+use published::{
+    Change, Effect, Entry, Fetch, Gossip, Item, Member, Message, ReadStep, Reader, Revision, Start,
+    Told, Whole,
+};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// A change has to be in force so long after it was published.
+const BOUND_MS: Millis = Millis(2_000);
+
+/// Hosts that were harmed so recently promise nothing.
+const CONTACT_MS: Millis = Millis(3_000);
+
+const ANSWER_MS: Millis = Millis(4);
+const SILENCE_MS: Millis = Millis(400);
+const FETCH_LIMIT_MS: Millis = Millis(800);
+const GREETING_MS: u64 = 3_000;
+const SETTLE_MS: u64 = 500;
+
+/// What goes wrong.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Fault {
+    /// The source answers no host, or not those whose number this divides.
+    SourceSilent { every: usize },
+    /// A zone is cut off from all others; the source answers it.
+    ZoneCut { zone: usize },
+    /// A host is cut off from all others; the source answers it.
+    HostCut { host: usize },
+    /// Hosts whose number this divides are killed, and start again when it ends.
+    Killed { every: usize },
+    /// Messages are lost, in percent.
+    Lossy { percent: u32 },
+    /// The source forgets its history.
+    HistoryLost,
+}
+
+/// A fault and its time.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Spell {
+    pub fault: Fault,
+    pub from_ms: Millis,
+    pub to_ms: Millis,
+}
+
+/// A mechanism that is broken on purpose, to see that the checks notice.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Broken {
+    /// Nothing is.
+    Nothing,
+    /// Answers to fetches are lost.
+    Fetches,
+    /// Only the host that is wanted most ever reads.
+    StandIns,
+    /// Hosts that are to pass news on don't.
+    Relays,
+}
+
+struct Host {
+    gossip: Gossip,
+    reader: Reader,
+    address: SocketAddr,
+    zone: usize,
+    is_up: bool,
+    is_reading: bool,
+    wake_ms: Millis,
+    in_force: Revision,
+    harmed_ms: Millis,
+}
+
+enum Event {
+    Message { to: usize, from: SocketAddr, message: Message },
+    Told { to: usize, run: Incarnation, fetch: Fetch, answer: Option<(SocketAddr, Told)> },
+    Read { host: usize, run: Incarnation, asked: ReadStep, after: Revision },
+}
+
+/// The site.
+pub struct Site {
+    now_ms: Millis,
+    hosts: Vec<Host>,
+    events: BTreeMap<(Millis, u64), Event>,
+    numbered: u64,
+    rng: Pcg64Mcg,
+    spells: Vec<Spell>,
+    broken: Broken,
+    items: BTreeMap<String, Entry<Item>>,
+    history: Vec<Change>,
+    history_since: Revision,
+    revision: Revision,
+    /// When each change was published.
+    published: Vec<(Revision, Millis)>,
+    pub calls: usize,
+}
+
+fn revision_of(change: &Change) -> Revision {
+    match change {
+        Change::Written(entry) => entry.revision,
+        Change::Patched(entry) => entry.revision,
+        Change::Removed(removal) => removal.revision,
+    }
+}
+
+impl Site {
+    pub fn new(hosts: usize, zones: usize, seed: u64, spells: &[Spell], broken: Broken) -> Site {
+        let mut site = Site {
+            now_ms: Millis(0),
+            hosts: Vec::new(),
+            events: BTreeMap::new(),
+            numbered: 0,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            spells: spells.to_vec(),
+            broken,
+            items: BTreeMap::new(),
+            history: Vec::new(),
+            history_since: Revision(0),
+            revision: Revision(0),
+            published: Vec::new(),
+            calls: 0,
+        };
+        site.publish(routing(1, 1));
+        for number in 0..hosts {
+            let host = site.start(number, number % zones, true);
+            site.hosts.push(host);
+        }
+        site
+    }
+
+    fn start(&mut self, number: usize, zone: usize, is_first: bool) -> Host {
+        let address = SocketAddr::new([127, 0, 1, number as u8].into(), 7_000);
+        let member = Member {
+            host: format!("host-{number}").parse().unwrap(),
+            incarnation: Incarnation(self.now_ms.0 + 1),
+            availability_zone: format!("zone-{zone}").parse().unwrap(),
+            address,
+        };
+        let rng = Pcg64Mcg::seed_from_u64(self.rng.random());
+        let start = Start { is_seed: number < 3, is_first };
+        Host {
+            gossip: Gossip::new(member, rng.clone()),
+            reader: Reader::new(rng, self.now_ms, start),
+            address,
+            zone,
+            is_up: true,
+            is_reading: false,
+            wake_ms: self.now_ms,
+            in_force: Revision(0),
+            harmed_ms: self.now_ms,
+        }
+    }
+
+    /// Publishes a change; its revision is the next one.
+    pub fn publish(&mut self, change: Change) {
+        self.revision = Revision(self.revision.0 + 1);
+        assert_eq!(revision_of(&change), self.revision);
+        match &change {
+            Change::Written(entry) => {
+                let key = match &entry.value {
+                    Item::Routing(_) => "routing".to_owned(),
+                    Item::Upstream(upstream) => upstream.id.to_string(),
+                };
+                self.items.insert(key, entry.clone());
+            }
+            Change::Removed(removal) => {
+                self.items.remove(removal.upstream.as_str());
+            }
+            Change::Patched(_) => unreachable!("the source publishes whole values"),
+        }
+        self.history.push(change);
+        self.published.push((self.revision, self.now_ms));
+    }
+
+    /// Publishes any kind of change.
+    pub fn publish_some(&mut self) {
+        let next = self.revision.0 + 1;
+        let name = format!("i-{}", self.rng.random_range(0..20));
+        let is_there = self.items.contains_key(id(&name).as_str());
+        let change = match self.rng.random_range(0..3) {
+            0 => routing(next, next),
+            1 if is_there => removed(next, &name),
+            _ => written(next, &name),
+        };
+        self.publish(change);
+    }
+
+    /// Plays for a while; says what promise broke, if one did.
+    pub fn play(&mut self, until_ms: Millis) -> Result<(), String> {
+        while self.now_ms < until_ms {
+            self.now_ms = self.now_ms + Millis(1);
+            self.harm();
+            self.deliver();
+            for at in 0..self.hosts.len() {
+                if self.hosts[at].is_up {
+                    self.step(at);
+                    self.check(at)?;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// All that are up hold the same, which is what is published.
+    pub fn check_settled(&self) -> Result<(), String> {
+        let up = || self.hosts.iter().filter(|host| host.is_up);
+        let digests: Vec<u64> = up().map(|host| host.gossip.picture().digest()).collect();
+        match digests.windows(2).all(|pair| pair[0] == pair[1]) {
+            true if up().all(|host| host.gossip.picture().revision() >= self.revision) => Ok(()),
+            _ => Err("hosts hold different pictures after all is calm".to_owned()),
+        }
+    }
+
+    fn active(&self) -> impl Iterator<Item = Fault> + '_ {
+        let now_ms = self.now_ms;
+        let is_active = move |spell: &&Spell| (spell.from_ms..spell.to_ms).contains(&now_ms);
+        self.spells.iter().filter(is_active).map(|spell| spell.fault)
+    }
+
+    fn harm(&mut self) {
+        let active: Vec<Fault> = self.active().collect();
+        for at in 0..self.hosts.len() {
+            let is_killed = active
+                .iter()
+                .any(|fault| matches!(fault, Fault::Killed { every } if at.is_multiple_of(*every)));
+            match (is_killed, self.hosts[at].is_up) {
+                (true, true) => self.hosts[at].is_up = false,
+                (false, false) => self.hosts[at] = self.start(at, self.hosts[at].zone, false),
+                _ => {}
+            }
+        }
+        if active.contains(&Fault::HistoryLost) {
+            self.history.clear();
+            self.history_since = self.revision;
+        }
+        for at in 0..self.hosts.len() {
+            if active.iter().any(|&fault| self.is_harmed(at, fault)) {
+                self.hosts[at].harmed_ms = self.now_ms;
+            }
+        }
+    }
+
+    /// Faults of others excuse nobody, but for those of the source and of all links.
+    fn is_harmed(&self, at: usize, fault: Fault) -> bool {
+        match fault {
+            Fault::SourceSilent { .. } | Fault::HistoryLost | Fault::Lossy { .. } => true,
+            Fault::ZoneCut { zone } => self.hosts[at].zone == zone,
+            Fault::HostCut { host } => at == host,
+            Fault::Killed { every } => at.is_multiple_of(every),
+        }
+    }
+
+    fn is_cut(&self, a: usize, b: usize) -> bool {
+        let differs = |zone: usize| (self.hosts[a].zone == zone) != (self.hosts[b].zone == zone);
+        self.active().any(|fault| match fault {
+            Fault::ZoneCut { zone } => differs(zone),
+            Fault::HostCut { host } => a != b && (a == host || b == host),
+            _ => false,
+        })
+    }
+
+    fn is_lost(&mut self) -> bool {
+        let percents = self.active().filter_map(|fault| match fault {
+            Fault::Lossy { percent } => Some(percent),
+            _ => None,
+        });
+        // One in two hundred is lost at any time.
+        let per_mille = 5 + 10 * percents.max().unwrap_or(0);
+        self.rng.random_range(0..1_000) < per_mille
+    }
+
+    fn delay_ms(&self, a: usize, b: usize) -> Millis {
+        if self.hosts[a].zone == self.hosts[b].zone { Millis(1) } else { Millis(2) }
+    }
+
+    fn at_address(&self, address: SocketAddr) -> usize {
+        self.hosts.iter().position(|host| host.address == address).unwrap()
+    }
+
+    fn run_of(&self, at: usize) -> Incarnation {
+        self.hosts[at].gossip.members().own().incarnation
+    }
+
+    fn push(&mut self, at_ms: Millis, event: Event) {
+        self.numbered += 1;
+        self.events.insert((at_ms, self.numbered), event);
+    }
+
+    fn deliver(&mut self) {
+        while self.events.first_key_value().is_some_and(|((at_ms, _), _)| *at_ms <= self.now_ms) {
+            let Some((_, event)) = self.events.pop_first() else { return };
+            let now_ms = self.now_ms;
+            match event {
+                Event::Message { to, from, message } if self.hosts[to].is_up => {
+                    let message = self.received(message);
+                    let effects = self.hosts[to].gossip.take(now_ms, message, from);
+                    self.carry_out(to, effects);
+                }
+                Event::Told { to, run, fetch, answer }
+                    if self.hosts[to].is_up && self.run_of(to) == run =>
+                {
+                    let answer = answer.filter(|_| self.broken != Broken::Fetches);
+                    let effects = self.hosts[to].gossip.take_told(now_ms, fetch, answer);
+                    self.carry_out(to, effects);
+                }
+                Event::Read { host, run, asked, after }
+                    if self.hosts[host].is_up && self.run_of(host) == run =>
+                {
+                    self.read(host, asked, after);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn received(&self, message: Message) -> Message {
+        match message {
+            Message::News { news, .. } if self.broken == Broken::Relays => {
+                Message::News { news, passes_on: false }
+            }
+            message => message,
+        }
+    }
+
+    fn step(&mut self, at: usize) {
+        let now_ms = self.now_ms;
+        let offset = 17 * at as u64;
+        let is_alone = self.hosts[at].gossip.members().count() <= 1;
+        let every_ms = if is_alone { 200 } else { GREETING_MS };
+        if (now_ms.0 + offset).is_multiple_of(every_ms) {
+            let seeds: Vec<SocketAddr> = self.hosts[..3].iter().map(|host| host.address).collect();
+            let others: Vec<SocketAddr> =
+                seeds.into_iter().filter(|seed| *seed != self.hosts[at].address).collect();
+            let effects = self.hosts[at].gossip.greet(&others);
+            self.carry_out(at, effects);
+        }
+        if (now_ms.0 + offset).is_multiple_of(SETTLE_MS) {
+            let effects = self.hosts[at].gossip.settle(now_ms);
+            self.carry_out(at, effects);
+        }
+        self.step_reader(at);
+    }
+
+    fn step_reader(&mut self, at: usize) {
+        let now_ms = self.now_ms;
+        let host = &mut self.hosts[at];
+        let waits = host.is_reading || now_ms < host.wake_ms;
+        if waits || host.gossip.is_being_told(now_ms) {
+            return;
+        }
+        let step = host.reader.step(now_ms, host.gossip.members(), host.gossip.picture());
+        let is_barred = self.broken == Broken::StandIns
+            && host.gossip.members().reader_rank() > 0
+            && host.gossip.picture().confirmed_ms().is_some();
+        let wait_ms = match step {
+            ReadStep::Wait(until_ms) => {
+                host.wake_ms = until_ms;
+                return;
+            }
+            _ if is_barred => return,
+            ReadStep::Whole => Millis(0),
+            ReadStep::Changes(wait_ms) => wait_ms,
+        };
+        host.is_reading = true;
+        self.calls += 1;
+        let after = host.gossip.picture().revision();
+        let has_news = after < self.revision;
+        let took_ms = match self.is_silent_to(at) {
+            true => wait_ms + SILENCE_MS,
+            false if has_news => ANSWER_MS,
+            false => ANSWER_MS + wait_ms,
+        };
+        let run = self.run_of(at);
+        self.push(now_ms + took_ms, Event::Read { host: at, run, asked: step, after });
+    }
+
+    fn is_silent_to(&self, at: usize) -> bool {
+        let meets =
+            |fault| matches!(fault, Fault::SourceSilent { every } if at.is_multiple_of(every));
+        self.active().any(meets)
+    }
+
+    fn read(&mut self, at: usize, asked: ReadStep, after: Revision) {
+        let now_ms = self.now_ms;
+        self.hosts[at].is_reading = false;
+        if self.is_silent_to(at) {
+            self.hosts[at].reader.failed(now_ms);
+            let effects = self.hosts[at].gossip.tell_unread(now_ms);
+            return self.carry_out(at, effects);
+        }
+        if asked == ReadStep::Whole {
+            let whole =
+                Whole { revision: self.revision, items: self.items.values().cloned().collect() };
+            let effects = self.hosts[at].gossip.take_whole(now_ms, whole);
+            self.hosts[at].reader.succeeded(now_ms, true);
+            return self.carry_out(at, effects);
+        }
+        if after < self.history_since {
+            return self.hosts[at].reader.needs_whole();
+        }
+        let is_news = |change: &&Change| revision_of(change) > after;
+        let changes: Vec<Change> = self.history.iter().filter(is_news).cloned().collect();
+        let effects = self.hosts[at].gossip.take_changes(now_ms, after, self.revision, &changes);
+        self.hosts[at].reader.succeeded(now_ms, !changes.is_empty());
+        self.carry_out(at, effects);
+    }
+
+    fn carry_out(&mut self, at: usize, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Send { message, to } => {
+                    for address in to {
+                        self.send(at, address, message.clone());
+                    }
+                }
+                Effect::Fetch(fetch) => self.fetch(at, fetch),
+                Effect::Believed { .. } => self.hosts[at].wake_ms = self.now_ms,
+                Effect::Fetched { .. } | Effect::PeerHeard(_) | Effect::PeerGone(_) => {}
+            }
+        }
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddr, message: Message) {
+        let to = self.at_address(to);
+        if self.is_cut(from, to) || self.is_lost() {
+            return;
+        }
+        let at_ms = self.now_ms + self.delay_ms(from, to);
+        let from = self.hosts[from].address;
+        self.push(at_ms, Event::Message { to, from, message });
+    }
+
+    fn fetch(&mut self, at: usize, fetch: Fetch) {
+        let mut took_ms = Millis(0);
+        let mut answer = None;
+        for &address in &fetch.from {
+            let peer = self.at_address(address);
+            let is_there = self.hosts[peer].is_up && !self.is_cut(at, peer);
+            let told = self.hosts[peer].gossip.tell(self.now_ms, fetch.held);
+            match told.filter(|_| is_there) {
+                Some(told) => {
+                    took_ms = took_ms + self.delay_ms(at, peer) + self.delay_ms(at, peer);
+                    answer = Some((address, told));
+                    break;
+                }
+                None => took_ms = took_ms + FETCH_LIMIT_MS,
+            }
+        }
+        let run = self.run_of(at);
+        // The answer was true when it left: its age grows on the way.
+        let aged =
+            answer.map(|(address, told)| (address, Told { age_ms: told.age_ms + took_ms, ..told }));
+        self.push(self.now_ms + took_ms, Event::Told { to: at, run, fetch, answer: aged });
+    }
+
+    fn check(&mut self, at: usize) -> Result<(), String> {
+        let now_ms = self.now_ms;
+        let host = &mut self.hosts[at];
+        let picture = host.gossip.picture();
+        let in_force = picture.routing().map_or(Revision(0), |entry| entry.revision);
+        if in_force < host.in_force {
+            return Err(format!("at {now_ms} host {at} went back to {in_force}"));
+        }
+        host.in_force = in_force;
+        let is_calm = now_ms.since(host.harmed_ms) > CONTACT_MS;
+        let due = |published: &&(Revision, Millis)| now_ms.since(published.1) > BOUND_MS;
+        let due = self.published.iter().rev().find(due).map(|(revision, _)| *revision);
+        match due {
+            Some(due) if is_calm && picture.revision() < due => Err(format!(
+                "at {now_ms} host {at} holds {} and should hold {due}",
+                picture.revision()
+            )),
+            _ => Ok(()),
+        }
+    }
+}
