--- a/crates/gateway/src/event_log/event.rs
+++ b/crates/gateway/src/event_log/event.rs
@@ -54,6 +54,8 @@
     SourceLost { problem: String, picture_age_ms: Option<Millis> },
     /// This host reads for the others from now on, or no longer.
     Reading { is_reading: bool, rank: usize, picture_age_ms: Option<Millis> },
+    /// The source is away for all: this host tries it again after a time that grows with the fleet.
+    ReadingHeld { failed_readers: usize, for_ms: Millis, picture_age_ms: Option<Millis> },
     /// A peer was heard of for the first time, or in a new run.
     PeerHeard { peer: &'a HostId, hosts: u32 },
     /// A peer left or was silent for long.
--- a/crates/gateway/src/reading.rs
+++ b/crates/gateway/src/reading.rs
@@ -18,13 +18,14 @@
     source: S,
     reader: Reader,
     was_reading: bool,
+    was_held: bool,
     lost_ms: Option<Millis>,
 }
 
 impl<S: Source> Readings<S> {
     /// Reads by the rules of `reader`.
     pub fn new(host: Rc<Host>, peers: Rc<Peers>, source: S, reader: Reader) -> Readings<S> {
-        Readings { host, peers, source, reader, was_reading: false, lost_ms: None }
+        Readings { host, peers, source, reader, was_reading: false, was_held: false, lost_ms: None }
     }
 
     /// Reads whenever it is due; never ends.
@@ -35,6 +36,7 @@
                 self.reader.step(self.host.now_ms(), gossip.members(), gossip.picture())
             };
             self.note_part();
+            self.note_hold();
             self.note_told();
             if self.host.gossip.borrow().is_being_told(self.host.now_ms()) {
                 self.wait_until(self.host.now_ms() + OFFER_STEP_MS).await;
@@ -65,6 +67,20 @@
         }
     }
 
+    /// Others could not read either: this host leaves the source alone for a while.
+    fn note_hold(&mut self) {
+        let held_until_ms = self.reader.held_until_ms();
+        let was_held = std::mem::replace(&mut self.was_held, held_until_ms.is_some());
+        if let Some(until_ms) = held_until_ms.filter(|_| !was_held) {
+            let now_ms = self.host.now_ms();
+            self.host.log.write(&LogEvent::ReadingHeld {
+                failed_readers: self.host.members().failed_readers(now_ms),
+                for_ms: until_ms.since(now_ms),
+                picture_age_ms: self.host.picture_age_ms(),
+            });
+        }
+    }
+
     async fn read_whole(&mut self) {
         match self.source.read_whole().await {
             Ok(reading) => self.take_whole(reading),
--- a/crates/published/src/reading.rs
+++ b/crates/published/src/reading.rs
@@ -125,11 +125,15 @@
         self.is_reading
     }
 
+    /// When it tries again while the source is away for all; none while it is not.
+    pub fn held_until_ms(&self) -> Option<Millis> {
+        self.hold.map(|hold| hold.until_ms)
+    }
+
     /// What to do now.
     pub fn step(&mut self, now_ms: Millis, members: &Members, picture: &Picture) -> ReadStep {
         let due_ms = self.due_ms(now_ms, members, picture);
-        let due_ms =
-            due_ms.max(self.not_before_ms).max(self.held_until_ms(now_ms, members, picture));
+        let due_ms = due_ms.max(self.not_before_ms).max(self.hold(now_ms, members, picture));
         if due_ms > now_ms {
             return ReadStep::Wait(due_ms);
         }
@@ -183,7 +187,7 @@
 
     /// While the source is away for all, the hosts' tries are spread at random over the time
     /// in which each is to try once. Any reading that is heard of ends that.
-    fn held_until_ms(&mut self, now_ms: Millis, members: &Members, picture: &Picture) -> Millis {
+    fn hold(&mut self, now_ms: Millis, members: &Members, picture: &Picture) -> Millis {
         let confirmed_ms = picture.confirmed_ms();
         self.hold = self.hold.filter(|hold| hold.confirmed_ms == confirmed_ms);
         if self.hold.is_none() && members.failed_readers(now_ms) >= AWAY_AT {
