One listener that a stop closes, for daemon and stand-ins

The stand-ins kept an older copy of the daemon's listener, which could reset what was left in its backlog at a stop. Both use the crate `listener` now.

--- a/crates/daemon/src/run.rs
+++ b/crates/daemon/src/run.rs
@@ -4,7 +4,6 @@
 use crate::connections::Connections;
 use crate::driver::{Driver, Parts};
 use crate::error::{Role, StartError};
-use crate::listen::Listener;
 use crate::metrics::Metrics;
 use crate::peers::{self, PeerLinks};
 use crate::platform::Platform;
@@ -15,6 +14,7 @@
 use decision_core::{EntryHost, Event, FIRST_RUN};
 use domain::Incarnation;
 use error_stack::{Report, ResultExt};
+use listener::Listener;
 use salvo::Server;
 use salvo::conn::tcp::TcpAcceptor;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -126,7 +126,8 @@
 async fn serve(listeners: Listeners, driver: Arc<Driver>) -> Result<(), Report<StartError>> {
     let machine = StartError::Machine { what: "a listener" };
     let connections = Connections::default();
-    let (listener, closing) = Listener::new(listeners.caller)?;
+    let callers = Listener::new(listeners.caller);
+    let (listener, closing) = callers.change_context_lazy(|| machine.clone())?;
     let caller = calls::server(listener, connections.clone());
     let caller_handle = caller.handle();
     let operator = Server::new(acceptor(listeners.operator)?);
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -14,7 +14,6 @@
 
 mod connections;
 mod history;
-mod listener;
 mod server;
 
 pub use server::StartError;
--- a/crates/standins/src/server.rs
+++ b/crates/standins/src/server.rs
@@ -1,8 +1,8 @@
 //! The HTTP server that every stand-in runs on.
 
 use crate::connections::{Admission, Connections};
-use crate::listener::{Closing, Listener};
 use error_stack::{Report, ResultExt};
+use listener::{Closing, Listener};
 use salvo::conn::ConnCtrl;
 use salvo::http::{Request, Response, StatusCode};
 use salvo::server::ServerHandle;
@@ -60,9 +60,10 @@
         goal: impl Handler,
         admits: impl Fn() -> bool + Send + Sync + 'static,
     ) -> Result<Running, Report<StartError>> {
-        let (listener, closing) =
-            Listener::bind(listen).change_context(StartError::Listen(listen))?;
-        let address = listener.address;
+        let refused = || StartError::Listen(listen);
+        let socket = listener::bind(listen).change_context_lazy(refused)?;
+        let address = socket.local_addr().change_context_lazy(refused)?;
+        let (listener, closing) = Listener::new(socket).change_context_lazy(refused)?;
         let connections = Connections::default();
         let admission = Admission { connections: connections.clone(), admits };
         let mut server = Server::new(listener).fuse_policy(admission);
