--- a/crates/published/src/gossip.rs
+++ b/crates/published/src/gossip.rs
@@ -5,114 +5,27 @@
 //! them. A lost message is found by revision and digest, and what is missing is then
 //! fetched from whoever told of it.
 
+mod effect;
+mod hearing;
 mod message;
+mod telling;
 
+pub use effect::{Effect, Fetch, Origin, Told};
 pub use message::{Message, News};
 
-use crate::{Belief, CatchUp, Change, Held, Listener, Member, Members, Picture, Revision, Whole};
-use domain::{HostId, Millis};
+use crate::{Change, Held, Member, Members, Picture, Revision, Whole};
+use domain::Millis;
 use rand::RngExt;
 use rand::seq::IndexedRandom;
 use rand_pcg::Pcg64Mcg;
-use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
-/// Members told in one message: half a kilobyte.
-const MEMBERS_TOLD: usize = 10;
-
 /// Part of the greetings that goes to a seed: after a split each side knows only its own.
 const SEED_GREETINGS: f64 = 0.3;
 
-/// Shortest time between two fetches.
-const FETCH_PAUSE_MS: Millis = Millis(150);
-
 /// How long an offered picture is waited for: a fetch on a slow machine.
 const OFFER_MS: Millis = Millis(250);
 
-/// What is to be done, or to be logged.
-#[derive(Debug, Clone, PartialEq)]
-pub enum Effect {
-    /// Send this.
-    Send {
-        /// What.
-        message: Message,
-        /// To whom.
-        to: Vec<SocketAddr>,
-    },
-    /// Ask for what is missing, then hand it to [`Gossip::take_told`].
-    Fetch(Fetch),
-    /// Something else is believed, or the same was confirmed.
-    Believed {
-        /// What changed; nothing if it was confirmed.
-        beliefs: Vec<Belief>,
-        /// Where it comes from.
-        from: Origin,
-    },
-    /// What a fetch came to.
-    Fetched {
-        /// Whom it was asked of.
-        from: Origin,
-        /// What it told; none if it did not answer.
-        revision: Option<Revision>,
-        /// Whether all entries were told, or only what changed.
-        is_whole: bool,
-    },
-    /// A host was heard of for the first time, or in a new run.
-    PeerHeard(HostId),
-    /// A host left or was silent for long.
-    PeerGone(HostId),
-}
-
-/// Where a change of belief comes from.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Origin {
-    /// This host read it.
-    Source,
-    /// A peer told it.
-    Peer(HostId),
-    /// A host that is not known told it.
-    Stranger,
-    /// Time has passed.
-    Time,
-}
-
-impl Origin {
-    /// Its name in logs.
-    pub fn as_str(&self) -> &str {
-        match self {
-            Origin::Source => "source",
-            Origin::Peer(host) => host.as_str(),
-            Origin::Stranger => "unknown",
-            Origin::Time => "time",
-        }
-    }
-
-    fn of(host: Option<&HostId>) -> Origin {
-        host.cloned().map_or(Origin::Stranger, Origin::Peer)
-    }
-}
-
-/// A question for what is missing.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Fetch {
-    /// Whom to ask, one after the other until one answers.
-    pub from: Vec<SocketAddr>,
-    /// What this host holds.
-    pub held: Held,
-    begun_ms: Millis,
-    /// What is to be passed on once nothing is missing.
-    passed_on: Option<News>,
-}
-
-/// The answer to a [`Fetch`].
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Told {
-    /// Age of the reading.
-    pub age_ms: Millis,
-    /// What the asking host lacked.
-    pub catch_up: CatchUp,
-}
-
 /// What a host believes, and its part in telling it.
 #[derive(Debug)]
 pub struct Gossip {
@@ -290,199 +203,4 @@
         }
         effects
     }
-
-    fn catch_up(
-        &mut self,
-        now_ms: Millis,
-        teller: SocketAddr,
-        told: Told,
-        effects: &mut Vec<Effect>,
-    ) {
-        let from = Origin::of(self.members.host_at(teller));
-        let revision = Some(told.catch_up.revision());
-        let is_whole = matches!(told.catch_up, CatchUp::Whole(_));
-        effects.push(Effect::Fetched { from: from.clone(), revision, is_whole });
-        // What is missing still shows at the next news.
-        let (beliefs, _) = self.picture.take_catch_up(now_ms - told.age_ms, told.catch_up);
-        effects.push(Effect::Believed { beliefs, from });
-    }
-
-    fn take_news(
-        &mut self,
-        now_ms: Millis,
-        news: News,
-        passes_on: bool,
-        teller: SocketAddr,
-        effects: &mut Vec<Effect>,
-    ) {
-        self.note(now_ms, news.reader.clone(), effects);
-        self.offered_ms = Some(now_ms);
-        // Only a host that reads tells changes, even none; one that offers tells none.
-        if news.changes.is_some() {
-            self.members.note_reader(now_ms, &news.reader.host);
-        }
-        if passes_on {
-            self.send(self.hello(false), vec![teller], effects);
-        }
-        let is_gapless = self.take_told_changes(now_ms, &news, effects);
-        let differs =
-            self.picture.revision() == news.revision && self.picture.digest() != news.digest;
-        let held = self.picture.held();
-        match is_gapless {
-            false => self.fetch(now_ms, teller, held, Some(news).filter(|_| passes_on), effects),
-            true => {
-                if differs {
-                    self.fetch(now_ms, teller, held.without_entries(), None, effects);
-                }
-                if passes_on {
-                    self.pass_on_news(news, effects);
-                }
-            }
-        }
-    }
-
-    /// False if something before them is missing.
-    fn take_told_changes(
-        &mut self,
-        now_ms: Millis,
-        news: &News,
-        effects: &mut Vec<Effect>,
-    ) -> bool {
-        let at_ms = now_ms - news.age_ms;
-        let changes = news.changes.clone().unwrap_or_default();
-        let held = self.picture.revision();
-        let is_complete = news.after <= held && news.after <= news.revision;
-        let revision = if is_complete { news.revision } else { held };
-        let (beliefs, is_gapless) = self.picture.take_changes(at_ms, news.after, revision, changes);
-        effects.push(Effect::Believed { beliefs, from: Origin::Peer(news.reader.host.clone()) });
-        is_gapless && is_complete
-    }
-
-    fn take_unread(
-        &mut self,
-        now_ms: Millis,
-        reader: Member,
-        passes_on: bool,
-        teller: SocketAddr,
-        effects: &mut Vec<Effect>,
-    ) {
-        self.note(now_ms, reader.clone(), effects);
-        self.members.note_failed_reader(now_ms, &reader.host);
-        if passes_on {
-            self.send(self.hello(false), vec![teller], effects);
-            self.pass_on(Message::Unread { reader, passes_on: false }, effects);
-        }
-    }
-
-    /// Asks whoever told of something newer; what waits for it is passed on after that.
-    fn fetch(
-        &mut self,
-        now_ms: Millis,
-        teller: SocketAddr,
-        held: Held,
-        passed_on: Option<News>,
-        effects: &mut Vec<Effect>,
-    ) {
-        let is_early = self.fetched_ms.is_some_and(|at_ms| now_ms.since(at_ms) < FETCH_PAUSE_MS)
-            && self.picture.confirmed_ms().is_some();
-        if is_early || self.is_fetching {
-            passed_on.into_iter().for_each(|news| self.pass_on_news(news, effects));
-            return;
-        }
-        self.is_fetching = true;
-        self.fetched_ms = Some(now_ms);
-        let from = self.near_teller().into_iter().chain([teller]).collect();
-        effects.push(Effect::Fetch(Fetch { from, held, begun_ms: now_ms, passed_on }));
-    }
-
-    /// Who is asked for a first picture before the teller: a host of the own zone has the same,
-    /// and its bytes are not paid for.
-    fn near_teller(&mut self) -> Option<SocketAddr> {
-        if self.picture.confirmed_ms().is_some() {
-            return None;
-        }
-        self.members.neighbours().choose(&mut self.rng).copied()
-    }
-
-    fn note(&mut self, now_ms: Millis, member: Member, effects: &mut Vec<Effect>) -> bool {
-        let peer = member.host.clone();
-        let is_news = self.members.note(now_ms, member);
-        if is_news {
-            effects.push(Effect::PeerHeard(peer));
-        }
-        is_news
-    }
-
-    fn hello(&self, asks: bool) -> Message {
-        Message::Hello { from: self.members.own().clone(), asks, digest: self.members.digest() }
-    }
-
-    fn tell_members(&self, to: SocketAddr, effects: &mut Vec<Effect>) {
-        for some in self.members.all().chunks(MEMBERS_TOLD) {
-            self.send(Message::Known { members: some.to_vec() }, vec![to], effects);
-        }
-    }
-
-    /// A host that is new is told that there is a picture to be had here.
-    fn offer(&self, now_ms: Millis, to: SocketAddr, effects: &mut Vec<Effect>) {
-        if self.picture.confirmed_ms().is_some() {
-            let news = self.news(now_ms, self.picture.revision(), None);
-            self.send(Message::News { news, passes_on: false }, vec![to], effects);
-        }
-    }
-
-    /// What this host holds, as news.
-    fn news(&self, now_ms: Millis, after: Revision, changes: Option<Vec<Change>>) -> News {
-        News {
-            reader: self.members.own().clone(),
-            revision: self.picture.revision(),
-            age_ms: self.picture.age_ms(now_ms).unwrap_or_default(),
-            digest: self.picture.digest(),
-            after,
-            changes,
-        }
-    }
-
-    fn tell_news(
-        &mut self,
-        now_ms: Millis,
-        after: Revision,
-        changes: Vec<Change>,
-        effects: &mut Vec<Effect>,
-    ) {
-        let news = self.news(now_ms, after, Some(changes));
-        let told = |passes_on| Message::News { news: news.clone(), passes_on };
-        self.tell_fleet(now_ms, told, effects);
-    }
-
-    /// Tells this zone itself, and the others through a few of their hosts.
-    fn tell_fleet(
-        &mut self,
-        now_ms: Millis,
-        message: impl Fn(bool) -> Message,
-        effects: &mut Vec<Effect>,
-    ) {
-        let listeners = self.members.listeners(now_ms);
-        for passes_on in [true, false] {
-            let told = listeners.iter().filter(|listener| listener.passes_on == passes_on);
-            let to = told.map(|&Listener { address, .. }| address).collect();
-            self.send(message(passes_on), to, effects);
-        }
-    }
-
-    fn pass_on_news(&self, news: News, effects: &mut Vec<Effect>) {
-        self.pass_on(Message::News { news, passes_on: false }, effects);
-    }
-
-    /// Tells the other hosts of this zone what a host of another zone told.
-    fn pass_on(&self, message: Message, effects: &mut Vec<Effect>) {
-        self.send(message, self.members.neighbours(), effects);
-    }
-
-    /// A host that stops says nothing but farewell: its peers count on it no more.
-    fn send(&self, message: Message, to: Vec<SocketAddr>, effects: &mut Vec<Effect>) {
-        if !self.is_leaving && !to.is_empty() {
-            effects.push(Effect::Send { message, to });
-        }
-    }
 }
--- /dev/null
+++ b/crates/published/src/gossip/effect.rs
@@ -0,0 +1,91 @@
+//! What follows from a message or a reading.
+
+use super::{Message, News};
+use crate::{Belief, CatchUp, Held, Revision};
+use domain::{HostId, Millis};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// What is to be done, or to be logged.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Effect {
+    /// Send this.
+    Send {
+        /// What.
+        message: Message,
+        /// To whom.
+        to: Vec<SocketAddr>,
+    },
+    /// Ask for what is missing, then hand it to [`Gossip::take_told`].
+    Fetch(Fetch),
+    /// Something else is believed, or the same was confirmed.
+    Believed {
+        /// What changed; nothing if it was confirmed.
+        beliefs: Vec<Belief>,
+        /// Where it comes from.
+        from: Origin,
+    },
+    /// What a fetch came to.
+    Fetched {
+        /// Whom it was asked of.
+        from: Origin,
+        /// What it told; none if it did not answer.
+        revision: Option<Revision>,
+        /// Whether all entries were told, or only what changed.
+        is_whole: bool,
+    },
+    /// A host was heard of for the first time, or in a new run.
+    PeerHeard(HostId),
+    /// A host left or was silent for long.
+    PeerGone(HostId),
+}
+
+/// Where a change of belief comes from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Origin {
+    /// This host read it.
+    Source,
+    /// A peer told it.
+    Peer(HostId),
+    /// A host that is not known told it.
+    Stranger,
+    /// Time has passed.
+    Time,
+}
+
+impl Origin {
+    /// Its name in logs.
+    pub fn as_str(&self) -> &str {
+        match self {
+            Origin::Source => "source",
+            Origin::Peer(host) => host.as_str(),
+            Origin::Stranger => "unknown",
+            Origin::Time => "time",
+        }
+    }
+
+    pub(super) fn of(host: Option<&HostId>) -> Origin {
+        host.cloned().map_or(Origin::Stranger, Origin::Peer)
+    }
+}
+
+/// A question for what is missing.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Fetch {
+    /// Whom to ask, one after the other until one answers.
+    pub from: Vec<SocketAddr>,
+    /// What this host holds.
+    pub held: Held,
+    pub(super) begun_ms: Millis,
+    /// What is to be passed on once nothing is missing.
+    pub(super) passed_on: Option<News>,
+}
+
+/// The answer to a [`Fetch`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Told {
+    /// Age of the reading.
+    pub age_ms: Millis,
+    /// What the asking host lacked.
+    pub catch_up: CatchUp,
+}
--- /dev/null
+++ b/crates/published/src/gossip/hearing.rs
@@ -0,0 +1,139 @@
+//! What a host takes from its peers' messages.
+
+use super::{Effect, Fetch, Gossip, Message, News, Origin, Told};
+use crate::{CatchUp, Held, Member};
+use domain::Millis;
+use rand::seq::IndexedRandom;
+use std::net::SocketAddr;
+
+/// Shortest time between two fetches.
+const FETCH_PAUSE_MS: Millis = Millis(150);
+
+impl Gossip {
+    pub(super) fn catch_up(
+        &mut self,
+        now_ms: Millis,
+        teller: SocketAddr,
+        told: Told,
+        effects: &mut Vec<Effect>,
+    ) {
+        let from = Origin::of(self.members.host_at(teller));
+        let revision = Some(told.catch_up.revision());
+        let is_whole = matches!(told.catch_up, CatchUp::Whole(_));
+        effects.push(Effect::Fetched { from: from.clone(), revision, is_whole });
+        // What is missing still shows at the next news.
+        let (beliefs, _) = self.picture.take_catch_up(now_ms - told.age_ms, told.catch_up);
+        effects.push(Effect::Believed { beliefs, from });
+    }
+
+    pub(super) fn take_news(
+        &mut self,
+        now_ms: Millis,
+        news: News,
+        passes_on: bool,
+        teller: SocketAddr,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.note(now_ms, news.reader.clone(), effects);
+        self.offered_ms = Some(now_ms);
+        // Only a host that reads tells changes, even none; one that offers tells none.
+        if news.changes.is_some() {
+            self.members.note_reader(now_ms, &news.reader.host);
+        }
+        if passes_on {
+            self.send(self.hello(false), vec![teller], effects);
+        }
+        let is_gapless = self.take_told_changes(now_ms, &news, effects);
+        let differs =
+            self.picture.revision() == news.revision && self.picture.digest() != news.digest;
+        let held = self.picture.held();
+        match is_gapless {
+            false => self.fetch(now_ms, teller, held, Some(news).filter(|_| passes_on), effects),
+            true => {
+                if differs {
+                    self.fetch(now_ms, teller, held.without_entries(), None, effects);
+                }
+                if passes_on {
+                    self.pass_on_news(news, effects);
+                }
+            }
+        }
+    }
+
+    /// False if something before them is missing.
+    fn take_told_changes(
+        &mut self,
+        now_ms: Millis,
+        news: &News,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
+        let at_ms = now_ms - news.age_ms;
+        let changes = news.changes.clone().unwrap_or_default();
+        let held = self.picture.revision();
+        let is_complete = news.after <= held && news.after <= news.revision;
+        let revision = if is_complete { news.revision } else { held };
+        let (beliefs, is_gapless) = self.picture.take_changes(at_ms, news.after, revision, changes);
+        effects.push(Effect::Believed { beliefs, from: Origin::Peer(news.reader.host.clone()) });
+        is_gapless && is_complete
+    }
+
+    pub(super) fn take_unread(
+        &mut self,
+        now_ms: Millis,
+        reader: Member,
+        passes_on: bool,
+        teller: SocketAddr,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.note(now_ms, reader.clone(), effects);
+        self.members.note_failed_reader(now_ms, &reader.host);
+        if passes_on {
+            self.send(self.hello(false), vec![teller], effects);
+            self.pass_on(Message::Unread { reader, passes_on: false }, effects);
+        }
+    }
+
+    /// Asks whoever told of something newer; what waits for it is passed on after that.
+    fn fetch(
+        &mut self,
+        now_ms: Millis,
+        teller: SocketAddr,
+        held: Held,
+        passed_on: Option<News>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let is_early = self.fetched_ms.is_some_and(|at_ms| now_ms.since(at_ms) < FETCH_PAUSE_MS)
+            && self.picture.confirmed_ms().is_some();
+        if is_early || self.is_fetching {
+            passed_on.into_iter().for_each(|news| self.pass_on_news(news, effects));
+            return;
+        }
+        self.is_fetching = true;
+        self.fetched_ms = Some(now_ms);
+        let from = self.near_teller().into_iter().chain([teller]).collect();
+        effects.push(Effect::Fetch(Fetch { from, held, begun_ms: now_ms, passed_on }));
+    }
+
+    /// Who is asked for a first picture before the teller: a host of the own zone has the same,
+    /// and its bytes are not paid for.
+    fn near_teller(&mut self) -> Option<SocketAddr> {
+        if self.picture.confirmed_ms().is_some() {
+            return None;
+        }
+        self.members.neighbours().choose(&mut self.rng).copied()
+    }
+
+    pub(super) fn note(
+        &mut self,
+        now_ms: Millis,
+        member: Member,
+        effects: &mut Vec<Effect>,
+    ) -> bool {
+        let peer = member.host.clone();
+        let is_news = self.members.note(now_ms, member);
+        if is_news {
+            effects.push(Effect::PeerHeard(peer));
+        }
+        is_news
+    }
+}
--- /dev/null
+++ b/crates/published/src/gossip/telling.rs
@@ -0,0 +1,84 @@
+//! What a host says, and to whom.
+
+use super::{Effect, Gossip, Message, News};
+use crate::{Change, Listener, Revision};
+use domain::Millis;
+use std::net::SocketAddr;
+
+/// Members told in one message: half a kilobyte.
+const MEMBERS_TOLD: usize = 10;
+
+impl Gossip {
+    pub(super) fn hello(&self, asks: bool) -> Message {
+        Message::Hello { from: self.members.own().clone(), asks, digest: self.members.digest() }
+    }
+
+    pub(super) fn tell_members(&self, to: SocketAddr, effects: &mut Vec<Effect>) {
+        for some in self.members.all().chunks(MEMBERS_TOLD) {
+            self.send(Message::Known { members: some.to_vec() }, vec![to], effects);
+        }
+    }
+
+    /// A host that is new is told that there is a picture to be had here.
+    pub(super) fn offer(&self, now_ms: Millis, to: SocketAddr, effects: &mut Vec<Effect>) {
+        if self.picture.confirmed_ms().is_some() {
+            let news = self.news(now_ms, self.picture.revision(), None);
+            self.send(Message::News { news, passes_on: false }, vec![to], effects);
+        }
+    }
+
+    /// What this host holds, as news.
+    fn news(&self, now_ms: Millis, after: Revision, changes: Option<Vec<Change>>) -> News {
+        News {
+            reader: self.members.own().clone(),
+            revision: self.picture.revision(),
+            age_ms: self.picture.age_ms(now_ms).unwrap_or_default(),
+            digest: self.picture.digest(),
+            after,
+            changes,
+        }
+    }
+
+    pub(super) fn tell_news(
+        &mut self,
+        now_ms: Millis,
+        after: Revision,
+        changes: Vec<Change>,
+        effects: &mut Vec<Effect>,
+    ) {
+        let news = self.news(now_ms, after, Some(changes));
+        let told = |passes_on| Message::News { news: news.clone(), passes_on };
+        self.tell_fleet(now_ms, told, effects);
+    }
+
+    /// Tells this zone itself, and the others through a few of their hosts.
+    pub(super) fn tell_fleet(
+        &mut self,
+        now_ms: Millis,
+        message: impl Fn(bool) -> Message,
+        effects: &mut Vec<Effect>,
+    ) {
+        let listeners = self.members.listeners(now_ms);
+        for passes_on in [true, false] {
+            let told = listeners.iter().filter(|listener| listener.passes_on == passes_on);
+            let to = told.map(|&Listener { address, .. }| address).collect();
+            self.send(message(passes_on), to, effects);
+        }
+    }
+
+    pub(super) fn pass_on_news(&self, news: News, effects: &mut Vec<Effect>) {
+        self.pass_on(Message::News { news, passes_on: false }, effects);
+    }
+
+    /// Tells the other hosts of this zone what a host of another zone told.
+    pub(super) fn pass_on(&self, message: Message, effects: &mut Vec<Effect>) {
+        self.send(message, self.members.neighbours(), effects);
+    }
+
+    /// A host that stops says nothing but farewell: its peers count on it no more.
+    pub(super) fn send(&self, message: Message, to: Vec<SocketAddr>, effects: &mut Vec<Effect>) {
+        if !self.is_leaving && !to.is_empty() {
+            effects.push(Effect::Send { message, to });
+        }
+    }
+}
