Refuse what peers of another release say, by a version

A message that gained a field this hour would be misread by hosts of the release before: the answer to a fetch could even decode to something else.

Each now begins with the protocol's version; another one is logged as `peer-unreadable` with the remedy, and each release has a reader of its own until the rollout ends.

--- a/crates/ctl/src/story.rs
+++ b/crates/ctl/src/story.rs
@@ -17,7 +17,7 @@
 const BEFORE_MS: u64 = 3_000;
 
 /// Events of a host that bear on every request it serves.
-const HOST_EVENTS: [&str; 8] = [
+const HOST_EVENTS: [&str; 9] = [
     "started",
     "stopping",
     "stopped",
@@ -25,6 +25,7 @@
     "paused",
     "source-lost",
     "source-regained",
+    "reading-held",
     "reload-failed",
 ];
 
--- a/crates/gateway/src/event_log/event.rs
+++ b/crates/gateway/src/event_log/event.rs
@@ -36,6 +36,8 @@
     NoMetrics { problem: String },
     /// A peer's message can't be read.
     PeerUnreadable { from: String, problem: String },
+    /// A message to peers can't be written.
+    PeerUnwritable { problem: String },
     /// Readiness changed.
     Ready { is_ready: bool, reason: &'a str },
     /// The process stood still and looks at the world anew.
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -6,10 +6,12 @@
 //! between availability zones are paid for, so both are in the compact `postcard` encoding.
 //! What is said, and to whom, [`published::Gossip`] decides.
 
+pub mod codec;
 mod fetch;
 
 use crate::event_log::LogEvent;
 use crate::host::{ACCEPT_PAUSE, Host};
+use codec::CodecError;
 use fetch::FETCH_LIMIT;
 use published::{Effect, Fetch, Gossip, Message};
 use rand::RngExt;
@@ -99,7 +101,7 @@
     }
 
     fn take(self: &Rc<Peers>, datagram: &[u8], from: SocketAddr) {
-        match postcard::from_bytes(datagram) {
+        match codec::decode(datagram) {
             Ok(message) => {
                 let now_ms = self.host.now_ms();
                 self.act(|gossip| gossip.take(now_ms, message, from));
@@ -133,7 +135,14 @@
     }
 
     fn send(&self, message: &Message, to: &[SocketAddr]) {
-        let datagram = encode(message);
+        let datagram = match encode(message) {
+            Ok(datagram) => datagram,
+            Err(e) => {
+                let problem = e.to_string();
+                self.host.log.write(&LogEvent::PeerUnwritable { problem });
+                return;
+            }
+        };
         for &address in to {
             // Lost is lost: what it says is repeated, or found missing.
             if self.socket.try_send_to(&datagram, address).is_ok() {
@@ -160,14 +169,13 @@
 }
 
 /// Changes that don't fit a datagram are left out.
-fn encode(message: &Message) -> Vec<u8> {
-    let whole = postcard::to_stdvec(message).unwrap_or_default();
+fn encode(message: &Message) -> Result<Vec<u8>, CodecError> {
+    let whole = codec::encode(message)?;
     match message {
         Message::News { news, passes_on } if whole.len() > MAX_DATAGRAM_BYTES => {
             let news = news.without_changes();
-            let short = Message::News { news, passes_on: *passes_on };
-            postcard::to_stdvec(&short).unwrap_or_default()
+            codec::encode(&Message::News { news, passes_on: *passes_on })
         }
-        _ => whole,
+        _ => Ok(whole),
     }
 }
--- a/crates/gateway/src/peers/fetch.rs
+++ b/crates/gateway/src/peers/fetch.rs
@@ -2,6 +2,7 @@
 //!
 //! The host that asks says what it holds and closes its half; it is told what it lacks.
 
+use super::codec;
 use crate::host::Host;
 use published::{Held, Told};
 use std::net::SocketAddr;
@@ -31,23 +32,23 @@
 
 async fn ask(address: SocketAddr, held: Held) -> std::io::Result<Told> {
     let mut stream = TcpSocket::new_v4()?.connect(address).await?;
-    let question = postcard::to_stdvec(&held).map_err(std::io::Error::other)?;
+    let question = codec::encode(&held).map_err(std::io::Error::other)?;
     stream.write_all(&question).await?;
     stream.shutdown().await?;
     let mut bytes = Vec::new();
     stream.take(MAX_TOLD_BYTES).read_to_end(&mut bytes).await?;
-    postcard::from_bytes(&bytes).map_err(std::io::Error::other)
+    codec::decode(&bytes).map_err(std::io::Error::other)
 }
 
 /// Tells a peer what it lacks.
 pub(super) async fn give(host: &Host, mut stream: TcpStream) -> std::io::Result<()> {
     let mut question = Vec::new();
     (&mut stream).take(MAX_ASKED_BYTES).read_to_end(&mut question).await?;
-    let held: Held = postcard::from_bytes(&question).map_err(std::io::Error::other)?;
+    let held: Held = codec::decode(&question).map_err(std::io::Error::other)?;
     let told = host.gossip.borrow().tell(host.now_ms(), held);
     // A host without a picture closes the connection, and another is asked.
     let Some(told) = told else { return Ok(()) };
-    let bytes = postcard::to_stdvec(&told).map_err(std::io::Error::other)?;
+    let bytes = codec::encode(&told).map_err(std::io::Error::other)?;
     stream.write_all(&bytes).await?;
     host.metrics.told_peers(bytes.len());
     stream.shutdown().await
