Don't count what lapsed when pictures are compared

Entries that had lapsed counted in the digest until each host gave them up, every host at a moment of its own, and a host that had just started never held them: so pictures differed though nothing was missing. Ruled out: gaps (the revisions were equal), lost datagrams.

--- a/crates/published/src/picture.rs
+++ b/crates/published/src/picture.rs
@@ -88,19 +88,25 @@
     }
 
     /// Equal for equal sets of entries and routing: finds what a revision alone can't tell.
+    ///
+    /// What lapsed is not published, so it doesn't count: hosts give it up at different moments.
     pub fn digest(&self) -> u64 {
         let routing = self.routing.as_ref().map_or(0, |entry| entry.revision.0);
         let mix = |sum: u64, entry: &Entry<Arc<Upstream>>| {
             sum.wrapping_add(entry.revision.0.wrapping_mul(0x9e37_79b9_7f4a_7c15))
         };
-        self.upstreams.values().fold(routing, mix)
+        self.present().fold(routing, mix)
+    }
+
+    /// All entries but those that lapsed.
+    fn present(&self) -> impl Iterator<Item = &Entry<Arc<Upstream>>> {
+        self.upstreams.values().filter(|entry| !self.lapsed.contains_key(&entry.value.id))
     }
 
     /// Everything, for a peer. What lapsed is left out: a peer that holds it waits for its
     /// return by itself, one that doesn't would wait for ever.
     pub fn whole(&self) -> Whole {
-        let present = self.upstreams.values().filter(|e| !self.lapsed.contains_key(&e.value.id));
-        let upstreams = present.map(|entry| Entry {
+        let upstreams = self.present().map(|entry| Entry {
             revision: entry.revision,
             value: Item::Upstream(Arc::clone(&entry.value)),
         });
--- a/crates/published/tests/catch_up.rs
+++ b/crates/published/tests/catch_up.rs
@@ -122,4 +122,16 @@
     let mut new = Picture::default();
     new.take_catch_up(BEGIN_MS + AWAY_MS, teller.catch_up(new.held()));
     assert_eq!(new.upstreams().count(), 2);
+    assert_eq!(new.digest(), teller.digest(), "they hold the same of what is published");
+}
+
+#[test]
+fn giving_up_what_lapsed_sets_nobody_apart() {
+    let (mut teller, mut behind) = lapsed();
+    let waiting = teller.digest();
+    behind.take_catch_up(BEGIN_MS + AWAY_MS + Millis(100), teller.catch_up(behind.held()));
+    teller.settle(BEGIN_MS + AWAY_MS + RETURN_GRACE_MS + Millis(2));
+    assert_eq!(teller.upstreams().count(), 2);
+    assert_eq!(behind.upstreams().count(), 3, "it still waits");
+    assert_eq!([teller.digest(), behind.digest()], [waiting, waiting]);
 }
