Tell large changes to few at once, and take no narrow link for silence

The reader had the change within 0.7 s, but it was too large for a datagram, so 41 neighbours and four relays fetched 150 KB at once over its link of 10 Mbit/s; each fetch was over its limit and began anew. Hosts that read for themselves gave up after 0.4 s, while half a megabyte was still coming in; each such failure counted, so the source was taken to be away, and the few hosts with wide links held back too.

Failures count since the last reading that any host told of.

--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -274,7 +274,8 @@
 ) -> Result<bool, AskFailure> {
     host.metrics.asked();
     let request = format!("GET {path} HTTP/1.1\r\nhost: upstream\r\n\r\n");
-    let expected = Expected { has_body: true, id: Some((host.dialect.request_id, "")) };
+    let id = Some((host.dialect.request_id, ""));
+    let expected = Expected { has_body: true, id, silence: None };
     let answer = connection.exchange(request.as_bytes(), expected).await;
     let answer = answer.map_err(|_| AskFailure::Unreachable)?;
     let is_other = |id: &str| id != upstream.as_str();
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -57,6 +57,18 @@
     pub has_body: bool,
     /// Header of a request's id, and the id; answers to others are skipped.
     pub id: Option<(&'a str, &'a str)>,
+    /// How long the other side may say nothing; none where somebody else looks at the time.
+    pub silence: Option<Silence>,
+}
+
+/// How long the other side of a connection may say nothing. A long answer over a narrow link
+/// is not silent.
+#[derive(Debug, Clone, Copy)]
+pub struct Silence {
+    /// Before the first byte.
+    pub first: Duration,
+    /// Between two bytes.
+    pub next: Duration,
 }
 
 /// A connection that is open.
@@ -116,6 +128,7 @@
         self.is_reusable = false;
         let mut left = request;
         let mut reader = AnswerReader::new(expected);
+        let mut has_heard = false;
         loop {
             while !left.is_empty() {
                 match self.stream.try_write(left) {
@@ -128,6 +141,7 @@
             match self.read_some() {
                 Ok(Some(0)) => return self.at_end(reader, left.len() < request.len()),
                 Ok(Some(_)) => {
+                    has_heard = true;
                     if let Some(answer) = reader.take(&mut self.buffer)? {
                         self.finish(&answer, left.is_empty());
                         return Ok(answer);
@@ -141,7 +155,14 @@
                 true => tokio::io::Interest::READABLE,
                 false => tokio::io::Interest::READABLE | tokio::io::Interest::WRITABLE,
             };
-            let ready = self.stream.ready(interest).await;
+            let ready = match expected.silence {
+                None => self.stream.ready(interest).await,
+                Some(Silence { first, next }) => {
+                    let longest = if has_heard { next } else { first };
+                    let ready = tokio::time::timeout(longest, self.stream.ready(interest)).await;
+                    ready.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()))
+                }
+            };
             ready.map_err(|_| broken(left.len() < request.len()))?;
         }
     }
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -58,6 +58,8 @@
     pub open_requests: Cell<usize>,
     /// Callers' connections that are open.
     pub open_sessions: Cell<usize>,
+    /// Large answers that are being given to peers.
+    pub large_answers: Cell<usize>,
     /// Calls to the source so far.
     pub source_calls: Cell<u64>,
     /// Turns true when the process is to stop.
@@ -97,6 +99,7 @@
             news: Notify::new(),
             open_requests: Cell::new(0),
             open_sessions: Cell::new(0),
+            large_answers: Cell::new(0),
             source_calls: Cell::new(0),
             stopping: watch::Sender::new(false),
             closing: watch::Sender::new(false),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -154,7 +154,7 @@
     fn fetch(self: &Rc<Peers>, fetch: Fetch) {
         let peers = Rc::clone(self);
         tokio::task::spawn_local(async move {
-            let answer = fetch::fetch(&fetch.from, fetch.held).await;
+            let answer = fetch::fetch(&fetch).await;
             let now_ms = peers.host.now_ms();
             peers.act(|gossip| gossip.take_told(now_ms, fetch, answer));
         });
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -352,6 +352,7 @@
         let expected = Expected {
             has_body: self.request.head.method != "HEAD",
             id: Some((self.host.dialect.request_id, &self.id)),
+            silence: None,
         };
         let result = chosen.connection.exchange(&bytes, expected).await;
         let upstream = chosen.upstream;
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -90,6 +90,7 @@
 #[rstest]
 #[case::small(2)]
 #[case::larger_than_a_datagram(500)]
+#[case::large_enough_to_be_told_to_few_at_once(4_000)]
 fn a_change_reaches_another_zone_through_a_few_of_its_hosts(#[case] routes: usize) {
     on_one_thread(async move {
         let published = published(&[]).await;
--- a/crates/published/src/gossip.rs
+++ b/crates/published/src/gossip.rs
@@ -10,10 +10,10 @@
 mod message;
 mod telling;
 
-pub use effect::{Effect, Fetch, Origin, Told};
+pub use effect::{Effect, Fetch, Origin, Question, Told};
 pub use message::{Message, News};
 
-use crate::{Change, Held, Member, Members, Picture, Revision, Whole};
+use crate::{Change, Member, Members, Picture, Revision, Whole};
 use domain::Millis;
 use rand::RngExt;
 use rand::seq::IndexedRandom;
@@ -174,10 +174,11 @@
         effects
     }
 
-    /// What a peer lacks that holds so much; none before this host knows anything.
-    pub fn tell(&self, now_ms: Millis, held: Held) -> Option<Told> {
+    /// What a peer lacks; none before this host holds what is wanted.
+    pub fn tell(&self, now_ms: Millis, question: Question) -> Option<Told> {
         let age_ms = self.picture.age_ms(now_ms)?;
-        Some(Told { age_ms, catch_up: self.picture.catch_up(held) })
+        let is_help = self.picture.revision() >= question.wanted;
+        is_help.then(|| Told { age_ms, catch_up: self.picture.catch_up(question.held) })
     }
 
     /// Takes the answer to a fetch, if one came; then passes on what was waiting for it.
--- a/crates/published/src/gossip/effect.rs
+++ b/crates/published/src/gossip/effect.rs
@@ -74,13 +74,22 @@
 pub struct Fetch {
     /// Whom to ask, one after the other until one answers.
     pub from: Vec<SocketAddr>,
-    /// What this host holds.
-    pub held: Held,
+    /// What is asked.
+    pub question: Question,
     pub(super) begun_ms: Millis,
     /// What is to be passed on once nothing is missing.
     pub(super) passed_on: Option<News>,
 }
 
+/// What a host asks that misses something.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Question {
+    /// What it holds.
+    pub held: Held,
+    /// Who holds less than this is no help.
+    pub wanted: Revision,
+}
+
 /// The answer to a [`Fetch`].
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Told {
--- a/crates/published/src/gossip/hearing.rs
+++ b/crates/published/src/gossip/hearing.rs
@@ -1,14 +1,18 @@
 //! What a host takes from its peers' messages.
 
-use super::{Effect, Fetch, Gossip, Message, News, Origin, Told};
-use crate::{CatchUp, Held, Member};
+use super::{Effect, Fetch, Gossip, Message, News, Origin, Question, Told};
+use crate::{CatchUp, Member};
 use domain::Millis;
-use rand::seq::IndexedRandom;
+use rand::seq::SliceRandom;
 use std::net::SocketAddr;
 
 /// Shortest time between two fetches.
 const FETCH_PAUSE_MS: Millis = Millis(150);
 
+/// Neighbours that are asked where the teller is busy: among forty the first that hold a
+/// large change are found within some rounds.
+const MOST_NEIGHBOURS: usize = 8;
+
 impl Gossip {
     pub(super) fn catch_up(
         &mut self,
@@ -47,11 +51,16 @@
         let differs =
             self.picture.revision() == news.revision && self.picture.digest() != news.digest;
         let held = self.picture.held();
+        let wanted = news.revision;
         match is_gapless {
-            false => self.fetch(now_ms, teller, held, Some(news).filter(|_| passes_on), effects),
+            false => {
+                let passed_on = Some(news).filter(|_| passes_on);
+                self.fetch(now_ms, teller, Question { held, wanted }, passed_on, effects);
+            }
             true => {
                 if differs {
-                    self.fetch(now_ms, teller, held.without_entries(), None, effects);
+                    let question = Question { held: held.without_entries(), wanted };
+                    self.fetch(now_ms, teller, question, None, effects);
                 }
                 if passes_on {
                     self.pass_on_news(news, effects);
@@ -98,7 +107,7 @@
         &mut self,
         now_ms: Millis,
         teller: SocketAddr,
-        held: Held,
+        question: Question,
         passed_on: Option<News>,
         effects: &mut Vec<Effect>,
     ) {
@@ -110,17 +119,21 @@
         }
         self.is_fetching = true;
         self.fetched_ms = Some(now_ms);
-        let from = self.near_teller().into_iter().chain([teller]).collect();
-        effects.push(Effect::Fetch(Fetch { from, held, begun_ms: now_ms, passed_on }));
+        let from = self.tellers(teller);
+        effects.push(Effect::Fetch(Fetch { from, question, begun_ms: now_ms, passed_on }));
     }
 
-    /// Who is asked for a first picture before the teller: a host of the own zone has the same,
-    /// and its bytes are not paid for.
-    fn near_teller(&mut self) -> Option<SocketAddr> {
-        if self.picture.confirmed_ms().is_some() {
-            return None;
+    /// Whom to ask: who told of it, then neighbours that may hold it by now, as a host tells
+    /// few at once what is large. For a first picture neighbours come first: they have the
+    /// same, and their bytes are not paid for.
+    fn tellers(&mut self, teller: SocketAddr) -> Vec<SocketAddr> {
+        let mut neighbours = self.members.neighbours();
+        let (near, _) = neighbours.partial_shuffle(&mut self.rng, MOST_NEIGHBOURS);
+        let near = near.iter().copied().filter(|&address| address != teller);
+        match self.picture.confirmed_ms() {
+            None => near.chain([teller]).collect(),
+            Some(_) => std::iter::once(teller).chain(near).collect(),
         }
-        self.members.neighbours().choose(&mut self.rng).copied()
     }
 
     pub(super) fn note(
--- a/crates/published/src/lib.rs
+++ b/crates/published/src/lib.rs
@@ -21,7 +21,7 @@
 
 pub use belief::Belief;
 pub use change::{Change, Entry, Item, Removal, Revision, Whole};
-pub use gossip::{Effect, Fetch, Gossip, Message, News, Origin, Told};
+pub use gossip::{Effect, Fetch, Gossip, Message, News, Origin, Question, Told};
 pub use members::{Listener, Member, Members};
 pub use patch::RoutingPatch;
 pub use picture::{AWAY_MS, CatchUp, Held, Picture, RETURN_GRACE_MS};
--- a/crates/published/src/members.rs
+++ b/crates/published/src/members.rs
@@ -164,10 +164,13 @@
         }
     }
 
-    /// How many hosts just told that they could not read.
+    /// How many hosts just told that they could not read, since any told that it could.
     pub fn failed_readers(&self, now_ms: Millis) -> usize {
-        let is_recent = |at_ms: Millis| now_ms.since(at_ms) < READER_FAILED_MS;
-        self.others.values().filter(|known| known.failed_ms.is_some_and(is_recent)).count()
+        let read_ms = self.others.values().filter_map(|known| known.read_ms).max();
+        let counts = |at_ms: Millis| {
+            now_ms.since(at_ms) < READER_FAILED_MS && read_ms.is_none_or(|read_ms| read_ms < at_ms)
+        };
+        self.others.values().filter(|known| known.failed_ms.is_some_and(counts)).count()
     }
 
     /// Drops a run of a host that said farewell.
--- a/crates/published/tests/members.rs
+++ b/crates/published/tests/members.rs
@@ -146,6 +146,22 @@
     }
 }
 
+#[test]
+fn failures_before_a_reading_count_no_more() {
+    let mut members = reader(&[("a", 8)]);
+    let hosts: Vec<_> = members.others().map(|member| member.host.clone()).collect();
+    for host in &hosts[..6] {
+        members.note_failed_reader(Millis(1_000), host);
+    }
+    assert_eq!(members.failed_readers(Millis(1_100)), 6);
+    // A host behind a narrow link could not read, another could: the source is there.
+    members.note_reader(Millis(1_200), &hosts[7]);
+    assert_eq!(members.failed_readers(Millis(1_300)), 0);
+    members.note_failed_reader(Millis(1_400), &hosts[0]);
+    assert_eq!(members.failed_readers(Millis(1_500)), 1);
+    assert_eq!(members.failed_readers(Millis(3_500)), 0, "it is long ago");
+}
+
 #[test]
 fn neighbours_are_the_others_of_the_own_zone() {
     assert_eq!(reader(&[("a", 3), ("b", 4)]).neighbours().len(), 3);
--- a/crates/published/tests/support/site.rs
+++ b/crates/published/tests/support/site.rs
@@ -441,7 +441,7 @@
         for &address in &fetch.from {
             let peer = self.at_address(address);
             let is_there = self.hosts[peer].is_up && !self.is_cut(at, peer);
-            let told = self.hosts[peer].gossip.tell(self.now_ms, fetch.held);
+            let told = self.hosts[peer].gossip.tell(self.now_ms, fetch.question);
             match told.filter(|_| is_there) {
                 Some(told) => {
                     took_ms = took_ms + self.delay_ms(at, peer) + self.delay_ms(at, peer);
