Keep idle connections open a second longer than callers may be idle

Ruled out: a shorter idle limit coming into force (a waiting connection keeps the old one), the stop.

The new test of `serving` failed before.

--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -39,6 +39,10 @@
 /// Requests of one connection that are served at the same time.
 const MAX_PIPELINED: usize = 32;
 
+/// How much longer than its limit an idle connection stays open: a request that was sent in
+/// time may be held up for so long on a link that a large change fills.
+const IDLE_SLACK: Duration = Duration::from_secs(1);
+
 /// A caller that doesn't take its answer for so long is given up.
 const WRITE_LIMIT: Duration = Duration::from_secs(5);
 
@@ -230,6 +234,7 @@
         match self.head_since {
             Some(since) if self.arriving.is_none() => since + duration(limits.head_timeout_ms),
             _ if !self.pending.is_empty() => Instant::now() + duration(limits.idle_timeout_ms),
+            _ if self.is_idle() => self.active + duration(limits.idle_timeout_ms) + IDLE_SLACK,
             _ => self.active + duration(limits.idle_timeout_ms),
         }
     }
--- a/crates/gateway/tests/serving.rs
+++ b/crates/gateway/tests/serving.rs
@@ -331,19 +331,25 @@
     });
 }
 
+/// A gateway whose callers may be idle for a tenth of a second only.
+async fn impatient(upstream: &StandInUpstream) -> gateway::run::Gateway {
+    let (gateway, published) = ready(&[upstream]).await;
+    let mut impatient = support::routing(2);
+    impatient.limits.idle_timeout_ms = domain::Millis(100);
+    published.write_routing(impatient);
+    until("it is in force", || {
+        let table = gateway.host().table.borrow();
+        table.as_ref().is_some_and(|table| table.routing().version == domain::Version(2))
+    })
+    .await;
+    gateway
+}
+
 #[test]
 fn a_caller_that_waits_for_longer_than_it_may_be_idle_is_not_taken_for_slow() {
     on_one_thread(async {
         let upstream = StandInUpstream::start("i-1").await;
-        let (gateway, published) = ready(&[&upstream]).await;
-        let mut impatient = support::routing(2);
-        impatient.limits.idle_timeout_ms = domain::Millis(100);
-        published.write_routing(impatient);
-        until("it is in force", || {
-            let table = gateway.host().table.borrow();
-            table.as_ref().is_some_and(|table| table.routing().version == domain::Version(2))
-        })
-        .await;
+        let gateway = impatient(&upstream).await;
         upstream.plays([Act::Slow(500)]);
         let mut caller = Caller::connect(callers(&gateway)).await;
         let got = caller.ask(&get("/any/x", "id-1")).await;
@@ -352,3 +358,17 @@
         assert!(caller.receive().await.is_none());
     });
 }
+
+#[test]
+fn a_request_that_was_held_up_finds_its_idle_connection_open() {
+    on_one_thread(async {
+        let upstream = StandInUpstream::start("i-1").await;
+        let gateway = impatient(&upstream).await;
+        let mut caller = Caller::connect(callers(&gateway)).await;
+        assert_eq!(caller.ask(&get("/any/x", "id-1")).await.status, 200);
+        tokio::time::sleep(std::time::Duration::from_millis(150)).await;
+        assert_eq!(caller.ask(&get("/any/x", "id-2")).await.status, 200);
+        // It ends all the same.
+        assert!(caller.receive().await.is_none());
+    });
+}
