Don't hold a source to be away that told that its history is gone

Ruled out: the size of the change (one host held it from 3.05 s on, its news came after the gap), slow links.

The new test of `reading` failed before.

--- a/crates/published/src/reading.rs
+++ b/crates/published/src/reading.rs
@@ -188,6 +188,11 @@
     /// While the source is away for all, the hosts' tries are spread at random over the time
     /// in which each is to try once. Any reading that is heard of ends that.
     fn hold(&mut self, now_ms: Millis, members: &Members, picture: &Picture) -> Millis {
+        // A source that told that its history is gone is there.
+        if self.needs_whole {
+            self.hold = None;
+            return Millis::ZERO;
+        }
         let confirmed_ms = picture.confirmed_ms();
         self.hold = self.hold.filter(|hold| hold.confirmed_ms == confirmed_ms);
         if self.hold.is_none() && members.failed_readers(now_ms) >= AWAY_AT {
--- a/crates/published/tests/reading.rs
+++ b/crates/published/tests/reading.rs
@@ -303,6 +303,23 @@
     assert_eq!(host.step(Millis(2_000)), ReadStep::Whole);
 }
 
+#[test]
+fn a_source_that_answers_is_not_held_to_be_away() {
+    let mut host = Host::new(3, Start { is_seed: false, is_first: false });
+    host.read(Millis(10));
+    let others: Vec<HostId> = host.members.others().map(|member| member.host.clone()).collect();
+    let fail_all = |host: &mut Host, now_ms| {
+        others.iter().for_each(|other| host.members.note_failed_reader(now_ms, other));
+    };
+    fail_all(&mut host, Millis(2_000));
+    let ReadStep::Wait(until_ms) = host.step(Millis(2_000)) else { panic!("it tried at once") };
+    fail_all(&mut host, until_ms);
+    assert!(matches!(host.step(until_ms), ReadStep::Changes(_)));
+    // The source answered that its history is gone: it is there.
+    host.reader.needs_whole();
+    assert_eq!(host.step(until_ms), ReadStep::Whole);
+}
+
 #[test]
 fn a_picture_from_a_peer_need_not_be_read_again() {
     let mut host = Host::new(3, Start { is_seed: true, is_first: false });
