Look once more before an idle connection closes

One way to it is closed here: a busy host's timer could end a connection whose next request was there and not read yet.

--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -167,13 +167,13 @@
                         return;
                     }
                 }
-                Next::Late if self.is_idle() => return,
+                Next::Late if self.is_idle_to_the_last() => return,
                 Next::Late if self.is_arriving() => {
                     self.faulty = Some(Refusal::not_run(Cause::SlowRequest));
                 }
                 // What is being served has times of its own.
                 Next::Late => {}
-                Next::Closing if self.is_idle() => return,
+                Next::Closing if self.is_idle_to_the_last() => return,
                 Next::Closing => self.is_last = true,
             }
         }
@@ -186,6 +186,12 @@
             && self.caller.inbox.borrow().is_empty()
     }
 
+    /// Looks once more before the connection closes: a busy host may not have read what is there.
+    fn is_idle_to_the_last(&mut self) -> bool {
+        self.caller.fill();
+        self.is_idle()
+    }
+
     fn is_arriving(&self) -> bool {
         self.arriving.is_some() || self.head_since.is_some()
     }
