--- a/crates/gateway/src/serve/finding.rs
+++ b/crates/gateway/src/serve/finding.rs
@@ -1,7 +1,7 @@
 //! How a request finds its upstream.
 //!
-//! The scheduler of its service places it. Where none answers, this host asks upstreams by
-//! itself and takes the best offer.
+//! In calm times an idle upstream next door takes it. Else the scheduler of its service places
+//! it, and where none answers, this host asks upstreams by itself and takes the best offer.
 
 use super::Serving;
 use super::sending::Tally;
@@ -104,7 +104,7 @@
     }
 
     /// In calm times a first sending needs no scheduler: its way would be the longest part.
-    /// Without it 3% of the worth of a quiet day went into messages between zones.
+    /// Without it a quiet day was worth 0.881 in place of 0.907 where bytes between zones are dear.
     async fn idle_neighbour(&self, begun_ms: Millis, tally: &Tally) -> Option<Found> {
         if tally.sent > 0 || self.host.placing.is_busy(&self.service, begun_ms) {
             return None;
