One copy of what the scheduler shares with asking

Read anew, the change had written some things twice: what makes an offer far too late, the least slowness, whether something was just told, whether a request may have run, the borrows of the schedulers, and a directory entry removed under two names. Each stands once now. A constant stood apart from the line that its comment speaks of. No decision changes.

--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -5,6 +5,7 @@
 //! price of another availability zone add to the cost by which upstreams are compared.
 
 use crate::curve::SpeedCurve;
+use crate::load::LEAST_SLOWNESS;
 use crate::service_load::ServiceLoad;
 use crate::upstream::Known;
 use domain::{Millis, UpstreamId};
@@ -53,7 +54,7 @@
     let running = known.occupied(by.now_ms, by.load) + 1.0;
     let wait = ((running - slots) / slots).max(0.0);
     let warming_up = if known.is_warming_up(by.now_ms) { WARMING_UP } else { 1.0 };
-    let slow = known.slowness(by.now_ms, by.load).max(0.1) * warming_up;
+    let slow = known.slowness(by.now_ms, by.load).max(LEAST_SLOWNESS) * warming_up;
     let work = slow * (1.0 / by.curve.speed(running) + wait);
     let used = slow * USED_WEIGHT * (running / slots).min(1.0);
     let failing = 1.0 + FAILURE_WEIGHT * known.failure_share(by.now_ms);
--- a/crates/dispatch/src/curve.rs
+++ b/crates/dispatch/src/curve.rs
@@ -4,8 +4,8 @@
 //! much, is learned from the times of answers: whoever schedules a service knows how long each
 //! request ran beside how many others. Answers are told apart by how many ran when a request
 //! began, which its own length can't have changed: those that stayed alone are the short ones.
-//! Requests that wait for their turn in a queue before
-//! the upstream are then better off than those that make it slower for all.
+//! Requests that wait for their turn in a queue before the upstream are then better off than
+//! those that make it slower for all.
 
 use domain::Slots;
 
--- a/crates/dispatch/src/load.rs
+++ b/crates/dispatch/src/load.rs
@@ -19,6 +19,9 @@
 /// Percent that stands for the usual working time.
 const USUAL_PERCENT: f64 = 100.0;
 
+/// Less slowness than this is taken for a fault of what told it.
+pub(crate) const LEAST_SLOWNESS: f64 = 0.1;
+
 impl LoadReport {
     /// How long work takes there, in times of the usual.
     pub fn slowness(&self) -> f64 {
--- a/crates/dispatch/src/patience.rs
+++ b/crates/dispatch/src/patience.rs
@@ -22,7 +22,7 @@
 /// An offer that takes longer than this many objectives is none. Refusing only what misses
 /// its end cost 0.02 of what callers were owed where a third of the upstreams was slowed seven
 /// times, and 0.01 in bursts where a quarter was.
-const FAR_TOO_LATE: f64 = 1.2;
+pub(crate) const FAR_TOO_LATE: f64 = 1.2;
 
 /// An upstream's offer.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/crates/dispatch/src/scheduler/decision.rs
+++ b/crates/dispatch/src/scheduler/decision.rs
@@ -9,8 +9,10 @@
 use super::job::Job;
 use super::message::RefusalCause;
 use super::outlook::Outlook;
+use crate::LoadReport;
 use crate::asking::{ASKED_AT_ONCE, AT_ONCE};
 use crate::choice::Candidate;
+use crate::upstream::Known;
 use crate::upstream_set::UpstreamSet;
 use domain::{Millis, UpstreamId};
 use rand::RngExt;
@@ -18,7 +20,7 @@
 
 /// A report of this age is as good as asking: the load of upstreams shifts within 300 to
 /// 500 ms, so one in forty has changed since.
-pub(super) const FRESH_MS: Millis = Millis(25);
+const FRESH_MS: Millis = Millis(25);
 
 /// Time after which an upstream is asked again for requests that still wait.
 pub(super) const ASK_AGAIN_MS: Millis = Millis(25);
@@ -35,8 +37,8 @@
 /// more, and upstreams bear a limited number. Without it 6% more were opened.
 const NEW_CONNECTION: f64 = 0.2;
 
-/// After so many requests that waited one goes to an upstream past the number that it works on best, if
-/// none is free: otherwise a number that was learned too low would never be found out.
+/// After so many requests that waited one goes to an upstream past the number that it works on
+/// best, if none is free: otherwise a number that was learned too low would never be found out.
 const TRIAL_EVERY: u32 = 20;
 
 /// What becomes of a request.
@@ -160,8 +162,7 @@
             return None;
         }
         let candidate = upstreams.weigh_from(now_ms, id, &job.zone)?;
-        let age_ms = known.report(now_ms).map(|(_, age_ms)| age_ms);
-        let is_fresh = age_ms.is_some_and(|age_ms| age_ms <= FRESH_MS);
+        let is_fresh = just_told(known, now_ms).is_some();
         // Others are not this scheduler's to hold back: what they leave is used. Half a
         // request of theirs may be nothing but what is remembered.
         let occupied = known.occupied(now_ms, upstreams.load(&self.cell.service));
@@ -170,6 +171,12 @@
     }
 }
 
+/// What an upstream told just now.
+pub(super) fn just_told(known: &Known, now_ms: Millis) -> Option<LoadReport> {
+    let report = known.report(now_ms).filter(|(_, age_ms)| *age_ms <= FRESH_MS);
+    report.map(|(report, _)| report)
+}
+
 /// Upstreams of which nothing was told just now, the best first. Where nobody has room, those
 /// that are full only by what others were said to send: old hearsay would shut them off for
 /// ever.
--- a/crates/dispatch/src/scheduler/directory.rs
+++ b/crates/dispatch/src/scheduler/directory.rs
@@ -54,7 +54,7 @@
         self.unheard.get(host).is_some_and(|unheard| now_ms < unheard.until_ms)
     }
 
-    /// A host answered.
+    /// A host answered, or is there in a new run.
     pub fn note_heard(&mut self, host: &HostId) {
         self.unheard.remove(host);
     }
@@ -73,9 +73,4 @@
         unheard.until_ms = now_ms + Millis(doubled.min(LONGEST_MS));
         true
     }
-
-    /// A host is there in a new run.
-    pub fn forget(&mut self, host: &HostId) {
-        self.unheard.remove(host);
-    }
 }
--- a/crates/dispatch/src/scheduler/job.rs
+++ b/crates/dispatch/src/scheduler/job.rs
@@ -3,12 +3,10 @@
 use super::Cell;
 use super::decision::ASK_AGAIN_MS;
 use super::message::{Asker, Effect, Place, PlacementMessage, RefusalCause};
+use crate::patience::FAR_TOO_LATE;
 use domain::{Millis, UpstreamId, ZoneName};
 use serde::{Deserialize, Serialize};
 
-/// An answer that comes after this many objectives is no use.
-const FAR_TOO_LATE: f64 = 1.2;
-
 /// Who waits is told so at this interval, beginning with the first.
 const TELL_QUEUED_MS: Millis = Millis(10);
 
--- a/crates/dispatch/src/scheduler/outlook.rs
+++ b/crates/dispatch/src/scheduler/outlook.rs
@@ -2,6 +2,7 @@
 
 use super::Cell;
 use super::job::Job;
+use crate::load::LEAST_SLOWNESS;
 use crate::upstream_set::UpstreamSet;
 use domain::{Millis, UpstreamId};
 
@@ -46,7 +47,7 @@
         let done_per_ms = |id: &UpstreamId| {
             let (known, curve) = (upstreams.get(id)?, upstreams.curve(id)?);
             let best = f64::from(curve.best());
-            let slowness = known.slowness(now_ms, load).max(0.1);
+            let slowness = known.slowness(now_ms, load).max(LEAST_SLOWNESS);
             Some(best * curve.speed(best) / slowness / usual_ms?.as_f64().max(1.0))
         };
         let done_per_ms = sound.iter().filter_map(done_per_ms).sum();
--- a/crates/dispatch/src/scheduler/placed.rs
+++ b/crates/dispatch/src/scheduler/placed.rs
@@ -1,5 +1,6 @@
 //! Requests that have their place, and beside how many others they run.
 
+use super::decision::just_told;
 use super::job::{Job, Key};
 use crate::choice::Candidate;
 use crate::curve::Occupancy;
@@ -40,12 +41,10 @@
     /// A request goes to an upstream, which counts it as open already.
     pub(super) fn add(&mut self, now_ms: Millis, job: &Job, candidate: &Candidate, known: &Known) {
         self.note_time(now_ms, &candidate.upstream, known.open() - 1);
-        let just_told =
-            known.report(now_ms).filter(|(_, age_ms)| *age_ms <= super::decision::FRESH_MS);
         let placed = Placed {
             upstream: candidate.upstream.clone(),
             work: candidate.work,
-            slowness: just_told.map(|(report, _)| report.slowness()),
+            slowness: just_told(known, now_ms).map(|report| report.slowness()),
             spent: Occupancy::new(known.open()),
             noted_ms: now_ms,
             forget_ms: job.end_ms + FORGET_AFTER_MS,
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -2,6 +2,7 @@
 
 use crate::LoadReport;
 use crate::curve::{Occupancy, SpeedCurve};
+use crate::load::LEAST_SLOWNESS;
 use crate::service_load::ServiceLoad;
 use crate::subset::Subset;
 use domain::{Millis, Slots, UpstreamId};
@@ -9,6 +10,9 @@
 /// Weight of one answer in the usual working time of a service: some twenty answers count.
 const USUAL_WEIGHT: f64 = 0.05;
 
+/// The same where it is known how a request ran, and what made it long or short.
+const RUN_WEIGHT: f64 = 0.02;
+
 /// Answers that were expected to take longer than this tell little of the usual time.
 const MOST_WORK_LEARNED: f64 = 1.6;
 
@@ -17,16 +21,10 @@
 /// of the upstreams is slowed seven times.
 const STRETCH: (f64, f64) = (0.5, 4.0);
 
-/// The same where it is known how a request ran, and what made it long or short.
-const RUN_WEIGHT: f64 = 0.02;
-
 /// Answers that have to be seen before anything is learned by comparing others with them: the
 /// mean of twenty is known to a fifteenth.
 const ENOUGH_ANSWERS: u32 = 20;
 
-/// Less slowness than this is taken for a fault of what told it.
-const LEAST_SLOWNESS: f64 = 0.1;
-
 /// How a request ran on an upstream whose neighbours did not change meanwhile.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Run {
--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -51,6 +51,7 @@
     upstream: UpstreamId,
     heard: Heard,
 }
+
 /// What came of asking an upstream.
 #[derive(Debug)]
 enum Heard {
--- a/crates/gateway/src/ask/question.rs
+++ b/crates/gateway/src/ask/question.rs
@@ -22,6 +22,7 @@
     /// What the hosts of an upstream's availability zone share.
     Neighbours,
 }
+
 pub(super) fn note_reply(host: &Host, upstream: &UpstreamId, is_well: bool) {
     let now_ms = host.now_ms();
     let mut upstreams = host.upstreams.borrow_mut();
@@ -39,6 +40,7 @@
     }
     host.log.write(&LogEvent::AskFailed { upstream, failure });
 }
+
 /// Asks an upstream for the schedulers of this host; false if no question is left.
 pub async fn refresh(host: &Rc<Host>, upstream: &UpstreamId) -> bool {
     let may_ask = host.placing.asks.borrow_mut().take(host.now_ms(), upstream, 1.0);
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -104,7 +104,7 @@
 
     /// A peer is there in a new run.
     pub fn forget_silence(&self, peer: &HostId) {
-        self.directory.borrow_mut().forget(peer);
+        self.directory.borrow_mut().note_heard(peer);
     }
 
     fn draw_ticket(&self) -> Ticket {
--- a/crates/gateway/src/placing/scheduling.rs
+++ b/crates/gateway/src/placing/scheduling.rs
@@ -3,28 +3,35 @@
 use super::tell;
 use crate::ask;
 use crate::host::Host;
-use dispatch::scheduler::{Asker, Effect, PlacementMessage};
+use dispatch::UpstreamSet;
+use dispatch::scheduler::{Asker, Effect, PlacementMessage, SchedulerSet};
+use domain::Millis;
+use rand_pcg::Pcg64Mcg;
 use std::rc::Rc;
 
 /// Takes a host's message to a scheduler.
 pub(super) fn take(host: &Rc<Host>, message: PlacementMessage, asker: Asker) {
-    let effects = {
-        let mut upstreams = host.upstreams.borrow_mut();
-        let mut rng = host.rng.borrow_mut();
-        let mut schedulers = host.placing.schedulers.borrow_mut();
-        schedulers.take(host.now_ms(), message, asker, &mut upstreams, &mut rng)
-    };
-    carry_out(host, effects);
+    act(host, |schedulers, now_ms, upstreams, rng| {
+        schedulers.take(now_ms, message, asker, upstreams, rng)
+    });
 }
 
 /// Looks again at all that waits: something was learned, or time has passed.
 pub fn turn(host: &Rc<Host>) {
-    let effects = {
-        let mut upstreams = host.upstreams.borrow_mut();
-        let mut rng = host.rng.borrow_mut();
-        let mut schedulers = host.placing.schedulers.borrow_mut();
-        schedulers.turn(host.now_ms(), &mut upstreams, &mut rng)
-    };
+    act(host, SchedulerSet::turn);
+}
+
+/// Has the schedulers decide, and carries out what they decided.
+fn act(
+    host: &Rc<Host>,
+    decide: impl FnOnce(&mut SchedulerSet, Millis, &mut UpstreamSet, &mut Pcg64Mcg) -> Vec<Effect>,
+) {
+    let effects = decide(
+        &mut host.placing.schedulers.borrow_mut(),
+        host.now_ms(),
+        &mut host.upstreams.borrow_mut(),
+        &mut host.rng.borrow_mut(),
+    );
     carry_out(host, effects);
 }
 
--- a/crates/gateway/src/serve/finding.rs
+++ b/crates/gateway/src/serve/finding.rs
@@ -76,7 +76,7 @@
                 _ => tally.tried.push(found.upstream),
             }
         }
-        Err(match tally.sent > tally.not_run {
+        Err(match tally.may_have_run() > 0 {
             true => Refusal::unknown(Cause::UpstreamFailed),
             false => Refusal::not_run(Cause::NoUpstream),
         })
@@ -174,7 +174,7 @@
 
     fn no_room(&self, retry_after_ms: Millis, ahead: usize, tally: &Tally) -> Refusal {
         self.host.log.write(&LogEvent::Unplaced { id: &self.id, ahead, retry_after_ms });
-        match tally.sent > tally.not_run {
+        match tally.may_have_run() > 0 {
             true => Refusal::unknown(Cause::UpstreamFailed),
             false => Refusal::overloaded(retry_after_ms),
         }
@@ -258,7 +258,7 @@
 }
 
 fn out_of_time(tally: &Tally) -> Refusal {
-    match tally.sent > tally.not_run {
+    match tally.may_have_run() > 0 {
         true => Refusal::unknown(Cause::TimedOut),
         false => Refusal::not_run(Cause::Expired),
     }
--- a/crates/gateway/src/serve/sending.rs
+++ b/crates/gateway/src/serve/sending.rs
@@ -44,6 +44,13 @@
     pub(super) not_run: u32,
 }
 
+impl Tally {
+    /// Sendings after which it may have run.
+    pub(super) fn may_have_run(&self) -> u32 {
+        self.sent - self.not_run
+    }
+}
+
 impl Serving {
     pub(super) fn route(&self) -> &Route {
         &self.matched.route
@@ -166,7 +173,7 @@
         let needs_repeat = tally.arrived > 0;
         let standing = Standing {
             repeat: self.route().repeat,
-            may_have_run: tally.sent - tally.not_run,
+            may_have_run: tally.may_have_run(),
             sent: tally.sent,
             attempts: self.route().attempts,
             left_ms: self.end_ms.since(now_ms),
