Sight: what an upstream had when it broke off, whether it is gone, and what a request asks

Cause of the gap: ids differ with each arrival of a request, so the logs could not tell a request that ends each upstream that runs it from upstreams that end by themselves; and a broken sending looked the same whether the process behind it had ended, or had only spoilt one answer.

Change: a fingerprint of what a request asks and for whom (method, authority, path with query, body, caller's address; SipHash, so that nobody can choose one to meet another's), on each send-failed line; after a request was broken off the host looks whether the upstream is still there, once for all requests of that moment, and says so in a line broke-off and in gateway_broken_off_total. The look costs a connection attempt only where no connection to the upstream is open any more. No choice, repeat or refusal depends on any of it yet.

Tests: broken_off (four ways to break off, seven of the fingerprint), docs.

--- a/crates/domain/src/ids.rs
+++ b/crates/domain/src/ids.rs
@@ -132,6 +132,41 @@
     )*};
 }
 
+/// What a request asks, and for whom, in 64 bits: equal for all that ask the same.
+///
+/// Written as sixteen hexadecimal digits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
+pub struct RequestFingerprint(pub u64);
+
+impl fmt::Display for RequestFingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for RequestFingerprint {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<RequestFingerprint, ParseIntError> {
+        u64::from_str_radix(text, 16).map(RequestFingerprint)
+    }
+}
+
+impl TryFrom<String> for RequestFingerprint {
+    type Error = ParseIntError;
+
+    fn try_from(text: String) -> Result<RequestFingerprint, ParseIntError> {
+        text.parse()
+    }
+}
+
+impl From<RequestFingerprint> for String {
+    fn from(fingerprint: RequestFingerprint) -> String {
+        fingerprint.to_string()
+    }
+}
+
 number_id! {
     /// One request of a caller, at one entry host.
     CallId
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -9,7 +9,7 @@
 
 pub use ids::{
     AttemptId, CallId, CallerId, HostId, IdError, IdempotencyKey, Incarnation, LeaseId, ProbeId,
-    ServiceName, SiteName, UpstreamId, Version, ZoneName,
+    RequestFingerprint, ServiceName, SiteName, UpstreamId, Version, ZoneName,
 };
 pub use quantities::{ByteCount, Connections, ParseQuantityError, PerSecond, Share, Slots};
 pub use time::Millis;
--- a/crates/gateway/src/event_log/event.rs
+++ b/crates/gateway/src/event_log/event.rs
@@ -3,7 +3,7 @@
 use dispatch::attempts::Refusal;
 use dispatch::scheduler::{Cell, Ticket};
 use dispatch::{AskFailure, SendFailure, Verdict};
-use domain::{HostId, Incarnation, Millis, ServiceName, UpstreamId, Version};
+use domain::{HostId, Incarnation, Millis, RequestFingerprint, ServiceName, UpstreamId, Version};
 use published::{Belief, Revision};
 use serde::Serialize;
 
@@ -117,7 +117,10 @@
         status: Option<u16>,
         is_not_run: bool,
         repeats_left: f64,
+        fingerprint: RequestFingerprint,
     },
+    /// An upstream broke off these requests; it is gone, or still there.
+    BrokeOff { upstream: &'a UpstreamId, is_gone: bool, requests: &'a [RequestFingerprint] },
     /// An answer was handed to the caller.
     Delivered {
         id: &'a str,
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -3,6 +3,7 @@
 //! One thread runs everything, so cells take the place of locks. No borrow is held across
 //! an await.
 
+use crate::ask::BrokenOff;
 use crate::dialect::Dialect;
 use crate::event_log::{EventLog, LogEvent};
 use crate::metrics::Metrics;
@@ -56,6 +57,8 @@
     pub splits: RefCell<SplitTable>,
     /// Idle connections to upstreams.
     pub pool: RefCell<Pool>,
+    /// Requests that upstreams broke off a moment ago.
+    pub broken_off: RefCell<BrokenOff>,
     /// Randomness.
     pub rng: RefCell<Pcg64Mcg>,
     /// Structured logs.
@@ -106,6 +109,7 @@
             placing: Placing::new(socket, AskBudget::new(schedulers_asks(&settings)), seed),
             splits: RefCell::default(),
             pool: RefCell::default(),
+            broken_off: RefCell::default(),
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
             log,
             metrics,
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -22,6 +22,7 @@
 use render::{render, render_refusal};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -103,8 +104,8 @@
             _ = closing.changed() => return,
         };
         match accepted {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(session(Rc::clone(&host), stream));
+            Ok((stream, peer)) => {
+                tokio::task::spawn_local(session(Rc::clone(&host), stream, peer.ip()));
             }
             Err(e) => {
                 // Out of descriptors, or the caller was faster; the next may do better.
@@ -115,11 +116,11 @@
     }
 }
 
-async fn session(host: Rc<Host>, stream: TcpStream) {
+async fn session(host: Rc<Host>, stream: TcpStream, address: IpAddr) {
     // Without it small answers may be late, nothing else.
     let _ = stream.set_nodelay(true);
     let inbox = RefCell::new(Vec::new());
-    let caller = Rc::new(Caller { stream, inbox, is_gone: Cell::new(false) });
+    let caller = Rc::new(Caller { address, stream, inbox, is_gone: Cell::new(false) });
     let now = Instant::now();
     let mut session = Session {
         host,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -39,6 +39,7 @@
     source_calls: Gauge<u64>,
     peer_bytes: Counter<u64>,
     callers_gone: Counter<u64>,
+    broken_off: Counter<u64>,
     picture_age: Gauge<f64>,
     log_lines_dropped: Gauge<u64>,
     open_requests: Gauge<u64>,
@@ -77,6 +78,10 @@
             source_calls: gauge("gateway_source_calls", "Calls to the source of what is published"),
             peer_bytes: counter("gateway_peer_bytes", "Bytes sent to peers"),
             callers_gone: counter("gateway_callers_gone", "Requests whose caller hung up"),
+            broken_off: counter(
+                "gateway_broken_off",
+                "Requests that an upstream broke off, by whether it was gone then",
+            ),
             picture_age,
             log_lines_dropped: gauge("gateway_log_lines_dropped", "Log lines dropped"),
             open_requests: gauge("gateway_open_requests", "Requests without a final answer"),
@@ -127,6 +132,11 @@
         self.callers_gone.add(1, &[]);
     }
 
+    /// An upstream broke off requests, and is gone or still there.
+    pub fn broke_off(&self, is_gone: bool, requests: usize) {
+        self.broken_off.add(requests as u64, &[KeyValue::new("is_gone", is_gone)]);
+    }
+
     /// Notes what is only looked at when asked.
     pub fn note_state(&self, state: &StateFigures) {
         self.source_calls.record(state.source_calls, &[]);
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,20 +1,23 @@
 //! One request, from its arrival to its final answer.
 
 mod finding;
+mod fingerprint;
 mod in_progress;
 mod routing;
 mod sending;
 
+pub use fingerprint::fingerprint;
+
 use crate::connection::Answer;
 use crate::event_log::LogEvent;
 use crate::host::Host;
 use crate::http1::RequestHead;
 use crate::ingress::Caller;
 use dispatch::attempts::{Cause, Refusal};
-use domain::{Millis, ServiceName};
+use domain::{Millis, RequestFingerprint, ServiceName};
 use published::MatchedRoute;
 use routing::{next_service, wait_for_routing};
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 
 /// A request that has arrived whole.
@@ -56,6 +59,7 @@
     matched: MatchedRoute,
     service: ServiceName,
     end_ms: Millis,
+    fingerprint: OnceCell<RequestFingerprint>,
 }
 
 /// Counts a request as open, and tells when its caller left it.
@@ -172,5 +176,6 @@
         matched,
         service,
         end_ms,
+        fingerprint: OnceCell::new(),
     })
 }
--- a/crates/gateway/src/serve/in_progress.rs
+++ b/crates/gateway/src/serve/in_progress.rs
@@ -44,6 +44,11 @@
         sending
     }
 
+    /// The run of the upstream that has it.
+    pub(super) fn run(&self) -> RunStart {
+        self.run
+    }
+
     /// Returns once the upstream has started again: the run that has the request is over, and
     /// no answer of it can come any more.
     pub(super) async fn run_over(&self) {
--- a/crates/gateway/src/serve/sending.rs
+++ b/crates/gateway/src/serve/sending.rs
@@ -1,6 +1,7 @@
 //! The sendings of a request, until it has its final answer.
 
 use super::finding::Found;
+use super::fingerprint::fingerprint;
 use super::in_progress::InProgress;
 use super::{Reply, Serving};
 use crate::ask;
@@ -11,12 +12,13 @@
 use dispatch::SendFailure;
 use dispatch::attempts::{self, Answered, Cause, End, Next, Refusal, Standing};
 use dispatch::scheduler::Outcome;
-use domain::{Millis, UpstreamId};
-use published::{Repeat, Route};
+use domain::{Millis, RequestFingerprint, UpstreamId};
+use published::{Repeat, Route, RunStart};
 
 /// How a sending ended.
 struct Ended {
     upstream: UpstreamId,
+    run: RunStart,
     end: End,
     answer: Option<Answer>,
     sent_ms: Millis,
@@ -152,8 +154,9 @@
         }
         let took_ms = self.host.now_ms().since(sent_ms);
         let failure = failure_of(end);
+        let run = guard.run();
         guard.end(&self.service, work, Outcome { failure, took_ms, report });
-        Ended { upstream, end, answer, sent_ms }
+        Ended { upstream, run, end, answer, sent_ms }
     }
 
     fn answered(&self, answer: &Answer) -> Answered {
@@ -197,6 +200,12 @@
         }
     }
 
+    /// What it asks; computed once it is needed, since it reads the whole body.
+    fn fingerprint(&self) -> RequestFingerprint {
+        let compute = || fingerprint(&self.request.head, &self.request.body, self.caller.address());
+        *self.fingerprint.get_or_init(compute)
+    }
+
     fn deliver(&self, ended: Ended, tally: &Tally, now_ms: Millis) -> Result<Reply, Refusal> {
         let Some(answer) = ended.answer else {
             return Err(Refusal::unknown(Cause::UpstreamFailed));
@@ -224,7 +233,11 @@
             status: ended.answer.as_ref().map(|answer| answer.head.status),
             is_not_run: attempts::is_not_run(ended.end),
             repeats_left: self.host.repeats.borrow().left(self.host.now_ms(), &self.service),
+            fingerprint: self.fingerprint(),
         });
+        if ended.end == End::Broken {
+            ask::check_presence(&self.host, &ended.upstream, ended.run, self.fingerprint());
+        }
     }
 }
 
--- /dev/null
+++ b/crates/gateway/tests/broken_off.rs
@@ -0,0 +1,57 @@
+//! What is known of an upstream that broke off a request.
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use gateway::http1::read_request;
+use gateway::serve::fingerprint;
+use rstest::rstest;
+use std::net::IpAddr;
+use support::caller::{Caller, get};
+use support::upstream::{Act, StandInUpstream};
+use support::{callers, on_one_thread, ready, until};
+
+/// A process that ended is told apart from a connection that only broke.
+#[rstest]
+#[case::ended(Act::Crash(5), true)]
+#[case::reset(Act::Reset, false)]
+#[case::cut_short(Act::Cut, false)]
+#[case::spoilt(Act::Garbage, false)]
+fn it_is_gone_only_if_its_process_ended(#[case] act: Act, #[case] is_gone: bool) {
+    on_one_thread(async {
+        let upstream = StandInUpstream::start("i-1").await;
+        let (gateway, _published) = ready(&[&upstream]).await;
+        upstream.plays([act]);
+        let mut caller = Caller::connect(callers(&gateway)).await;
+        caller.ask(&get("/any/x", "id-1")).await;
+        let counted = format!("gateway_broken_off_total{{is_gone=\"{is_gone}\"");
+        until("it was looked at", || gateway.host().metrics.render().contains(&counted)).await;
+    });
+}
+
+fn of(text: &str, body: &str, caller: &str) -> u64 {
+    let mut bytes = text.as_bytes().to_vec();
+    let head = read_request(&mut bytes, 4_096).unwrap().unwrap();
+    fingerprint(&head, body.as_bytes(), caller.parse::<IpAddr>().unwrap()).0
+}
+
+const FIRST: &str = "GET /any/x?page=1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: 1\r\n\r\n";
+
+/// A request that comes again has another id, a shorter deadline and a connection of its own.
+#[test]
+fn a_request_that_comes_again_has_the_same_fingerprint() {
+    let again = "GET /any/x?page=1 HTTP/1.1\r\nHOST: A.example\r\nX-Request-Id: 2\r\n\
+                 X-Deadline-Ms: 90\r\nConnection: close\r\n\r\n";
+    assert_eq!(of(FIRST, "", "10.0.0.1"), of(again, "", "10.0.0.1"));
+}
+
+#[rstest]
+#[case::method(&FIRST.replace("GET", "PUT"), "", "10.0.0.1")]
+#[case::authority(&FIRST.replace("a.example", "b.example"), "", "10.0.0.1")]
+#[case::path(&FIRST.replace("/x", "/y"), "", "10.0.0.1")]
+#[case::query(&FIRST.replace("page=1", "page=2"), "", "10.0.0.1")]
+#[case::body(FIRST, "x", "10.0.0.1")]
+#[case::caller(FIRST, "", "10.0.0.2")]
+fn another_request_has_another_one(#[case] text: &str, #[case] body: &str, #[case] caller: &str) {
+    assert_ne!(of(FIRST, "", "10.0.0.1"), of(text, body, caller));
+}
--- a/crates/gateway/tests/docs.rs
+++ b/crates/gateway/tests/docs.rs
@@ -22,6 +22,7 @@
     metrics.connected();
     metrics.told_peers(3);
     metrics.caller_gone();
+    metrics.broke_off(true, 1);
     let picture_age = Some(Duration::ZERO);
     let figures =
         StateFigures { source_calls: 1, log_lines_dropped: 0, open_requests: 0, picture_age };
@@ -29,7 +30,7 @@
     let (page, text) = (page(), metrics.render());
     let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
     let names: Vec<&str> = types.filter_map(|line| line.split(' ').next()).collect();
-    assert_eq!(names.len(), 13, "{names:?}");
+    assert_eq!(names.len(), 14, "{names:?}");
     for name in names {
         assert!(page.contains(&format!("`{name}`")), "{name}");
     }
--- a/crates/gateway/tests/support/upstream.rs
+++ b/crates/gateway/tests/support/upstream.rs
@@ -8,6 +8,10 @@
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinHandle;
+
+/// How long it works on a request that ends it.
+const WORK_BEFORE_CRASH_MS: u64 = 20;
 
 /// What it does with one request.
 #[derive(Debug, Clone)]
@@ -38,6 +42,8 @@
     Mute,
     /// An answer before the body was read.
     Early,
+    /// Its process ends some time after it began to run the request.
+    Crash(u64),
 }
 
 /// A request that it ran, or would have.
@@ -65,6 +71,11 @@
     asked: Cell<u32>,
     connections: Cell<u32>,
     abandoned: Cell<u32>,
+    crashes: Cell<u32>,
+    /// Target of requests that end the process whenever it runs one.
+    crashes_on: RefCell<Option<String>>,
+    /// Its accepting and its connections, which end with the process.
+    tasks: RefCell<Vec<JoinHandle<()>>>,
 }
 
 impl StandInUpstream {
@@ -80,17 +91,48 @@
             asked: Cell::new(0),
             connections: Cell::new(0),
             abandoned: Cell::new(0),
+            crashes: Cell::new(0),
+            crashes_on: RefCell::default(),
+            tasks: RefCell::default(),
         };
         let upstream = StandInUpstream { state: Rc::new(state) };
-        let accepting = upstream.clone();
-        tokio::task::spawn_local(async move {
+        upstream.accept(listener);
+        upstream
+    }
+
+    fn accept(&self, listener: TcpListener) {
+        let accepting = self.clone();
+        let task = tokio::task::spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 accepting.state.connections.update(|count| count + 1);
                 let one = accepting.clone();
-                tokio::task::spawn_local(async move { one.serve(stream).await });
+                let serving = tokio::task::spawn_local(async move { one.serve(stream).await });
+                accepting.state.tasks.borrow_mut().push(serving);
             }
         });
-        upstream
+        self.state.tasks.borrow_mut().push(task);
+    }
+
+    /// The process ends: its connections break, and its port refuses others.
+    pub fn crash(&self) {
+        self.state.crashes.update(|count| count + 1);
+        self.state.tasks.borrow_mut().drain(..).for_each(|task| task.abort());
+    }
+
+    /// The process starts again at its address.
+    pub async fn start_again(&self) {
+        let listener = TcpListener::bind(self.state.address).await.unwrap();
+        self.accept(listener);
+    }
+
+    /// From now on it crashes whenever it runs a request for this target.
+    pub fn crashes_on(&self, target: &str) {
+        *self.state.crashes_on.borrow_mut() = Some(target.to_owned());
+    }
+
+    /// How often it crashed.
+    pub fn crashes(&self) -> u32 {
+        self.state.crashes.get()
     }
 
     pub fn id(&self) -> &str {
@@ -151,7 +193,10 @@
                 }
                 continue;
             }
-            let act = self.state.script.borrow_mut().pop_front().unwrap_or(Act::Answer);
+            let act = match self.state.crashes_on.borrow().as_ref() {
+                Some(target) if *target == head.target => Act::Crash(WORK_BEFORE_CRASH_MS),
+                _ => self.state.script.borrow_mut().pop_front().unwrap_or(Act::Answer),
+            };
             let field = |name: &str| head.fields.get(name).unwrap_or_default().to_owned();
             let mut seen = Seen {
                 line: format!("{} {}", head.method, head.target),
@@ -248,6 +293,12 @@
                 self.state.abandoned.update(|count| count + 1);
                 false
             }
+            Act::Crash(ms) => {
+                tokio::time::sleep(Duration::from_millis(ms)).await;
+                self.crash();
+                // Its own task ends at this point, with its connection.
+                std::future::pending().await
+            }
             _ => false,
         }
     }
--- a/crates/published/src/upstream.rs
+++ b/crates/published/src/upstream.rs
@@ -38,7 +38,7 @@
 ///
 /// Older writers don't tell it. A start that is missing on either side says nothing: both are
 /// taken for the same run.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct RunStart(pub Option<Millis>);
 
