--- /dev/null
+++ b/crates/gateway/tests/crashing_requests.rs
@@ -0,0 +1,181 @@
+//! A request that ends each upstream that runs it, again and again.
+//!
+//! Callers of one service were refused by hundreds for a quarter of a minute, three times in a
+//! day. One request ended every upstream that began to run it. The host sent it to a second
+//! upstream when the first broke off, its caller came again through another host, under
+//! another id, and each host took each arrival for a request like any other; upstreams were
+//! back after three seconds and ended again.
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use domain::UpstreamId;
+use gateway::run::Gateway;
+use rstest::rstest;
+use std::time::Duration;
+use support::caller::{Caller, Got, get, post};
+use support::source::Published;
+use support::upstream::{Act, StandInUpstream};
+use support::{callers, fleet, knows, on_one_thread, published, settings, start, until};
+use tokio::task::JoinHandle;
+
+/// Upstreams that a request may end before all hosts leave it alone.
+const MOST_ENDED: u32 = 3;
+
+/// Upstreams of the service.
+const UPSTREAMS: usize = 6;
+
+/// Time between two arrivals of the request: what one takes, and a word between hosts.
+const PAUSE: Duration = Duration::from_millis(60);
+
+struct Site {
+    upstreams: Vec<StandInUpstream>,
+    published: Published,
+    hosts: Vec<Gateway>,
+}
+
+impl Site {
+    /// Three hosts before upstreams that a request for `target` ends.
+    async fn start(target: &str) -> Site {
+        let mut upstreams = Vec::new();
+        for number in 0..UPSTREAMS {
+            let upstream = StandInUpstream::start(&format!("i-{number}")).await;
+            upstream.crashes_on(target);
+            upstreams.push(upstream);
+        }
+        let published = published(&upstreams.iter().collect::<Vec<_>>());
+        let hosts = fleet(3, &published).await;
+        until("all serve", || hosts.iter().all(|host| host.host().is_ready())).await;
+        Site { upstreams, published, hosts }
+    }
+
+    fn ended(&self) -> u32 {
+        self.upstreams.iter().map(StandInUpstream::crashes).sum()
+    }
+
+    fn runs_of(&self, target: &str) -> usize {
+        self.upstreams.iter().map(|upstream| upstream.runs_of(target)).sum()
+    }
+
+    /// The answer of one of the hosts, on a connection of its own.
+    async fn ask(&self, host: usize, text: &str) -> Got {
+        Caller::connect(callers(&self.hosts[host % self.hosts.len()])).await.ask(text).await
+    }
+
+    /// The same, side by side with what follows.
+    fn ask_later(&self, host: usize, text: String) -> JoinHandle<Got> {
+        let address = callers(&self.hosts[host % self.hosts.len()]);
+        tokio::task::spawn_local(async move { Caller::connect(address).await.ask(&text).await })
+    }
+
+    /// The request arrives at one host after the other, under an id of its own each time.
+    async fn play(&self, arrivals: usize, request: fn(&str) -> String) -> Vec<Got> {
+        let mut answers = Vec::new();
+        for number in 0..arrivals {
+            answers.push(self.ask(number, &request(&format!("id-{number}"))).await);
+            tokio::time::sleep(PAUSE).await;
+        }
+        answers
+    }
+}
+
+fn read(id: &str) -> String {
+    get("/any/bad?page=1", id)
+}
+
+fn order(id: &str) -> String {
+    post("/once/bad", id, "{\"pack\":7}")
+}
+
+/// Once it has ended a few, each host refuses it at once and says truly that it has not run.
+#[rstest]
+#[case::idempotent("/any/bad?page=1", read)]
+#[case::at_most_once("/once/bad", order)]
+fn a_request_that_ends_upstreams_is_left_alone(
+    #[case] target: &str,
+    #[case] request: fn(&str) -> String,
+) {
+    on_one_thread(async {
+        let site = Site::start(target).await;
+        let answers = site.play(18, request).await;
+        assert!(site.ended() <= MOST_ENDED, "{} ended", site.ended());
+        let runs = site.runs_of(target);
+        for got in &answers[answers.len() - 9..] {
+            assert_eq!(got.status, 503, "{got:?}");
+            assert!(got.retry_after.is_some(), "{got:?}");
+        }
+        site.play(3, request).await;
+        assert_eq!(site.runs_of(target), runs, "what is left alone is not sent");
+    });
+}
+
+/// A host that starts afterwards, or was not told at the time, leaves it alone as well.
+#[test]
+fn a_request_that_ends_upstreams_is_left_alone_by_a_host_that_starts_later() {
+    on_one_thread(async {
+        let mut site = Site::start("/any/bad?page=1").await;
+        site.play(9, read).await;
+        let seed = site.hosts[0].host().settings.borrow().peers;
+        site.hosts.push(start(settings(&[seed]), &site.published).await);
+        let later = site.hosts.len() - 1;
+        until("it knows the others", || knows(&site.hosts[later], site.hosts.len())).await;
+        let before = site.ended();
+        for number in 0..3 {
+            assert_eq!(site.ask(later, &read(&format!("later-{number}"))).await.status, 503);
+        }
+        assert_eq!(site.ended(), before);
+    });
+}
+
+/// What runs beside it on the upstreams that end is served, also what many ask for alike.
+#[test]
+fn a_request_that_ends_upstreams_is_left_alone_and_no_other() {
+    on_one_thread(async {
+        let site = Site::start("/any/bad?page=1").await;
+        let others = async {
+            let mut answers = Vec::new();
+            for number in 0..120 {
+                let popular = get("/any/popular", &format!("popular-{number}"));
+                answers.push(site.ask(number, &popular).await);
+                let single = get(&format!("/any/single-{number}"), &format!("single-{number}"));
+                answers.push(site.ask(number, &single).await);
+                tokio::time::sleep(Duration::from_millis(5)).await;
+            }
+            answers
+        };
+        let (_, others) = tokio::join!(site.play(12, read), others);
+        assert!(site.ended() <= MOST_ENDED, "{} ended", site.ended());
+        let refused: Vec<&Got> = others.iter().filter(|got| got.status != 200).collect();
+        assert!(refused.is_empty(), "{refused:?}");
+    });
+}
+
+/// A service whose upstreams all end at once, by themselves, is served when they are back,
+/// whatever they had at that moment.
+#[test]
+fn what_upstreams_had_when_they_ended_by_themselves_is_served_afterwards() {
+    on_one_thread(async {
+        let site = Site::start("/none").await;
+        site.upstreams.iter().for_each(|upstream| upstream.plays([Act::Slow(2_000)]));
+        let popular = |number: usize| get("/any/popular", &format!("id-{number}"));
+        let asking = (0..UPSTREAMS).map(|number| site.ask_later(number, popular(number)));
+        let asking: Vec<_> = asking.collect();
+        until("all are asked", || site.runs_of("/any/popular") >= UPSTREAMS).await;
+        site.upstreams.iter().for_each(StandInUpstream::crash);
+        site.upstreams.iter().for_each(StandInUpstream::plays_no_more);
+        for asked in asking {
+            asked.await.unwrap();
+        }
+        let all_back = || site.upstreams.iter().all(StandInUpstream::is_running);
+        until("they are back", all_back).await;
+        let is_known = |id: &str| {
+            let id: UpstreamId = id.parse().unwrap();
+            let host = site.hosts[0].host();
+            !host.upstreams.borrow().get(&id).unwrap().is_avoided(host.now_ms())
+        };
+        until("they are used again", || site.upstreams.iter().all(|u| is_known(u.id()))).await;
+        for number in 0..6 {
+            assert_eq!(site.ask(number, &popular(100 + number)).await.status, 200);
+        }
+    });
+}
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -11,7 +11,9 @@
 use support::caller::{Caller, get};
 use support::source::Published;
 use support::upstream::StandInUpstream;
-use support::{callers, on_one_thread, routing, service, settings, start, until, upstream_item};
+use support::{
+    callers, fleet, knows, on_one_thread, published, routing, service, settings, start, until,
+};
 
 fn version(gateway: &Gateway) -> Option<Version> {
     let table = gateway.host().table.borrow();
@@ -22,44 +24,10 @@
     gateway.host().upstreams.borrow().count(&service())
 }
 
-/// Whether a host has heard of that many, itself among them.
-fn knows(gateway: &Gateway, hosts: usize) -> bool {
-    gateway.host().members().all().len() == hosts
-}
-
-/// Hosts that find each other through the first.
-async fn fleet(size: usize, published: &Published) -> Vec<Gateway> {
-    let first = settings(&[]);
-    let seed = first.peers;
-    let mut hosts = vec![start(settings_with(first, seed), published).await];
-    for _ in 1..size {
-        hosts.push(start(settings(&[seed]), published).await);
-    }
-    until("all know each other", || hosts.iter().all(|host| knows(host, size))).await;
-    hosts
-}
-
-fn settings_with(
-    mut settings: gateway::settings::Settings,
-    seed: std::net::SocketAddr,
-) -> gateway::settings::Settings {
-    settings.seeds = vec![seed.ip()];
-    settings
-}
-
-async fn published(upstreams: &[&StandInUpstream]) -> Published {
-    let published = Published::default();
-    published.write_routing(routing(1));
-    for upstream in upstreams {
-        published.write("servers", upstream_item(upstream.id(), upstream.address()));
-    }
-    published
-}
-
 #[test]
 fn a_change_reaches_all_though_one_reads() {
     on_one_thread(async {
-        let published = published(&[]).await;
+        let published = published(&[]);
         let hosts = fleet(5, &published).await;
         tokio::time::sleep(Duration::from_millis(1_500)).await;
         let before = published.calls();
@@ -96,7 +64,7 @@
 #[case::large_enough_to_be_told_to_few_at_once(4_000)]
 fn a_change_reaches_another_zone_through_a_few_of_its_hosts(#[case] routes: usize) {
     on_one_thread(async move {
-        let published = published(&[]).await;
+        let published = published(&[]);
         let hosts = fleet_of_two_zones([("kariakoo", 4), ("temeke", 5)], &published).await;
         tokio::time::sleep(Duration::from_millis(1_500)).await;
         let before = published.calls();
@@ -122,7 +90,7 @@
 #[test]
 fn a_large_change_reaches_all_too() {
     on_one_thread(async {
-        let published = published(&[]).await;
+        let published = published(&[]);
         let hosts = fleet(3, &published).await;
         published.write_routing(large_routing(2, 500));
         until("it is in force", || hosts.iter().all(|h| version(h) == Some(Version(2)))).await;
@@ -133,7 +101,7 @@
 fn upstreams_that_join_and_go_are_known_everywhere() {
     on_one_thread(async {
         let upstream = StandInUpstream::start("i-1").await;
-        let published = published(&[&upstream]).await;
+        let published = published(&[&upstream]);
         let hosts = fleet(3, &published).await;
         until("all know it", || hosts.iter().all(|h| count(h) == 1)).await;
         published.remove(&"i-1".parse().unwrap());
@@ -144,7 +112,7 @@
 #[test]
 fn lost_history_is_read_anew() {
     on_one_thread(async {
-        let published = published(&[]).await;
+        let published = published(&[]);
         let hosts = fleet(2, &published).await;
         published.write_routing(routing(2));
         published.forget_history();
@@ -156,7 +124,7 @@
 fn a_source_that_is_down_stops_nothing_and_is_heard_of_when_it_is_back() {
     on_one_thread(async {
         let upstream = StandInUpstream::start("i-1").await;
-        let published = published(&[&upstream]).await;
+        let published = published(&[&upstream]);
         let hosts = fleet(2, &published).await;
         until("both are ready", || hosts.iter().all(|h| count(h) == 1)).await;
         published.fail(Some(SourceError::Refused { status: 503 }));
@@ -194,7 +162,7 @@
 fn a_request_waits_for_a_routing_that_is_on_its_way() {
     on_one_thread(async {
         let upstream = StandInUpstream::start("i-1").await;
-        let published = published(&[&upstream]).await;
+        let published = published(&[&upstream]);
         let gateway = start(settings(&[]), &published).await;
         // Nothing was read yet.
         assert!(!gateway.host().is_ready());
@@ -207,7 +175,7 @@
 fn a_stop_cuts_nothing() {
     on_one_thread(async {
         let upstream = StandInUpstream::start("i-1").await;
-        let published = published(&[&upstream]).await;
+        let published = published(&[&upstream]);
         let hosts = fleet(2, &published).await;
         until("both are ready", || hosts.iter().all(|h| count(h) == 1)).await;
         let (leaving, staying) = (&hosts[0], &hosts[1]);
@@ -237,7 +205,7 @@
 #[test]
 fn two_views_of_the_fleet_count_the_same_hosts() {
     on_one_thread(async {
-        let published = published(&[]).await;
+        let published = published(&[]);
         let hosts = fleet(4, &published).await;
         let digests: Vec<u64> = hosts.iter().map(|h| h.host().members().digest()).collect();
         assert!(digests.windows(2).all(|pair| pair[0] == pair[1]), "{digests:?}");
@@ -250,7 +218,7 @@
 fn an_address_for_metrics_that_is_taken_stops_nothing() {
     on_one_thread(async {
         let upstream = StandInUpstream::start("i-1").await;
-        let published = published(&[&upstream]).await;
+        let published = published(&[&upstream]);
         let mut settings = settings(&[]);
         settings.metrics = Some(settings.peers);
         let gateway = start(settings, &published).await;
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -125,11 +125,7 @@
 
 /// A gateway that knows its routing and upstreams.
 pub async fn ready(upstreams: &[&upstream::StandInUpstream]) -> (Gateway, Published) {
-    let published = Published::default();
-    published.write_routing(routing(1));
-    for upstream in upstreams {
-        published.write("servers", upstream_item(upstream.id(), upstream.address()));
-    }
+    let published = published(upstreams);
     let gateway = start(settings(&[]), &published).await;
     until("it is ready", || gateway.host().is_ready()).await;
     (gateway, published)
@@ -139,6 +135,34 @@
     gateway.host().settings.borrow().callers
 }
 
+/// Whether a host has heard of that many, itself among them.
+pub fn knows(gateway: &Gateway, hosts: usize) -> bool {
+    gateway.host().members().all().len() == hosts
+}
+
+/// Hosts that find each other through the first.
+pub async fn fleet(size: usize, published: &Published) -> Vec<Gateway> {
+    let mut first = settings(&[]);
+    let seed = first.peers;
+    first.seeds = vec![seed.ip()];
+    let mut hosts = vec![start(first, published).await];
+    for _ in 1..size {
+        hosts.push(start(settings(&[seed]), published).await);
+    }
+    until("all know each other", || hosts.iter().all(|host| knows(host, size))).await;
+    hosts
+}
+
+/// A source that tells of these upstreams.
+pub fn published(upstreams: &[&upstream::StandInUpstream]) -> Published {
+    let published = Published::default();
+    published.write_routing(routing(1));
+    for upstream in upstreams {
+        published.write("servers", upstream_item(upstream.id(), upstream.address()));
+    }
+    published
+}
+
 /// Waits until something holds.
 pub async fn until(what: &str, holds: impl Fn() -> bool) {
     let waiting = async {
--- a/crates/gateway/tests/support/upstream.rs
+++ b/crates/gateway/tests/support/upstream.rs
@@ -13,6 +13,9 @@
 /// How long it works on a request that ends it.
 const WORK_BEFORE_CRASH_MS: u64 = 20;
 
+/// How long a process that ended takes to be back.
+const RESTART_MS: u64 = 200;
+
 /// What it does with one request.
 #[derive(Debug, Clone)]
 pub enum Act {
@@ -113,23 +116,33 @@
         self.state.tasks.borrow_mut().push(task);
     }
 
-    /// The process ends: its connections break, and its port refuses others.
+    /// The process ends: its connections break, its port refuses others, and it is back soon.
     pub fn crash(&self) {
         self.state.crashes.update(|count| count + 1);
+        let restarting = self.clone();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(Duration::from_millis(RESTART_MS)).await;
+            let listener = TcpListener::bind(restarting.state.address).await.unwrap();
+            restarting.accept(listener);
+        });
         self.state.tasks.borrow_mut().drain(..).for_each(|task| task.abort());
     }
 
-    /// The process starts again at its address.
-    pub async fn start_again(&self) {
-        let listener = TcpListener::bind(self.state.address).await.unwrap();
-        self.accept(listener);
-    }
-
-    /// From now on it crashes whenever it runs a request for this target.
+    /// From now on it crashes whenever it runs a request for this target, and is back soon.
     pub fn crashes_on(&self, target: &str) {
         *self.state.crashes_on.borrow_mut() = Some(target.to_owned());
     }
 
+    /// Requests for a target that it began to run.
+    pub fn runs_of(&self, target: &str) -> usize {
+        self.state.seen.borrow().iter().filter(|seen| seen.line.ends_with(target)).count()
+    }
+
+    /// Whether its process is there.
+    pub fn is_running(&self) -> bool {
+        !self.state.tasks.borrow().is_empty()
+    }
+
     /// How often it crashed.
     pub fn crashes(&self) -> u32 {
         self.state.crashes.get()
@@ -148,6 +161,11 @@
         self.state.script.borrow_mut().extend(acts);
     }
 
+    /// From now on it answers all.
+    pub fn plays_no_more(&self) {
+        self.state.script.borrow_mut().clear();
+    }
+
     pub fn tells_load(&self, load: &str) {
         *self.state.load.borrow_mut() = load.to_owned();
     }
