--- a/crates/dispatch/src/attempts.rs
+++ b/crates/dispatch/src/attempts.rs
@@ -104,6 +104,8 @@
     UpstreamsRefused,
     /// The upstream broke off, or spoilt its answer.
     UpstreamFailed,
+    /// Upstreams crash under it.
+    CrashesUpstreams,
     /// The time was over before it was sent.
     Expired,
     /// The time was over while an upstream had it.
@@ -115,7 +117,7 @@
     pub fn status(self) -> u16 {
         match self {
             Cause::NotConfigured | Cause::NoUpstream | Cause::UpstreamsRefused => 503,
-            Cause::Expired | Cause::Overloaded => 503,
+            Cause::Expired | Cause::Overloaded | Cause::CrashesUpstreams => 503,
             Cause::NoRoute => 404,
             Cause::BadRequest => 400,
             Cause::HeadTooLarge => 431,
@@ -139,6 +141,7 @@
             Cause::Overloaded => "overloaded",
             Cause::UpstreamsRefused => "upstreams-refused",
             Cause::UpstreamFailed => "upstream-failed",
+            Cause::CrashesUpstreams => "crashes-upstreams",
             Cause::Expired => "expired",
             Cause::TimedOut => "timed-out",
         }
@@ -158,6 +161,11 @@
         Refusal { cause: Cause::Overloaded, is_not_run: true, retry_after_ms }
     }
 
+    /// A refusal of a request that is held back, until it may be tried again.
+    pub fn held_back(for_ms: Millis) -> Refusal {
+        Refusal { cause: Cause::CrashesUpstreams, is_not_run: true, retry_after_ms: Some(for_ms) }
+    }
+
     /// The final answer to a request that may have run.
     pub fn unknown(cause: Cause) -> Refusal {
         Refusal { cause, is_not_run: false, retry_after_ms: None }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -3,7 +3,7 @@
 //! Pure decisions: what upstreams told, the time and a seeded generator go in, choices
 //! come out. [`UpstreamSet`] is the aggregate of what is known of upstreams;
 //! [`scheduler`] places the requests of many hosts from one queue;
-//! [`attempts`] holds the rules of repeating; [`budget`] the host's part of what the
+//! [`quarantine`] holds back what crashes upstreams; [`attempts`] holds the rules of repeating; [`budget`] the host's part of what the
 //! whole fleet may spend.
 
 mod asking;
@@ -13,6 +13,7 @@
 mod curve;
 mod load;
 mod patience;
+pub mod quarantine;
 pub mod scheduler;
 mod service;
 mod service_load;
--- /dev/null
+++ b/crates/dispatch/tests/quarantine.rs
@@ -0,0 +1,229 @@
+//! What is held against a request that upstreams crashed under, and what clears it.
+#![allow(clippy::unwrap_used)]
+
+use dispatch::quarantine::{Admission, Crash, Quarantine, ToldSuspect};
+use domain::{Millis, RequestFingerprint};
+use published::RunStart;
+use rand::SeedableRng;
+use rand::seq::SliceRandom;
+use rand_pcg::Pcg64Mcg;
+use rstest::rstest;
+
+const REQUEST: RequestFingerprint = RequestFingerprint(7);
+
+/// How long it is first held back.
+const HOLD: Millis = Millis::from_secs(4 * 3_600);
+
+/// An upstream that got the request at one time and crashed at another.
+fn crash(upstream: &str, sent_ms: u64, crashed_ms: u64) -> Crash {
+    Crash {
+        upstream: upstream.parse().unwrap(),
+        run: RunStart(Some(Millis(1))),
+        seen_by: "front-1".parse().unwrap(),
+        sent_ms: Millis(sent_ms),
+        crashed_ms: Millis(crashed_ms),
+    }
+}
+
+fn after(crashes: &[Crash]) -> Quarantine {
+    let mut quarantine = Quarantine::default();
+    for crash in crashes {
+        quarantine.note_crash(REQUEST, crash.clone());
+    }
+    quarantine
+}
+
+/// Three crashes in a row, the last at 400 ms.
+fn three() -> Vec<Crash> {
+    vec![crash("i-1", 0, 100), crash("i-2", 110, 200), crash("i-3", 300, 400)]
+}
+
+#[rstest]
+#[case::none(vec![], Admission::Free)]
+#[case::one(vec![crash("i-1", 0, 100)], Admission::Free)]
+#[case::two_in_a_row(vec![crash("i-1", 0, 100), crash("i-2", 100, 200)], Admission::Trial)]
+#[case::three_in_a_row(three(), Admission::Held { for_ms: HOLD - Millis(100) })]
+#[case::out_of_order(
+    vec![crash("i-3", 300, 400), crash("i-1", 0, 100), crash("i-2", 110, 200)],
+    Admission::Held { for_ms: HOLD - Millis(100) },
+)]
+// Copies of it were on upstreams that ended at the same moment.
+#[case::at_once(
+    vec![crash("i-1", 0, 100), crash("i-2", 50, 100), crash("i-3", 99, 105)],
+    Admission::Free,
+)]
+// One end that three sendings saw, or that was told three times.
+#[case::of_one_run(
+    vec![crash("i-1", 0, 100), crash("i-1", 100, 103), crash("i-1", 300, 310)],
+    Admission::Free,
+)]
+fn a_row_of_crashes_holds_it_back(#[case] crashes: Vec<Crash>, #[case] expected: Admission) {
+    assert_eq!(after(&crashes).admit(Millis(500), REQUEST), expected);
+    assert_eq!(after(&crashes).admit(Millis(500), RequestFingerprint(8)), Admission::Free);
+}
+
+/// A process that doesn't tell its start counts again once it can be back.
+#[rstest]
+#[case::too_soon(600, Admission::Free)]
+#[case::later(2_000, Admission::Trial)]
+fn a_run_without_a_start_may_crash_again(#[case] sent_ms: u64, #[case] expected: Admission) {
+    let of_unknown_run =
+        |sent_ms| Crash { run: RunStart::default(), ..crash("i-1", sent_ms, sent_ms + 50) };
+    let quarantine = after(&[of_unknown_run(0), of_unknown_run(sent_ms)]);
+    assert_eq!(quarantine.admit(Millis(3_000), REQUEST), expected);
+}
+
+/// One that ran to its end is no cause, whatever ended beside it, and also if that is told late.
+#[test]
+fn an_answer_clears_it() {
+    let mut quarantine = after(&three());
+    let told = quarantine.take_untold(Millis(450)).unwrap();
+    assert!(quarantine.clear(Millis(460), REQUEST).is_some());
+    assert_eq!(quarantine.admit(Millis(500), REQUEST), Admission::Free);
+    quarantine.take(Millis(460), told);
+    assert_eq!(quarantine.admit(Millis(500), REQUEST), Admission::Free);
+    quarantine.note_crash(REQUEST, crash("i-4", 470, 490));
+    assert_eq!(quarantine.admit(Millis(500), REQUEST), Admission::Free, "it begins anew");
+}
+
+/// Under suspicion it is at one upstream of the fleet at a time, until its time is over.
+#[test]
+fn one_host_tries_it_at_a_time() {
+    let (mut own, mut other) = (after(&three()[..2]), Quarantine::default());
+    own.begin_trial(REQUEST, Millis(900));
+    other.take(Millis(300), own.take_untold(Millis(300)).unwrap());
+    let wait = Admission::Wait { for_ms: Millis(500) };
+    assert_eq!(other.admit(Millis(400), REQUEST), wait);
+    assert_eq!(own.admit(Millis(400), REQUEST), wait);
+    assert_eq!(other.admit(Millis(900), REQUEST), Admission::Trial);
+    own.end_trial(REQUEST);
+    assert_eq!(own.admit(Millis(400), REQUEST), Admission::Trial);
+}
+
+/// It may crash one more upstream in a day.
+#[test]
+fn each_further_crash_holds_it_back_for_longer() {
+    let mut quarantine = after(&three());
+    let mut now_ms = Millis(400);
+    let mut tried = Vec::new();
+    let day_ms = Millis::from_secs(24 * 3_600);
+    while now_ms < day_ms {
+        now_ms = now_ms + Millis(1_000);
+        quarantine.settle(now_ms);
+        if quarantine.admit(now_ms, REQUEST) == Admission::Trial {
+            tried.push(now_ms.0 / 1_000);
+            let upstream = format!("i-{}", now_ms.0);
+            quarantine.note_crash(REQUEST, crash(&upstream, now_ms.0, now_ms.0 + 50));
+        }
+    }
+    assert_eq!(tried, [14_400]);
+}
+
+/// Where upstreams end one after the other by themselves, what many ask for may be on three.
+#[rstest]
+#[case::alone(0, HOLD)]
+#[case::beside_one(1, HOLD)]
+#[case::beside_many(5, Millis(30_000))]
+fn a_verdict_beside_many_like_it_is_soon_tried(#[case] others: u128, #[case] hold_ms: Millis) {
+    let mut quarantine = Quarantine::default();
+    for other in 0..others {
+        for crash in &three()[..2] {
+            quarantine.note_crash(RequestFingerprint(100 + other), crash.clone());
+        }
+    }
+    three().into_iter().for_each(|crash| drop(quarantine.note_crash(REQUEST, crash)));
+    let held = Admission::Held { for_ms: hold_ms - Millis(100) };
+    assert_eq!(quarantine.admit(Millis(500), REQUEST), held);
+}
+
+/// Whatever is lost, doubled, late or out of order: who has heard it all holds the same.
+#[test]
+fn the_order_of_messages_does_not_matter() {
+    let told: Vec<Vec<ToldSuspect>> = three()
+        .into_iter()
+        .map(|crash| {
+            let mut seen = after(&[crash]);
+            seen.note_given_up(REQUEST);
+            seen.take_untold(Millis(500)).unwrap()
+        })
+        .collect();
+    for seed in 0..50 {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let mut messages: Vec<_> = told.iter().chain(&told).cloned().collect();
+        messages.shuffle(&mut rng);
+        let mut quarantine = Quarantine::default();
+        for message in messages {
+            quarantine.take(Millis(500), message);
+        }
+        let held = Admission::Held { for_ms: HOLD - Millis(100) };
+        assert_eq!(quarantine.admit(Millis(500), REQUEST), held, "seed {seed}");
+    }
+}
+
+/// A host that starts is told of crashes that are older than itself.
+#[test]
+fn crashes_before_the_start_count() {
+    let mut told = after(&three());
+    let told = told.take_untold(Millis(10_000)).unwrap();
+    let mut later = Quarantine::default();
+    later.take(Millis(2), told.clone());
+    let held = Admission::Held { for_ms: HOLD - Millis(9_600) };
+    assert_eq!(later.admit(Millis(2), REQUEST), held);
+    let mut twice = Quarantine::default();
+    let mut two = after(&three()[..2]);
+    let two = two.take_untold(Millis(10_000)).unwrap();
+    twice.take(Millis(2), two.clone());
+    twice.take(Millis(3), two);
+    assert_eq!(twice.admit(Millis(4), REQUEST), Admission::Trial);
+}
+
+/// Hosts that hold the same are not told, those that lack something are.
+#[test]
+fn what_a_host_missed_shows_in_the_digest() {
+    let mut knows = after(&three());
+    knows.take_untold(Millis(500));
+    let mut missed = Quarantine::default();
+    assert_ne!(knows.digest(), missed.digest());
+    missed.take(Millis(600), knows.tell(Millis(600)));
+    assert_eq!(knows.digest(), missed.digest());
+    assert_eq!(missed.held(Millis(600)), 1);
+    missed.clear(Millis(700), REQUEST);
+    assert_ne!(knows.digest(), missed.digest());
+}
+
+/// A first crash of what is answered elsewhere is told to nobody.
+#[test]
+fn bystanders_are_not_told() {
+    let mut quarantine = after(&[crash("i-1", 0, 100)]);
+    assert!(quarantine.take_untold(Millis(110)).is_none());
+    assert_eq!(quarantine.digest(), Quarantine::default().digest());
+    assert!(quarantine.clear(Millis(200), REQUEST).is_none());
+    assert!(quarantine.take_untold(Millis(210)).is_none());
+    assert!(quarantine.is_empty());
+    let mut quarantine = after(&[crash("i-1", 0, 100)]);
+    quarantine.note_given_up(REQUEST);
+    assert_eq!(quarantine.take_untold(Millis(110)).unwrap().len(), 1);
+}
+
+/// Thousands of others that crash upstreams once don't push out what is held back.
+#[test]
+fn memory_is_bounded_and_the_least_leaves_first() {
+    let mut quarantine = after(&three());
+    for number in 0..20_000 {
+        let other = RequestFingerprint(1_000 + number);
+        let at_ms = 1_000 + u64::try_from(number).unwrap();
+        quarantine.note_crash(other, crash("i-9", at_ms, at_ms + 10));
+    }
+    assert!(quarantine.dump(Millis(22_000)).len() <= 1_024);
+    assert!(matches!(quarantine.admit(Millis(22_000), REQUEST), Admission::Held { .. }));
+}
+
+/// Nothing is remembered for ever.
+#[test]
+fn it_is_forgotten_in_the_end() {
+    let mut quarantine = after(&three()[..2]);
+    quarantine.settle(Millis::from_secs(3_000));
+    assert_eq!(quarantine.admit(Millis::from_secs(3_000), REQUEST), Admission::Trial);
+    quarantine.settle(Millis::from_secs(3_700));
+    assert!(quarantine.is_empty());
+}
--- a/crates/domain/src/ids.rs
+++ b/crates/domain/src/ids.rs
@@ -132,16 +132,23 @@
     )*};
 }
 
-/// What a request asks, and for whom, in 64 bits: equal for all that ask the same.
+/// What a request asks, and for whom: a digest that is equal for all that ask the same.
 ///
-/// Written as sixteen hexadecimal digits.
+/// Written as 32 hexadecimal digits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 #[serde(into = "String", try_from = "String")]
-pub struct RequestFingerprint(pub u64);
+pub struct RequestFingerprint(pub u128);
+
+impl RequestFingerprint {
+    /// Half of its bits, which are as evenly spread as all.
+    pub fn low_bits(self) -> u64 {
+        self.0 as u64
+    }
+}
 
 impl fmt::Display for RequestFingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:016x}", self.0)
+        write!(f, "{:032x}", self.0)
     }
 }
 
@@ -149,7 +156,7 @@
     type Err = ParseIntError;
 
     fn from_str(text: &str) -> Result<RequestFingerprint, ParseIntError> {
-        u64::from_str_radix(text, 16).map(RequestFingerprint)
+        u128::from_str_radix(text, 16).map(RequestFingerprint)
     }
 }
 
--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -7,11 +7,9 @@
 //! goes on in the background and is learned from.
 
 mod connect;
-mod presence;
 mod question;
 
 pub use connect::connect;
-pub use presence::{BrokenOff, check_presence};
 pub use question::{note_report, read_load, refresh};
 
 use crate::connection::Connection;
--- a/crates/gateway/src/ask/question.rs
+++ b/crates/gateway/src/ask/question.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 /// Longest time to open a connection: some round trips between availability zones.
-pub(super) const CONNECT: Duration = Duration::from_millis(250);
+const CONNECT: Duration = Duration::from_millis(250);
 
 /// Longest time for an answer to a question; after it the upstream counts as silent.
 const ASK_LIMIT: Duration = Duration::from_millis(400);
--- a/crates/gateway/src/event_log/event.rs
+++ b/crates/gateway/src/event_log/event.rs
@@ -1,6 +1,7 @@
 //! The events of the log: each a decision, with the inputs that decided it.
 
 use dispatch::attempts::Refusal;
+use dispatch::quarantine::Change;
 use dispatch::scheduler::{Cell, Ticket};
 use dispatch::{AskFailure, SendFailure, Verdict};
 use domain::{HostId, Incarnation, Millis, RequestFingerprint, ServiceName, UpstreamId, Version};
@@ -118,9 +119,17 @@
         is_not_run: bool,
         repeats_left: f64,
         fingerprint: RequestFingerprint,
+        has_crashed: bool,
+    },
+    /// More or nothing speaks against a request that upstreams crashed under.
+    Quarantine {
+        fingerprint: RequestFingerprint,
+        change: Change,
+        crashes: usize,
+        upstreams: Vec<&'a UpstreamId>,
+        seen_by: Vec<&'a HostId>,
+        ages_ms: Vec<Millis>,
     },
-    /// An upstream broke off these requests; it is gone, or still there.
-    BrokeOff { upstream: &'a UpstreamId, is_gone: bool, requests: &'a [RequestFingerprint] },
     /// An answer was handed to the caller.
     Delivered {
         id: &'a str,
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -3,7 +3,6 @@
 //! One thread runs everything, so cells take the place of locks. No borrow is held across
 //! an await.
 
-use crate::ask::BrokenOff;
 use crate::dialect::Dialect;
 use crate::event_log::{EventLog, LogEvent};
 use crate::metrics::Metrics;
@@ -12,6 +11,7 @@
 use crate::settings::Settings;
 use clock::Clock;
 use dispatch::budget::{AskBudget, NEIGHBOURS_ASKS, RepeatBudget, SCHEDULERS_ASKS};
+use dispatch::quarantine::Quarantine;
 use dispatch::{FleetShape, SplitTable, UpstreamSet};
 use domain::{Millis, PerSecond};
 use published::{Belief, Gossip, Member, Members, Picture, RouteTable};
@@ -57,8 +57,10 @@
     pub splits: RefCell<SplitTable>,
     /// Idle connections to upstreams.
     pub pool: RefCell<Pool>,
-    /// Requests that upstreams broke off a moment ago.
-    pub broken_off: RefCell<BrokenOff>,
+    /// Requests that crash upstreams.
+    pub quarantine: RefCell<Quarantine>,
+    /// Woken when something else is held against a request, or a trial ended.
+    pub quarantine_news: Notify,
     /// Randomness.
     pub rng: RefCell<Pcg64Mcg>,
     /// Structured logs.
@@ -109,7 +111,8 @@
             placing: Placing::new(socket, AskBudget::new(schedulers_asks(&settings)), seed),
             splits: RefCell::default(),
             pool: RefCell::default(),
-            broken_off: RefCell::default(),
+            quarantine: RefCell::default(),
+            quarantine_news: Notify::new(),
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
             log,
             metrics,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`ingress`]: callers' connections; [`serve`]: one request from arrival to answer
 //! - [`placing`]: places at upstreams, from whoever schedules a service
 //! - [`connection`], [`pool`], [`ask`]: upstreams' connections, and asking before sending
+//! - [`quarantine`]: requests that crash upstreams, seen and told
 //! - [`reading`], [`peers`]: what is published, from the source or from peers
 //! - [`event_log`], [`metrics`], [`operator`]: what it tells operators
 //! - [`run`]: start, reload, stop
@@ -27,6 +28,7 @@
 pub mod peers;
 pub mod placing;
 pub mod pool;
+pub mod quarantine;
 pub mod reading;
 pub mod run;
 pub mod serve;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -43,6 +43,7 @@
     picture_age: Gauge<f64>,
     log_lines_dropped: Gauge<u64>,
     open_requests: Gauge<u64>,
+    quarantined: Gauge<u64>,
 }
 
 impl Metrics {
@@ -80,11 +81,15 @@
             callers_gone: counter("gateway_callers_gone", "Requests whose caller hung up"),
             broken_off: counter(
                 "gateway_broken_off",
-                "Requests that an upstream broke off, by whether it was gone then",
+                "Requests that an upstream broke off, by whether it crashed",
             ),
             picture_age,
             log_lines_dropped: gauge("gateway_log_lines_dropped", "Log lines dropped"),
             open_requests: gauge("gateway_open_requests", "Requests without a final answer"),
+            quarantined: gauge(
+                "gateway_quarantined",
+                "Requests that are held back, by fingerprint",
+            ),
             registry,
             _provider: provider,
         })
@@ -132,9 +137,9 @@
         self.callers_gone.add(1, &[]);
     }
 
-    /// An upstream broke off requests, and is gone or still there.
-    pub fn broke_off(&self, is_gone: bool, requests: usize) {
-        self.broken_off.add(requests as u64, &[KeyValue::new("is_gone", is_gone)]);
+    /// An upstream broke off a request, and crashed or is still there.
+    pub fn broke_off(&self, has_crashed: bool) {
+        self.broken_off.add(1, &[KeyValue::new("has_crashed", has_crashed)]);
     }
 
     /// Notes what is only looked at when asked.
@@ -142,6 +147,7 @@
         self.source_calls.record(state.source_calls, &[]);
         self.log_lines_dropped.record(state.log_lines_dropped, &[]);
         self.open_requests.record(state.open_requests, &[]);
+        self.quarantined.record(state.quarantined, &[]);
         if let Some(age) = state.picture_age {
             self.picture_age.record(age.as_secs_f64(), &[]);
         }
@@ -163,6 +169,8 @@
     pub log_lines_dropped: u64,
     /// Requests without a final answer.
     pub open_requests: u64,
+    /// Requests that are held back.
+    pub quarantined: u64,
     /// Age of the picture.
     pub picture_age: Option<Duration>,
 }
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -1,9 +1,11 @@
 //! Readiness for the platform, and metrics and state for operators.
 
 use crate::host::{ACCEPT_PAUSE, Host};
-use crate::http1::{AnswerWriter, read_request};
+use crate::http1::{AnswerWriter, RequestHead, read_request};
 use crate::metrics::StateFigures;
-use domain::Millis;
+use crate::quarantine;
+use dispatch::quarantine::SuspectDump;
+use domain::{Millis, RequestFingerprint};
 use published::{Entry, Revision, Upstream};
 use serde::Serialize;
 use std::rc::Rc;
@@ -18,12 +20,15 @@
 /// Time within which the next question on a connection has to come.
 const IDLE: Duration = Duration::from_secs(20);
 
+/// Path under which a request's quarantine is lifted, before its fingerprint.
+const LIFT_PATH: &str = "/quarantine/lift/";
+
 /// What a listener answers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Audience {
     /// The platform: readiness only.
     Platform,
-    /// Operators: readiness, `/metrics` and `/state`.
+    /// Operators: readiness, `/metrics`, `/state`, and lifting a quarantine.
     Operators,
 }
 
@@ -41,6 +46,8 @@
     revision: Revision,
     picture_age_ms: Option<Millis>,
     idle_connections: usize,
+    /// Requests that upstreams crashed under, those that are held back first.
+    quarantine: Vec<SuspectDump>,
     upstreams: Vec<UpstreamDump>,
 }
 
@@ -75,7 +82,7 @@
     loop {
         match read_request(&mut buffer, MAX_HEAD_BYTES) {
             Ok(Some(head)) => {
-                let bytes = answer(host, head.path(), audience, !head.keeps_alive);
+                let bytes = answer(host, &head, audience, !head.keeps_alive);
                 stream.write_all(&bytes).await?;
                 if !head.keeps_alive {
                     return stream.shutdown().await;
@@ -93,12 +100,19 @@
     }
 }
 
-fn answer(host: &Host, path: &str, audience: Audience, closes: bool) -> Vec<u8> {
-    let (status, kind, body) = match path {
+fn answer(host: &Host, head: &RequestHead, audience: Audience, closes: bool) -> Vec<u8> {
+    let lifted = match head.method.as_str() {
+        "POST" if audience == Audience::Operators => head.path().strip_prefix(LIFT_PATH),
+        _ => None,
+    };
+    let (status, kind, body) = match head.path() {
         path if path == host.dialect.ready_path => readiness(host),
         "/metrics" if audience == Audience::Operators => metrics(host),
         "/state" if audience == Audience::Operators => state(host),
-        _ => (404, "text/plain", "nothing here\n".to_owned()),
+        _ => match lifted {
+            Some(fingerprint) => lift(host, fingerprint),
+            None => (404, "text/plain", "nothing here\n".to_owned()),
+        },
     };
     let writer = AnswerWriter::new(status).field("content-type", kind.as_bytes());
     writer.body(status, body.as_bytes(), closes)
@@ -112,11 +126,21 @@
     }
 }
 
+/// Lifts the quarantine of a request, on all hosts.
+fn lift(host: &Host, fingerprint: &str) -> (u16, &'static str, String) {
+    match fingerprint.parse::<RequestFingerprint>().map(|it| quarantine::lift(host, it)) {
+        Ok(true) => (200, "text/plain", "lifted on all hosts\n".to_owned()),
+        Ok(false) => (404, "text/plain", format!("nothing is held against {fingerprint}\n")),
+        Err(e) => (400, "text/plain", format!("{e}: give the 32 digits that /state shows\n")),
+    }
+}
+
 fn metrics(host: &Host) -> (u16, &'static str, String) {
     host.metrics.note_state(&StateFigures {
         source_calls: host.source_calls.get(),
         log_lines_dropped: host.log.dropped(),
         open_requests: host.open_requests.get() as u64,
+        quarantined: host.quarantine.borrow().held(host.now_ms()) as u64,
         picture_age: host.picture_age_ms().map(crate::host::duration),
     });
     (200, "text/plain; version=0.0.4", host.metrics.render())
@@ -147,6 +171,7 @@
         revision: picture.revision(),
         picture_age_ms: picture.age_ms(now_ms),
         idle_connections: host.pool.borrow().len(),
+        quarantine: host.quarantine.borrow().dump(now_ms),
         upstreams: picture.upstreams().filter_map(dump_upstream).collect(),
     };
     match serde_json::to_string_pretty(&dump) {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -12,6 +12,7 @@
 use crate::event_log::LogEvent;
 use crate::host::{ACCEPT_PAUSE, Host, duration};
 use crate::placing;
+use crate::quarantine;
 use codec::{CodecError, Datagram};
 use dispatch::scheduler::Asker;
 use domain::Millis;
@@ -139,6 +140,11 @@
                 let now_ms = self.host.now_ms();
                 self.act(|gossip| gossip.take(now_ms, message, from));
             }
+            Ok(Datagram::Quarantine(message)) => {
+                if quarantine::take(&self.host, message, from) {
+                    self.act(|gossip| gossip.answer(from));
+                }
+            }
             Ok(Datagram::Placement(message)) => {
                 placing::take(&self.host, message, Asker::Peer(from));
             }
@@ -164,6 +170,9 @@
             Effect::PeersHeard(peers) => {
                 peers.iter().for_each(|peer| self.host.placing.forget_silence(peer));
                 let (count, first) = (peers.len(), peers.first());
+                if self.host.quarantine.borrow().is_empty() {
+                    quarantine::ask_peers(&self.host);
+                }
                 self.host.log.write(&LogEvent::PeersHeard { count, first, hosts });
             }
             Effect::Announce { after_ms } => self.act_later(after_ms, Gossip::announce),
--- a/crates/gateway/src/peers/codec.rs
+++ b/crates/gateway/src/peers/codec.rs
@@ -4,6 +4,7 @@
 //! release says is refused as a whole rather than misread: each release then has a reader
 //! of its own, until the rollout ends.
 
+use dispatch::quarantine::QuarantineMessage;
 use dispatch::scheduler::PlacementMessage;
 use published::Message;
 use serde::de::DeserializeOwned;
@@ -11,7 +12,7 @@
 use std::fmt;
 
 /// Version of the protocol; greater with each change of a message.
-const PROTOCOL: u8 = 4;
+const PROTOCOL: u8 = 5;
 
 /// What a datagram says.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -20,6 +21,8 @@
     Gossip(Message),
     /// Who places which request.
     Placement(PlacementMessage),
+    /// Which requests crash upstreams.
+    Quarantine(QuarantineMessage),
 }
 
 /// Why a peer's message can't be read.
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -13,6 +13,7 @@
 
 use crate::event_log::LogEvent;
 use crate::host::Host;
+use crate::metrics::Metrics;
 use crate::peers::codec::{self, Datagram};
 use dispatch::budget::AskBudget;
 use dispatch::scheduler::{
@@ -21,6 +22,7 @@
 use domain::{FastMap, HostId, Millis, ServiceName};
 use published::Member;
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
@@ -107,6 +109,15 @@
         self.directory.borrow_mut().note_heard(peer);
     }
 
+    /// Sends a datagram to peers. Lost is lost: whoever needs to know finds it missing.
+    pub fn send_to_peers(&self, metrics: &Metrics, datagram: &[u8], to: &[SocketAddr]) {
+        for &address in to {
+            if self.socket.try_send_to(datagram, address).is_ok() {
+                metrics.told_peers(datagram.len());
+            }
+        }
+    }
+
     fn draw_ticket(&self) -> Ticket {
         let number = self.next_ticket.get();
         self.next_ticket.set(number.wrapping_add(1));
--- /dev/null
+++ b/crates/gateway/src/quarantine.rs
@@ -0,0 +1,237 @@
+//! Sees which requests crash upstreams, and tells the other hosts.
+//!
+//! What follows from it is decided by [`dispatch::quarantine`]. A broken connection alone is no
+//! crash: upstreams spoil answers, some reset when they are full, and links break. After a crash
+//! the port refuses connections, which one round trip shows, and no other connection to the
+//! upstream is open. A crash that cuts the machine off or leaves it dark is not recognised.
+
+use crate::connection::Connection;
+use crate::event_log::LogEvent;
+use crate::host::Host;
+use crate::peers::codec::{self, Datagram};
+use dispatch::quarantine::{Changed, Crash, QuarantineMessage, ToldSuspect};
+use domain::{Millis, RequestFingerprint, UpstreamId};
+use published::{Listener, RunStart, Upstream, UpstreamMode};
+use rand::seq::SliceRandom;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::task::JoinHandle;
+
+/// Longest look at an upstream that broke off a request: some round trips between availability
+/// zones. The request waits for it, so that what follows knows of the crash.
+const LOOK: Duration = Duration::from_millis(60);
+
+/// Peers that a host asks after a start or a pause. One of them may be new itself or out of reach.
+const ASKED_PEERS: usize = 3;
+
+/// A request whose connection broke after it had left.
+#[derive(Debug)]
+pub struct BrokenOff {
+    /// What it asks.
+    pub fingerprint: RequestFingerprint,
+    /// Where it was sent.
+    pub upstream: Arc<Upstream>,
+    /// When.
+    pub sent_ms: Millis,
+    /// When its connection broke.
+    pub broke_ms: Millis,
+}
+
+/// Looks whether the upstream crashed, and notes it; true if it did. Goes on if nobody waits.
+pub fn examine(host: &Rc<Host>, broken: BrokenOff) -> JoinHandle<bool> {
+    let host = Rc::clone(host);
+    tokio::task::spawn_local(async move {
+        let looking = has_crashed(&host, &broken.upstream);
+        let has_crashed = tokio::time::timeout(LOOK, looking).await.unwrap_or(false);
+        host.metrics.broke_off(has_crashed);
+        if has_crashed {
+            note_crash(&host, broken);
+        }
+        has_crashed
+    })
+}
+
+/// Whether the process behind an entry is gone though it did not say that it would leave.
+async fn has_crashed(host: &Rc<Host>, entry: &Upstream) -> bool {
+    match state_of(host, &entry.id, entry.run) {
+        EntryState::Restarted => return true,
+        EntryState::Leaving => return false,
+        EntryState::Ready => {}
+    }
+    host.metrics.connected();
+    match Connection::open(entry.address, LOOK).await {
+        Ok(connection) => {
+            host.pool.borrow_mut().put(&entry.id, connection.belonging_to(entry.run));
+            false
+        }
+        Err(e) => e.kind() == ErrorKind::ConnectionRefused && !is_connected(host, entry),
+    }
+}
+
+/// Whether a kept connection to an upstream is open: it is full, and refuses new ones only. Asked
+/// after a round trip: ends of connections that come together are noticed together by then.
+fn is_connected(host: &Host, entry: &Upstream) -> bool {
+    let kept = host.pool.borrow_mut().take(&entry.id, entry.run);
+    let is_open = kept.is_some();
+    kept.into_iter().for_each(|kept| host.pool.borrow_mut().put(&entry.id, kept));
+    is_open
+}
+
+/// What is published of a run of an upstream.
+enum EntryState {
+    Ready,
+    /// It drains, or its entry was removed: its end is no crash.
+    Leaving,
+    /// A later run has its place.
+    Restarted,
+}
+
+fn state_of(host: &Host, upstream: &UpstreamId, run: RunStart) -> EntryState {
+    let upstreams = host.upstreams.borrow();
+    match upstreams.get(upstream).map(|known| &known.entry) {
+        Some(entry) if entry.run.is_after(run) => EntryState::Restarted,
+        Some(entry) if entry.mode == UpstreamMode::Ready => EntryState::Ready,
+        _ => EntryState::Leaving,
+    }
+}
+
+fn note_crash(host: &Rc<Host>, broken: BrokenOff) {
+    let crash = Crash {
+        upstream: broken.upstream.id.clone(),
+        run: broken.upstream.run,
+        seen_by: host.settings.borrow().host.clone(),
+        sent_ms: broken.sent_ms,
+        crashed_ms: broken.broke_ms,
+    };
+    let changed = host.quarantine.borrow_mut().note_crash(broken.fingerprint, crash);
+    announce(host, changed);
+    tell_fleet(host);
+}
+
+/// An upstream ran a request to its end.
+pub fn note_answered(host: &Host, fingerprint: RequestFingerprint) {
+    let changed = host.quarantine.borrow_mut().clear(host.now_ms(), fingerprint);
+    announce(host, changed);
+    tell_fleet(host);
+}
+
+/// A request got its final answer, and none of an upstream.
+pub fn note_given_up(host: &Host, fingerprint: RequestFingerprint) {
+    host.quarantine.borrow_mut().note_given_up(fingerprint);
+    tell_fleet(host);
+}
+
+/// A request leaves as the only one of its kind in the fleet.
+pub fn begin_trial(host: &Host, fingerprint: RequestFingerprint, until_ms: Millis) {
+    host.quarantine.borrow_mut().begin_trial(fingerprint, until_ms);
+    tell_fleet(host);
+}
+
+/// A trial of this host ended.
+pub fn end_trial(host: &Host, fingerprint: RequestFingerprint) {
+    host.quarantine.borrow_mut().end_trial(fingerprint);
+    host.quarantine_news.notify_waiters();
+}
+
+/// An operator lifts the verdict on a request; false if there is none.
+pub fn lift(host: &Host, fingerprint: RequestFingerprint) -> bool {
+    let changed = host.quarantine.borrow_mut().clear(host.now_ms(), fingerprint);
+    let is_lifted = changed.is_some();
+    announce(host, changed);
+    tell_fleet(host);
+    is_lifted
+}
+
+/// What is due now and then: forgets, and offers a peer what it may have missed.
+pub fn turn(host: &Host) {
+    let now_ms = host.now_ms();
+    host.quarantine.borrow_mut().settle(now_ms);
+    let Some(digest) = host.quarantine.borrow_mut().offer(now_ms) else { return };
+    let to = random_peers(host, 1);
+    send(host, QuarantineMessage::Offer { digest }, &to);
+}
+
+/// Asks some peers for what this host missed: it has just started, or stood still.
+pub fn ask_peers(host: &Host) {
+    let digest = host.quarantine.borrow().digest();
+    let to = random_peers(host, ASKED_PEERS);
+    send(host, QuarantineMessage::Ask { digest }, &to);
+}
+
+/// Takes a peer's message; true if the peer waits to hear that this host is there.
+pub fn take(host: &Host, message: QuarantineMessage, from: SocketAddr) -> bool {
+    let now_ms = host.now_ms();
+    let own_digest = host.quarantine.borrow().digest();
+    match message {
+        QuarantineMessage::Suspects { suspects, passes_on } => {
+            if passes_on {
+                let passed =
+                    QuarantineMessage::Suspects { suspects: suspects.clone(), passes_on: false };
+                let neighbours = host.members().neighbours();
+                send(host, passed, &neighbours);
+            }
+            let changed = host.quarantine.borrow_mut().take(now_ms, suspects);
+            announce(host, changed);
+            return passes_on;
+        }
+        QuarantineMessage::Offer { digest } if digest != own_digest => {
+            send(host, QuarantineMessage::Ask { digest: own_digest }, &[from]);
+        }
+        QuarantineMessage::Ask { digest } if digest != own_digest => {
+            let suspects = host.quarantine.borrow().tell(now_ms);
+            send(host, QuarantineMessage::Suspects { suspects, passes_on: false }, &[from]);
+        }
+        QuarantineMessage::Offer { .. } | QuarantineMessage::Ask { .. } => {}
+    }
+    false
+}
+
+/// Tells this zone itself, and the others through a few of their hosts.
+fn tell_fleet(host: &Host) {
+    let now_ms = host.now_ms();
+    let untold = host.quarantine.borrow_mut().take_untold(now_ms);
+    let Some(suspects) = untold else { return };
+    let listeners = host.gossip.borrow_mut().listeners(now_ms);
+    for passes_on in [true, false] {
+        let told = listeners.iter().filter(|listener| listener.passes_on == passes_on);
+        let to: Vec<SocketAddr> = told.map(|&Listener { address, .. }| address).collect();
+        let suspects: Vec<ToldSuspect> = suspects.clone();
+        send(host, QuarantineMessage::Suspects { suspects, passes_on }, &to);
+    }
+}
+
+fn random_peers(host: &Host, most: usize) -> Vec<SocketAddr> {
+    let members = host.members();
+    let mut others: Vec<SocketAddr> = members.others().map(|member| member.address).collect();
+    let (some, _) = others.partial_shuffle(&mut *host.rng.borrow_mut(), most);
+    some.to_vec()
+}
+
+fn send(host: &Host, message: QuarantineMessage, to: &[SocketAddr]) {
+    if to.is_empty() {
+        return;
+    }
+    match codec::encode(&Datagram::Quarantine(message)) {
+        Ok(datagram) => host.placing.send_to_peers(&host.metrics, &datagram, to),
+        Err(e) => host.log.write(&LogEvent::PeerUnwritable { problem: e.to_string() }),
+    }
+}
+
+/// Tells operators, and whoever waits for what comes of a trial.
+fn announce(host: &Host, changed: impl IntoIterator<Item = Changed>) {
+    let now_ms = host.now_ms();
+    for changed in changed {
+        host.quarantine_news.notify_waiters();
+        host.log.write(&LogEvent::Quarantine {
+            fingerprint: changed.fingerprint,
+            change: changed.change,
+            crashes: changed.crashes.len(),
+            upstreams: changed.crashes.iter().map(|crash| &crash.upstream).collect(),
+            seen_by: changed.crashes.iter().map(|crash| &crash.seen_by).collect(),
+            ages_ms: changed.crashes.iter().map(|crash| now_ms.since(crash.crashed_ms)).collect(),
+        });
+    }
+}
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -12,6 +12,7 @@
 use crate::operator::{self, Audience};
 use crate::peers::Peers;
 use crate::placing;
+use crate::quarantine;
 use crate::reading::Readings;
 use crate::settings::Settings;
 use crate::source::Source;
@@ -265,6 +266,7 @@
         }
         peers.act(|gossip| gossip.settle(now_ms));
         placing::turn(&host);
+        quarantine::turn(&host);
         host.prune_connections();
     }
 }
@@ -273,6 +275,7 @@
     let late_ms = took_ms.since(Millis(CHORES.as_millis() as u64));
     if late_ms > PAUSED_MS {
         host.log.write(&LogEvent::Paused { for_ms: late_ms });
+        quarantine::ask_peers(host);
     }
 }
 
--- a/crates/gateway/src/serve/fingerprint.rs
+++ b/crates/gateway/src/serve/fingerprint.rs
@@ -2,20 +2,29 @@
 //!
 //! A request that comes again comes under another id, at any host and on another connection.
 //! What stays is the method, the authority, the path with its query, the body and the caller's
-//! address. The hash is SipHash: a caller that could choose requests of equal fingerprints
-//! could speak for another caller's.
+//! address. The digest is cryptographic, so that nobody can make a request that looks like
+//! another caller's.
 
 use crate::http1::RequestHead;
 use domain::RequestFingerprint;
-use siphasher::sip::SipHasher13;
-use std::hash::{Hash, Hasher};
+use sha2::{Digest, Sha256};
 use std::net::IpAddr;
 
+/// Bytes of the digest that are kept: as many as nobody can find a second request for.
+const KEPT_BYTES: usize = 16;
+
 /// The fingerprint of a request from a caller.
 pub fn fingerprint(head: &RequestHead, body: &[u8], caller: IpAddr) -> RequestFingerprint {
     let authority = head.fields.get("host").unwrap_or_default().to_ascii_lowercase();
-    let mut hasher = SipHasher13::new();
-    // Each part is ended or preceded by its length, so that no two ways to cut them are equal.
-    (&head.method, authority, &head.target, body, caller).hash(&mut hasher);
-    RequestFingerprint(hasher.finish())
+    let caller = caller.to_string();
+    let parts = [head.method.as_bytes(), authority.as_bytes(), head.target.as_bytes(), body];
+    let mut hasher = Sha256::new();
+    for part in parts.into_iter().chain([caller.as_bytes()]) {
+        // With its length before it, no two ways to cut the parts are equal.
+        hasher.update((part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    let digest = hasher.finalize();
+    let kept = digest[..KEPT_BYTES].iter().fold(0, |kept, &byte| kept << 8 | u128::from(byte));
+    RequestFingerprint(kept)
 }
--- a/crates/gateway/src/serve/in_progress.rs
+++ b/crates/gateway/src/serve/in_progress.rs
@@ -6,8 +6,9 @@
 use dispatch::SendFailure;
 use dispatch::scheduler::Outcome;
 use domain::{Millis, ServiceName, UpstreamId};
-use published::RunStart;
+use published::{RunStart, Upstream};
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// A sending that is withdrawn after so long was no good: its upstream is silent or slow.
 const SILENT_MS: Millis = Millis(400);
@@ -19,6 +20,8 @@
 pub(super) struct InProgress {
     host: Rc<Host>,
     upstream: UpstreamId,
+    /// What was published of it then; none if it was gone already.
+    entry: Option<Arc<Upstream>>,
     /// The run that it was sent to.
     run: RunStart,
     begun_ms: Millis,
@@ -34,9 +37,10 @@
         held: Option<HeldPlace>,
     ) -> InProgress {
         let begun_ms = host.now_ms();
-        let run = host.upstreams.borrow().run(upstream);
+        let entry = host.upstreams.borrow().get(upstream).map(|known| Arc::clone(&known.entry));
+        let run = entry.as_ref().map(|entry| entry.run).unwrap_or_default();
         let (host, upstream) = (Rc::clone(host), upstream.clone());
-        let sending = InProgress { host, upstream, run, begun_ms, held, is_ended: false };
+        let sending = InProgress { host, upstream, entry, run, begun_ms, held, is_ended: false };
         match sending.host.upstreams.borrow_mut().get_mut(&sending.upstream) {
             Some(known) if sending.is_noted_here() => known.note_sent(),
             _ => {}
@@ -44,9 +48,9 @@
         sending
     }
 
-    /// The run of the upstream that has it.
-    pub(super) fn run(&self) -> RunStart {
-        self.run
+    /// What was published of the upstream as it was sent there.
+    pub(super) fn entry(&self) -> Option<Arc<Upstream>> {
+        self.entry.clone()
     }
 
     /// Returns once the upstream has started again: the run that has the request is over, and
--- a/crates/gateway/src/serve/sending.rs
+++ b/crates/gateway/src/serve/sending.rs
@@ -9,19 +9,23 @@
 use crate::event_log::LogEvent;
 use crate::host::duration;
 use crate::http1::write_request;
+use crate::quarantine::{self, BrokenOff};
 use dispatch::SendFailure;
 use dispatch::attempts::{self, Answered, Cause, End, Next, Refusal, Standing};
+use dispatch::quarantine::Admission;
 use dispatch::scheduler::Outcome;
 use domain::{Millis, RequestFingerprint, UpstreamId};
-use published::{Repeat, Route, RunStart};
+use published::{Repeat, Route};
 
 /// How a sending ended.
 struct Ended {
     upstream: UpstreamId,
-    run: RunStart,
     end: End,
     answer: Option<Answer>,
     sent_ms: Millis,
+    /// The upstream crashed under it.
+    has_crashed: bool,
+    is_trial: bool,
 }
 
 /// A request that is about to leave for an upstream.
@@ -31,6 +35,8 @@
     bytes: Vec<u8>,
     guard: InProgress,
     sent_ms: Millis,
+    /// The only one of its kind in the fleet.
+    is_trial: bool,
 }
 
 /// What the sendings of a request came to so far.
@@ -44,6 +50,8 @@
     pub(super) arrived: u32,
     /// Those that surely did not run.
     pub(super) not_run: u32,
+    /// Those under which the upstream crashed.
+    pub(super) crashes: u32,
 }
 
 impl Tally {
@@ -60,13 +68,22 @@
 
     pub(super) async fn run(self) -> Result<Reply, Refusal> {
         let mut tally = Tally::default();
+        let outcome = self.send_until_answered(&mut tally).await;
+        if outcome.is_err() && tally.crashes > 0 {
+            quarantine::note_given_up(&self.host, self.fingerprint());
+        }
+        outcome
+    }
+
+    async fn send_until_answered(&self, tally: &mut Tally) -> Result<Reply, Refusal> {
         loop {
-            let (found, connection) = self.find_in_time(&mut tally).await?;
-            let sending = self.begin(found, connection, &mut tally)?;
+            self.wait_for_trial(tally).await?;
+            let (found, connection) = self.find_in_time(tally).await?;
+            let sending = self.begin(found, connection, tally)?;
             tokio::select! {
                 biased;
                 ended = self.send(sending) => {
-                    if let Some(outcome) = self.settle(ended, &mut tally) {
+                    if let Some(outcome) = self.settle(ended, tally) {
                         return outcome;
                     }
                 }
@@ -85,6 +102,16 @@
     ) -> Result<Sending, Refusal> {
         let now_ms = self.host.now_ms();
         self.check_time(now_ms, tally)?;
+        let is_trial = match self.admit(tally) {
+            Ok(is_trial) => is_trial,
+            Err(refusal) => {
+                self.host.pool.borrow_mut().put(&found.upstream, connection);
+                return Err(refusal);
+            }
+        };
+        if is_trial {
+            quarantine::begin_trial(&self.host, self.fingerprint(), self.end_ms);
+        }
         tally.sent += 1;
         tally.arrived += 1;
         tally.tried.push(found.upstream.clone());
@@ -93,7 +120,7 @@
         self.note_begin(&found, now_ms, tally.sent);
         let guard = InProgress::begin(&self.host, &found.upstream, found.held.take());
         let bytes = self.encode(&found.upstream, now_ms);
-        Ok(Sending { found, connection, bytes, guard, sent_ms: now_ms })
+        Ok(Sending { found, connection, bytes, guard, sent_ms: now_ms, is_trial })
     }
 
     fn note_begin(&self, found: &Found, now_ms: Millis, sending: u32) {
@@ -127,7 +154,7 @@
     }
 
     async fn send(&self, sending: Sending) -> Ended {
-        let Sending { found, mut connection, bytes, guard, sent_ms } = sending;
+        let Sending { found, mut connection, bytes, guard, sent_ms, is_trial } = sending;
         let expected = Expected {
             has_body: self.request.head.method != "HEAD",
             id: Some((self.host.dialect.request_id, &self.id)),
@@ -152,11 +179,21 @@
         if answer.is_some() {
             self.host.pool.borrow_mut().put(&upstream, connection);
         }
-        let took_ms = self.host.now_ms().since(sent_ms);
+        let broke_ms = self.host.now_ms();
+        let took_ms = broke_ms.since(sent_ms);
         let failure = failure_of(end);
-        let run = guard.run();
+        let entry = guard.entry();
         guard.end(&self.service, work, Outcome { failure, took_ms, report });
-        Ended { upstream, run, end, answer, sent_ms }
+        let has_crashed = match entry {
+            Some(upstream) if end == End::Broken => {
+                let fingerprint = self.fingerprint();
+                let broken = BrokenOff { fingerprint, upstream, sent_ms, broke_ms };
+                // A look that failed is a fault of ours, and says nothing of the upstream.
+                quarantine::examine(&self.host, broken).await.unwrap_or(false)
+            }
+            _ => false,
+        };
+        Ended { upstream, end, answer, sent_ms, has_crashed, is_trial }
     }
 
     fn answered(&self, answer: &Answer) -> Answered {
@@ -171,6 +208,8 @@
     /// What follows on an ended sending; none to send again.
     fn settle(&self, ended: Ended, tally: &mut Tally) -> Option<Result<Reply, Refusal>> {
         let now_ms = self.host.now_ms();
+        self.note_for_quarantine(&ended);
+        tally.crashes += u32::from(ended.has_crashed);
         if attempts::is_not_run(ended.end) {
             tally.not_run += 1;
         }
@@ -200,6 +239,59 @@
         }
     }
 
+    /// Waits while another host tries a request that asks the same; refuses what is held back.
+    async fn wait_for_trial(&self, tally: &Tally) -> Result<(), Refusal> {
+        loop {
+            let news = self.host.quarantine_news.notified();
+            let for_ms = match self.admission() {
+                Admission::Free | Admission::Trial => return Ok(()),
+                Admission::Held { for_ms } => return Err(held_back(for_ms, tally)),
+                Admission::Wait { for_ms } => for_ms,
+            };
+            let until_ms = self.end_ms.min(self.host.now_ms() + for_ms);
+            tokio::select! {
+                () = news => {}
+                () = tokio::time::sleep(self.host.clock.until(until_ms)) => {}
+            }
+            self.check_time(self.host.now_ms(), tally)?;
+        }
+    }
+
+    /// Whether it may leave now; true if it does so as a trial.
+    fn admit(&self, tally: &Tally) -> Result<bool, Refusal> {
+        match self.admission() {
+            Admission::Free => Ok(false),
+            Admission::Trial => Ok(true),
+            Admission::Wait { for_ms } | Admission::Held { for_ms } => {
+                Err(held_back(for_ms, tally))
+            }
+        }
+    }
+
+    fn admission(&self) -> Admission {
+        let quarantine = self.host.quarantine.borrow();
+        match quarantine.is_empty() {
+            true => Admission::Free,
+            false => quarantine.admit(self.host.now_ms(), self.fingerprint()),
+        }
+    }
+
+    /// An upstream that ran it to its end clears it; a crash was noted as it was seen.
+    fn note_for_quarantine(&self, ended: &Ended) {
+        if self.host.quarantine.borrow().is_empty() {
+            return;
+        }
+        if ended.is_trial {
+            quarantine::end_trial(&self.host, self.fingerprint());
+        }
+        match ended.end {
+            End::Answered(answered) if answered.is_sealed && !answered.not_run => {
+                quarantine::note_answered(&self.host, self.fingerprint());
+            }
+            End::Answered(_) | End::NotSent | End::Broken => {}
+        }
+    }
+
     /// What it asks; computed once it is needed, since it reads the whole body.
     fn fingerprint(&self) -> RequestFingerprint {
         let compute = || fingerprint(&self.request.head, &self.request.body, self.caller.address());
@@ -234,10 +326,15 @@
             is_not_run: attempts::is_not_run(ended.end),
             repeats_left: self.host.repeats.borrow().left(self.host.now_ms(), &self.service),
             fingerprint: self.fingerprint(),
+            has_crashed: ended.has_crashed,
         });
-        if ended.end == End::Broken {
-            ask::check_presence(&self.host, &ended.upstream, ended.run, self.fingerprint());
-        }
+    }
+}
+
+fn held_back(for_ms: Millis, tally: &Tally) -> Refusal {
+    match tally.may_have_run() > 0 {
+        true => Refusal::unknown(Cause::UpstreamFailed),
+        false => Refusal::held_back(for_ms),
     }
 }
 
--- a/crates/gateway/tests/broken_off.rs
+++ b/crates/gateway/tests/broken_off.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use domain::RequestFingerprint;
 use gateway::http1::read_request;
 use gateway::serve::fingerprint;
 use rstest::rstest;
@@ -17,22 +18,45 @@
 #[case::reset(Act::Reset, false)]
 #[case::cut_short(Act::Cut, false)]
 #[case::spoilt(Act::Garbage, false)]
-fn it_is_gone_only_if_its_process_ended(#[case] act: Act, #[case] is_gone: bool) {
+fn it_has_crashed_only_if_its_process_ended(#[case] act: Act, #[case] has_crashed: bool) {
     on_one_thread(async {
         let upstream = StandInUpstream::start("i-1").await;
         let (gateway, _published) = ready(&[&upstream]).await;
         upstream.plays([act]);
         let mut caller = Caller::connect(callers(&gateway)).await;
         caller.ask(&get("/any/x", "id-1")).await;
-        let counted = format!("gateway_broken_off_total{{is_gone=\"{is_gone}\"");
+        let counted = format!("gateway_broken_off_total{{has_crashed=\"{has_crashed}\"");
         until("it was looked at", || gateway.host().metrics.render().contains(&counted)).await;
     });
 }
 
-fn of(text: &str, body: &str, caller: &str) -> u64 {
+/// Other kept connections end with the process, and are no sign of life.
+#[test]
+fn it_has_crashed_also_if_connections_to_it_were_kept() {
+    on_one_thread(async {
+        let upstream = StandInUpstream::start("i-1").await;
+        let (gateway, _published) = ready(&[&upstream]).await;
+        upstream.plays([Act::Slow(20), Act::Slow(20), Act::Slow(20)]);
+        let address = callers(&gateway);
+        let side_by_side = (0..3).map(|number| {
+            let text = get("/any/x", &format!("id-{number}"));
+            tokio::task::spawn_local(async move { Caller::connect(address).await.ask(&text).await })
+        });
+        for asked in side_by_side.collect::<Vec<_>>() {
+            asked.await.unwrap();
+        }
+        assert!(gateway.host().pool.borrow().len() > 1);
+        upstream.plays([Act::Crash(5)]);
+        Caller::connect(address).await.ask(&get("/any/x", "id-9")).await;
+        let counted = "gateway_broken_off_total{has_crashed=\"true\"";
+        until("it was looked at", || gateway.host().metrics.render().contains(counted)).await;
+    });
+}
+
+fn of(text: &str, body: &str, caller: &str) -> RequestFingerprint {
     let mut bytes = text.as_bytes().to_vec();
     let head = read_request(&mut bytes, 4_096).unwrap().unwrap();
-    fingerprint(&head, body.as_bytes(), caller.parse::<IpAddr>().unwrap()).0
+    fingerprint(&head, body.as_bytes(), caller.parse::<IpAddr>().unwrap())
 }
 
 const FIRST: &str = "GET /any/x?page=1 HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: 1\r\n\r\n";
--- a/crates/gateway/tests/crashing_requests.rs
+++ b/crates/gateway/tests/crashing_requests.rs
@@ -5,6 +5,9 @@
 //! upstream when the first broke off, its caller came again through another host, under
 //! another id, and each host took each arrival for a request like any other; upstreams were
 //! back after three seconds and ended again.
+//!
+//! The evidence: without a word between hosts 28 to 32 upstreams end in 18 arrivals, and the
+//! digest of what is asked is the same in every line of a crash; with it three do.
 #![allow(clippy::unwrap_used)]
 
 mod support;
@@ -175,7 +178,10 @@
         };
         until("they are used again", || site.upstreams.iter().all(|u| is_known(u.id()))).await;
         for number in 0..6 {
-            assert_eq!(site.ask(number, &popular(100 + number)).await.status, 200);
+            let got = site.ask(number, &popular(100 + number)).await;
+            let now_ms = site.hosts[0].host().now_ms();
+            let held = site.hosts[0].host().quarantine.borrow().dump(now_ms);
+            assert_eq!(got.status, 200, "{got:?}, {held:?}");
         }
     });
 }
--- a/crates/gateway/tests/docs.rs
+++ b/crates/gateway/tests/docs.rs
@@ -22,15 +22,20 @@
     metrics.connected();
     metrics.told_peers(3);
     metrics.caller_gone();
-    metrics.broke_off(true, 1);
+    metrics.broke_off(true);
     let picture_age = Some(Duration::ZERO);
-    let figures =
-        StateFigures { source_calls: 1, log_lines_dropped: 0, open_requests: 0, picture_age };
+    let figures = StateFigures {
+        source_calls: 1,
+        log_lines_dropped: 0,
+        open_requests: 0,
+        quarantined: 0,
+        picture_age,
+    };
     metrics.note_state(&figures);
     let (page, text) = (page(), metrics.render());
     let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
     let names: Vec<&str> = types.filter_map(|line| line.split(' ').next()).collect();
-    assert_eq!(names.len(), 14, "{names:?}");
+    assert_eq!(names.len(), 15, "{names:?}");
     for name in names {
         assert!(page.contains(&format!("`{name}`")), "{name}");
     }
@@ -44,6 +49,7 @@
         Cause::NoUpstream,
         Cause::Overloaded,
         Cause::UpstreamsRefused,
+        Cause::CrashesUpstreams,
         Cause::Expired,
         Cause::UpstreamFailed,
         Cause::TimedOut
--- a/crates/published/src/gossip.rs
+++ b/crates/published/src/gossip.rs
@@ -15,7 +15,7 @@
 pub use joining::{Bootstrap, JoinReply};
 pub use message::{Greeting, Message, News};
 
-use crate::{Change, Member, Members, Picture, Revision, Whole};
+use crate::{Change, Listener, Member, Members, Picture, Revision, Whole};
 use domain::Millis;
 use joining::JoinState;
 use rand::RngExt;
@@ -132,6 +132,21 @@
         effects
     }
 
+    /// Whom to tell what all hosts are to hear.
+    pub fn listeners(&mut self, now_ms: Millis) -> Vec<Listener> {
+        match self.is_leaving {
+            true => Vec::new(),
+            false => self.members.listeners(now_ms),
+        }
+    }
+
+    /// Shows a peer whose message is passed on that this host is there.
+    pub fn answer(&self, to: SocketAddr) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        self.send(self.hello(Greeting::Present), vec![to], &mut effects);
+        effects
+    }
+
     /// Tells all hosts that this one leaves; nothing is said after that.
     pub fn leave(&mut self) -> Vec<Effect> {
         let own = self.members.own();
