One clock that counts suspensions, for every age, deadline and wait of an entry host

Cause: the clock was built on the steady clock, which stands still while a machine is suspended, and so are the runtime's timers. A host that went on after some seconds took its picture, reports of load, kept connections and deadlines for as fresh as before.

A request looks at the age of its connection again as it leaves. Health checks are not saved up while the process stands still, and peers are not forgotten for that time: budgets would be divided by one.

--- /dev/null
+++ b/crates/clock/tests/suspended.rs
@@ -0,0 +1,63 @@
+//! A machine that is suspended: its timers stand still, its time goes on.
+#![cfg(feature = "testing")]
+#![allow(clippy::unwrap_used)]
+
+use clock::{Clock, Moment, testing};
+use domain::Millis;
+use std::time::Duration;
+
+const HOUR: Duration = Duration::from_secs(3_600);
+
+/// Longest wait for what has to come at once.
+const SOON: Duration = Duration::from_secs(5);
+
+fn on_one_thread(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(async {
+        let watching = clock::watch();
+        tokio::select! {
+            () = test => {}
+            () = watching => {}
+            () = tokio::time::sleep(SOON) => panic!("a timer did not count the suspension"),
+        }
+    });
+}
+
+#[test]
+fn suspended_time_counts_in_ages() {
+    let (clock, moment) = (Clock::start(), Moment::now());
+    testing::suspend(HOUR);
+    assert!(moment.elapsed() >= HOUR);
+    assert!(clock.now() >= Millis::from_secs(3_600));
+    assert_eq!(clock.until(Millis::from_secs(3_600)), Duration::ZERO);
+}
+
+#[test]
+fn who_waits_is_woken_after_a_suspension() {
+    on_one_thread(async {
+        let suspending = async {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            testing::suspend(HOUR);
+        };
+        tokio::join!(clock::sleep(HOUR), suspending);
+    });
+    on_one_thread(async {
+        let suspending = async {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            testing::suspend(HOUR);
+        };
+        let waiting = clock::timeout(HOUR, std::future::pending::<()>());
+        let (waited, ()) = tokio::join!(waiting, suspending);
+        assert_eq!(waited, Err(clock::Elapsed));
+    });
+}
+
+#[test]
+fn without_a_suspension_it_goes_like_any_other() {
+    on_one_thread(async {
+        let begun = std::time::Instant::now();
+        clock::sleep(Duration::from_millis(30)).await;
+        assert!(begun.elapsed() >= Duration::from_millis(30));
+        assert_eq!(clock::timeout(HOUR, std::future::ready(3)).await, Ok(3));
+    });
+}
--- a/crates/daemon/src/attempts.rs
+++ b/crates/daemon/src/attempts.rs
@@ -16,7 +16,7 @@
 use crate::request::CallRequest;
 use crate::send_gate::{GatedBody, SendGate};
 use bytes::{Bytes, BytesMut};
-use clock::Clock;
+use clock::{Clock, Deadline};
 use decision_core::{Attempt, FailureStage};
 use domain::{ByteCount, HostId, ZoneName};
 use error_stack::{Report, ResultExt};
@@ -28,7 +28,6 @@
 use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Sleep, sleep};
 
 /// An upstream that does not accept within this time is out of reach.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -98,11 +97,11 @@
         gate: &Arc<SendGate>,
         held: ByteCount,
     ) -> Result<Answer, FailureStage> {
-        let mut deadline = pin!(sleep(self.clock.until(attempt.deadline_ms)));
-        let response = before(deadline.as_mut(), gate, self.open(attempt, request, gate))
+        let mut deadline = self.clock.deadline(attempt.deadline_ms);
+        let response = before(&mut deadline, gate, self.open(attempt, request, gate))
             .await
             .unwrap_or_else(|| Err(stage_of_timeout(gate)))?;
-        self.read(attempt, response, held, deadline).await
+        self.read(attempt, response, held, &mut deadline).await
     }
 
     async fn open(
@@ -149,7 +148,7 @@
         attempt: &Attempt,
         mut open: OpenResponse,
         held: ByteCount,
-        deadline: std::pin::Pin<&mut Sleep>,
+        deadline: &mut Deadline,
     ) -> Result<Answer, FailureStage> {
         let status = open.response.status();
         if status.is_informational() {
@@ -203,7 +202,7 @@
     /// What was read, then what still comes; ends with an error if it is cut or late.
     fn rest(&self, attempt: &Attempt, read: Bytes, open: OpenResponse) -> AnswerBody {
         let left = BytesLeft::of(open.framing);
-        let deadline = Box::pin(sleep(self.clock.until(attempt.deadline_ms)));
+        let deadline = self.clock.deadline(attempt.deadline_ms);
         let already_read = stream::iter((!read.is_empty()).then_some(Ok(read)));
         let coming = stream::unfold(Some((open, deadline)), |state| async {
             let (mut open, mut deadline) = state?;
@@ -268,7 +267,7 @@
 /// Runs `work` unless the deadline has passed; looks at the clock each time before `work`
 /// goes on, so that a process that was stopped meanwhile can't go on late.
 async fn before<T>(
-    mut deadline: std::pin::Pin<&mut Sleep>,
+    deadline: &mut Deadline,
     gate: &SendGate,
     work: impl Future<Output = T>,
 ) -> Option<T> {
--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -12,6 +12,7 @@
 use crate::metrics::CallOutcome;
 use crate::request::{self, CallRequest};
 use bytes::Bytes;
+use clock::Moment;
 use decision_core::{CallHead, FailureStage, Refusal, RunOutcome};
 use domain::{CallId, UpstreamId};
 use futures_util::TryStreamExt;
@@ -24,7 +25,7 @@
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, Server, async_trait};
 use std::io;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 /// Largest request head.
 const MAX_HEAD_BYTES: usize = 32 << 10;
@@ -110,7 +111,7 @@
         head: CallHead,
         request: CallRequest,
     ) -> Result<Reply, EdgeRefusal> {
-        let arrived = Instant::now();
+        let arrived = Moment::now();
         let reply = self.driver.open_call(call, head, request);
         let mut guard = CallerGuard { driver: &self.driver, call, arrived, is_waiting: true };
         let reply = reply.await;
@@ -206,7 +207,7 @@
 struct CallerGuard<'a> {
     driver: &'a Arc<Driver>,
     call: CallId,
-    arrived: Instant,
+    arrived: Moment,
     is_waiting: bool,
 }
 
--- a/crates/daemon/src/connection_share.rs
+++ b/crates/daemon/src/connection_share.rs
@@ -11,6 +11,7 @@
 //! the one that comes back. The client doesn't tell when an idle connection ends; a count
 //! that proves too high is corrected after a short wait.
 
+use clock::Moment;
 use domain::{Connections, FastMap};
 use futures_util::future::BoxFuture;
 use std::fmt;
@@ -18,9 +19,8 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::sleep;
 use tower::{BoxError, Layer, Service};
 
 /// Upstreams remembered before those that are not in use are let go of.
@@ -54,7 +54,7 @@
     /// Connections that are open or being opened, as far as is known.
     open: u32,
     /// When a permit was last given back.
-    last_end: Instant,
+    last_end: Moment,
 }
 
 /// The right to use one connection.
@@ -91,7 +91,7 @@
 impl Share {
     fn new() -> Share {
         let counts =
-            Counts { connections: 0, excess: 0, in_use: 0, open: 0, last_end: Instant::now() };
+            Counts { connections: 0, excess: 0, in_use: 0, open: 0, last_end: Moment::now() };
         Share { permits: Arc::new(Semaphore::new(0)), counts: Mutex::new(counts) }
     }
 
@@ -159,7 +159,7 @@
     fn drop(&mut self) {
         let mut counts = self.share.counts();
         counts.in_use -= 1;
-        counts.last_end = Instant::now();
+        counts.last_end = Moment::now();
         if self.closes && !self.is_connecting.load(Ordering::Acquire) {
             counts.note_closed();
         }
@@ -195,7 +195,7 @@
     /// Waits until another connection may be opened.
     async fn reserve(&self) -> Result<Reservation, Surplus> {
         self.is_connecting.store(true, Ordering::Release);
-        let began = Instant::now();
+        let began = Moment::now();
         while !self.share.counts().try_open() {
             if self.is_over.load(Ordering::Acquire) {
                 return Err(Surplus);
@@ -204,7 +204,7 @@
                 self.share.counts().open_anyway();
                 break;
             }
-            sleep(RETURN_STEP).await;
+            clock::sleep(RETURN_STEP).await;
         }
         Ok(Reservation { share: Arc::clone(&self.share), is_kept: false })
     }
--- a/crates/daemon/src/connections.rs
+++ b/crates/daemon/src/connections.rs
@@ -5,6 +5,7 @@
 //! not reach them. An answer that breaks off needs to know when its head has left,
 //! because an HTTP/2 reset throws away whatever is still queued.
 
+use clock::{sleep, timeout};
 use domain::FastMap;
 use futures_util::stream::{self, Stream, StreamExt};
 use salvo::async_trait;
@@ -14,7 +15,6 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, Weak};
 use std::time::Duration;
-use tokio::time::{sleep, timeout};
 
 /// Longest wait for what was handed over to leave; a caller that reads nothing is not
 /// worth more.
--- a/crates/daemon/src/driver.rs
+++ b/crates/daemon/src/driver.rs
@@ -225,7 +225,7 @@
     pub async fn quiet(&self) {
         let mut quiet_for = Duration::ZERO;
         while quiet_for < QUIET {
-            tokio::time::sleep(QUIET_STEP).await;
+            clock::sleep(QUIET_STEP).await;
             let is_quiet = self.requests.load(Ordering::Acquire) == 0 && self.lock().is_idle();
             quiet_for = if is_quiet { quiet_for + QUIET_STEP } else { Duration::ZERO };
         }
@@ -253,7 +253,7 @@
             let next = Millis(self.next_tick_ms.load(Ordering::Acquire));
             tokio::select! {
                 () = changed => {}
-                () = tokio::time::sleep(self.clock.until(next)) => self.apply(Event::Tick),
+                () = self.clock.sleep_until(next) => self.apply(Event::Tick),
             }
         }
     }
--- a/crates/daemon/src/peers.rs
+++ b/crates/daemon/src/peers.rs
@@ -7,6 +7,7 @@
 use crate::driver::Driver;
 use crate::error::StartError;
 use crate::metrics::{Direction, Metrics};
+use clock::{Moment, timeout};
 use decision_core::{Envelope, Event, PROTOCOL_VERSION, PeerMessage};
 use domain::{FastMap, HostId, Incarnation};
 use error_stack::{Report, ResultExt};
@@ -21,7 +22,6 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 use tokio::sync::{Semaphore, mpsc};
-use tokio::time::{Instant, timeout};
 
 /// The one method.
 const DELIVER: &str = "deliver";
@@ -199,7 +199,7 @@
             metrics: Arc::clone(&self.metrics),
             client: None,
             backoff: MIN_BACKOFF,
-            next_connect: Instant::now(),
+            next_connect: Moment::now(),
         };
         tokio::spawn(link.run(queue));
         sender
@@ -215,7 +215,7 @@
     metrics: Arc<Metrics>,
     client: Option<Arc<Connection>>,
     backoff: Duration,
-    next_connect: Instant,
+    next_connect: Moment,
 }
 
 impl Link {
@@ -248,7 +248,7 @@
     async fn connected(&mut self) -> Option<Arc<Connection>> {
         match &self.client {
             Some(client) if client.is_usable() => return Some(Arc::clone(client)),
-            _ if Instant::now() < self.next_connect => return None,
+            _ if Moment::now() < self.next_connect => return None,
             _ => {}
         }
         let client = WsClientBuilder::new()
@@ -269,7 +269,7 @@
             Err(error) => {
                 log::debug!("peers: {} is out of reach: {error}", self.address);
                 self.client = None;
-                self.next_connect = Instant::now() + self.backoff;
+                self.next_connect = Moment::now() + self.backoff;
                 self.backoff = (self.backoff * 2).min(MAX_BACKOFF);
             }
         }
--- a/crates/dispatch/tests/budget.rs
+++ b/crates/dispatch/tests/budget.rs
@@ -91,3 +91,24 @@
     assert!(burst > 60, "{burst}");
     assert!(burst < 130, "{burst}");
 }
+
+/// A process that stood still has saved nothing up for that time; one that was calm has.
+#[rstest]
+#[case::calm(500, 270)]
+#[case::stood_still(60_000, 0)]
+fn nothing_is_saved_up_while_the_process_stands_still(
+    #[case] seen_awake_each_ms: usize,
+    #[case] expected: usize,
+) {
+    let mut asks = AskBudget::new(PerSecond(10.0));
+    let upstream: UpstreamId = "i-1".parse().unwrap();
+    let spend = |asks: &mut AskBudget, now: u64| {
+        (0..1_000).filter(|_| asks.take(Millis(now), &upstream, 1.0)).count()
+    };
+    asks.note_awake(Millis(1_000));
+    spend(&mut asks, 1_000);
+    for now in (1_000..=61_000).step_by(seen_awake_each_ms) {
+        asks.note_awake(Millis(now));
+    }
+    assert_eq!(spend(&mut asks, 61_000), expected);
+}
--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -9,18 +9,18 @@
 mod connect;
 mod question;
 
-pub use connect::connect;
+pub use connect::{connect, is_trusted};
 pub use question::{note_report, read_load, refresh};
 
 use crate::connection::Connection;
 use crate::host::Host;
+use clock::Moment;
 use dispatch::{ASKED_AT_ONCE, AT_ONCE, Candidate, GOOD_ENOUGH, ROUNDS, Reach, UNWELL_COST};
 use domain::{ServiceName, UpstreamId};
 use question::{Purse, ask_within_limit, may_ask};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
-use tokio::time::Instant;
 
 /// Once one upstream answered, the others are waited for so long: a round trip between
 /// availability zones, with a new connection.
@@ -168,11 +168,11 @@
         });
     }
     drop(replies);
-    let mut until = Instant::now() + FIRST;
+    let mut until = Moment::now() + FIRST;
     let mut best: Option<Chosen> = None;
     let mut answered = 0;
     while open > 0 {
-        let Ok(Some(reply)) = tokio::time::timeout_at(until, asked.recv()).await else { break };
+        let Ok(Some(reply)) = clock::timeout_at(until, asked.recv()).await else { break };
         open -= 1;
         answered += usize::from(matches!(reply.heard, Heard::Answer { .. }));
         best = better(host, best, weigh(host, reply));
@@ -180,7 +180,7 @@
             break;
         }
         if best.is_some() {
-            until = until.min(Instant::now() + OTHERS);
+            until = until.min(Moment::now() + OTHERS);
         }
     }
     asked.close();
--- a/crates/gateway/src/ask/connect.rs
+++ b/crates/gateway/src/ask/connect.rs
@@ -23,12 +23,8 @@
 pub async fn connect(host: &Rc<Host>, upstream: &UpstreamId, repeat: Repeat) -> Option<Connection> {
     let run = host.upstreams.borrow().run(upstream);
     let kept = host.pool.borrow_mut().take(upstream, run);
-    let trusted = match repeat {
-        Repeat::Idempotent => UNASKED_IDLE_REPEATABLE,
-        Repeat::AtMostOnce => UNASKED_IDLE,
-    };
     match kept {
-        Some(connection) if connection.idle() < trusted && !connection.is_doubtful() => {
+        Some(connection) if is_trusted(&connection, repeat) && !connection.is_doubtful() => {
             return Some(connection);
         }
         Some(connection) => {
@@ -47,6 +43,16 @@
     }
 }
 
+/// Whether a connection was used so lately that it is taken to be alive without asking. Looked at
+/// again as a request leaves: the machine may have been suspended since the connection was chosen.
+pub fn is_trusted(connection: &Connection, repeat: Repeat) -> bool {
+    let trusted = match repeat {
+        Repeat::Idempotent => UNASKED_IDLE_REPEATABLE,
+        Repeat::AtMostOnce => UNASKED_IDLE,
+    };
+    connection.idle() < trusted
+}
+
 /// Asks on a connection that was idle for long, if a question is left: an answer proves it
 /// alive for a fraction of the price of a new one.
 async fn prove(
@@ -60,7 +66,7 @@
     }
     let path = health_path(host, &service);
     let asking = exchange(host, &mut connection, (upstream, run), &path);
-    match tokio::time::timeout(PROVE_LIMIT, asking).await {
+    match clock::timeout(PROVE_LIMIT, asking).await {
         Ok(Ok(is_well)) => {
             note_reply(host, (upstream, run), is_well);
             Some(connection)
--- a/crates/gateway/src/ask/question.rs
+++ b/crates/gateway/src/ask/question.rs
@@ -80,7 +80,7 @@
 ) -> Option<(Connection, bool)> {
     let run = host.upstreams.borrow().run(upstream);
     let asking = question(host, service, (upstream, run));
-    let result = tokio::time::timeout(ASK_LIMIT, asking).await;
+    let result = clock::timeout(ASK_LIMIT, asking).await;
     match result.unwrap_or(Err(AskFailure::Silent)) {
         Ok(Reply { connection, is_well }) => {
             note_reply(host, (upstream, run), is_well);
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -4,11 +4,12 @@
 //! known at its end, since only that, or the upstream's word, proves that it did not run.
 
 use crate::http1::{AnswerHead, BodyReader, Framing, HeadError, Progress, read_answer};
+use clock::Moment;
 use domain::Millis;
 use published::RunStart;
 use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use tokio::net::{TcpSocket, TcpStream};
 
 /// Largest answer that is held. Answers are held until whole, so that one that is cut
@@ -79,7 +80,7 @@
 pub struct Connection {
     stream: TcpStream,
     buffer: Vec<u8>,
-    used: Instant,
+    used: Moment,
     idle: Duration,
     is_reusable: bool,
     is_doubtful: bool,
@@ -90,7 +91,7 @@
     /// Opens one.
     pub async fn open(address: SocketAddr, within: Duration) -> io::Result<Connection> {
         let socket = TcpSocket::new_v4()?;
-        let connecting = tokio::time::timeout(within, socket.connect(address));
+        let connecting = clock::timeout(within, socket.connect(address));
         let stream = connecting.await.map_err(|_| io::Error::from(ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
         let unanswered = Duration::from_millis(UNANSWERED_MS.0);
@@ -98,7 +99,7 @@
         Ok(Connection {
             stream,
             buffer: Vec::new(),
-            used: Instant::now(),
+            used: Moment::now(),
             idle: UNSTATED_IDLE,
             is_reusable: true,
             is_doubtful: false,
@@ -182,7 +183,7 @@
                 None => self.stream.ready(interest).await,
                 Some(Silence { first, next }) => {
                     let longest = if has_heard { next } else { first };
-                    let ready = tokio::time::timeout(longest, self.stream.ready(interest)).await;
+                    let ready = clock::timeout(longest, self.stream.ready(interest)).await;
                     ready.unwrap_or_else(|_| Err(ErrorKind::TimedOut.into()))
                 }
             };
@@ -221,7 +222,7 @@
     /// An answer that came before the request was out ends the connection: the upstream may
     /// read on and must not take the next request for the rest of this one.
     fn finish(&mut self, answer: &Answer, is_all_sent: bool) {
-        self.used = Instant::now();
+        self.used = Moment::now();
         self.idle = stated_idle(answer).unwrap_or(UNSTATED_IDLE);
         self.is_reusable = answer.head.keeps_alive && is_all_sent && self.buffer.is_empty();
         self.is_doubtful = answer.head.status >= 400;
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -147,7 +147,7 @@
     /// Writes out what waits, again and again; never ends.
     pub async fn run(&self) {
         loop {
-            tokio::time::sleep(FLUSH).await;
+            clock::sleep(FLUSH).await;
             self.flush();
         }
     }
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -207,6 +207,14 @@
         self.log.write(&LogEvent::Reloaded { changed: is_changed });
     }
 
+    /// The process is awake: budgets save nothing up for the time in which it wasn't.
+    pub fn note_awake(&self) {
+        let now_ms = self.now_ms();
+        for asks in [&self.asks, &self.neighbours_asks, &self.placing.asks] {
+            asks.borrow_mut().note_awake(now_ms);
+        }
+    }
+
     /// Closes idle connections that are of no use any more.
     pub fn prune_connections(&self) {
         let picture = self.picture();
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -16,6 +16,7 @@
 use crate::http1::{BodyReader, Progress as BodyProgress, RequestError, RequestHead, read_request};
 use crate::serve::{Progress, Reply, Request, serve};
 use caller::linger;
+use clock::Moment;
 use dispatch::attempts::{Cause, Refusal};
 use domain::{ByteCount, Millis};
 use published::{CallerLimits, Repeat};
@@ -27,7 +28,6 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
-use tokio::time::Instant;
 
 /// Limits until a routing states others.
 const FIRST_LIMITS: CallerLimits = CallerLimits {
@@ -88,8 +88,8 @@
     arriving: Option<Arriving>,
     whole: Option<Rc<Request>>,
     faulty: Option<Refusal>,
-    head_since: Option<Instant>,
-    active: Instant,
+    head_since: Option<Moment>,
+    active: Moment,
     is_last: bool,
 }
 
@@ -110,7 +110,7 @@
             Err(e) => {
                 // Out of descriptors, or the caller was faster; the next may do better.
                 host.log.write(&LogEvent::AcceptFailed { problem: e.to_string() });
-                tokio::time::sleep(ACCEPT_PAUSE).await;
+                clock::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
@@ -121,7 +121,7 @@
     let _ = stream.set_nodelay(true);
     let inbox = RefCell::new(Vec::new());
     let caller = Rc::new(Caller { address, stream, inbox, is_gone: Cell::new(false) });
-    let now = Instant::now();
+    let now = Moment::now();
     let mut session = Session {
         host,
         caller,
@@ -231,17 +231,17 @@
                 }
                 Next::Read
             }
-            () = tokio::time::sleep_until(late) => Next::Late,
+            () = clock::sleep_until(late) => Next::Late,
             _ = closing.changed(), if !is_closing => Next::Closing,
         }
     }
 
     /// When the caller has taken too long.
-    fn late_at(&self) -> Instant {
+    fn late_at(&self) -> Moment {
         let limits = self.limits();
         match self.head_since {
             Some(since) if self.arriving.is_none() => since + duration(limits.head_timeout_ms),
-            _ if !self.pending.is_empty() => Instant::now() + duration(limits.idle_timeout_ms),
+            _ if !self.pending.is_empty() => Moment::now() + duration(limits.idle_timeout_ms),
             _ if self.is_idle() => self.active + duration(limits.idle_timeout_ms) + IDLE_SLACK,
             _ => self.active + duration(limits.idle_timeout_ms),
         }
@@ -269,7 +269,7 @@
         match progress {
             Ok(BodyProgress::Whole) => {}
             Ok(BodyProgress::Partial) => {
-                self.active = Instant::now();
+                self.active = Moment::now();
                 self.invite_body().await;
                 return false;
             }
@@ -299,7 +299,7 @@
                 let has_begun = !inbox.is_empty();
                 self.head_since = self.head_since.filter(|_| has_begun);
                 if has_begun {
-                    self.head_since.get_or_insert_with(Instant::now);
+                    self.head_since.get_or_insert_with(Moment::now);
                 }
                 return false;
             }
@@ -367,8 +367,8 @@
             && self.faulty.is_none()
             && (self.is_last || self.host.is_stopping());
         let bytes = render(&self.host, &pending.request, &reply, closes);
-        self.active = Instant::now();
-        let written = tokio::time::timeout(WRITE_LIMIT, self.caller.write(&bytes)).await;
+        self.active = Moment::now();
+        let written = clock::timeout(WRITE_LIMIT, self.caller.write(&bytes)).await;
         matches!(written, Ok(Ok(()))) && !closes
     }
 
@@ -378,6 +378,6 @@
         self.host.metrics.refused("", refusal.cause);
         let bytes = render_refusal(&self.host, None, refusal, true);
         // The connection ends here either way.
-        let _ = tokio::time::timeout(WRITE_LIMIT, self.caller.write(&bytes)).await;
+        let _ = clock::timeout(WRITE_LIMIT, self.caller.write(&bytes)).await;
     }
 }
--- a/crates/gateway/src/ingress/caller.rs
+++ b/crates/gateway/src/ingress/caller.rs
@@ -1,11 +1,11 @@
 //! A caller's connection.
 
+use clock::Moment;
 use std::cell::{Cell, RefCell};
 use std::io::{self, ErrorKind};
 use std::net::IpAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
-use tokio::time::Instant;
 
 /// Bytes that are read ahead of the requests in progress.
 const MAX_READ_AHEAD: usize = 256 * 1024;
@@ -77,9 +77,9 @@
     {
         return;
     }
-    let until = Instant::now() + LINGER;
+    let until = Moment::now() + LINGER;
     let mut chunk = [0; READ_BYTES];
-    while tokio::time::timeout_at(until, caller.stream.readable()).await.is_ok() {
+    while clock::timeout_at(until, caller.stream.readable()).await.is_ok() {
         match caller.stream.try_read(&mut chunk) {
             Ok(0) => return,
             Ok(_) => {}
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -72,7 +72,7 @@
                     let _ = answer_all(&host, stream, audience).await;
                 });
             }
-            Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+            Err(_) => clock::sleep(ACCEPT_PAUSE).await,
         }
     }
 }
@@ -90,7 +90,7 @@
             }
             Ok(None) => {
                 let reading = stream.read_buf(&mut buffer);
-                match tokio::time::timeout(IDLE, reading).await {
+                match clock::timeout(IDLE, reading).await {
                     Ok(Ok(read)) if read > 0 => {}
                     _ => return Ok(()),
                 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -93,7 +93,7 @@
                 self.act(|gossip| gossip.greet(&seeds));
             }
             let jitter = self.host.rng.borrow_mut().random_range(GREETING_JITTER);
-            tokio::time::sleep(pause.mul_f64(jitter)).await;
+            clock::sleep(pause.mul_f64(jitter)).await;
         }
     }
 
@@ -112,7 +112,7 @@
             match self.socket.recv_from(&mut buffer).await {
                 Ok((read, from)) => self.take(&buffer[..read], from),
                 // An earlier datagram found nobody; the socket itself is sound.
-                Err(_) => tokio::time::sleep(RECEIVE_PAUSE).await,
+                Err(_) => clock::sleep(RECEIVE_PAUSE).await,
             }
         }
     }
@@ -126,10 +126,10 @@
                     tokio::task::spawn_local(async move {
                         // A peer that is gone asks another.
                         let giving = fetch::give(&host, stream);
-                        let _ = tokio::time::timeout(FETCH_LIMIT, giving).await;
+                        let _ = clock::timeout(FETCH_LIMIT, giving).await;
                     });
                 }
-                Err(_) => tokio::time::sleep(ACCEPT_PAUSE).await,
+                Err(_) => clock::sleep(ACCEPT_PAUSE).await,
             }
         }
     }
@@ -207,7 +207,7 @@
     ) {
         let peers = Rc::clone(self);
         tokio::task::spawn_local(async move {
-            tokio::time::sleep(duration(after_ms)).await;
+            clock::sleep(duration(after_ms)).await;
             let now_ms = peers.host.now_ms();
             peers.act(|gossip| decide(gossip, now_ms));
         });
@@ -216,7 +216,7 @@
     fn fetch(self: &Rc<Peers>, fetch: Fetch) {
         let peers = Rc::clone(self);
         tokio::task::spawn_local(async move {
-            tokio::time::sleep(duration(fetch.after_ms)).await;
+            clock::sleep(duration(fetch.after_ms)).await;
             let answer = fetch::fetch(&fetch).await;
             let now_ms = peers.host.now_ms();
             peers.act(|gossip| gossip.take_told(now_ms, fetch, answer));
--- a/crates/gateway/src/peers/fetch.rs
+++ b/crates/gateway/src/peers/fetch.rs
@@ -4,12 +4,12 @@
 
 use super::codec;
 use crate::host::Host;
+use clock::{Moment, sleep, timeout};
 use published::{Fetch, Question, Told};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
-use tokio::time::{Instant, sleep, timeout};
 
 /// Longest time for one exchange: what a slow machine needs for a large first picture.
 pub(super) const FETCH_LIMIT: Duration = Duration::from_millis(800);
@@ -38,8 +38,8 @@
 
 /// Asks one peer after the other for what is missing, round after round, until one tells.
 pub(super) async fn fetch(fetch: &Fetch) -> Option<(SocketAddr, Told)> {
-    let until = Instant::now() + ASKING_LIMIT;
-    while Instant::now() < until {
+    let until = Moment::now() + ASKING_LIMIT;
+    while Moment::now() < until {
         for &address in &fetch.from {
             if let Ok(Ok(told)) = timeout(FETCH_LIMIT, ask(address, fetch.question)).await {
                 return Some((address, told));
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -146,7 +146,7 @@
     held.tell(PlacementMessage::Submit(submission(ticket, cell.clone())));
     let mut longest = FIRST_WORD;
     loop {
-        match tokio::time::timeout(longest, heard.recv()).await {
+        match clock::timeout(longest, heard.recv()).await {
             Ok(Some(word)) => {
                 host.placing.directory.borrow_mut().note_heard(&scheduler.host);
                 match word {
--- a/crates/gateway/src/placing/scheduling.rs
+++ b/crates/gateway/src/placing/scheduling.rs
@@ -41,7 +41,7 @@
         let next_ms = host.placing.schedulers.borrow().next_turn_ms(host.now_ms());
         match next_ms {
             Some(next_ms) => {
-                tokio::time::sleep(host.clock.until(next_ms)).await;
+                host.clock.sleep_until(next_ms).await;
                 turn(&host);
             }
             None => host.placing.is_waiting.notified().await,
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -45,7 +45,7 @@
     let host = Rc::clone(host);
     tokio::task::spawn_local(async move {
         let looking = has_crashed(&host, &broken.upstream);
-        let has_crashed = tokio::time::timeout(LOOK, looking).await.unwrap_or(false);
+        let has_crashed = clock::timeout(LOOK, looking).await.unwrap_or(false);
         host.metrics.broke_off(has_crashed);
         if has_crashed {
             note_crash(&host, broken);
--- a/crates/gateway/src/reading.rs
+++ b/crates/gateway/src/reading.rs
@@ -73,7 +73,7 @@
     async fn wait_until(&self, until_ms: Millis) {
         tokio::select! {
             () = self.host.news.notified() => {}
-            () = tokio::time::sleep(self.host.clock.until(until_ms)) => {}
+            () = self.host.clock.sleep_until(until_ms) => {}
         }
     }
 
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -190,6 +190,7 @@
             }
             None => {}
         }
+        spawn_local(clock::watch());
         spawn_local(Rc::clone(&peers).listen());
         spawn_local(Rc::clone(&peers).give(listeners.pictures));
         spawn_local(Rc::clone(&peers).greet());
@@ -232,11 +233,11 @@
     host.stopping.send_replace(true);
     peers.act(Gossip::leave);
     host.placing.schedulers.borrow_mut().leave();
-    tokio::time::sleep(NOTICE.min(duration(limit_ms))).await;
+    clock::sleep(NOTICE.min(duration(limit_ms))).await;
     host.closing.send_replace(true);
     let is_busy = || host.open_requests.get() > 0 || host.open_sessions.get() > 0;
     while is_busy() && host.now_ms().since(begun_ms) < limit_ms {
-        tokio::time::sleep(STOP_STEP).await;
+        clock::sleep(STOP_STEP).await;
     }
     // Nothing is awaited from here on, so no request can be read that nobody would answer.
     host.log.write(&LogEvent::Stopped { open_requests: host.open_requests.get() });
@@ -250,10 +251,11 @@
         let begun_ms = host.now_ms();
         let is_told = tokio::select! {
             told = hangup.recv() => told.is_some(),
-            () = tokio::time::sleep(CHORES) => false,
+            () = clock::sleep(CHORES) => false,
         };
         let now_ms = host.now_ms();
         note_pause(&host, now_ms.since(begun_ms));
+        host.note_awake();
         round = round.wrapping_add(1);
         if is_told || round.is_multiple_of(LOOKS_AT_SETTINGS) {
             match reload.look(is_told) {
--- a/crates/gateway/src/serve/finding.rs
+++ b/crates/gateway/src/serve/finding.rs
@@ -49,7 +49,7 @@
         tally: &mut Tally,
     ) -> Result<(Found, Connection), Refusal> {
         let left = self.host.clock.until(self.end_ms);
-        match tokio::time::timeout(left, self.find(tally)).await {
+        match clock::timeout(left, self.find(tally)).await {
             Ok(found) => found,
             Err(_) => Err(out_of_time(tally)),
         }
@@ -69,9 +69,13 @@
             if self.host.now_ms().since(begun_ms) > STALE_CHOICE_MS {
                 self.check_caller().await;
             }
+            let takes_work = self.host.upstreams.borrow().takes_work(&found.upstream);
             match connection {
-                Some(connection) if self.host.upstreams.borrow().takes_work(&found.upstream) => {
-                    return Ok((found, connection));
+                Some(connection) if takes_work => {
+                    if ask::is_trusted(&connection, self.route().repeat) {
+                        return Ok((found, connection));
+                    }
+                    self.host.pool.borrow_mut().put(&found.upstream, connection);
                 }
                 _ => tally.tried.push(found.upstream),
             }
@@ -194,7 +198,7 @@
                 Verdict::Take => return Ok(Some(self.chosen(chosen, sought_ms))),
                 Verdict::AskAgain(pause_ms) => {
                     chosen.put_back(&self.host);
-                    tokio::time::sleep(duration(pause_ms)).await;
+                    clock::sleep(duration(pause_ms)).await;
                 }
                 Verdict::Refuse => return Err(Refusal::not_run(Cause::Overloaded)),
             }
--- a/crates/gateway/src/serve/routing.rs
+++ b/crates/gateway/src/serve/routing.rs
@@ -15,7 +15,7 @@
     while host.table.borrow().is_none() && host.now_ms() < until_ms {
         tokio::select! {
             () = host.news.notified() => {}
-            () = tokio::time::sleep(host.clock.until(until_ms)) => {}
+            () = host.clock.sleep_until(until_ms) => {}
         }
     }
 }
--- a/crates/gateway/src/serve/sending.rs
+++ b/crates/gateway/src/serve/sending.rs
@@ -87,7 +87,7 @@
                         return outcome;
                     }
                 }
-                () = tokio::time::sleep(self.host.clock.until(self.end_ms)) => {
+                () = self.host.clock.sleep_until(self.end_ms) => {
                     return Err(Refusal::unknown(Cause::TimedOut));
                 }
             }
@@ -251,7 +251,7 @@
             let until_ms = self.end_ms.min(self.host.now_ms() + for_ms);
             tokio::select! {
                 () = news => {}
-                () = tokio::time::sleep(self.host.clock.until(until_ms)) => {}
+                () = self.host.clock.sleep_until(until_ms) => {}
             }
             self.check_time(self.host.now_ms(), tally)?;
         }
--- /dev/null
+++ b/crates/gateway/tests/suspended.rs
@@ -0,0 +1,127 @@
+//! A host whose machine was suspended: what it knew before is as old as it is.
+//!
+//! The tests move the clock as a suspension does: time passes, and no timer of the runtime moves.
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use clock::testing::suspend;
+use rstest::rstest;
+use std::time::{Duration, Instant};
+use support::caller::{Caller, get, post};
+use support::upstream::{Act, StandInUpstream};
+use support::{callers, fleet, on_one_thread, published, ready, until};
+
+/// Longer than any deadline and objective of the routes.
+const SECONDS: Duration = Duration::from_secs(6);
+
+/// Much less than what was left of a deadline when the machine was suspended.
+const AT_ONCE: Duration = Duration::from_millis(500);
+
+/// A request whose time passed while it waited for an upstream is not sent any more.
+#[rstest]
+#[case::idempotent(get("/any/x", "id-1"))]
+#[case::at_most_once(post("/once/x", "id-1", "{}"))]
+fn a_request_whose_time_has_passed_is_not_sent(#[case] request: String) {
+    on_one_thread(async {
+        let upstream = StandInUpstream::start("i-1").await;
+        upstream.tells_load("6,6,6,100");
+        let (gateway, _published) = ready(&[&upstream]).await;
+        let address = callers(&gateway);
+        let asked = upstream.asked();
+        let asking = async { Caller::connect(address).await.ask(&request).await };
+        let suspending = async {
+            until("it looks for room", || upstream.asked() > asked).await;
+            suspend(SECONDS);
+            upstream.tells_load("0,0,6,100");
+        };
+        let (got, ()) = tokio::join!(asking, suspending);
+        assert_eq!((got.status, got.cause.as_str()), (503, "expired"), "{got:?}");
+        assert!(upstream.seen().is_empty());
+    });
+}
+
+/// One that is at an upstream gets its final answer as soon as the machine goes on.
+#[test]
+fn a_request_that_waits_for_an_answer_ends_at_once() {
+    on_one_thread(async {
+        let upstream = StandInUpstream::start("i-1").await;
+        let (gateway, _published) = ready(&[&upstream]).await;
+        upstream.plays([Act::Mute, Act::Mute]);
+        let mut caller = Caller::connect(callers(&gateway)).await;
+        caller.send(&post("/once/x", "id-1", "{}")).await;
+        until("it is there", || !upstream.seen().is_empty()).await;
+        suspend(SECONDS);
+        let begun = Instant::now();
+        assert_eq!(caller.receive().await.unwrap().status, 504);
+        assert!(begun.elapsed() < AT_ONCE, "{:?}", begun.elapsed());
+    });
+}
+
+/// A kept connection is as old as it is: what must run once goes on another.
+#[test]
+fn a_kept_connection_is_not_taken_for_fresh() {
+    on_one_thread(async {
+        let upstream = StandInUpstream::start("i-1").await;
+        let (gateway, _published) = ready(&[&upstream]).await;
+        let mut caller = Caller::connect(callers(&gateway)).await;
+        assert_eq!(caller.ask(&get("/any/x", "id-1")).await.status, 200);
+        assert!(!gateway.host().pool.borrow().is_empty());
+        let before = upstream.connections();
+        suspend(Duration::from_secs(9));
+        let mut caller = Caller::connect(callers(&gateway)).await;
+        assert_eq!(caller.ask(&post("/once/x", "id-2", "{}")).await.status, 200);
+        assert!(upstream.connections() > before, "it went on a connection that was idle for 9 s");
+    });
+}
+
+/// What was read and what upstreams told is as old as it is.
+#[test]
+fn what_is_known_has_aged() {
+    on_one_thread(async {
+        let upstream = StandInUpstream::start("i-1").await;
+        let (gateway, _published) = ready(&[&upstream]).await;
+        let mut caller = Caller::connect(callers(&gateway)).await;
+        caller.ask(&get("/any/x", "id-1")).await;
+        let host = gateway.host();
+        let report_age_ms = || {
+            let upstreams = host.upstreams.borrow();
+            let known = upstreams.get(&"i-1".parse().unwrap()).unwrap();
+            known.report(host.now_ms()).unwrap().1
+        };
+        assert!(report_age_ms().0 < 6_000);
+        suspend(SECONDS);
+        assert!(report_age_ms().0 >= 6_000);
+        assert!(host.picture_age_ms().unwrap().0 >= 6_000);
+        until("it was read again", || host.picture_age_ms().unwrap().0 < 3_000).await;
+    });
+}
+
+/// A caller that left long ago by its own clock finds its connection closed, not open for ever.
+#[test]
+fn a_callers_idle_connection_has_aged() {
+    on_one_thread(async {
+        let upstream = StandInUpstream::start("i-1").await;
+        let (gateway, _published) = ready(&[&upstream]).await;
+        let mut caller = Caller::connect(callers(&gateway)).await;
+        assert_eq!(caller.ask(&get("/any/x", "id-1")).await.status, 200);
+        suspend(Duration::from_secs(11));
+        let begun = Instant::now();
+        assert!(caller.receive().await.is_none());
+        assert!(begun.elapsed() < AT_ONCE, "{:?}", begun.elapsed());
+    });
+}
+
+/// It hears from its peers what was found out meanwhile, and counts them as before.
+#[test]
+fn peers_are_asked_and_not_forgotten() {
+    on_one_thread(async {
+        let upstream = StandInUpstream::start("i-1").await;
+        let published = published(&[&upstream]);
+        let hosts = fleet(3, &published).await;
+        suspend(Duration::from_secs(120));
+        // Some rounds of what is done twice a second.
+        tokio::time::sleep(Duration::from_millis(1_200)).await;
+        assert_eq!(hosts[0].host().hosts(), 3);
+    });
+}
--- a/crates/listener/src/lib.rs
+++ b/crates/listener/src/lib.rs
@@ -6,6 +6,7 @@
 //! in, then it hands out all that have connected already: a socket that closes resets what
 //! is left in its backlog.
 
+use clock::sleep;
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::conn::{Accepted, Acceptor, Holding};
 use salvo::fuse::ArcFusePolicy;
@@ -15,7 +16,6 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::watch;
-use tokio::time::sleep;
 
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
--- a/crates/published/src/members.rs
+++ b/crates/published/src/members.rs
@@ -29,6 +29,9 @@
 /// A reader that was silent for so long doesn't read; twice the time between its news.
 const READER_SILENT_MS: Millis = Millis(1_500);
 
+/// A process that looked after its peers no sooner stood still; it does twice a second.
+const STOOD_STILL_MS: Millis = Millis(2_000);
+
 /// A failed reading says something of the source for so long: some tries of the fleet.
 const READER_FAILED_MS: Millis = Millis(2_000);
 
@@ -81,6 +84,8 @@
     /// When a host was last heard of for the first time, or in a new run.
     changed_ms: Millis,
     told: ToldFleet,
+    /// When silent hosts were last looked for.
+    awake_ms: Option<Millis>,
 }
 
 /// Size of the fleet that another host told.
@@ -115,6 +120,7 @@
             others_in_zone: 0,
             changed_ms: Millis::ZERO,
             told: ToldFleet::default(),
+            awake_ms: None,
         }
     }
 
@@ -257,7 +263,15 @@
     }
 
     /// Drops hosts that were silent for long; returns them.
+    ///
+    /// Nobody is heard while this host itself stands still. To forget them all for that would let
+    /// it spend the fleet's budgets alone.
     pub fn forget(&mut self, now_ms: Millis) -> Vec<HostId> {
+        let still_ms = self.awake_ms.map_or(Millis::ZERO, |awake_ms| now_ms.since(awake_ms));
+        if still_ms >= STOOD_STILL_MS {
+            self.others.values_mut().for_each(|known| known.heard_ms = known.heard_ms + still_ms);
+        }
+        self.awake_ms = Some(now_ms);
         if now_ms.since(self.told.at_ms) > FLEET_TOLD_MS {
             self.told = ToldFleet::default();
         }
--- a/crates/published/tests/members.rs
+++ b/crates/published/tests/members.rs
@@ -44,6 +44,19 @@
     assert_eq!(members.forget(Millis(60_001)).len(), 1);
 }
 
+/// A host that was suspended for a minute did not hear its peers, and they are there.
+#[test]
+fn nobody_is_forgotten_for_the_time_in_which_this_host_stood_still() {
+    let mut members = Members::new(member("a", 1));
+    members.note(Millis(0), member("b", 1));
+    assert!(members.forget(Millis(500)).is_empty());
+    assert!(members.forget(Millis(120_000)).is_empty());
+    for now in (120_500..=179_500).step_by(500) {
+        assert!(members.forget(Millis(now)).is_empty(), "{now}");
+    }
+    assert_eq!(members.forget(Millis(180_000)).len(), 1);
+}
+
 #[test]
 fn equal_sets_have_equal_digests() {
     let mut a = Members::new(member("a", 1));
