Crashes within 20 ms are one: a request that is sent on while upstreams end together is no cause

Cause: upstreams that lose their power together end one after the other within milliseconds. A request that many send was sent on to the next in between, three times in one millisecond, and that counted as three crashes in a row.

Change: a crash counts only 20 ms after the one before it. A request that does it takes longer than that from crash to crash: the look, a place, its run.

Test: quarantine, sent_on_meanwhile, which failed.

--- a/crates/dispatch/src/quarantine/suspect.rs
+++ b/crates/dispatch/src/quarantine/suspect.rs
@@ -26,6 +26,10 @@
     pub crashed_ms: Millis,
 }
 
+/// Crashes within this time are one: upstreams that lose their power together end within some
+/// milliseconds, and a request that is sent on in between is on the next of them.
+const TOGETHER_MS: Millis = Millis(20);
+
 /// What speaks against a request, and for it.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub(super) struct Suspect {
@@ -137,6 +141,12 @@
         Crash { sent_ms, crashed_ms, ..self }
     }
 
+    /// Whether the request was sent after another crash, and what ended then did not end with this.
+    fn follows(&self, earlier: &Crash) -> bool {
+        earlier.crashed_ms <= self.sent_ms
+            && self.crashed_ms.since(earlier.crashed_ms) >= TOGETHER_MS
+    }
+
     /// Whether it is the end of the same process: a run ends once.
     fn is_same(&self, other: &Crash) -> bool {
         let apart_ms =
@@ -153,7 +163,7 @@
     crashes.sort_by_key(|crash| (crash.crashed_ms, crash.sent_ms));
     let mut sequence: Vec<Crash> = Vec::new();
     for crash in crashes {
-        if sequence.last().is_none_or(|last| last.crashed_ms <= crash.sent_ms) {
+        if sequence.last().is_none_or(|last| crash.follows(last)) {
             sequence.push(crash);
         }
     }
--- a/crates/dispatch/tests/quarantine.rs
+++ b/crates/dispatch/tests/quarantine.rs
@@ -52,6 +52,11 @@
     vec![crash("i-1", 0, 100), crash("i-2", 50, 100), crash("i-3", 99, 105)],
     Admission::Free,
 )]
+// It was sent on in the millisecond in which one upstream after the other ended.
+#[case::sent_on_meanwhile(
+    vec![crash("i-1", 0, 100), crash("i-2", 100, 100), crash("i-3", 101, 102)],
+    Admission::Free,
+)]
 // One end that three sendings saw, or that was told three times.
 #[case::of_one_run(
     vec![crash("i-1", 0, 100), crash("i-1", 100, 103), crash("i-1", 300, 310)],
