--- a/crates/gateway/tests/broken_off.rs
+++ b/crates/gateway/tests/broken_off.rs
@@ -69,6 +69,15 @@
     assert_eq!(of(FIRST, "", "10.0.0.1"), of(again, "", "10.0.0.1"));
 }
 
+/// A body is the same however it is sent.
+#[test]
+fn a_body_in_chunks_has_the_fingerprint_of_one_with_a_length() {
+    let order =
+        |framing: &str| format!("POST /once/x HTTP/1.1\r\nHost: a.example\r\n{framing}\r\n\r\n");
+    let with_length = of(&order("Content-Length: 2"), "{}", "10.0.0.1");
+    assert_eq!(with_length, of(&order("Transfer-Encoding: chunked"), "{}", "10.0.0.1"));
+}
+
 #[rstest]
 #[case::method(&FIRST.replace("GET", "PUT"), "", "10.0.0.1")]
 #[case::authority(&FIRST.replace("a.example", "b.example"), "", "10.0.0.1")]
--- a/crates/gateway/tests/crashing_requests.rs
+++ b/crates/gateway/tests/crashing_requests.rs
@@ -130,6 +130,33 @@
     });
 }
 
+/// A wrong verdict is lifted at one host, for all.
+#[test]
+fn an_operator_lifts_the_quarantine_on_all_hosts() {
+    on_one_thread(async {
+        let site = Site::start("/any/bad?page=1").await;
+        site.play(9, read).await;
+        let held = || {
+            let of = |host: &Gateway| host.host().quarantine.borrow().dump(host.host().now_ms());
+            site.hosts.iter().flat_map(of).collect::<Vec<_>>()
+        };
+        until("all hold it back", || held().len() == site.hosts.len()).await;
+        let operator = site.hosts[1].host().settings.borrow().operator.unwrap();
+        let lift = |fingerprint: &str| {
+            format!("POST /quarantine/lift/{fingerprint} HTTP/1.1\r\nHost: x\r\n\r\n")
+        };
+        let fingerprint = held()[0].fingerprint.to_string();
+        let mut asking = Caller::connect(operator).await;
+        assert_eq!(asking.ask(&lift("no-digest")).await.status, 400);
+        assert_eq!(asking.ask(&lift(&"0".repeat(32))).await.status, 404);
+        assert_eq!(asking.ask(&lift(&fingerprint)).await.status, 200);
+        until("nobody holds it back", || held().is_empty()).await;
+        let before = site.runs_of("/any/bad?page=1");
+        site.ask(2, &read("id-lifted")).await;
+        assert!(site.runs_of("/any/bad?page=1") > before);
+    });
+}
+
 /// What runs beside it on the upstreams that end is served, also what many ask for alike.
 #[test]
 fn a_request_that_ends_upstreams_is_left_alone_and_no_other() {
