--- a/crates/gateway/tests/crashing_requests.rs
+++ b/crates/gateway/tests/crashing_requests.rs
@@ -15,6 +15,7 @@
 use domain::UpstreamId;
 use gateway::run::Gateway;
 use rstest::rstest;
+use std::net::Ipv4Addr;
 use std::time::Duration;
 use support::caller::{Caller, Got, get, post};
 use support::source::Published;
@@ -112,6 +113,22 @@
     });
 }
 
+/// It comes from other addresses: upstreams don't see them, so they can't be what crashes them.
+#[test]
+fn a_request_that_ends_upstreams_is_left_alone_wherever_it_comes_from() {
+    on_one_thread(async {
+        let site = Site::start("/any/bad?page=1").await;
+        for number in 0..18 {
+            let own = Ipv4Addr::new(127, 200, 0, number + 1);
+            let host = callers(&site.hosts[usize::from(number) % site.hosts.len()]);
+            let mut caller = Caller::connect_from(own, host).await;
+            caller.ask(&read(&format!("id-{number}"))).await;
+            tokio::time::sleep(PAUSE).await;
+        }
+        assert!(site.ended() <= MOST_ENDED, "{} ended", site.ended());
+    });
+}
+
 /// A host that starts afterwards, or was not told at the time, leaves it alone as well.
 #[test]
 fn a_request_that_ends_upstreams_is_left_alone_by_a_host_that_starts_later() {
--- a/crates/gateway/tests/support/caller.rs
+++ b/crates/gateway/tests/support/caller.rs
@@ -2,9 +2,9 @@
 
 use super::LONG;
 use gateway::http1::{BodyReader, Progress, read_answer};
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 /// An answer as a caller sees it.
 #[derive(Debug, Clone)]
@@ -42,6 +42,13 @@
         Caller { stream: TcpStream::connect(address).await.unwrap(), buffer: Vec::new() }
     }
 
+    /// A caller that speaks from another address of this machine.
+    pub async fn connect_from(own: Ipv4Addr, address: SocketAddr) -> Caller {
+        let socket = TcpSocket::new_v4().unwrap();
+        socket.bind((own, 0).into()).unwrap();
+        Caller { stream: socket.connect(address).await.unwrap(), buffer: Vec::new() }
+    }
+
     pub async fn send(&mut self, text: &str) {
         self.stream.write_all(text.as_bytes()).await.unwrap();
     }
