A request is recognised by what its upstream sees of it, wherever it comes from

Cause: the digest held the caller's address. The request came from callers in several availability zones, each with an address of its own, and each began anew with three crashes. No upstream sees that address, so it can't be what crashes it; what names a caller to an upstream are headers.

Change: method, authority, path with query, body, Authorization, Cookie, and the header that names the caller where the dialect has one (x-caller; the platform has none). Other headers are left out: traces and the like differ with each sending.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -10,6 +10,8 @@
 pub struct Dialect {
     /// Name of a request, set by the caller and echoed by upstreams.
     pub request_id: &'static str,
+    /// Names the caller, if a header does.
+    pub caller: Option<&'static str>,
     /// Milliseconds that the sender will wait.
     pub deadline_ms: &'static str,
     /// Mark of an answer that an upstream made.
@@ -35,6 +37,7 @@
     fn default() -> Dialect {
         Dialect {
             request_id: "x-request-id",
+            caller: Some("x-caller"),
             deadline_ms: "x-deadline-ms",
             seal: "x-upstream-seal",
             expected_upstream: "x-expected-upstream",
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -23,7 +23,6 @@
 use render::{render, render_refusal};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
-use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -104,8 +103,8 @@
             _ = closing.changed() => return,
         };
         match accepted {
-            Ok((stream, peer)) => {
-                tokio::task::spawn_local(session(Rc::clone(&host), stream, peer.ip()));
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(session(Rc::clone(&host), stream));
             }
             Err(e) => {
                 // Out of descriptors, or the caller was faster; the next may do better.
@@ -116,11 +115,11 @@
     }
 }
 
-async fn session(host: Rc<Host>, stream: TcpStream, address: IpAddr) {
+async fn session(host: Rc<Host>, stream: TcpStream) {
     // Without it small answers may be late, nothing else.
     let _ = stream.set_nodelay(true);
     let inbox = RefCell::new(Vec::new());
-    let caller = Rc::new(Caller { address, stream, inbox, is_gone: Cell::new(false) });
+    let caller = Rc::new(Caller { stream, inbox, is_gone: Cell::new(false) });
     let now = Moment::now();
     let mut session = Session {
         host,
--- a/crates/gateway/src/ingress/caller.rs
+++ b/crates/gateway/src/ingress/caller.rs
@@ -3,7 +3,6 @@
 use clock::Moment;
 use std::cell::{Cell, RefCell};
 use std::io::{self, ErrorKind};
-use std::net::IpAddr;
 use std::time::Duration;
 use tokio::net::TcpStream;
 
@@ -19,18 +18,12 @@
 /// A caller's connection, as its requests see it.
 #[derive(Debug)]
 pub struct Caller {
-    pub(super) address: IpAddr,
     pub(super) stream: TcpStream,
     pub(super) inbox: RefCell<Vec<u8>>,
     pub(super) is_gone: Cell<bool>,
 }
 
 impl Caller {
-    /// Where the caller speaks from.
-    pub fn address(&self) -> IpAddr {
-        self.address
-    }
-
     /// Reads what is there, and tells whether the caller hung up.
     pub fn is_gone_now(&self) -> bool {
         self.fill();
--- a/crates/gateway/src/serve/sending.rs
+++ b/crates/gateway/src/serve/sending.rs
@@ -3,7 +3,7 @@
 use super::finding::Found;
 use super::fingerprint::fingerprint;
 use super::in_progress::InProgress;
-use super::{Reply, Serving};
+use super::{Reply, Request, Serving};
 use crate::ask;
 use crate::connection::{Answer, Connection, ExchangeError, Expected};
 use crate::event_log::LogEvent;
@@ -294,7 +294,8 @@
 
     /// What it asks; computed once it is needed, since it reads the whole body.
     fn fingerprint(&self) -> RequestFingerprint {
-        let compute = || fingerprint(&self.request.head, &self.request.body, self.caller.address());
+        let Request { head, body, .. } = &*self.request;
+        let compute = || fingerprint(head, body, self.host.dialect.caller);
         *self.fingerprint.get_or_init(compute)
     }
 
