--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -1,5 +1,6 @@
 //! One request, from its arrival to its final answer.
 
+mod admission;
 mod finding;
 mod fingerprint;
 mod in_progress;
--- a/crates/gateway/src/serve/sending.rs
+++ b/crates/gateway/src/serve/sending.rs
@@ -1,9 +1,8 @@
 //! The sendings of a request, until it has its final answer.
 
 use super::finding::Found;
-use super::fingerprint::fingerprint;
 use super::in_progress::InProgress;
-use super::{Reply, Request, Serving};
+use super::{Reply, Serving};
 use crate::ask;
 use crate::connection::{Answer, Connection, ExchangeError, Expected};
 use crate::event_log::LogEvent;
@@ -12,9 +11,8 @@
 use crate::quarantine::{self, BrokenOff};
 use dispatch::SendFailure;
 use dispatch::attempts::{self, Answered, Cause, End, Next, Refusal, Standing};
-use dispatch::quarantine::Admission;
 use dispatch::scheduler::Outcome;
-use domain::{Millis, RequestFingerprint, UpstreamId};
+use domain::{Millis, UpstreamId};
 use published::{Repeat, Route};
 
 /// How a sending ended.
@@ -208,7 +206,7 @@
     /// What follows on an ended sending; none to send again.
     fn settle(&self, ended: Ended, tally: &mut Tally) -> Option<Result<Reply, Refusal>> {
         let now_ms = self.host.now_ms();
-        self.note_for_quarantine(&ended);
+        self.note_for_quarantine(ended.end, ended.is_trial);
         tally.crashes += u32::from(ended.has_crashed);
         if attempts::is_not_run(ended.end) {
             tally.not_run += 1;
@@ -239,66 +237,6 @@
         }
     }
 
-    /// Waits while another host tries a request that asks the same; refuses what is held back.
-    async fn wait_for_trial(&self, tally: &Tally) -> Result<(), Refusal> {
-        loop {
-            let news = self.host.quarantine_news.notified();
-            let for_ms = match self.admission() {
-                Admission::Free | Admission::Trial => return Ok(()),
-                Admission::Held { for_ms } => return Err(held_back(for_ms, tally)),
-                Admission::Wait { for_ms } => for_ms,
-            };
-            let until_ms = self.end_ms.min(self.host.now_ms() + for_ms);
-            tokio::select! {
-                () = news => {}
-                () = self.host.clock.sleep_until(until_ms) => {}
-            }
-            self.check_time(self.host.now_ms(), tally)?;
-        }
-    }
-
-    /// Whether it may leave now; true if it does so as a trial.
-    fn admit(&self, tally: &Tally) -> Result<bool, Refusal> {
-        match self.admission() {
-            Admission::Free => Ok(false),
-            Admission::Trial => Ok(true),
-            Admission::Wait { for_ms } | Admission::Held { for_ms } => {
-                Err(held_back(for_ms, tally))
-            }
-        }
-    }
-
-    fn admission(&self) -> Admission {
-        let quarantine = self.host.quarantine.borrow();
-        match quarantine.is_empty() {
-            true => Admission::Free,
-            false => quarantine.admit(self.host.now_ms(), self.fingerprint()),
-        }
-    }
-
-    /// An upstream that ran it to its end clears it; a crash was noted as it was seen.
-    fn note_for_quarantine(&self, ended: &Ended) {
-        if self.host.quarantine.borrow().is_empty() {
-            return;
-        }
-        if ended.is_trial {
-            quarantine::end_trial(&self.host, self.fingerprint());
-        }
-        match ended.end {
-            End::Answered(answered) if answered.is_sealed && !answered.not_run => {
-                quarantine::note_answered(&self.host, self.fingerprint());
-            }
-            End::Answered(_) | End::NotSent | End::Broken => {}
-        }
-    }
-
-    /// What it asks; computed once it is needed, since it reads the whole body.
-    fn fingerprint(&self) -> RequestFingerprint {
-        let Request { head, body, .. } = &*self.request;
-        let compute = || fingerprint(head, body, self.host.dialect.caller);
-        *self.fingerprint.get_or_init(compute)
-    }
-
     fn deliver(&self, ended: Ended, tally: &Tally, now_ms: Millis) -> Result<Reply, Refusal> {
         let Some(answer) = ended.answer else {
             return Err(Refusal::unknown(Cause::UpstreamFailed));
@@ -332,13 +270,6 @@
     }
 }
 
-fn held_back(for_ms: Millis, tally: &Tally) -> Refusal {
-    match tally.may_have_run() > 0 {
-        true => Refusal::unknown(Cause::UpstreamFailed),
-        false => Refusal::held_back(for_ms),
-    }
-}
-
 /// Two places are enough for logs.
 fn rounded(figure: f64) -> f64 {
     (figure * 100.0).round() / 100.0
