--- a/crates/gateway/tests/codec.rs
+++ b/crates/gateway/tests/codec.rs
@@ -1,10 +1,11 @@
 //! What peers tell each other is read whole or not at all.
 #![allow(clippy::unwrap_used)]
 
+use dispatch::quarantine::{Crash, Quarantine, QuarantineMessage};
 use dispatch::scheduler::{Cell, PlacementMessage, Submission, Ticket};
-use domain::{Incarnation, Millis};
+use domain::{Incarnation, Millis, RequestFingerprint};
 use gateway::peers::codec::{CodecError, Datagram, decode, encode};
-use published::{Capacity, Greeting, Held, Member, Message, Revision};
+use published::{Capacity, Greeting, Held, Member, Message, Revision, RunStart};
 use rstest::rstest;
 
 fn hello() -> Message {
@@ -61,3 +62,25 @@
     // Bytes between availability zones are paid for with each request.
     assert!(bytes.len() < 40, "{}", bytes.len());
 }
+
+/// What is told of a request that crashed three upstreams is one small datagram.
+#[test]
+fn a_suspect_is_told_in_few_bytes() {
+    let mut quarantine = Quarantine::default();
+    for number in 1..=3 {
+        let crash = Crash {
+            upstream: format!("i-03d32811{number}8").parse().unwrap(),
+            run: RunStart::default(),
+            seen_by: format!("front-baneshwor-{number}").parse().unwrap(),
+            sent_ms: Millis(number * 1_000),
+            crashed_ms: Millis(number * 1_000 + 60),
+        };
+        quarantine.note_crash(RequestFingerprint(u128::MAX / 3), crash);
+    }
+    let suspects = quarantine.take_untold(Millis(4_000)).unwrap();
+    let told = QuarantineMessage::Suspects { suspects, passes_on: true };
+    let bytes = encode(&Datagram::Quarantine(told.clone())).unwrap();
+    println!("{} bytes", bytes.len());
+    assert!(bytes.len() < 200, "{}", bytes.len());
+    assert_eq!(decode::<Datagram>(&bytes), Ok(Datagram::Quarantine(told)));
+}
