Quarantine, read as a newcomer: peers are asked twice after a start, not at each that is heard of

A fleet of hundreds that starts together hears of itself in dozens of messages a host; three questions for each of them would be sent at the moment that counts most. Constants before types, derives that nothing uses gone, a comment that told a story.

--- a/crates/dispatch/src/quarantine/suspect.rs
+++ b/crates/dispatch/src/quarantine/suspect.rs
@@ -2,7 +2,6 @@
 
 use domain::{HostId, Millis, UpstreamId};
 use published::RunStart;
-use serde::{Deserialize, Serialize};
 
 /// Most crashes that are remembered of a request: those of five trials after it was held back.
 const MAX_CRASHES: usize = 8;
@@ -11,8 +10,12 @@
 /// that to be back, and messages of its first crash are rarely later.
 const RESTART_MS: Millis = Millis(1_000);
 
+/// Crashes within this time are one: upstreams that lose their power together end within some
+/// milliseconds, and a request that is sent on in between is on the next of them.
+const TOGETHER_MS: Millis = Millis(10);
+
 /// An upstream's process ended while it ran a request.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Crash {
     /// The upstream.
     pub upstream: UpstreamId,
@@ -26,10 +29,6 @@
     pub crashed_ms: Millis,
 }
 
-/// Crashes within this time are one: upstreams that lose their power together end within some
-/// milliseconds, and a request that is sent on in between is on the next of them.
-const TOGETHER_MS: Millis = Millis(10);
-
 /// What speaks against a request, and for it.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub(super) struct Suspect {
--- a/crates/dispatch/src/quarantine/verdict.rs
+++ b/crates/dispatch/src/quarantine/verdict.rs
@@ -7,8 +7,8 @@
 /// mostly that of a bystander, whose time is running.
 pub const TRIAL_CRASHES: usize = 2;
 
-/// Crashes in a row from which on a request is held back. A bystander of two crashes in a row is
-/// rare where many upstreams end at once; nobody was seen to be one of three.
+/// Crashes in a row from which on a request is held back. Where upstreams end by themselves now and
+/// then, a bystander is in two of their crashes; in three only by the end of a whole service.
 pub const HELD_CRASHES: usize = 3;
 
 /// How long a request is held back: after its third crash, and after each further one. It crashes
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -59,6 +59,8 @@
     pub pool: RefCell<Pool>,
     /// Requests that crash upstreams.
     pub quarantine: RefCell<Quarantine>,
+    /// How often peers were asked after the start what is held against requests.
+    pub quarantine_asks: Cell<u32>,
     /// Woken when something else is held against a request, or a trial ended.
     pub quarantine_news: Notify,
     /// Randomness.
@@ -112,6 +114,7 @@
             splits: RefCell::default(),
             pool: RefCell::default(),
             quarantine: RefCell::default(),
+            quarantine_asks: Cell::new(0),
             quarantine_news: Notify::new(),
             rng: RefCell::new(Pcg64Mcg::seed_from_u64(seed)),
             log,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -170,9 +170,7 @@
             Effect::PeersHeard(peers) => {
                 peers.iter().for_each(|peer| self.host.placing.forget_silence(peer));
                 let (count, first) = (peers.len(), peers.first());
-                if self.host.quarantine.borrow().is_empty() {
-                    quarantine::ask_peers(&self.host);
-                }
+                quarantine::note_peers(&self.host);
                 self.host.log.write(&LogEvent::PeersHeard { count, first, hosts });
             }
             Effect::Announce { after_ms } => self.act_later(after_ms, Gossip::announce),
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -9,7 +9,7 @@
 use crate::event_log::LogEvent;
 use crate::host::Host;
 use crate::peers::codec::{self, Datagram};
-use dispatch::quarantine::{Changed, Crash, QuarantineMessage, ToldSuspect};
+use dispatch::quarantine::{Changed, Crash, QuarantineMessage};
 use domain::{Millis, RequestFingerprint, UpstreamId};
 use published::{Listener, RunStart, Upstream, UpstreamMode};
 use rand::seq::SliceRandom;
@@ -27,6 +27,9 @@
 /// Peers that a host asks after a start or a pause. One of them may be new itself or out of reach.
 const ASKED_PEERS: usize = 3;
 
+/// How often a host asks after its start: once the first peer is known, and once more are.
+const START_ASKS: u32 = 2;
+
 /// A request whose connection broke after it had left.
 #[derive(Debug)]
 pub struct BrokenOff {
@@ -154,6 +157,16 @@
     send(host, QuarantineMessage::Offer { digest }, &to);
 }
 
+/// Peers were heard of. After the start they are asked for what this host missed, a few times only:
+/// hundreds of hosts that start together hear of each other in dozens of messages.
+pub fn note_peers(host: &Host) {
+    let asked = host.quarantine_asks.get();
+    if asked < START_ASKS && host.quarantine.borrow().is_empty() {
+        host.quarantine_asks.set(asked + 1);
+        ask_peers(host);
+    }
+}
+
 /// Asks some peers for what this host missed: it has just started, or stood still.
 pub fn ask_peers(host: &Host) {
     let digest = host.quarantine.borrow().digest();
@@ -199,7 +212,7 @@
     for passes_on in [true, false] {
         let told = listeners.iter().filter(|listener| listener.passes_on == passes_on);
         let to: Vec<SocketAddr> = told.map(|&Listener { address, .. }| address).collect();
-        let suspects: Vec<ToldSuspect> = suspects.clone();
+        let suspects = suspects.clone();
         send(host, QuarantineMessage::Suspects { suspects, passes_on }, &to);
     }
 }
