An evacuated availability zone gets nothing new, on any path

One predicate, Upstream::eligibility, says with its reason who gets new requests; finding, asking, scheduler, subsets and cells go by it, health checks don't. A request of a host in such a zone goes to the scheduler of another, drawn by how many upstreams it has. Where every zone is evacuated callers get 503 zones-evacuated at once. Moving the load gradually is weighed next.

--- a/crates/dispatch/src/attempts.rs
+++ b/crates/dispatch/src/attempts.rs
@@ -98,6 +98,8 @@
     SlowRequest,
     /// No upstream takes work.
     NoUpstream,
+    /// No upstream takes work, as the availability zones of those that are there are evacuated.
+    ZonesEvacuated,
     /// No upstream could do it in time.
     Overloaded,
     /// Upstreams refused it, each with proof that it did not run.
@@ -117,6 +119,7 @@
     pub fn status(self) -> u16 {
         match self {
             Cause::NotConfigured | Cause::NoUpstream | Cause::UpstreamsRefused => 503,
+            Cause::ZonesEvacuated => 503,
             Cause::Expired | Cause::Overloaded | Cause::CrashesUpstreams => 503,
             Cause::NoRoute => 404,
             Cause::BadRequest => 400,
@@ -138,6 +141,7 @@
             Cause::BodyTooLarge => "body-too-large",
             Cause::SlowRequest => "slow-request",
             Cause::NoUpstream => "no-upstream",
+            Cause::ZonesEvacuated => "zones-evacuated",
             Cause::Overloaded => "overloaded",
             Cause::UpstreamsRefused => "upstreams-refused",
             Cause::UpstreamFailed => "upstream-failed",
--- a/crates/dispatch/src/scheduler/cell.rs
+++ b/crates/dispatch/src/scheduler/cell.rs
@@ -3,6 +3,7 @@
 use crate::subset::ALL;
 use crate::upstream_set::UpstreamSet;
 use domain::{ServiceName, ZoneName};
+use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
@@ -20,11 +21,21 @@
 }
 
 impl Cell {
-    /// The cell of a request of a host in an availability zone.
-    pub fn of(service: &ServiceName, zone: &ZoneName, upstreams: &UpstreamSet) -> Cell {
-        let is_divided =
-            upstreams.of_service(service).len() > ALL && upstreams.zones_of(service).contains(zone);
-        Cell { service: service.clone(), zone: is_divided.then(|| zone.clone()) }
+    /// The cell of a request of a host in an availability zone. Where no upstream takes work
+    /// there, it is that of another zone: each upstream has one scheduler.
+    pub fn of(
+        service: &ServiceName,
+        zone: &ZoneName,
+        upstreams: &UpstreamSet,
+        rng: &mut Pcg64Mcg,
+    ) -> Cell {
+        let is_divided = upstreams.of_service(service).len() > ALL;
+        let zone = match is_divided {
+            false => None,
+            true if upstreams.zones_of(service).contains(zone) => Some(zone.clone()),
+            true => upstreams.draw_other_zone(service, zone, rng),
+        };
+        Cell { service: service.clone(), zone }
     }
 }
 
--- a/crates/dispatch/src/subset.rs
+++ b/crates/dispatch/src/subset.rs
@@ -8,7 +8,7 @@
 
 use crate::upstream::Known;
 use domain::{FastMap, FastSet, HostId, UpstreamId, ZoneName};
-use published::{Preferred, preferred};
+use published::{Eligibility, Preferred, preferred};
 
 /// Up to so many upstreams of a service, a host's subset is all of them.
 pub const ALL: usize = 20;
@@ -49,15 +49,19 @@
         upstreams: &[UpstreamId],
         known: &FastMap<UpstreamId, Known>,
     ) -> Subset {
-        let entries = || upstreams.iter().filter_map(|id| known.get(id)).map(|k| &*k.entry);
+        // What is evacuated would take the place of what can be used.
+        let is_usable = |known: &&Known| known.eligibility != Eligibility::ZoneEvacuated;
+        let usable = || upstreams.iter().filter_map(|id| known.get(id)).filter(is_usable);
+        let entries = || usable().map(|known| &*known.entry);
+        let usable_upstreams = usable().count();
         let upstreams_in_zone = entries().filter(|entry| entry.availability_zone == *zone).count();
-        let most = match upstreams.len() <= ALL {
+        let most = match usable_upstreams <= ALL {
             true => Preferred { near: ALL, far: ALL },
             false => Preferred { near: NEAR, far: FAR },
         };
         let chosen = preferred(host, zone, most, entries());
         let members = chosen.into_iter().map(|entry| entry.id.clone()).collect();
-        Subset { members, upstreams: upstreams.len(), upstreams_in_zone }
+        Subset { members, upstreams: usable_upstreams, upstreams_in_zone }
     }
 
     /// Whether the host asks this one by preference.
--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -8,7 +8,7 @@
 use crate::LoadReport;
 use crate::service_load::{ServiceLoad, told_others};
 use domain::Millis;
-use published::{RunStart, Upstream};
+use published::{Eligibility, RunStart, Upstream};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -59,6 +59,8 @@
 pub struct Known {
     /// Its entry.
     pub entry: Arc<Upstream>,
+    /// Whether it may get new requests.
+    pub eligibility: Eligibility,
     joined_ms: Millis,
     report: Option<(LoadReport, Millis)>,
     /// Requests that the report told beyond those that were known.
@@ -75,6 +77,7 @@
     pub fn new(entry: Arc<Upstream>, now_ms: Millis) -> Known {
         Known {
             entry,
+            eligibility: Eligibility::Eligible,
             joined_ms: now_ms,
             report: None,
             others: 0.0,
--- a/crates/dispatch/src/upstream_set.rs
+++ b/crates/dispatch/src/upstream_set.rs
@@ -8,8 +8,9 @@
 use crate::subset::{FleetShape, Subset};
 use crate::upstream::Known;
 use domain::{FastMap, FastSet, HostId, Millis, ServiceName, UpstreamId, ZoneName};
-use published::{Entry, RunStart, Upstream, UpstreamMode};
+use published::{Eligibility, Entry, Evacuations, RunStart, Upstream};
 use rand::RngExt;
+use rand::seq::IndexedRandom;
 use rand_pcg::Pcg64Mcg;
 use std::sync::Arc;
 
@@ -48,6 +49,7 @@
         &mut self,
         now_ms: Millis,
         entries: impl Iterator<Item = &'e Entry<Arc<Upstream>>>,
+        evacuations: &Evacuations,
     ) {
         let mut former = std::mem::take(&mut self.known);
         for service in self.services.values_mut() {
@@ -59,6 +61,7 @@
             let mut known =
                 same_run.unwrap_or_else(|| Known::new(Arc::clone(&entry.value), now_ms));
             known.entry = Arc::clone(&entry.value);
+            known.eligibility = entry.value.eligibility(evacuations);
             let service = self.services.entry(entry.value.service.clone()).or_default();
             service.upstreams.push(id.clone());
             service.grow_curve(entry.value.slots);
@@ -110,9 +113,20 @@
         self.known.get_mut(id).filter(|known| known.is_of_run(run))
     }
 
-    /// Whether requests may be sent to it.
+    /// Whether new requests may be sent to it; none if it is not known.
+    pub fn eligibility(&self, id: &UpstreamId) -> Option<Eligibility> {
+        self.known.get(id).map(|known| known.eligibility)
+    }
+
+    /// Whether new requests may be sent to it.
     pub fn takes_work(&self, id: &UpstreamId) -> bool {
-        self.known.get(id).is_some_and(|known| known.entry.mode == UpstreamMode::Ready)
+        self.eligibility(id) == Some(Eligibility::Eligible)
+    }
+
+    /// Whether a service has no upstream that takes work, but has one in an evacuated zone.
+    pub fn is_evacuated(&self, service: &ServiceName) -> bool {
+        let is = |id: &UpstreamId| self.eligibility(id) == Some(Eligibility::ZoneEvacuated);
+        self.count(service) == 0 && self.of_service(service).iter().any(is)
     }
 
     /// Whether it stands in another availability zone than this host.
@@ -125,12 +139,27 @@
         self.services.get(service).map_or(&[][..], |service| &service.upstreams)
     }
 
-    /// Availability zones in which a service has upstreams.
+    /// Availability zones in which a service has upstreams that take work.
     pub fn zones_of(&self, service: &ServiceName) -> FastSet<&ZoneName> {
-        let known = self.of_service(service).iter().filter_map(|id| self.known.get(id));
+        let open = self.of_service(service).iter().filter(|id| self.takes_work(id));
+        let known = open.filter_map(|id| self.known.get(id));
         known.map(|known| &known.entry.availability_zone).collect()
     }
 
+    /// Another availability zone in which a service has upstreams that take work, drawn by how
+    /// many there are; none if there is no such zone.
+    pub fn draw_other_zone(
+        &self,
+        service: &ServiceName,
+        zone: &ZoneName,
+        rng: &mut Pcg64Mcg,
+    ) -> Option<ZoneName> {
+        let zone_of = |id: &UpstreamId| &self.known[id].entry.availability_zone;
+        let open = self.of_service(service).iter().filter(|id| self.takes_work(id));
+        let others: Vec<&ZoneName> = open.map(zone_of).filter(|other| *other != zone).collect();
+        others.choose(rng).map(|&other| other.clone())
+    }
+
     /// How many upstreams of a service take work.
     pub fn count(&self, service: &ServiceName) -> usize {
         self.of_service(service).iter().filter(|id| self.takes_work(id)).count()
--- a/crates/dispatch/tests/choice.rs
+++ b/crates/dispatch/tests/choice.rs
@@ -7,7 +7,7 @@
     AskFailure, Candidate, Known, Reach, SendFailure, ServiceLoad, SpeedCurve, Weighing,
 };
 use domain::{Millis, Slots};
-use published::{RunStart, UpstreamMode};
+use published::{Evacuations, RunStart, UpstreamMode};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use rstest::rstest;
@@ -181,7 +181,11 @@
 fn knowledge_stays_over_a_change_of_entries() {
     let mut set = set(&[entry("i-1", "kariakoo"), entry("i-2", "kariakoo")]);
     set.note_report(NOW, (&id("i-1"), RunStart::default()), report(5, 0, 100));
-    set.sync(NOW, [entry("i-1", "kariakoo"), entry("i-3", "kariakoo")].iter());
+    set.sync(
+        NOW,
+        [entry("i-1", "kariakoo"), entry("i-3", "kariakoo")].iter(),
+        &Evacuations::default(),
+    );
     assert!(set.get(&id("i-1")).unwrap().report(NOW).is_some());
     assert!(set.get(&id("i-2")).is_none());
     assert!(set.get(&id("i-3")).unwrap().report(NOW).is_none());
--- /dev/null
+++ b/crates/dispatch/tests/evacuation.rs
@@ -0,0 +1,155 @@
+//! Upstreams of an evacuated zone get nothing new, on any path by which a request finds one.
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use dispatch::scheduler::{
+    Asker, Cell, Effect, PlacementMessage, RefusalCause, SchedulerSet, Submission, Ticket,
+};
+use dispatch::{Reach, UpstreamSet};
+use domain::{Millis, ServiceName, ZoneName};
+use published::{Change, Entry, Evacuations, Item, Picture, Revision, RunStart, Upstream};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use rstest::rstest;
+use std::sync::Arc;
+use support::{entry, id, report};
+
+const NOW: Millis = Millis(10_000);
+
+fn service() -> ServiceName {
+    "parts".parse().unwrap()
+}
+
+fn zone(name: &str) -> ZoneName {
+    name.parse().unwrap()
+}
+
+/// The evacuations of these zones.
+fn evacuations(zones: &[&str]) -> Evacuations {
+    let mut picture = Picture::default();
+    for name in zones {
+        let value = Item::Evacuation(zone(name));
+        let change = Change::Written(Entry { revision: Revision(1), value });
+        picture.take_changes(NOW, Revision(0), Revision(1), vec![change]);
+    }
+    picture.evacuations().clone()
+}
+
+/// So many upstreams in each of three zones, seen from a host in `kariakoo`.
+fn site(each: usize) -> Vec<Entry<Arc<Upstream>>> {
+    let in_zone = |zone: &'static str| {
+        (0..each).map(move |number| entry(&format!("i-{zone}-{number}"), zone))
+    };
+    ["kariakoo", "msasani", "temeke"].into_iter().flat_map(in_zone).collect()
+}
+
+fn set_of(entries: &[Entry<Arc<Upstream>>], evacuated: &[&str]) -> UpstreamSet {
+    let mut set = UpstreamSet::new("front-1".parse().unwrap(), zone("kariakoo"));
+    set.sync(NOW, entries.iter(), &evacuations(evacuated));
+    set
+}
+
+fn submission(ticket: u64, cell: &Cell) -> PlacementMessage {
+    PlacementMessage::Submit(Submission {
+        ticket: Ticket(ticket),
+        cell: cell.clone(),
+        zone: zone("kariakoo"),
+        priority: 0,
+        objective_ms: Millis(400),
+        age_ms: Millis::ZERO,
+        left_ms: Millis(1_200),
+        tried: Vec::new(),
+    })
+}
+
+#[rstest]
+#[case::few(2)]
+#[case::more_than_a_subset(12)]
+fn nobody_is_asked_there(#[case] each: usize) {
+    let set = set_of(&site(each), &["kariakoo"]);
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    for reach in [Reach::Near, Reach::Far] {
+        let asked = set.to_ask(NOW, &service(), &[], (100, reach), &mut rng);
+        assert_eq!(asked.len(), 2 * each);
+        assert!(asked.iter().all(|id| !id.as_str().contains("kariakoo")), "{asked:?}");
+    }
+}
+
+#[rstest]
+#[case::nothing(&[], Some("kariakoo"))]
+#[case::another_zone(&["temeke"], Some("kariakoo"))]
+#[case::the_own_zone(&["kariakoo", "temeke"], Some("msasani"))]
+#[case::all(&["kariakoo", "msasani", "temeke"], None)]
+fn a_request_goes_to_the_scheduler_of_a_zone_that_takes_work(
+    #[case] evacuated: &[&str],
+    #[case] wanted: Option<&str>,
+) {
+    let set = set_of(&site(12), evacuated);
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let cell = Cell::of(&service(), &zone("kariakoo"), &set, &mut rng);
+    assert_eq!(cell.zone, wanted.map(zone));
+}
+
+/// Load moves to the zones that are left by the upstreams that they have.
+#[test]
+fn the_requests_of_an_evacuated_zone_spread_by_what_the_others_have() {
+    let mut entries = site(12);
+    entries.extend((0..24).map(|number| entry(&format!("i-more-{number}"), "temeke")));
+    let set = set_of(&entries, &["kariakoo"]);
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let drawn = (0..1_000).filter(|_| {
+        let cell = Cell::of(&service(), &zone("kariakoo"), &set, &mut rng);
+        cell.zone == Some(zone("temeke"))
+    });
+    assert!((700..800).contains(&drawn.count()));
+}
+
+/// A request waits as all upstreams are busy; then the zone is evacuated and a slot comes free.
+#[test]
+fn what_waits_already_is_not_placed_there() {
+    let entries = [entry("i-1", "kariakoo"), entry("i-2", "temeke")];
+    let mut set = set_of(&entries, &[]);
+    let cell = Cell { service: service(), zone: None };
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let mut schedulers = SchedulerSet::default();
+    for name in ["i-1", "i-2"] {
+        set.note_report(NOW, (&id(name), RunStart::default()), report(6, 6, 100));
+    }
+    let asker = Asker::Own;
+    let effects = schedulers.take(NOW, submission(1, &cell), asker, &mut set, &mut rng);
+    assert!(placed(&effects).is_empty(), "{effects:?}");
+    set.sync(NOW, entries.iter(), &evacuations(&["kariakoo"]));
+    set.note_report(NOW, (&id("i-1"), RunStart::default()), report(0, 0, 100));
+    assert!(placed(&schedulers.turn(NOW, &mut set, &mut rng)).is_empty());
+    set.note_report(NOW, (&id("i-2"), RunStart::default()), report(0, 0, 100));
+    assert_eq!(placed(&schedulers.turn(NOW, &mut set, &mut rng)), ["i-2"]);
+}
+
+fn placed(effects: &[Effect]) -> Vec<String> {
+    let of = |effect: &Effect| match effect {
+        Effect::Tell { message: PlacementMessage::Placed { place, .. }, .. } => {
+            Some(place.upstream.to_string())
+        }
+        _ => None,
+    };
+    effects.iter().filter_map(of).collect()
+}
+
+#[test]
+fn where_all_is_evacuated_it_is_said_at_once() {
+    let mut set = set_of(&site(2), &["kariakoo", "msasani", "temeke"]);
+    assert!(set.is_evacuated(&service()));
+    let cell = Cell { service: service(), zone: None };
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let mut schedulers = SchedulerSet::default();
+    let effects = schedulers.take(NOW, submission(1, &cell), Asker::Own, &mut set, &mut rng);
+    let is_refused = |effect: &Effect| {
+        let no_upstream = RefusalCause::NoUpstream;
+        matches!(effect, Effect::Tell { message: PlacementMessage::Refused { cause, .. }, .. }
+            if *cause == no_upstream)
+    };
+    assert!(effects.iter().any(is_refused), "{effects:?}");
+    let part = set_of(&site(2), &["kariakoo"]);
+    assert!(!part.is_evacuated(&service()));
+}
--- a/crates/dispatch/tests/restart.rs
+++ b/crates/dispatch/tests/restart.rs
@@ -8,7 +8,7 @@
 };
 use dispatch::{AskFailure, SendFailure, UpstreamSet};
 use domain::Millis;
-use published::RunStart;
+use published::{Evacuations, RunStart};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use support::{id, of_run, report, set};
@@ -26,7 +26,7 @@
     known.note_sent();
     known.note_ended(NOW, Some(SendFailure::Broken));
     known.note_ask_failed(NOW, AskFailure::Unreachable);
-    set.sync(NOW, [of_run("i-1", 200)].iter());
+    set.sync(NOW, [of_run("i-1", 200)].iter(), &Evacuations::default());
     set
 }
 
@@ -57,7 +57,7 @@
 fn entries_without_a_start_are_of_one_run() {
     let mut set = set(&[of_run("i-1", 100)]);
     set.get_mut(&id("i-1")).unwrap().note_sent();
-    set.sync(NOW, [support::entry("i-1", "kariakoo")].iter());
+    set.sync(NOW, [support::entry("i-1", "kariakoo")].iter(), &Evacuations::default());
     assert_eq!(set.get_run_mut(&id("i-1"), FORMER).unwrap().open(), 1);
 }
 
@@ -73,7 +73,7 @@
     upstreams.note_report(NOW, (&id("i-1"), FORMER), report(0, 0, 100));
     take(&mut upstreams, submit(1));
     assert_eq!(upstreams.get(&id("i-1")).unwrap().open(), 1);
-    upstreams.sync(NOW, [of_run("i-1", 200)].iter());
+    upstreams.sync(NOW, [of_run("i-1", 200)].iter(), &Evacuations::default());
     upstreams.note_report(NOW, (&id("i-1"), LATER), report(0, 0, 100));
     take(&mut upstreams, submit(2));
     assert_eq!(upstreams.get(&id("i-1")).unwrap().open(), 1);
--- a/crates/dispatch/tests/subset.rs
+++ b/crates/dispatch/tests/subset.rs
@@ -5,7 +5,7 @@
 
 use dispatch::{FAR, FleetShape, NEAR, Reach, UpstreamSet};
 use domain::{FastMap, Millis};
-use published::{Entry, Upstream};
+use published::{Entry, Evacuations, Upstream};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use rstest::rstest;
@@ -27,7 +27,7 @@
         for host in 0..hosts_per_zone {
             let name = format!("front-{zone}-{host}");
             let mut set = UpstreamSet::new(name.parse().unwrap(), zone.parse().unwrap());
-            set.sync(Millis::ZERO, entries.iter());
+            set.sync(Millis::ZERO, entries.iter(), &Evacuations::default());
             let mut rng = Pcg64Mcg::seed_from_u64(host as u64);
             let asked = set.to_ask(
                 Millis(1),
@@ -67,7 +67,7 @@
     let mean = counts.values().sum::<usize>() as f64 / counts.len() as f64;
     let mut set =
         UpstreamSet::new("front-kariakoo-0".parse().unwrap(), "kariakoo".parse().unwrap());
-    set.sync(Millis::ZERO, entries.iter());
+    set.sync(Millis::ZERO, entries.iter(), &Evacuations::default());
     let mut rng = Pcg64Mcg::seed_from_u64(0);
     let asked = set.to_ask(Millis(1), &"parts".parse().unwrap(), &[], (1, Reach::Near), &mut rng);
     let hosts = u32::try_from(hosts_per_zone).unwrap();
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -3,7 +3,7 @@
 
 use dispatch::{Known, LoadReport, UpstreamSet};
 use domain::{Millis, Slots, UpstreamId};
-use published::{Entry, Revision, RunStart, Upstream, UpstreamMode};
+use published::{Entry, Evacuations, Revision, RunStart, Upstream, UpstreamMode};
 use std::sync::Arc;
 
 pub const SLOTS: u32 = 6;
@@ -48,6 +48,6 @@
 /// Seen from a host in `kariakoo`.
 pub fn set(entries: &[Entry<Arc<Upstream>>]) -> UpstreamSet {
     let mut set = UpstreamSet::new("front-1".parse().unwrap(), "kariakoo".parse().unwrap());
-    set.sync(Millis::ZERO, entries.iter());
+    set.sync(Millis::ZERO, entries.iter(), &Evacuations::default());
     set
 }
--- a/crates/emulator/src/play/scheduled.rs
+++ b/crates/emulator/src/play/scheduled.rs
@@ -7,7 +7,7 @@
 };
 use dispatch::{LoadReport, SendFailure, UpstreamSet};
 use domain::{Millis, Slots, UpstreamId, ZoneName};
-use published::{Entry, Revision, RunStart, Upstream, UpstreamMode};
+use published::{Entry, Evacuations, Revision, RunStart, Upstream, UpstreamMode};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -34,7 +34,7 @@
         let ids = entries.iter().map(|entry| entry.value.id.clone()).collect();
         let cell = Cell { service: name("service"), zone: None };
         let mut upstreams = UpstreamSet::new(name("host-0"), zone(site, 0));
-        upstreams.sync(Millis::ZERO, entries.iter());
+        upstreams.sync(Millis::ZERO, entries.iter(), &Evacuations::default());
         SchedulingHost {
             schedulers: SchedulerSet::default(),
             upstreams,
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -227,7 +227,8 @@
     fn adopt(&self) {
         let picture = self.picture();
         let now_ms = self.now_ms();
-        self.upstreams.borrow_mut().sync(now_ms, picture.upstreams());
+        let evacuations = picture.evacuations();
+        self.upstreams.borrow_mut().sync(now_ms, picture.upstreams(), evacuations);
         let is_known = |id: &domain::UpstreamId| picture.upstream(id).is_some();
         self.prune_connections();
         self.asks.borrow_mut().retain(is_known);
--- a/crates/gateway/src/serve/finding.rs
+++ b/crates/gateway/src/serve/finding.rs
@@ -82,6 +82,9 @@
         }
         Err(match tally.may_have_run() > 0 {
             true => Refusal::unknown(Cause::UpstreamFailed),
+            false if self.host.upstreams.borrow().is_evacuated(&self.service) => {
+                Refusal::not_run(Cause::ZonesEvacuated)
+            }
             false => Refusal::not_run(Cause::NoUpstream),
         })
     }
@@ -124,12 +127,15 @@
             return Placement::Unanswered;
         }
         let zone = self.host.settings.borrow().availability_zone.clone();
-        let cell = Cell::of(&self.service, &zone, &self.host.upstreams.borrow());
-        let is_divided = cell.zone.is_some();
+        let cell = {
+            let (upstreams, mut rng) = (self.host.upstreams.borrow(), self.host.rng.borrow_mut());
+            Cell::of(&self.service, &zone, &upstreams, &mut rng)
+        };
+        let asked_zone = cell.zone.clone();
         let placement = placing::place(&self.host, cell, self.submission(&zone, tally)).await;
         let has_no_room = matches!(placement, Placement::Refused(RefusalCause::NoRoom { .. }));
-        match self.other_zone(&zone) {
-            Some(other) if is_divided && has_no_room => {
+        match asked_zone.and_then(|asked| self.other_zone(&asked)) {
+            Some(other) if has_no_room => {
                 let cell = Cell { service: self.service.clone(), zone: Some(other) };
                 placing::place(&self.host, cell, self.submission(&zone, tally)).await
             }
--- a/crates/gateway/tests/docs.rs
+++ b/crates/gateway/tests/docs.rs
@@ -47,6 +47,7 @@
         Cause::NotConfigured,
         Cause::NoRoute,
         Cause::NoUpstream,
+        Cause::ZonesEvacuated,
         Cause::Overloaded,
         Cause::UpstreamsRefused,
         Cause::CrashesUpstreams,
--- a/crates/gateway/tests/support/source.rs
+++ b/crates/gateway/tests/support/source.rs
@@ -1,8 +1,10 @@
 //! A source of published values that can fail.
 
-use domain::{FastMap, Millis, UpstreamId};
+use domain::{FastMap, Millis, UpstreamId, ZoneName};
 use gateway::source::{Changes, Page, Reading, Source, SourceError};
-use published::{Change, Entry, Item, Removal, RemovalCause, Revision, Routing, Whole};
+use published::{
+    Change, Entry, EvacuationEnd, Item, Removal, RemovalCause, Revision, Routing, Whole,
+};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -35,6 +37,7 @@
         let key = match &value {
             Item::Routing(_) => prefix.to_owned(),
             Item::Upstream(upstream) => format!("{prefix}/{}", upstream.id),
+            Item::Evacuation(zone) => format!("{prefix}/{zone}"),
         };
         let revision = self.next_revision();
         let entry = Entry { revision, value };
@@ -52,6 +55,12 @@
         }));
     }
 
+    pub fn end_evacuation(&self, zone: &ZoneName) {
+        let revision = self.next_revision();
+        self.state.items.borrow_mut().remove(&format!("op/evacuate/{zone}"));
+        self.note(Change::EvacuationEnded(EvacuationEnd { zone: zone.clone(), revision }));
+    }
+
     pub fn fail(&self, failure: Option<SourceError>) {
         *self.state.failure.borrow_mut() = failure;
     }
@@ -85,6 +94,7 @@
             Change::Written(entry) => entry.revision > after,
             Change::Patched(entry) => entry.revision > after,
             Change::Removed(removal) => removal.revision > after,
+            Change::EvacuationEnded(end) => end.revision > after,
         };
         self.state.history.borrow().iter().filter(is_later).cloned().collect()
     }
--- a/crates/published/src/belief.rs
+++ b/crates/published/src/belief.rs
@@ -1,7 +1,7 @@
 //! Changes of what is believed, for logs.
 
 use crate::{RemovalCause, Revision, RunStart};
-use domain::{Millis, UpstreamId, Version};
+use domain::{Millis, UpstreamId, Version, ZoneName};
 use serde::Serialize;
 
 /// A change of what is believed, for logs.
@@ -22,6 +22,20 @@
         /// What is in force.
         in_force: Version,
     },
+    /// Nothing new is sent to the upstreams of a zone.
+    ZoneEvacuated {
+        /// Which zone.
+        zone: ZoneName,
+        /// Its revision.
+        revision: Revision,
+    },
+    /// An evacuation was taken back.
+    ZoneRestored {
+        /// Which zone.
+        zone: ZoneName,
+        /// The revision that ended it.
+        revision: Revision,
+    },
     /// An upstream takes work.
     UpstreamJoined {
         /// Its id.
--- a/crates/published/src/change.rs
+++ b/crates/published/src/change.rs
@@ -1,7 +1,7 @@
 //! What is published, as values and as changes, in one order.
 
-use crate::{Routing, RoutingPatch, Upstream};
-use domain::UpstreamId;
+use crate::{EvacuationEnd, Routing, RoutingPatch, Upstream};
+use domain::{UpstreamId, ZoneName};
 use serde::{Deserialize, Serialize};
 use std::fmt;
 use std::sync::Arc;
@@ -36,6 +36,8 @@
     Routing(Arc<Routing>),
     /// An upstream's entry.
     Upstream(Arc<Upstream>),
+    /// Nothing new is to be sent to the upstreams of this zone.
+    Evacuation(ZoneName),
 }
 
 /// The end of an upstream's entry.
@@ -70,6 +72,8 @@
     Patched(Entry<RoutingPatch>),
     /// An entry was removed.
     Removed(Removal),
+    /// An evacuation was taken back.
+    EvacuationEnded(EvacuationEnd),
 }
 
 /// Everything that is published, as of a revision.
--- a/crates/published/src/lib.rs
+++ b/crates/published/src/lib.rs
@@ -1,8 +1,8 @@
 //! What the platform publishes, as the product believes it.
 //!
-//! Two things are published: the [`Routing`] that operators write, and one [`Upstream`]
-//! entry for each instance that registers itself. One revision orders every change of
-//! either, so what is newer never has to be asked of anybody. [`Picture`] holds what is
+//! Three things are published: the [`Routing`] that operators write, the availability zones
+//! that they evacuate ([`Evacuations`]), and one [`Upstream`] entry for each instance that
+//! registers itself. One revision orders every change, so what is newer never has to be asked of anybody. [`Picture`] holds what is
 //! believed and keeps the rules: nothing older is ever put in force, nothing that lapsed
 //! while the source was away is dropped before it had time to come back. [`Gossip`] is a
 //! host's part in telling the fleet, [`Reader`] its part in reading.
@@ -11,6 +11,7 @@
 
 mod belief;
 mod change;
+mod evacuation;
 mod gossip;
 mod members;
 mod patch;
@@ -22,6 +23,7 @@
 
 pub use belief::Belief;
 pub use change::{Change, Entry, Item, Removal, RemovalCause, Revision, Whole};
+pub use evacuation::{EvacuationEnd, Evacuations};
 pub use gossip::{
     Bootstrap, Effect, Fetch, Gossip, Greeting, JoinReply, Message, News, Origin, Question, Told,
 };
@@ -33,4 +35,4 @@
 pub use routing::{
     CallerLimits, Destination, MatchedRoute, Repeat, Route, RouteTable, Routing, ServiceSettings,
 };
-pub use upstream::{RunStart, Upstream, UpstreamMode};
+pub use upstream::{Eligibility, RunStart, Upstream, UpstreamMode};
--- a/crates/published/src/picture.rs
+++ b/crates/published/src/picture.rs
@@ -13,10 +13,10 @@
 pub use catch_up::{CatchUp, Held};
 
 use crate::{
-    Belief, Change, Entry, Item, Removal, RemovalCause, Revision, Routing, RoutingPatch, RunStart,
-    Upstream, UpstreamMode, Whole,
+    Belief, Change, Entry, EvacuationEnd, Evacuations, Item, Removal, RemovalCause, Revision,
+    Routing, RoutingPatch, RunStart, Upstream, UpstreamMode, Whole,
 };
-use domain::{FastMap, FastSet, Millis, UpstreamId};
+use domain::{FastMap, FastSet, Millis, UpstreamId, ZoneName};
 use std::sync::Arc;
 
 /// Without a confirmed reading for so long, entries may have lapsed at the source: they do
@@ -31,6 +31,7 @@
 #[derive(Debug, Default)]
 pub struct Picture {
     routing: Option<Entry<Arc<Routing>>>,
+    evacuations: Evacuations,
     upstreams: FastMap<UpstreamId, Entry<Arc<Upstream>>>,
     removed: FastMap<UpstreamId, Tombstone>,
     lapsed: FastMap<UpstreamId, Lapsed>,
@@ -85,6 +86,11 @@
         self.routing.as_ref()
     }
 
+    /// The availability zones that are evacuated.
+    pub fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
     /// An upstream's entry.
     pub fn upstream(&self, id: &UpstreamId) -> Option<&Entry<Arc<Upstream>>> {
         self.upstreams.get(id)
@@ -115,10 +121,12 @@
     /// What lapsed is not published, so it doesn't count: hosts give it up at different moments.
     pub fn digest(&self) -> u64 {
         let routing = self.routing.as_ref().map_or(0, |entry| entry.revision.0);
-        let mix = |sum: u64, entry: &Entry<Arc<Upstream>>| {
-            sum.wrapping_add(entry.revision.0.wrapping_mul(0x9e37_79b9_7f4a_7c15))
+        let upstreams = self.present().map(|entry| entry.revision);
+        let evacuations = self.evacuations.in_force().map(|(_, revision)| revision);
+        let mix = |sum: u64, revision: Revision| {
+            sum.wrapping_add(revision.0.wrapping_mul(0x9e37_79b9_7f4a_7c15))
         };
-        self.present().fold(routing, mix)
+        upstreams.chain(evacuations).fold(routing, mix)
     }
 
     /// All entries but those that lapsed.
@@ -137,13 +145,23 @@
             revision: entry.revision,
             value: Item::Routing(Arc::clone(&entry.value)),
         });
+        let evacuations = self.evacuations_in_force();
         let is_overwritten = |tombstone: &Tombstone| tombstone.cause == RemovalCause::Overwritten;
         let overwritten = self.removed.iter().filter(|(_, tombstone)| is_overwritten(tombstone));
         let overwritten = overwritten.map(|(id, tombstone)| tombstone.removal(id)).collect();
-        let items = routing.chain(upstreams).collect();
+        let items = routing.chain(evacuations).chain(upstreams).collect();
         Whole { revision: self.revision, items, overwritten }
     }
 
+    /// The evacuations in force, as published values.
+    fn evacuations_in_force(&self) -> impl Iterator<Item = Entry<Item>> {
+        let entry = |(zone, revision): (&ZoneName, Revision)| Entry {
+            revision,
+            value: Item::Evacuation(zone.clone()),
+        };
+        self.evacuations.in_force().map(entry)
+    }
+
     /// Notes that at `at_ms` nothing newer than `revision` was published.
     ///
     /// Only a picture that holds all up to `revision` is confirmed by it.
@@ -167,6 +185,7 @@
             self.remove(at_ms, removal.clone(), &mut beliefs);
         }
         let missing = if is_newest { self.missing_from(&whole) } else { Vec::new() };
+        let ended = if is_newest { self.evacuations_missing_from(&whole) } else { Vec::new() };
         for entry in whole.items {
             self.write(entry, &mut beliefs);
         }
@@ -175,6 +194,10 @@
             let removal = Removal { upstream, revision: whole.revision, cause };
             self.remove(at_ms, removal, &mut beliefs);
         }
+        for zone in ended {
+            let revision = whole.revision;
+            self.end_evacuation(at_ms, EvacuationEnd { zone, revision }, &mut beliefs);
+        }
         self.revision = self.revision.max(whole.revision);
         self.confirm(at_ms, whole.revision);
         beliefs
@@ -199,6 +222,7 @@
                 Change::Written(entry) => self.write(entry, &mut beliefs),
                 Change::Patched(entry) => is_gapless &= self.patch(&entry, &mut beliefs),
                 Change::Removed(removal) => self.remove(at_ms, removal, &mut beliefs),
+                Change::EvacuationEnded(end) => self.end_evacuation(at_ms, end, &mut beliefs),
             }
         }
         if is_gapless {
@@ -242,7 +266,8 @@
         let is_old = |tombstone: &Tombstone| now_ms.since(tombstone.since_ms) >= TOMBSTONE_MS;
         let old = self.removed.values().filter(|tombstone| is_old(tombstone));
         let last = old.map(|tombstone| tombstone.revision).max();
-        self.removals_since = self.removals_since.max(last.unwrap_or_default());
+        let last = last.unwrap_or_default().max(self.evacuations.forget(now_ms, TOMBSTONE_MS));
+        self.removals_since = self.removals_since.max(last);
         self.removed.retain(|_, tombstone| !is_old(tombstone));
     }
 
@@ -255,7 +280,7 @@
     fn missing_from(&self, whole: &Whole) -> Vec<UpstreamId> {
         let upstream_id = |entry: &'_ Entry<Item>| match &entry.value {
             Item::Upstream(upstream) => Some(upstream.id.clone()),
-            Item::Routing(_) => None,
+            Item::Routing(_) | Item::Evacuation(_) => None,
         };
         let listed: FastSet<UpstreamId> = whole.items.iter().filter_map(upstream_id).collect();
         let is_covered = |entry: &Entry<Arc<Upstream>>| entry.revision <= whole.revision;
@@ -266,6 +291,18 @@
             .collect()
     }
 
+    fn evacuations_missing_from(&self, whole: &Whole) -> Vec<ZoneName> {
+        let zone = |entry: &'_ Entry<Item>| match &entry.value {
+            Item::Evacuation(zone) => Some(zone.clone()),
+            Item::Routing(_) | Item::Upstream(_) => None,
+        };
+        let listed: FastSet<ZoneName> = whole.items.iter().filter_map(zone).collect();
+        let in_force = self.evacuations.in_force();
+        let missing = in_force
+            .filter(|(zone, revision)| *revision <= whole.revision && !listed.contains(*zone));
+        missing.map(|(zone, _)| zone.clone()).collect()
+    }
+
     fn write(&mut self, entry: Entry<Item>, beliefs: &mut Vec<Belief>) {
         match entry.value {
             Item::Routing(routing) => {
@@ -275,6 +312,19 @@
                 let entry = Entry { revision: entry.revision, value: upstream };
                 self.write_upstream(entry, beliefs);
             }
+            Item::Evacuation(zone) => {
+                let revision = entry.revision;
+                if self.evacuations.begin(revision, zone.clone()) {
+                    beliefs.push(Belief::ZoneEvacuated { zone, revision });
+                }
+            }
+        }
+    }
+
+    fn end_evacuation(&mut self, now_ms: Millis, end: EvacuationEnd, beliefs: &mut Vec<Belief>) {
+        if self.evacuations.end(now_ms, end.clone()) {
+            let EvacuationEnd { zone, revision } = end;
+            beliefs.push(Belief::ZoneRestored { zone, revision });
         }
     }
 
--- a/crates/published/src/picture/bootstrap.rs
+++ b/crates/published/src/picture/bootstrap.rs
@@ -1,13 +1,13 @@
 //! What a host needs to serve before it holds the whole picture.
 //!
-//! The routing and the upstreams that it prefers fit one datagram, whatever the size of the
+//! The routing, the zones that are evacuated and the upstreams that it prefers fit one datagram, whatever the size of the
 //! fleet. A host of a tenth of a core behind 20 Mbit/s serves 20 ms after it is told them; for
 //! the whole picture of a thousand upstreams it needs some hundred milliseconds, and the host
 //! that tells it as long again for each host that asks.
 
 use super::Picture;
 use crate::preference::{Preferred, preferred};
-use crate::{Belief, Entry, Item, Revision, Upstream, UpstreamMode, Whole};
+use crate::{Belief, Eligibility, Entry, Item, Revision, Upstream, Whole};
 use domain::{FastMap, HostId, Millis, ServiceName, ZoneName};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -34,7 +34,7 @@
     pub age_ms: Millis,
     /// No change up to here is missing from the whole picture that this is taken from.
     pub revision: Revision,
-    /// The routing and some upstreams; nothing if the routing alone is too large.
+    /// The routing, the evacuations and some upstreams; nothing if the routing alone is too large.
     pub items: Vec<Entry<Item>>,
     /// Whether that is the whole picture.
     pub is_whole: bool,
@@ -80,7 +80,11 @@
             value: Item::Upstream(entry.value),
         });
         Some(BootstrapSnapshot {
-            items: routing.into_iter().chain(upstreams).collect(),
+            items: routing
+                .into_iter()
+                .chain(self.evacuations_in_force())
+                .chain(upstreams)
+                .collect(),
             is_whole,
             ..none
         })
@@ -90,7 +94,7 @@
     fn preferred_by(&self, host: &HostId, zone: &ZoneName) -> Vec<Entry<Arc<Upstream>>> {
         let mut services: FastMap<&ServiceName, Vec<&Upstream>> = FastMap::default();
         for entry in self.upstreams.values() {
-            if entry.value.mode == UpstreamMode::Ready {
+            if entry.value.eligibility(&self.evacuations) == Eligibility::Eligible {
                 services.entry(&entry.value.service).or_default().push(&entry.value);
             }
         }
--- a/crates/published/src/picture/catch_up.rs
+++ b/crates/published/src/picture/catch_up.rs
@@ -90,9 +90,12 @@
         let lapsed = self.lapsed.iter().map(|(id, lapsed)| lapsed.removal(id));
         let removed = removed.chain(lapsed).filter(|removal| is_news(removal.revision));
         let removed = removed.map(Change::Removed);
+        let evacuated = self.evacuations_in_force().filter(|entry| is_news(entry.revision));
+        let ended = self.evacuations.ended().filter(|end| is_news(end.revision));
+        let evacuations = evacuated.map(Change::Written).chain(ended.map(Change::EvacuationEnded));
         let routing = self.routing.as_ref().filter(|entry| held.routing < Some(entry.revision));
         let routing = routing.map(|entry| self.routing_since(entry, held.routing));
-        routing.into_iter().chain(written).chain(removed).collect()
+        routing.into_iter().chain(evacuations).chain(written).chain(removed).collect()
     }
 
     /// The routing, as its difference where that is known.
--- a/crates/published/src/upstream.rs
+++ b/crates/published/src/upstream.rs
@@ -1,5 +1,6 @@
 //! Upstreams that register themselves.
 
+use crate::Evacuations;
 use domain::{Millis, ServiceName, Slots, UpstreamId, ZoneName};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -32,6 +33,17 @@
     pub fn is_later_run_than(&self, other: &Upstream) -> bool {
         self.run.is_after(other.run)
     }
+
+    /// Whether new requests may be sent to it. Whoever sends one asks just this.
+    pub fn eligibility(&self, evacuations: &Evacuations) -> Eligibility {
+        match self.mode {
+            UpstreamMode::Draining => Eligibility::Draining,
+            UpstreamMode::Ready if evacuations.contains(&self.availability_zone) => {
+                Eligibility::ZoneEvacuated
+            }
+            UpstreamMode::Ready => Eligibility::Eligible,
+        }
+    }
 }
 
 /// When a run of an instance started, in Unix milliseconds by the instance's own clock.
@@ -68,3 +80,15 @@
     /// It is leaving: no new work.
     Draining,
 }
+
+/// Whether an upstream may get new requests, and if not why.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Eligibility {
+    /// It may.
+    Eligible,
+    /// It is leaving.
+    Draining,
+    /// Its availability zone is evacuated.
+    ZoneEvacuated,
+}
--- a/crates/published/tests/support/site.rs
+++ b/crates/published/tests/support/site.rs
@@ -6,8 +6,8 @@
 use super::{id, removed, routing, written};
 use domain::{Incarnation, Millis};
 use published::{
-    Capacity, Change, Effect, Entry, Fetch, Gossip, Item, Member, Message, ReadStep, Reader,
-    Revision, Start, Told, Whole,
+    Capacity, Change, Effect, Entry, Fetch, Gossip, Item, Member, Message, Picture, ReadStep,
+    Reader, Revision, Start, Told, Whole,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -110,6 +110,7 @@
         Change::Written(entry) => entry.revision,
         Change::Patched(entry) => entry.revision,
         Change::Removed(removal) => removal.revision,
+        Change::EvacuationEnded(end) => end.revision,
     }
 }
 
@@ -181,12 +182,16 @@
                 let key = match &entry.value {
                     Item::Routing(_) => "routing".to_owned(),
                     Item::Upstream(upstream) => upstream.id.to_string(),
+                    Item::Evacuation(zone) => format!("evacuation of {zone}"),
                 };
                 self.items.insert(key, entry.clone());
             }
             Change::Removed(removal) => {
                 self.items.remove(removal.upstream.as_str());
             }
+            Change::EvacuationEnded(end) => {
+                self.items.remove(&format!("evacuation of {}", end.zone));
+            }
             Change::Patched(_) => unreachable!("the source publishes whole values"),
         }
         self.history.push(change);
@@ -232,6 +237,16 @@
         }
     }
 
+    /// The revision of the next change.
+    pub fn next_revision(&self) -> u64 {
+        self.revision.0 + 1
+    }
+
+    /// Whether something holds of what each host that is up believes.
+    pub fn all_hold(&self, holds: impl Fn(&Picture) -> bool) -> bool {
+        self.hosts.iter().filter(|host| host.is_up).all(|host| holds(host.gossip.picture()))
+    }
+
     fn active(&self) -> impl Iterator<Item = Fault> + '_ {
         let now_ms = self.now_ms;
         let is_active = move |spell: &&Spell| (spell.from_ms..spell.to_ms).contains(&now_ms);
