--- a/crates/dispatch/src/choice.rs
+++ b/crates/dispatch/src/choice.rs
@@ -1,9 +1,10 @@
 //! What a request would cost at an upstream.
 //!
 //! Everything is weighed in times of the usual working time of the service. What a request
-//! is expected to take there is made of slowness, waiting and warming up; failures and the
+//! is expected to take there is made of slowness, waiting and coldness; failures and the
 //! price of another availability zone add to the cost by which upstreams are compared.
 
+use crate::cold::{COLD_SLOWNESS, Warmth};
 use crate::curve::SpeedCurve;
 use crate::load::LEAST_SLOWNESS;
 use crate::service_load::ServiceLoad;
@@ -21,9 +22,6 @@
 /// What all slots taken add besides, so that the emptier of two is preferred.
 const USED_WEIGHT: f64 = 0.2;
 
-/// How much slower an upstream works that has just started.
-const WARMING_UP: f64 = 2.0;
-
 /// An upstream, weighed.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Candidate {
@@ -53,8 +51,11 @@
     let slots = f64::from(known.entry.slots.0.max(1));
     let running = known.occupied(by.now_ms, by.load) + 1.0;
     let wait = ((running - slots) / slots).max(0.0);
-    let warming_up = if known.is_warming_up(by.now_ms) { WARMING_UP } else { 1.0 };
-    let slow = known.slowness(by.now_ms, by.load).max(LEAST_SLOWNESS) * warming_up;
+    let cold = match known.warmth(by.now_ms) {
+        Warmth::Warm => 1.0,
+        Warmth::Cold | Warmth::Unknown => COLD_SLOWNESS,
+    };
+    let slow = known.slowness(by.now_ms, by.load).max(LEAST_SLOWNESS) * cold;
     let work = slow * (1.0 / by.curve.speed(running) + wait);
     let used = slow * USED_WEIGHT * (running / slots).min(1.0);
     let failing = 1.0 + FAILURE_WEIGHT * known.failure_share(by.now_ms);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod attempts;
 pub mod budget;
 mod choice;
+mod cold;
 mod curve;
 mod load;
 mod patience;
@@ -24,6 +25,7 @@
 
 pub use asking::{ASKED_AT_ONCE, AT_ONCE, GOOD_ENOUGH, ROUNDS, UNWELL_COST};
 pub use choice::{Candidate, Weighing, weigh};
+pub use cold::{ColdLimit, ColdSender, Warmth};
 pub use curve::{Occupancy, SpeedCurve};
 pub use load::LoadReport;
 pub use patience::{Offer, Patience, Verdict};
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -25,6 +25,7 @@
 pub use directory::Directory;
 pub use job::{Submission, Ticket};
 pub use message::{Asker, Effect, Outcome, Place, PlacementMessage, RefusalCause};
+use set::Cold;
 pub use set::SchedulerSet;
 
 use crate::choice::Candidate;
@@ -110,13 +111,19 @@
         None
     }
 
-    /// Forgets a request that waits or was placed.
-    fn withdraw(&mut self, now_ms: Millis, key: Key, upstreams: &mut UpstreamSet) {
+    /// Forgets a request that waits or was placed; the upstream on which it was placed.
+    fn withdraw(
+        &mut self,
+        now_ms: Millis,
+        key: Key,
+        upstreams: &mut UpstreamSet,
+    ) -> Option<UpstreamId> {
         self.waiting.retain(|job| job.key != key);
-        let Some(placed) = self.placed.take(now_ms, key) else { return };
+        let placed = self.placed.take(now_ms, key)?;
         if let Some(known) = upstreams.get_run_mut(&placed.upstream, placed.run) {
             known.note_withdrawn();
         }
+        Some(placed.upstream)
     }
 
     /// A request that was placed came to its end.
@@ -159,6 +166,7 @@
         &mut self,
         now_ms: Millis,
         upstreams: &mut UpstreamSet,
+        cold: &mut Cold,
         rng: &mut Pcg64Mcg,
         effects: &mut Vec<Effect>,
     ) {
@@ -168,14 +176,16 @@
         if self.waiting.is_empty() {
             return;
         }
-        let outlook = Outlook::new(now_ms, &self.cell, upstreams);
+        let lent = cold.lent(now_ms, &self.cell);
+        let outlook = Outlook::new(now_ms, &self.cell, upstreams, lent);
         let mut is_full = false;
         let mut ahead = 0;
         for mut job in std::mem::take(&mut self.waiting) {
             if job.is_over(now_ms) {
                 continue;
             }
-            let view = View { now_ms, upstreams, outlook: &outlook, ahead };
+            let budget = &cold.budget;
+            let view = View { now_ms, upstreams, outlook: &outlook, budget, lent, ahead };
             let offers = match is_full && !job.is_repeat() {
                 true => Vec::new(),
                 false => self.offers(&job, view, rng),
@@ -183,6 +193,7 @@
             is_full |= offers.is_empty() && !job.is_repeat();
             match self.decide(&mut job, &offers, view) {
                 Decision::Place(candidate) => {
+                    cold.take(now_ms, &candidate.upstream, lent, upstreams);
                     let place = self.place(now_ms, &job, candidate, ahead, upstreams);
                     effects.extend(place);
                     continue;
--- a/crates/dispatch/src/scheduler/decision.rs
+++ b/crates/dispatch/src/scheduler/decision.rs
@@ -12,6 +12,7 @@
 use crate::LoadReport;
 use crate::asking::{ASKED_AT_ONCE, AT_ONCE};
 use crate::choice::Candidate;
+use crate::cold::{ColdBudget, spendable};
 use crate::upstream::Known;
 use crate::upstream_set::UpstreamSet;
 use domain::{Millis, UpstreamId};
@@ -56,6 +57,10 @@
     pub(super) now_ms: Millis,
     pub(super) upstreams: &'a UpstreamSet,
     pub(super) outlook: &'a Outlook,
+    /// What was sent to cold upstreams, and the part of the fleet's rate that is lent
+    /// for it.
+    pub(super) budget: &'a ColdBudget,
+    pub(super) lent: f64,
     /// Requests that wait before the one in question.
     pub(super) ahead: usize,
 }
@@ -68,6 +73,8 @@
     rank: f64,
     /// What is known of it was told just now.
     is_fresh: bool,
+    /// It may get a request now; else it is worth asking only.
+    may_place: bool,
     /// Others leave it room, as far as it is known.
     has_room: bool,
 }
@@ -93,7 +100,7 @@
         }
         let done_ms = |offer: &Offer| now_ms + self.expected_ms(&offer.candidate, view);
         let may_wait = !job.is_repeat() && !outlook.is_hopeless(now_ms, job, view.ahead);
-        match (best, offers.first()) {
+        match (best, offers.iter().find(|offer| offer.may_place)) {
             (Some(best), _) if done_ms(best) <= job.due_ms => {
                 Decision::Place(best.candidate.clone())
             }
@@ -164,16 +171,35 @@
         if known.open() >= most {
             return None;
         }
+        let cold_limit = upstreams.cold_limit(now_ms, id);
+        let has_one = |share| {
+            let may_send = |limit| view.budget.has_one(now_ms, id, limit, share);
+            cold_limit.is_none_or(may_send)
+        };
+        if !has_one(hoped_share(known, now_ms, view.lent)) {
+            return None;
+        }
+        let may_place = has_one(cold_share(known, now_ms, view.lent));
         let candidate = upstreams.weigh_from(now_ms, id, &job.zone)?;
         let is_fresh = just_told(known, now_ms).is_some();
         // Others are not this scheduler's to hold back: what they leave is used. Half a
         // request of theirs may be nothing but what is remembered.
         let occupied = known.occupied(now_ms, upstreams.load(&self.cell.service));
-        let has_room = occupied + 0.5 <= f64::from(slots);
-        Some(Offer { rank: candidate.cost, candidate, is_fresh, has_room })
+        let has_room = may_place && occupied + 0.5 <= f64::from(slots);
+        Some(Offer { rank: candidate.cost, candidate, is_fresh, may_place, has_room })
     }
 }
 
+/// The part of the fleet's rate that may be spent on a cold upstream.
+pub(super) fn cold_share(known: &Known, now_ms: Millis, lent: f64) -> f64 {
+    spendable(lent, just_told(known, now_ms).is_some() && known.others() < 0.5)
+}
+
+/// The same, if it turns out to have no requests of others where that was not told just now.
+pub(super) fn hoped_share(known: &Known, now_ms: Millis, lent: f64) -> f64 {
+    spendable(lent, just_told(known, now_ms).is_none() || known.others() < 0.5)
+}
+
 /// What an upstream told just now.
 pub(super) fn just_told(known: &Known, now_ms: Millis) -> Option<LoadReport> {
     let report = known.report(now_ms).filter(|(_, age_ms)| *age_ms <= FRESH_MS);
--- a/crates/dispatch/src/scheduler/message.rs
+++ b/crates/dispatch/src/scheduler/message.rs
@@ -41,6 +41,8 @@
     Withdrawn {
         /// Which.
         ticket: Ticket,
+        /// Whether it had left for its upstream.
+        was_sent: bool,
     },
 }
 
--- a/crates/dispatch/src/scheduler/outlook.rs
+++ b/crates/dispatch/src/scheduler/outlook.rs
@@ -1,6 +1,7 @@
 //! When a request that waits will have its place.
 
 use super::Cell;
+use super::decision::hoped_share;
 use super::job::Job;
 use crate::load::LEAST_SLOWNESS;
 use crate::upstream_set::UpstreamSet;
@@ -40,7 +41,7 @@
 }
 
 impl Outlook {
-    pub(super) fn new(now_ms: Millis, cell: &Cell, upstreams: &UpstreamSet) -> Outlook {
+    pub(super) fn new(now_ms: Millis, cell: &Cell, upstreams: &UpstreamSet, lent: f64) -> Outlook {
         let sound = sound_upstreams(now_ms, cell, upstreams);
         let usual_ms = upstreams.expected_ms(&cell.service, 1.0);
         let load = upstreams.load(&cell.service);
@@ -48,7 +49,11 @@
             let (known, curve) = (upstreams.get(id)?, upstreams.curve(id)?);
             let best = f64::from(curve.best());
             let slowness = known.slowness(now_ms, load).max(LEAST_SLOWNESS);
-            Some(best * curve.speed(best) / slowness / usual_ms?.as_f64().max(1.0))
+            let done = best * curve.speed(best) / slowness / usual_ms?.as_f64().max(1.0);
+            let cold_limit = upstreams.cold_limit(now_ms, id);
+            let share = hoped_share(known, now_ms, lent);
+            let most = cold_limit.map(|limit| limit.rate.0 * share / 1_000.0);
+            Some(most.map_or(done, |most| done.min(most)))
         };
         let done_per_ms = sound.iter().filter_map(done_per_ms).sum();
         Outlook { upstreams: sound, done_per_ms, usual_ms }
--- a/crates/dispatch/src/scheduler/placed.rs
+++ b/crates/dispatch/src/scheduler/placed.rs
@@ -3,6 +3,7 @@
 use super::decision::just_told;
 use super::job::{Job, Key};
 use crate::choice::Candidate;
+use crate::cold::Warmth;
 use crate::curve::Occupancy;
 use crate::upstream::Known;
 use domain::{FastMap, Millis, UpstreamId};
@@ -55,7 +56,10 @@
             upstream: candidate.upstream.clone(),
             run: known.entry.run,
             work: candidate.work,
-            slowness: just_told(known, now_ms).map(|report| report.slowness()),
+            // What a cold one takes says nothing of the usual time.
+            slowness: just_told(known, now_ms)
+                .filter(|_| known.warmth(now_ms) == Warmth::Warm)
+                .map(|report| report.slowness()),
             spent: Occupancy::new(known.open()),
             noted_ms: now_ms,
             forget_ms: job.end_ms + FORGET_AFTER_MS,
--- a/crates/dispatch/src/scheduler/set.rs
+++ b/crates/dispatch/src/scheduler/set.rs
@@ -1,23 +1,69 @@
 //! All that a host schedules.
 
+use super::decision::cold_share;
 use super::job::{Job, Key};
 use super::message::{Asker, Effect, PlacementMessage, RefusalCause};
 use super::{Cell, Scheduler};
+use crate::cold::{ColdBudget, Lenders};
+use crate::subset::FleetShape;
 use crate::upstream_set::UpstreamSet;
-use domain::{FastMap, Millis};
+use domain::{FastMap, HostId, Millis, UpstreamId};
 use rand_pcg::Pcg64Mcg;
 
 /// How often requests that wait are looked at, besides when something is learned.
 const TURN_MS: Millis = Millis(4);
 
 /// The schedulers of a host, by cell; they come with the first request and go with the last.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct SchedulerSet {
     schedulers: FastMap<Cell, Scheduler>,
+    cold: Cold,
     is_leaving: bool,
 }
 
+/// What this host may send to cold upstreams for the hosts that hand it their requests.
+#[derive(Debug)]
+pub(super) struct Cold {
+    pub(super) budget: ColdBudget,
+    lenders: Lenders,
+    fleet: FleetShape,
+}
+
+impl Cold {
+    /// A request is placed on an upstream, which may be cold.
+    pub(super) fn take(
+        &mut self,
+        now_ms: Millis,
+        id: &UpstreamId,
+        lent: f64,
+        upstreams: &UpstreamSet,
+    ) {
+        if let (Some(limit), Some(known)) = (upstreams.cold_limit(now_ms, id), upstreams.get(id)) {
+            self.budget.take(now_ms, id, limit, cold_share(known, now_ms, lent));
+        }
+    }
+
+    /// The part of the fleet's rate that is lent to a cell's scheduler.
+    pub(super) fn lent(&self, now_ms: Millis, cell: &Cell) -> f64 {
+        let hosts = if cell.zone.is_some() { self.fleet.hosts_in_zone } else { self.fleet.hosts };
+        self.lenders.share(now_ms, hosts)
+    }
+}
+
 impl SchedulerSet {
+    /// Nothing is scheduled yet by this host.
+    pub fn new(host: HostId) -> SchedulerSet {
+        let alone = FleetShape { hosts: 1, hosts_in_zone: 1 };
+        let (budget, lenders) = (ColdBudget::new(host), Lenders::default());
+        let cold = Cold { budget, lenders, fleet: alone };
+        SchedulerSet { schedulers: FastMap::default(), cold, is_leaving: false }
+    }
+
+    /// Takes how many hosts there are: each has an equal share of what the fleet may send.
+    pub fn set_fleet(&mut self, fleet: FleetShape) {
+        self.cold.fleet = fleet;
+    }
+
     /// From now on nothing new is taken.
     pub fn leave(&mut self) {
         self.is_leaving = true;
@@ -33,6 +79,7 @@
         rng: &mut Pcg64Mcg,
     ) -> Vec<Effect> {
         let mut effects = Vec::new();
+        self.cold.lenders.note(now_ms, asker);
         let scheduler = match message {
             PlacementMessage::Submit(submission) if self.is_leaving => {
                 let (ticket, cause) = (submission.ticket, RefusalCause::NoUpstream);
@@ -51,17 +98,20 @@
             }
             PlacementMessage::Ended { ticket, outcome } => {
                 let key = Key { asker, ticket };
-                let mut scheduler = self.that_knows(key);
+                let mut scheduler = that_knows(&mut self.schedulers, key);
                 if let Some(scheduler) = &mut scheduler {
                     scheduler.end(now_ms, key, &outcome, upstreams);
                 }
                 scheduler
             }
-            PlacementMessage::Withdrawn { ticket } => {
+            PlacementMessage::Withdrawn { ticket, was_sent } => {
                 let key = Key { asker, ticket };
-                let mut scheduler = self.that_knows(key);
+                let mut scheduler = that_knows(&mut self.schedulers, key);
                 if let Some(scheduler) = &mut scheduler {
-                    scheduler.withdraw(now_ms, key, upstreams);
+                    let upstream = scheduler.withdraw(now_ms, key, upstreams);
+                    if let Some(upstream) = upstream.filter(|_| !was_sent) {
+                        self.cold.budget.give_back(&upstream);
+                    }
                 }
                 scheduler
             }
@@ -70,15 +120,11 @@
             | PlacementMessage::Refused { .. } => None,
         };
         if let Some(scheduler) = scheduler {
-            scheduler.turn(now_ms, upstreams, rng, &mut effects);
+            scheduler.turn(now_ms, upstreams, &mut self.cold, rng, &mut effects);
         }
         effects
     }
 
-    fn that_knows(&mut self, key: Key) -> Option<&mut Scheduler> {
-        self.schedulers.values_mut().find(|scheduler| scheduler.knows(key))
-    }
-
     /// Something was learned of upstreams, or time has passed.
     pub fn turn(
         &mut self,
@@ -88,8 +134,10 @@
     ) -> Vec<Effect> {
         let mut effects = Vec::new();
         for scheduler in self.schedulers.values_mut() {
-            scheduler.turn(now_ms, upstreams, rng, &mut effects);
+            scheduler.turn(now_ms, upstreams, &mut self.cold, rng, &mut effects);
         }
+        self.cold.lenders.forget(now_ms);
+        self.cold.budget.retain(|id| upstreams.cold_limit(now_ms, id).is_some());
         self.schedulers.retain(|_, scheduler| !scheduler.is_idle());
         effects
     }
@@ -105,3 +153,7 @@
         self.schedulers.values().map(|scheduler| scheduler.waiting.len()).sum()
     }
 }
+
+fn that_knows(schedulers: &mut FastMap<Cell, Scheduler>, key: Key) -> Option<&mut Scheduler> {
+    schedulers.values_mut().find(|scheduler| scheduler.knows(key))
+}
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -5,7 +5,7 @@
 use crate::load::LEAST_SLOWNESS;
 use crate::service_load::ServiceLoad;
 use crate::subset::Subset;
-use domain::{Millis, Slots, UpstreamId};
+use domain::{Millis, PerSecond, Slots, UpstreamId};
 
 /// Weight of one answer in the usual working time of a service: some twenty answers count.
 const USUAL_WEIGHT: f64 = 0.05;
@@ -40,6 +40,8 @@
     pub(crate) upstreams: Vec<UpstreamId>,
     pub(crate) subset: Subset,
     pub(crate) load: ServiceLoad,
+    /// Requests a second that a cold upstream bears, of the whole fleet; none if none is stated.
+    pub(crate) cold_rate: Option<PerSecond>,
     /// One for each number of slots that its upstreams have.
     curves: Vec<SpeedCurve>,
     usual: Usual,
@@ -53,6 +55,7 @@
             upstreams: Vec::new(),
             subset: Subset::default(),
             load: ServiceLoad::default(),
+            cold_rate: None,
             curves: Vec::new(),
             usual: Usual::default(),
             stretch: 1.0,
--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -6,9 +6,10 @@
 //! idle.
 
 use crate::LoadReport;
+use crate::cold::{ToldCold, Warmth};
 use crate::service_load::{ServiceLoad, told_others};
 use domain::Millis;
-use published::{Eligibility, RunStart, Upstream};
+use published::{Eligibility, Entry, Revision, RunStart, Upstream};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -61,7 +62,8 @@
     pub entry: Arc<Upstream>,
     /// Whether it may get new requests.
     pub eligibility: Eligibility,
-    joined_ms: Millis,
+    revision: Revision,
+    cold: ToldCold,
     report: Option<(LoadReport, Millis)>,
     /// Requests that the report told beyond those that were known.
     others: f64,
@@ -74,11 +76,14 @@
 
 impl Known {
     /// An upstream that has just been published.
-    pub fn new(entry: Arc<Upstream>, now_ms: Millis) -> Known {
+    pub fn new(entry: &Entry<Arc<Upstream>>, now_ms: Millis) -> Known {
+        let mut cold = ToldCold::default();
+        cold.note_entry(now_ms, entry.value.warmup_left_ms);
         Known {
-            entry,
+            entry: Arc::clone(&entry.value),
             eligibility: Eligibility::Eligible,
-            joined_ms: now_ms,
+            revision: entry.revision,
+            cold,
             report: None,
             others: 0.0,
             open: 0,
@@ -104,6 +109,11 @@
         self.open
     }
 
+    /// Requests of others there, as it last told.
+    pub(crate) fn others(&self) -> f64 {
+        self.others
+    }
+
     /// Whether it is left alone for now.
     pub fn is_avoided(&self, now_ms: Millis) -> bool {
         now_ms < self.avoid_until_ms
@@ -116,9 +126,38 @@
         self.failed.at(now_ms) / (self.ended.at(now_ms) + 1.0)
     }
 
-    /// Whether it is still slow after its start.
-    pub fn is_warming_up(&self, now_ms: Millis) -> bool {
-        now_ms.since(self.joined_ms) < self.entry.warmup_left_ms
+    /// Whether it is cold, as far as that is known.
+    pub fn warmth(&self, now_ms: Millis) -> Warmth {
+        self.cold.at(now_ms)
+    }
+
+    /// When it became cold, or may have.
+    pub(crate) fn cold_since_ms(&self) -> Millis {
+        self.cold.since_ms()
+    }
+
+    /// Takes its entry as it is published now.
+    pub(crate) fn note_entry(
+        &mut self,
+        now_ms: Millis,
+        entry: &Entry<Arc<Upstream>>,
+        eligibility: Eligibility,
+    ) {
+        if entry.revision != self.revision {
+            self.cold.note_entry(now_ms, entry.value.warmup_left_ms);
+        }
+        if self.eligibility == Eligibility::ZoneEvacuated && eligibility != self.eligibility {
+            self.cold.note_away(now_ms);
+        }
+        self.revision = entry.revision;
+        self.entry = Arc::clone(&entry.value);
+        self.eligibility = eligibility;
+    }
+
+    /// It answered a health check, and told how much longer it stays cold if it is of those that
+    /// tell.
+    pub(crate) fn note_cold(&mut self, now_ms: Millis, left_ms: Option<Millis>) {
+        self.cold.note_answer(now_ms, left_ms);
     }
 
     /// Slowness as far as it is still known, in times of the usual; what is not known is
@@ -153,6 +192,10 @@
         match failure {
             AskFailure::OtherUpstream => self.avoid_until_ms = now_ms + Millis(MAX_AVOID_MS),
             AskFailure::Unreachable | AskFailure::Unwell | AskFailure::Silent => {
+                // It may have been down, and is cold when it is back.
+                if failure != AskFailure::Unwell {
+                    self.cold.note_away(now_ms);
+                }
                 self.unreached = self.unreached.saturating_add(1);
                 let doubled = FIRST_AVOID_MS << (self.unreached - 1).min(8);
                 self.avoid_until_ms = now_ms + Millis(doubled.min(MAX_AVOID_MS));
--- a/crates/dispatch/src/upstream_set.rs
+++ b/crates/dispatch/src/upstream_set.rs
@@ -2,13 +2,14 @@
 
 use crate::LoadReport;
 use crate::choice::{Candidate, Weighing, weigh};
+use crate::cold::{ColdLimit, Warmth};
 use crate::curve::SpeedCurve;
 use crate::service::{Run, Service};
 use crate::service_load::ServiceLoad;
 use crate::subset::{FleetShape, Subset};
 use crate::upstream::Known;
 use domain::{FastMap, FastSet, HostId, Millis, ServiceName, UpstreamId, ZoneName};
-use published::{Eligibility, Entry, Evacuations, RunStart, Upstream};
+use published::{Eligibility, Entry, Evacuations, RunStart, ServiceSettings, Upstream};
 use rand::RngExt;
 use rand::seq::IndexedRandom;
 use rand_pcg::Pcg64Mcg;
@@ -58,10 +59,8 @@
         for entry in entries {
             let id = entry.value.id.clone();
             let same_run = former.remove(&id).filter(|known| known.is_of_run(entry.value.run));
-            let mut known =
-                same_run.unwrap_or_else(|| Known::new(Arc::clone(&entry.value), now_ms));
-            known.entry = Arc::clone(&entry.value);
-            known.eligibility = entry.value.eligibility(evacuations);
+            let mut known = same_run.unwrap_or_else(|| Known::new(entry, now_ms));
+            known.note_entry(now_ms, entry, entry.value.eligibility(evacuations));
             let service = self.services.entry(entry.value.service.clone()).or_default();
             service.upstreams.push(id.clone());
             service.grow_curve(entry.value.slots);
@@ -123,6 +122,41 @@
         self.eligibility(id) == Some(Eligibility::Eligible)
     }
 
+    /// What the whole fleet may send to it while it is cold, or may be; none if it is warm, or its
+    /// service states no rate.
+    pub fn cold_limit(&self, now_ms: Millis, id: &UpstreamId) -> Option<ColdLimit> {
+        let known = self.known.get(id).filter(|known| known.warmth(now_ms) != Warmth::Warm)?;
+        let rate = self.services.get(&known.entry.service)?.cold_rate?;
+        Some(ColdLimit { rate, since_ms: known.cold_since_ms() })
+    }
+
+    /// A run of an upstream answered a health check, with how much longer it stays cold. Where its
+    /// service states a rate for cold ones, one that tells nothing is warm.
+    pub fn note_cold(
+        &mut self,
+        now_ms: Millis,
+        (id, run): (&UpstreamId, RunStart),
+        left_ms: Option<Millis>,
+    ) {
+        let Some(known) = self.known.get_mut(id).filter(|known| known.is_of_run(run)) else {
+            return;
+        };
+        let service = self.services.get(&known.entry.service);
+        let tells = service.is_some_and(|service| service.cold_rate.is_some());
+        known.note_cold(now_ms, left_ms.or(tells.then_some(Millis::ZERO)));
+    }
+
+    /// Takes what the routing states of cold upstreams.
+    pub fn set_cold_rates<'s>(&mut self, services: impl Iterator<Item = &'s ServiceSettings>) {
+        for service in self.services.values_mut() {
+            service.cold_rate = None;
+        }
+        for settings in services {
+            let service = self.services.entry(settings.name.clone()).or_default();
+            service.cold_rate = settings.cold_rate;
+        }
+    }
+
     /// Whether a service has no upstream that takes work, but has one in an evacuated zone.
     pub fn is_evacuated(&self, service: &ServiceName) -> bool {
         let is = |id: &UpstreamId| self.eligibility(id) == Some(Eligibility::ZoneEvacuated);
--- a/crates/dispatch/tests/evacuation.rs
+++ b/crates/dispatch/tests/evacuation.rs
@@ -112,7 +112,7 @@
     let mut set = set_of(&entries, &[]);
     let cell = Cell { service: service(), zone: None };
     let mut rng = Pcg64Mcg::seed_from_u64(1);
-    let mut schedulers = SchedulerSet::default();
+    let mut schedulers = SchedulerSet::new("front-1".parse().unwrap());
     for name in ["i-1", "i-2"] {
         set.note_report(NOW, (&id(name), RunStart::default()), report(6, 6, 100));
     }
@@ -142,7 +142,7 @@
     assert!(set.is_evacuated(&service()));
     let cell = Cell { service: service(), zone: None };
     let mut rng = Pcg64Mcg::seed_from_u64(1);
-    let mut schedulers = SchedulerSet::default();
+    let mut schedulers = SchedulerSet::new("front-1".parse().unwrap());
     let effects = schedulers.take(NOW, submission(1, &cell), Asker::Own, &mut set, &mut rng);
     let is_refused = |effect: &Effect| {
         let no_upstream = RefusalCause::NoUpstream;
--- a/crates/dispatch/tests/restart.rs
+++ b/crates/dispatch/tests/restart.rs
@@ -64,7 +64,7 @@
 #[test]
 fn a_request_that_ends_at_the_former_run_leaves_the_slots_of_the_next_alone() {
     let mut upstreams = set(&[of_run("i-1", 100)]);
-    let mut schedulers = SchedulerSet::default();
+    let mut schedulers = SchedulerSet::new("front-1".parse().unwrap());
     let mut rng = Pcg64Mcg::seed_from_u64(7);
     let asker = Asker::Peer("127.0.0.1:7000".parse().unwrap());
     let mut take = |upstreams: &mut UpstreamSet, message| {
@@ -87,7 +87,7 @@
     let known = upstreams.get(&id("i-1")).unwrap();
     assert_eq!((known.open(), known.failure_share(NOW)), (1, 0.0));
     assert_eq!(known.report(NOW).unwrap().0.running, 0);
-    take(&mut upstreams, PlacementMessage::Withdrawn { ticket: Ticket(2) });
+    take(&mut upstreams, PlacementMessage::Withdrawn { ticket: Ticket(2), was_sent: true });
     assert_eq!(upstreams.get(&id("i-1")).unwrap().open(), 0);
 }
 
--- a/crates/dispatch/tests/scheduler.rs
+++ b/crates/dispatch/tests/scheduler.rs
@@ -35,7 +35,7 @@
     fn new(upstreams: &[&str]) -> Play {
         let entries: Vec<_> = upstreams.iter().map(|name| entry(name, "kariakoo")).collect();
         Play {
-            schedulers: SchedulerSet::default(),
+            schedulers: SchedulerSet::new("front-1".parse().unwrap()),
             upstreams: set(&entries),
             rng: Pcg64Mcg::seed_from_u64(7),
             now_ms: Millis(10_000),
@@ -214,7 +214,7 @@
         play.wait(93);
         for ticket in tickets {
             play.take(PlacementMessage::Ended { ticket, outcome: outcome(100) });
-            play.take(PlacementMessage::Withdrawn { ticket });
+            play.take(PlacementMessage::Withdrawn { ticket, was_sent: true });
         }
     }
     assert_eq!(most, 6);
@@ -359,7 +359,7 @@
     play.tell("i-1", report(0, 0, 100));
     let (ticket, _) = play.submit();
     assert_eq!(play.upstreams.get(&id("i-1")).unwrap().open(), 1);
-    play.take(PlacementMessage::Withdrawn { ticket });
+    play.take(PlacementMessage::Withdrawn { ticket, was_sent: true });
     assert_eq!(play.upstreams.get(&id("i-1")).unwrap().open(), 0);
 }
 
--- /dev/null
+++ b/crates/dispatch/tests/support/cold_site.rs
@@ -0,0 +1,422 @@
+//! A fleet in virtual time whose upstreams are all cold: real schedulers, directories and
+//! senders; messages that are lost, doubled and cut off.
+
+use super::{entry, id};
+use dispatch::scheduler::{
+    Asker, Cell, Directory, Effect, PlacementMessage, SchedulerSet, Submission, Ticket,
+};
+use dispatch::{ColdSender, FleetShape, LoadReport, Reach, UpstreamSet};
+use domain::{
+    Connections, FastMap, FastSet, HostId, Incarnation, Millis, PerSecond, ServiceName, Slots,
+};
+use domain::{UpstreamId, ZoneName};
+use published::{Capacity, Entry, Evacuations, Member, RunStart, ServiceSettings, Upstream};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+const STEP_MS: u64 = 2;
+const WAY_MS: u64 = 2;
+/// A scheduler that says nothing is done without after this time.
+const UNHEARD_MS: u64 = 25;
+/// Time of a request at a cold upstream.
+const WORK_MS: u64 = 440;
+const SLOTS: u32 = 2;
+const ZONES: usize = 3;
+/// Upstreams are cold beyond the end of a play.
+const AFTER_MS: Millis = Millis(1_000);
+
+/// What goes wrong while upstreams are cold.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Harm {
+    Nothing,
+    /// One message in five is lost, one in five comes twice.
+    Lossy,
+    /// Each host that this divides reaches only itself.
+    CutOff {
+        every: usize,
+    },
+    /// Two halves don't reach each other.
+    Split,
+    /// Who schedules is killed so often, and is back with nothing after a moment.
+    SchedulersKilled {
+        each_ms: u64,
+    },
+}
+
+#[derive(Debug, Clone)]
+pub struct Site {
+    pub hosts: usize,
+    pub upstreams: usize,
+    pub rate: f64,
+    pub length_ms: u64,
+    /// Requests of all hosts in a second, in times of what cold upstreams may get.
+    pub demand: f64,
+    pub harm: Harm,
+    pub seed: u64,
+}
+
+struct Host {
+    member: Member,
+    schedulers: SchedulerSet,
+    directory: Directory,
+    upstreams: UpstreamSet,
+    sender: ColdSender,
+    rng: Pcg64Mcg,
+    /// Kills so far: what a former run was told is for nobody.
+    run: u64,
+    up_from_ms: u64,
+}
+
+enum Event {
+    Scheduler { to: usize, from: usize, message: PlacementMessage },
+    Host { to: usize, message: PlacementMessage },
+    Asked { by: usize, run: u64, upstream: UpstreamId },
+    Unheard { host: usize, ticket: u64 },
+    Done { upstream: UpstreamId, host: usize, placed: Option<(usize, Ticket)> },
+}
+
+/// What is told of each upstream: when requests arrived.
+pub type Arrivals = FastMap<UpstreamId, Vec<u64>>;
+
+pub struct Play {
+    site: Site,
+    now_ms: u64,
+    hosts: Vec<Host>,
+    events: BTreeMap<(u64, u64), Event>,
+    numbered: u64,
+    rng: Pcg64Mcg,
+    /// Requests that wait for their scheduler's word, by host and ticket.
+    open: FastMap<(usize, u64), usize>,
+    /// Those of them that were told that they wait.
+    queued: FastSet<(usize, u64)>,
+    running: FastMap<UpstreamId, u32>,
+    arrivals: Arrivals,
+    cell: Cell,
+}
+
+fn zone(number: usize) -> ZoneName {
+    format!("zone-{}", number % ZONES).parse().unwrap()
+}
+
+fn service() -> ServiceName {
+    "parts".parse().unwrap()
+}
+
+impl Play {
+    /// Plays; returns when requests reached each of the upstreams.
+    pub fn run(site: &Site) -> Arrivals {
+        let mut play = Play::new(site.clone());
+        while play.now_ms < site.length_ms {
+            play.now_ms += STEP_MS;
+            play.harm();
+            play.arrive();
+            play.deliver();
+            for at in 0..play.hosts.len() {
+                play.turn(at);
+            }
+        }
+        play.arrivals
+    }
+
+    fn new(site: Site) -> Play {
+        let entries: Vec<_> = (0..site.upstreams).map(|number| cold(number, &site)).collect();
+        let hosts = (0..site.hosts).map(|number| Host::new(number, &site, &entries)).collect();
+        let ids = entries.iter().map(|entry| entry.value.id.clone());
+        Play {
+            now_ms: 0,
+            hosts,
+            events: BTreeMap::new(),
+            numbered: 0,
+            rng: Pcg64Mcg::seed_from_u64(site.seed),
+            open: FastMap::default(),
+            queued: FastSet::default(),
+            running: FastMap::default(),
+            arrivals: ids.map(|id| (id, Vec::new())).collect(),
+            cell: Cell { service: service(), zone: Some(zone(0)) },
+            site,
+        }
+    }
+
+    fn push(&mut self, after_ms: u64, event: Event) {
+        self.numbered += 1;
+        self.events.insert((self.now_ms + after_ms, self.numbered), event);
+    }
+
+    fn is_up(&self, host: usize) -> bool {
+        self.now_ms >= self.hosts[host].up_from_ms
+    }
+
+    fn reaches(&self, from: usize, to: usize) -> bool {
+        let is_cut = match self.site.harm {
+            Harm::CutOff { every } => from.is_multiple_of(every) || to.is_multiple_of(every),
+            // Each half has hosts of all zones.
+            Harm::Split => (from / ZONES) % 2 != (to / ZONES) % 2,
+            Harm::Nothing | Harm::Lossy | Harm::SchedulersKilled { .. } => false,
+        };
+        from == to || (!is_cut && self.is_up(to))
+    }
+
+    fn carry(&mut self, from: usize, to: usize, event: impl Fn() -> Event) {
+        let copies = match self.site.harm {
+            Harm::Lossy if from != to => [0, 1, 1, 1, 2][self.rng.random_range(0..5)],
+            _ => 1,
+        };
+        if self.reaches(from, to) {
+            for _ in 0..copies {
+                self.push(if from == to { 0 } else { WAY_MS }, event());
+            }
+        }
+    }
+
+    fn harm(&mut self) {
+        let Harm::SchedulersKilled { each_ms } = self.site.harm else { return };
+        if !self.now_ms.is_multiple_of(each_ms) {
+            return;
+        }
+        let (hosts, now_ms) = (self.hosts.len(), Millis(self.now_ms));
+        let Some(wanted) = self.hosts[hosts - 1].choose(now_ms, &self.cell, &self.members()) else {
+            return;
+        };
+        let entries: Vec<_> =
+            (0..self.site.upstreams).map(|number| cold(number, &self.site)).collect();
+        let mut anew = Host::new(wanted, &self.site, &entries);
+        anew.run = self.hosts[wanted].run + 1;
+        anew.up_from_ms = self.now_ms + 400;
+        self.hosts[wanted] = anew;
+    }
+
+    fn members(&self) -> Vec<Member> {
+        self.hosts.iter().map(|host| host.member.clone()).collect()
+    }
+
+    /// Callers' requests come at any host.
+    fn arrive(&mut self) {
+        let per_ms = self.site.rate * self.site.upstreams as f64 * self.site.demand / 1_000.0;
+        let wanted = per_ms * STEP_MS as f64;
+        let count = wanted as usize + usize::from(self.rng.random_bool(wanted.fract()));
+        for _ in 0..count {
+            let host = self.rng.random_range(0..self.hosts.len());
+            if self.is_up(host) {
+                self.submit(host);
+            }
+        }
+    }
+
+    fn submit(&mut self, host: usize) {
+        let now_ms = Millis(self.now_ms);
+        let members = self.members();
+        self.numbered += 1;
+        let ticket = self.numbered;
+        let Some(to) = self.hosts[host].choose(now_ms, &self.cell, &members) else {
+            return self.send_alone(host);
+        };
+        self.hosts[host].sender.note_lent(now_ms);
+        self.open.insert((host, ticket), to);
+        let submission = Submission {
+            ticket: Ticket(ticket),
+            cell: self.cell.clone(),
+            zone: zone(0),
+            priority: 0,
+            objective_ms: Millis(1_500),
+            age_ms: Millis::ZERO,
+            left_ms: Millis(2_000),
+            tried: Vec::new(),
+        };
+        let message = PlacementMessage::Submit(submission);
+        self.carry(host, to, || Event::Scheduler { to, from: host, message: message.clone() });
+        self.push(UNHEARD_MS, Event::Unheard { host, ticket });
+    }
+
+    /// A host by itself asks some upstreams and sends to one that it may send to.
+    fn send_alone(&mut self, host: usize) {
+        let now_ms = Millis(self.now_ms);
+        let hosts = self.site.hosts as u32;
+        let Host { upstreams, rng, sender, .. } = &mut self.hosts[host];
+        let asked = upstreams.to_ask(now_ms, &service(), &[], (3, Reach::Near), rng);
+        let chosen = asked.into_iter().find(|id| sender.may_send(now_ms, upstreams, id, hosts));
+        let Some(chosen) = chosen else { return };
+        sender.note_sent(now_ms, upstreams, &chosen, hosts);
+        self.reach(&chosen, host, None);
+    }
+
+    fn reach(&mut self, upstream: &UpstreamId, host: usize, placed: Option<(usize, Ticket)>) {
+        self.arrivals.entry(upstream.clone()).or_default().push(self.now_ms);
+        *self.running.entry(upstream.clone()).or_default() += 1;
+        self.push(WORK_MS, Event::Done { upstream: upstream.clone(), host, placed });
+    }
+
+    fn deliver(&mut self) {
+        while self.events.first_key_value().is_some_and(|((at_ms, _), _)| *at_ms <= self.now_ms) {
+            let Some((_, event)) = self.events.pop_first() else { return };
+            self.take(event);
+        }
+    }
+
+    fn take(&mut self, event: Event) {
+        let now_ms = Millis(self.now_ms);
+        match event {
+            Event::Scheduler { to, from, message } if self.is_up(to) => {
+                let asker = asker(to, from);
+                let Host { schedulers, upstreams, rng, .. } = &mut self.hosts[to];
+                let effects = schedulers.take(now_ms, message, asker, upstreams, rng);
+                self.carry_out(to, effects);
+            }
+            Event::Host { to, message } if self.is_up(to) => self.hear(to, message),
+            Event::Asked { by, run, upstream } if self.hosts[by].run == run => {
+                let running = self.running.get(&upstream).copied().unwrap_or_default();
+                let report = LoadReport {
+                    running: running.min(SLOTS),
+                    waiting: running.saturating_sub(SLOTS),
+                    slots: Slots(SLOTS),
+                    slowness_percent: 100,
+                };
+                let told = (&upstream, RunStart::default());
+                let left_ms = (Millis(self.site.length_ms) + AFTER_MS).since(now_ms);
+                self.hosts[by].upstreams.note_report(now_ms, told, report);
+                self.hosts[by].upstreams.note_cold(now_ms, told, Some(left_ms));
+            }
+            Event::Unheard { host, ticket } => {
+                if self.queued.remove(&(host, ticket)) {
+                    return;
+                }
+                let Some(to) = self.open.remove(&(host, ticket)) else { return };
+                let silent = self.hosts[to].member.host.clone();
+                self.hosts[host].directory.note_silent(now_ms, &silent);
+                self.withdraw(host, to, Ticket(ticket));
+                self.send_alone(host);
+            }
+            Event::Done { upstream, host, placed } => {
+                *self.running.entry(upstream).or_default() -= 1;
+                if let Some((to, ticket)) = placed {
+                    let took_ms = Millis(WORK_MS);
+                    let outcome =
+                        dispatch::scheduler::Outcome { failure: None, took_ms, report: None };
+                    let message = PlacementMessage::Ended { ticket, outcome };
+                    let event = || Event::Scheduler { to, from: host, message: message.clone() };
+                    self.carry(host, to, event);
+                }
+            }
+            Event::Scheduler { .. } | Event::Host { .. } | Event::Asked { .. } => {}
+        }
+    }
+
+    fn withdraw(&mut self, host: usize, to: usize, ticket: Ticket) {
+        let message = PlacementMessage::Withdrawn { ticket, was_sent: false };
+        self.carry(host, to, || Event::Scheduler { to, from: host, message: message.clone() });
+    }
+
+    fn hear(&mut self, host: usize, message: PlacementMessage) {
+        match message {
+            PlacementMessage::Placed { ticket, place } => {
+                if let Some(to) = self.open.remove(&(host, ticket.0)) {
+                    self.reach(&place.upstream, host, Some((to, ticket)));
+                }
+            }
+            PlacementMessage::Refused { ticket, .. } => {
+                self.open.remove(&(host, ticket.0));
+            }
+            PlacementMessage::Queued { ticket } => {
+                self.queued.insert((host, ticket.0));
+                if let Some(&to) = self.open.get(&(host, ticket.0)) {
+                    let scheduler = self.hosts[to].member.host.clone();
+                    self.hosts[host].directory.note_heard(&scheduler);
+                }
+            }
+            PlacementMessage::Submit(_)
+            | PlacementMessage::Ended { .. }
+            | PlacementMessage::Withdrawn { .. } => {}
+        }
+    }
+
+    fn turn(&mut self, at: usize) {
+        if !self.is_up(at) || !self.now_ms.is_multiple_of(4) {
+            return;
+        }
+        let now_ms = Millis(self.now_ms);
+        let Host { schedulers, upstreams, rng, .. } = &mut self.hosts[at];
+        if schedulers.next_turn_ms(now_ms).is_none() {
+            return;
+        }
+        let effects = schedulers.turn(now_ms, upstreams, rng);
+        self.carry_out(at, effects);
+    }
+
+    fn carry_out(&mut self, at: usize, effects: Vec<Effect>) {
+        for effect in effects {
+            match effect {
+                Effect::Tell { to, message } => {
+                    let to = match to {
+                        Asker::Own => at,
+                        Asker::Peer(address) => usize::from(address.port()),
+                    };
+                    self.carry(at, to, || Event::Host { to, message: message.clone() });
+                }
+                Effect::Ask(upstream) => {
+                    let run = self.hosts[at].run;
+                    self.push(2 * WAY_MS, Event::Asked { by: at, run, upstream });
+                }
+            }
+        }
+    }
+}
+
+impl Host {
+    fn new(number: usize, site: &Site, entries: &[Entry<Arc<Upstream>>]) -> Host {
+        let name: HostId = format!("front-{number}").parse().unwrap();
+        let mut upstreams = UpstreamSet::new(name.clone(), zone(number));
+        upstreams.sync(Millis::ZERO, entries.iter(), &Evacuations::default());
+        let settings = ServiceSettings {
+            name: service(),
+            health_path: "/healthz".to_owned(),
+            max_connections: Connections(100),
+            cold_rate: Some(PerSecond(site.rate)),
+        };
+        upstreams.set_cold_rates(std::iter::once(&settings));
+        let mut schedulers = SchedulerSet::new(name.clone());
+        let (hosts, hosts_in_zone) = (site.hosts as u32, site.hosts.div_ceil(ZONES) as u32);
+        schedulers.set_fleet(FleetShape { hosts, hosts_in_zone });
+        Host {
+            member: Member {
+                host: name.clone(),
+                incarnation: Incarnation(1),
+                availability_zone: zone(number),
+                address: SocketAddr::new([127, 0, 0, 1].into(), number as u16),
+                capacity: Capacity::default(),
+            },
+            schedulers,
+            directory: Directory::default(),
+            upstreams,
+            sender: ColdSender::new(name),
+            rng: Pcg64Mcg::seed_from_u64(site.seed.wrapping_mul(1_000) + number as u64),
+            run: 0,
+            up_from_ms: 0,
+        }
+    }
+
+    fn choose(&self, now_ms: Millis, cell: &Cell, members: &[Member]) -> Option<usize> {
+        let chosen = self.directory.choose(now_ms, cell, members.iter());
+        chosen.map(|member| usize::from(member.address.port()))
+    }
+}
+
+fn asker(to: usize, from: usize) -> Asker {
+    match to == from {
+        true => Asker::Own,
+        false => Asker::Peer(SocketAddr::new([127, 0, 0, 1].into(), from as u16)),
+    }
+}
+
+/// All upstreams stand in the first zone, and stay cold all the while.
+fn cold(number: usize, site: &Site) -> Entry<Arc<Upstream>> {
+    let entry = entry(&format!("i-{number}"), "zone-0");
+    let value = Upstream {
+        id: id(&format!("i-{number}")),
+        slots: Slots(SLOTS),
+        warmup_left_ms: Millis(site.length_ms) + AFTER_MS,
+        ..(*entry.value).clone()
+    };
+    Entry { value: Arc::new(value), ..entry }
+}
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Upstreams for the tests.
 #![allow(clippy::unwrap_used, dead_code)]
 
+pub mod cold_site;
+
 use dispatch::{Known, LoadReport, UpstreamSet};
 use domain::{Millis, Slots, UpstreamId};
 use published::{Entry, Evacuations, Revision, RunStart, Upstream, UpstreamMode};
@@ -38,7 +40,7 @@
 }
 
 pub fn known(name: &str) -> Known {
-    Known::new(entry(name, "kariakoo").value, Millis::ZERO)
+    Known::new(&entry(name, "kariakoo"), Millis::ZERO)
 }
 
 pub fn report(running: u32, waiting: u32, slowness_percent: u32) -> LoadReport {
--- a/crates/emulator/src/play/scheduled.rs
+++ b/crates/emulator/src/play/scheduled.rs
@@ -36,7 +36,7 @@
         let mut upstreams = UpstreamSet::new(name("host-0"), zone(site, 0));
         upstreams.sync(Millis::ZERO, entries.iter(), &Evacuations::default());
         SchedulingHost {
-            schedulers: SchedulerSet::default(),
+            schedulers: SchedulerSet::new(name("host-0")),
             upstreams,
             rng: Pcg64Mcg::seed_from_u64(seed.wrapping_add(1)),
             ids,
@@ -187,7 +187,7 @@
         }
         let host = self.requests[request].host;
         let ticket = Ticket(request as u64);
-        self.tell_scheduler(host, PlacementMessage::Withdrawn { ticket });
+        self.tell_scheduler(host, PlacementMessage::Withdrawn { ticket, was_sent: false });
         let upstream = self.emptier_of_two();
         self.send(request, upstream, false);
     }
--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -206,6 +206,11 @@
     if !upstreams.takes_work(&asked.upstream) {
         return None;
     }
+    if !host.may_send_cold(&upstreams, &asked.upstream) {
+        drop(upstreams);
+        connection.into_iter().for_each(|it| host.pool.borrow_mut().put(&asked.upstream, it));
+        return None;
+    }
     let Candidate { upstream, work, cost } = upstreams.weigh(host.now_ms(), &asked.upstream)?;
     let cost = if is_well { cost } else { cost + UNWELL_COST };
     Some(Chosen { upstream, connection, work, cost, asked: 0, answered: 0 })
--- a/crates/gateway/src/ask/question.rs
+++ b/crates/gateway/src/ask/question.rs
@@ -3,6 +3,7 @@
 use crate::connection::{Connection, Expected};
 use crate::event_log::LogEvent;
 use crate::host::Host;
+use crate::http1::HeadFields;
 use dispatch::{AskFailure, LoadReport};
 use domain::{Millis, ServiceName, UpstreamId};
 use published::RunStart;
@@ -152,11 +153,12 @@
     if let Some(report) = read_load(host, &answer.head.fields) {
         note_report(host, (upstream, run), report);
     }
+    note_cold(host, (upstream, run), &answer.head.fields);
     Ok(answer.head.status == 200)
 }
 
 /// Load that an answer tells, if any.
-pub fn read_load(host: &Host, fields: &crate::http1::HeadFields) -> Option<LoadReport> {
+pub fn read_load(host: &Host, fields: &HeadFields) -> Option<LoadReport> {
     fields.get(host.dialect.load).and_then(host.dialect.read_load)
 }
 
@@ -165,3 +167,17 @@
     let now_ms: Millis = host.now_ms();
     host.upstreams.borrow_mut().note_report(now_ms, upstream, report);
 }
+
+/// Notes whether a run of an upstream is cold, as its answer to a health check tells: one that is
+/// warm leaves the mark out.
+fn note_cold(host: &Host, upstream_run: (&UpstreamId, RunStart), fields: &HeadFields) {
+    let upstream = upstream_run.0;
+    let told = fields.get(host.dialect.cold_ms);
+    let left_ms = told.and_then(|text| text.parse().ok()).map(Millis);
+    if told.is_some() && left_ms.is_none() {
+        return host
+            .log
+            .write(&LogEvent::AnswerUnreadable { upstream, mark: host.dialect.cold_ms });
+    }
+    host.upstreams.borrow_mut().note_cold(host.now_ms(), upstream_run, left_ms);
+}
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -24,6 +24,9 @@
     pub not_run: &'static str,
     /// Load of the upstream.
     pub load: &'static str,
+    /// Milliseconds for which the upstream stays cold, on answers to health checks; left out by one
+    /// that is warm.
+    pub cold_ms: &'static str,
     /// Cause of a final answer of the host itself.
     pub cause: &'static str,
     /// Path of the readiness check.
@@ -44,6 +47,7 @@
             upstream: "x-upstream",
             not_run: "x-not-run",
             load: "x-upstream-load",
+            cold_ms: "x-upstream-cold-ms",
             cause: "x-refusal-cause",
             ready_path: "/ready",
             read_load: read_figures,
--- a/crates/gateway/src/event_log/event.rs
+++ b/crates/gateway/src/event_log/event.rs
@@ -105,6 +105,8 @@
         objective_left_ms: Millis,
         verdict: Verdict,
     },
+    /// An upstream answered, with a mark whose value is none: it is left out.
+    AnswerUnreadable { upstream: &'a UpstreamId, mark: &'a str },
     /// Asking an upstream failed.
     AskFailed { upstream: &'a UpstreamId, failure: AskFailure },
     /// A request left for an upstream.
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -12,8 +12,8 @@
 use clock::Clock;
 use dispatch::budget::{AskBudget, NEIGHBOURS_ASKS, RepeatBudget, SCHEDULERS_ASKS};
 use dispatch::quarantine::Quarantine;
-use dispatch::{FleetShape, SplitTable, UpstreamSet};
-use domain::{Millis, PerSecond};
+use dispatch::{ColdSender, FleetShape, SplitTable, UpstreamSet};
+use domain::{Millis, PerSecond, UpstreamId};
 use published::{Belief, Gossip, Member, Members, Picture, RouteTable};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -51,6 +51,8 @@
     pub asks: RefCell<AskBudget>,
     /// Those that it may spend besides on upstreams of its availability zone.
     pub neighbours_asks: RefCell<AskBudget>,
+    /// What this host may send to cold upstreams by itself.
+    pub cold: RefCell<ColdSender>,
     /// Its part in scheduling.
     pub placing: Placing,
     /// Where split routes stand.
@@ -110,7 +112,13 @@
             repeats: RefCell::new(RepeatBudget::new(settings.limits.repeats, now_ms)),
             asks: RefCell::new(AskBudget::new(own_asks(&settings))),
             neighbours_asks: RefCell::new(AskBudget::new(neighbours_asks(&settings))),
-            placing: Placing::new(socket, AskBudget::new(schedulers_asks(&settings)), seed),
+            cold: RefCell::new(ColdSender::new(settings.host.clone())),
+            placing: Placing::new(
+                socket,
+                settings.host.clone(),
+                AskBudget::new(schedulers_asks(&settings)),
+                seed,
+            ),
             splits: RefCell::default(),
             pool: RefCell::default(),
             quarantine: RefCell::default(),
@@ -176,6 +184,17 @@
         FleetShape { hosts: members.count(), hosts_in_zone: members.count_in_zone() }
     }
 
+    /// Whether this host may send a request by itself to an upstream, which may be cold.
+    pub fn may_send_cold(&self, upstreams: &UpstreamSet, id: &UpstreamId) -> bool {
+        self.cold.borrow().may_send(self.now_ms(), upstreams, id, self.hosts())
+    }
+
+    /// This host sends a request by itself to an upstream, which may be cold.
+    pub fn note_sent_cold(&self, id: &UpstreamId) {
+        let (now_ms, hosts) = (self.now_ms(), self.hosts());
+        self.cold.borrow_mut().note_sent(now_ms, &self.upstreams.borrow(), id, hosts);
+    }
+
     /// Puts a changed picture to use, and tells operators.
     pub fn picture_changed(&self, beliefs: &[Belief], from: &str) {
         for belief in beliefs.iter().take(MOST_BELIEFS_TOLD) {
@@ -229,12 +248,14 @@
         let now_ms = self.now_ms();
         let evacuations = picture.evacuations();
         self.upstreams.borrow_mut().sync(now_ms, picture.upstreams(), evacuations);
-        let is_known = |id: &domain::UpstreamId| picture.upstream(id).is_some();
+        let is_known = |id: &UpstreamId| picture.upstream(id).is_some();
         self.prune_connections();
         self.asks.borrow_mut().retain(is_known);
         self.neighbours_asks.borrow_mut().retain(is_known);
         self.placing.asks.borrow_mut().retain(is_known);
+        self.cold.borrow_mut().retain(is_known);
         let Some(entry) = picture.routing() else { return };
+        self.upstreams.borrow_mut().set_cold_rates(entry.value.services.iter());
         let mut table = self.table.borrow_mut();
         let held = table.as_ref().map(|table| table.routing().version);
         if held == Some(entry.value.version) {
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -81,10 +81,10 @@
 
 impl Placing {
     /// Speaks through the peers' socket; `seed` sets this run's tickets apart from those of the last.
-    pub fn new(socket: Rc<UdpSocket>, asks: AskBudget, seed: u64) -> Placing {
+    pub fn new(socket: Rc<UdpSocket>, host: HostId, asks: AskBudget, seed: u64) -> Placing {
         Placing {
             socket,
-            schedulers: RefCell::default(),
+            schedulers: RefCell::new(SchedulerSet::new(host)),
             asks: RefCell::new(asks),
             directory: RefCell::default(),
             awaited: RefCell::default(),
@@ -143,6 +143,7 @@
     let (words, mut heard) = mpsc::unbounded_channel();
     host.placing.awaited.borrow_mut().insert(ticket, words);
     let held = HeldPlace::new(host, ticket, &scheduler);
+    host.cold.borrow_mut().note_lent(host.now_ms());
     held.tell(PlacementMessage::Submit(submission(ticket, cell.clone())));
     let mut longest = FIRST_WORD;
     loop {
--- a/crates/gateway/src/placing/held.rs
+++ b/crates/gateway/src/placing/held.rs
@@ -14,6 +14,7 @@
     ticket: Ticket,
     scheduler: Asker,
     name: HostId,
+    was_sent: bool,
     is_over: bool,
 }
 
@@ -25,6 +26,7 @@
             ticket,
             scheduler: if is_own { Asker::Own } else { Asker::Peer(scheduler.address) },
             name: scheduler.host.clone(),
+            was_sent: false,
             is_over: false,
         }
     }
@@ -44,6 +46,11 @@
         self.scheduler == Asker::Own
     }
 
+    /// The request leaves for the upstream.
+    pub fn note_sent(&mut self) {
+        self.was_sent = true;
+    }
+
     /// The request came to its end at the upstream.
     pub fn end(mut self, outcome: Outcome) {
         self.is_over = true;
@@ -64,7 +71,7 @@
     fn drop(&mut self) {
         self.host.placing.awaited.borrow_mut().remove(&self.ticket);
         if !self.is_over {
-            self.tell(PlacementMessage::Withdrawn { ticket: self.ticket });
+            self.tell(PlacementMessage::Withdrawn { ticket: self.ticket, was_sent: self.was_sent });
         }
     }
 }
--- a/crates/gateway/src/serve/in_progress.rs
+++ b/crates/gateway/src/serve/in_progress.rs
@@ -34,8 +34,9 @@
     pub(super) fn begin(
         host: &Rc<Host>,
         upstream: &UpstreamId,
-        held: Option<HeldPlace>,
+        mut held: Option<HeldPlace>,
     ) -> InProgress {
+        held.iter_mut().for_each(HeldPlace::note_sent);
         let begun_ms = host.now_ms();
         let entry = host.upstreams.borrow().get(upstream).map(|known| Arc::clone(&known.entry));
         let run = entry.as_ref().map(|entry| entry.run).unwrap_or_default();
--- a/crates/gateway/src/serve/sending.rs
+++ b/crates/gateway/src/serve/sending.rs
@@ -116,6 +116,9 @@
         self.progress.sendings.set(tally.sent);
         self.progress.runs_on.set(self.route().repeat == Repeat::AtMostOnce);
         self.note_begin(&found, now_ms, tally.sent);
+        if found.held.is_none() {
+            self.host.note_sent_cold(&found.upstream);
+        }
         let guard = InProgress::begin(&self.host, &found.upstream, found.held.take());
         let bytes = self.encode(&found.upstream, now_ms);
         Ok(Sending { found, connection, bytes, guard, sent_ms: now_ms, is_trial })
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -60,6 +60,7 @@
             name: service(),
             health_path: "/healthz".to_owned(),
             max_connections: Connections(100),
+            cold_rate: None,
         }],
     }
 }
--- a/crates/published/src/routing.rs
+++ b/crates/published/src/routing.rs
@@ -1,6 +1,6 @@
 //! Routing: which requests go to which services, and under what terms.
 
-use domain::{ByteCount, Connections, FastMap, Millis, ServiceName, Version};
+use domain::{ByteCount, Connections, FastMap, Millis, PerSecond, ServiceName, Version};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -81,6 +81,9 @@
     pub health_path: String,
     /// Connections that each instance accepts from all entry hosts together.
     pub max_connections: Connections,
+    /// Requests a second that a cold instance bears from all entry hosts together; none if it is
+    /// not stated.
+    pub cold_rate: Option<PerSecond>,
 }
 
 /// A route, and its place in the table.
