Hosts that stop are told what is read, and who waits for the rest reads for nobody

Change: Members keeps who said farewell for 8 s as listeners and as nothing else; a reader that waits for the rest from a peer stops reading.

--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -32,6 +32,14 @@
     pub arrived_ms: Millis,
 }
 
+impl Request {
+    /// The time that its caller has, if it states one under this name.
+    fn stated_ms(&self, name: &str) -> Option<Millis> {
+        let stated_ms = self.head.fields.get(name)?.parse::<f64>().ok()?;
+        (stated_ms >= 0.0).then_some(Millis(stated_ms as u64))
+    }
+}
+
 /// The final answer to a request.
 #[derive(Debug)]
 pub enum Reply {
@@ -103,7 +111,7 @@
         progress: Rc::clone(&progress),
         is_answered: false,
     };
-    wait_for_routing(&host).await;
+    wait_for_routing(&host, &request).await;
     let (route, outcome) = match route(&host, &caller, &request, &progress, &id) {
         Ok(serving) => {
             let name = serving.matched.route.name.clone();
@@ -156,9 +164,8 @@
     let now_ms = host.now_ms();
     host.repeats.borrow_mut().earn(now_ms, &service, host.hosts());
     let arrived_ms = request.arrived_ms;
-    let stated = request.head.fields.get(host.dialect.deadline_ms);
-    let stated_ms = stated.and_then(|text| text.parse::<f64>().ok()).filter(|ms| *ms >= 0.0);
-    let deadline_ms = stated_ms.map_or(Millis::MAX, |ms| arrived_ms + Millis(ms as u64));
+    let stated_ms = request.stated_ms(host.dialect.deadline_ms);
+    let deadline_ms = stated_ms.map_or(Millis::MAX, |stated_ms| arrived_ms + stated_ms);
     let end_ms = deadline_ms.min(arrived_ms + matched.route.timeout_ms);
     host.log.write(&LogEvent::Routed {
         id,
--- a/crates/published/src/gossip.rs
+++ b/crates/published/src/gossip.rs
@@ -193,7 +193,7 @@
                 self.take_unread(now_ms, reader, passes_on, sender, &mut effects);
             }
             Message::Bye { host, incarnation } => {
-                if self.members.leave(&host, incarnation) {
+                if self.members.leave(now_ms, &host, incarnation) {
                     effects.push(Effect::PeerGone(host));
                 }
             }
--- a/crates/published/src/gossip/telling.rs
+++ b/crates/published/src/gossip/telling.rs
@@ -74,7 +74,9 @@
 
     /// Tells the other hosts of this zone what a host of another zone told.
     pub(super) fn pass_on(&self, message: Message, effects: &mut Vec<Effect>) {
-        self.send(message, self.members.neighbours(), effects);
+        let neighbours = self.members.neighbours().into_iter();
+        let to = neighbours.chain(self.members.leaving_neighbours()).collect();
+        self.send(message, to, effects);
     }
 
     /// A host that stops says nothing but farewell: its peers count on it no more.
--- a/crates/published/src/members.rs
+++ b/crates/published/src/members.rs
@@ -32,6 +32,10 @@
 /// A process that looked after its peers no sooner stood still; it does twice a second.
 const STOOD_STILL_MS: Millis = Millis(2_000);
 
+/// A host that said farewell serves on for some seconds, until its process ends: so long it is
+/// told what is read. Untold, each host that stopped read for itself.
+const LEAVING_MS: Millis = Millis(8_000);
+
 /// A failed reading says something of the source for so long: some tries of the fleet.
 const READER_FAILED_MS: Millis = Millis(2_000);
 
@@ -79,6 +83,8 @@
     /// How much this host is wanted as reader.
     own_weight: u64,
     others: FastMap<HostId, Known>,
+    /// Hosts that said farewell, and when. They are told news, and count for nothing else.
+    leaving: FastMap<HostId, (Member, Millis)>,
     digest: u64,
     others_in_zone: u32,
     /// When a host was last heard of for the first time, or in a new run.
@@ -116,6 +122,7 @@
             own,
             own_weight,
             others: FastMap::default(),
+            leaving: FastMap::default(),
             digest,
             others_in_zone: 0,
             changed_ms: Millis::ZERO,
@@ -170,6 +177,9 @@
         if member.host == self.own.host {
             return false;
         }
+        if self.leaving.get(&member.host).is_some_and(|(left, _)| *left == member) {
+            return false;
+        }
         match self.others.get_mut(&member.host) {
             Some(known) if known.member.incarnation > member.incarnation => return false,
             Some(known) if known.member == member => {
@@ -179,6 +189,7 @@
             _ => {}
         }
         self.changed_ms = now_ms;
+        self.leaving.remove(&member.host);
         let former = self.remove(&member.host);
         let known = match former {
             Some(known) => Known { heard_ms: now_ms, member, ..known },
@@ -251,15 +262,17 @@
     }
 
     /// Drops a run of a host that said farewell.
-    pub fn leave(&mut self, host: &HostId, incarnation: Incarnation) -> bool {
+    pub fn leave(&mut self, now_ms: Millis, host: &HostId, incarnation: Incarnation) -> bool {
         let is_it =
             |known: &Known| known.member.host == *host && known.member.incarnation <= incarnation;
-        if self.others.get(host).is_some_and(is_it) {
-            self.remove(host);
-            self.told.hosts = self.told.hosts.saturating_sub(1);
-            return true;
+        if !self.others.get(host).is_some_and(is_it) {
+            return false;
+        }
+        if let Some(known) = self.remove(host) {
+            self.leaving.insert(host.clone(), (known.member, now_ms));
         }
-        false
+        self.told.hosts = self.told.hosts.saturating_sub(1);
+        true
     }
 
     /// Drops hosts that were silent for long; returns them.
@@ -272,6 +285,7 @@
             self.others.values_mut().for_each(|known| known.heard_ms = known.heard_ms + still_ms);
         }
         self.awake_ms = Some(now_ms);
+        self.leaving.retain(|_, (_, left_ms)| now_ms.since(*left_ms) < LEAVING_MS);
         if now_ms.since(self.told.at_ms) > FLEET_TOLD_MS {
             self.told = ToldFleet::default();
         }
--- a/crates/published/src/members/telling.rs
+++ b/crates/published/src/members/telling.rs
@@ -40,7 +40,16 @@
             true => hosts.iter().map(|known| known.listener(false)).collect(),
             false => tell_zone(now_ms, hosts),
         };
-        zones.into_iter().flat_map(tell).collect()
+        let told: Vec<Listener> = zones.into_iter().flat_map(tell).collect();
+        let leaving = self.leaving_neighbours();
+        let leaving = leaving.map(|address| Listener { address, passes_on: false });
+        told.into_iter().chain(leaving).collect()
+    }
+
+    /// Hosts of this host's availability zone that said farewell and serve on for a while.
+    pub fn leaving_neighbours(&self) -> impl Iterator<Item = SocketAddr> {
+        let near = self.leaving.values().filter(|(member, _)| self.is_near(member));
+        near.map(|(member, _)| member.address)
     }
 
     /// The other hosts of this host's availability zone.
--- a/crates/published/src/reading.rs
+++ b/crates/published/src/reading.rs
@@ -246,13 +246,17 @@
     pub fn began(&mut self) -> bool {
         self.failures = 0;
         self.begun = Begun::Enough;
-        self.rest_wait_ms == Millis::ZERO
+        let reads_on = self.rest_wait_ms == Millis::ZERO;
+        // Who waits for the rest from a peer reads for nobody.
+        self.is_reading = reads_on;
+        reads_on
     }
 
     /// The sample holds upstreams of all services, or too few to serve with.
     pub fn sampled(&mut self, is_enough: bool) {
         self.failures = 0;
         self.may_sample = false;
+        self.is_reading = false;
         if is_enough {
             self.begun = Begun::Enough;
         }
--- a/crates/published/tests/members.rs
+++ b/crates/published/tests/members.rs
@@ -2,7 +2,11 @@
 #![allow(clippy::unwrap_used)]
 
 use domain::{Incarnation, Millis};
-use published::{Capacity, Listener, Member, Members};
+use published::{
+    Capacity, Effect, Gossip, Greeting, Listener, Member, Members, Message, News, Revision,
+};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
 use rstest::rstest;
 use std::net::SocketAddr;
 
@@ -31,8 +35,8 @@
 fn a_farewell_of_an_earlier_run_is_ignored() {
     let mut members = Members::new(member("a", 1));
     members.note(Millis(1), member("b", 2));
-    assert!(!members.leave(&"b".parse().unwrap(), Incarnation(1)));
-    assert!(members.leave(&"b".parse().unwrap(), Incarnation(2)));
+    assert!(!members.leave(Millis(10), &"b".parse().unwrap(), Incarnation(1)));
+    assert!(members.leave(Millis(10), &"b".parse().unwrap(), Incarnation(2)));
     assert_eq!(members.count(), 1);
 }
 
@@ -177,6 +181,55 @@
     assert_eq!(members.failed_readers(Millis(3_500)), 0, "it is long ago");
 }
 
+/// It serves on for some seconds and is told what is read meanwhile; else it would read by itself.
+#[rstest]
+#[case::serves_on(2_000, true)]
+#[case::its_process_has_ended(9_000, false)]
+fn a_host_that_said_farewell_is_told_for_a_while(#[case] later_ms: u64, #[case] is_told: bool) {
+    let mut members = reader(&[("a", 3), ("b", 4)]);
+    let left = members.others().find(|member| member.host.as_str() == "a-2").cloned().unwrap();
+    assert!(members.leave(Millis(1_000), &left.host, left.incarnation));
+    let now_ms = Millis(1_000 + later_ms);
+    // Others who have not heard of it still tell of it.
+    members.note(now_ms, left.clone());
+    members.forget(now_ms);
+    let told = members.listeners(now_ms).iter().any(|it| it.address == left.address);
+    assert_eq!(told, is_told);
+    let counts = members.others().any(|member| member.host == left.host);
+    assert!(!(is_told && counts), "it counts for nothing else");
+    let run = Member { incarnation: Incarnation(2), ..left.clone() };
+    assert!(members.note(now_ms, run), "it is back in a new run");
+    assert_eq!(members.leaving_neighbours().count(), 0);
+}
+
+/// A relay passes news on to those that leave its zone.
+#[test]
+fn a_relay_tells_those_that_leave() {
+    let mut gossip = Gossip::new(in_zone("b", 5_000), Pcg64Mcg::seed_from_u64(1));
+    let sender = SocketAddr::new([127, 0, 0, 1].into(), 1);
+    let hello = |from: Member| Message::Hello { from, greeting: Greeting::Present, digest: 0 };
+    for member in [in_zone("b", 5_001), in_zone("b", 5_002), in_zone("a", 1)] {
+        gossip.take(Millis(10), hello(member), sender);
+    }
+    let left = in_zone("b", 5_001);
+    let bye = Message::Bye { host: left.host.clone(), incarnation: left.incarnation };
+    gossip.take(Millis(20), bye, sender);
+    let news = News {
+        reader: in_zone("a", 1),
+        revision: Revision(0),
+        age_ms: Millis::ZERO,
+        digest: gossip.picture().digest(),
+        after: Revision(0),
+        changes: Some(Vec::new()),
+    };
+    let effects = gossip.take(Millis(30), Message::News { news, passes_on: true }, sender);
+    let passed_on = effects.iter().find_map(|effect| match effect {
+        Effect::Send { message: Message::News { .. }, to } => Some(to.clone()),
+        _ => None,
+    });
+    assert!(passed_on.unwrap().contains(&left.address));
+}
+
 #[test]
 fn neighbours_are_the_others_of_the_own_zone() {
     assert_eq!(reader(&[("a", 3), ("b", 4)]).neighbours().len(), 3);
