--- a/crates/dispatch/src/upstream_set.rs
+++ b/crates/dispatch/src/upstream_set.rs
@@ -19,6 +19,10 @@
 /// that know the same don't all ask the same.
 const SHAKE: f64 = 0.5;
 
+/// What an upstream without a connection costs more when it is asked: a new one takes a round trip
+/// more, and upstreams bear a limited number.
+const UNCONNECTED: f64 = 1.0;
+
 /// Which upstreams come first when some are to be asked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reach {
@@ -282,6 +286,7 @@
         service: &ServiceName,
         excluded: &[UpstreamId],
         (most, reach): (usize, Reach),
+        is_connected: impl Fn(&UpstreamId) -> bool,
         rng: &mut Pcg64Mcg,
     ) -> Vec<UpstreamId> {
         let Some(known_service) = self.services.get(service) else { return Vec::new() };
@@ -294,7 +299,8 @@
                 let known = self.known.get(id)?;
                 // The zone is a matter of reach here, not of cost.
                 let cost = self.weigh_from(now_ms, id, &known.entry.availability_zone)?.cost;
-                let shaken = cost * (1.0 + SHAKE * rng.random::<f64>());
+                let connecting = if is_connected(id) { 0.0 } else { UNCONNECTED };
+                let shaken = cost * (1.0 + SHAKE * rng.random::<f64>()) + connecting;
                 let is_unwanted = self.is_other_zone(id) != (reach == Reach::Far);
                 let is_outside = !known_service.subset.contains(id);
                 Some(((known.is_avoided(now_ms), is_outside, is_unwanted), shaken, id))
--- a/crates/dispatch/tests/choice.rs
+++ b/crates/dispatch/tests/choice.rs
@@ -6,7 +6,7 @@
 use dispatch::{
     AskFailure, Candidate, Known, Reach, SendFailure, ServiceLoad, SpeedCurve, Weighing,
 };
-use domain::{Millis, Slots};
+use domain::{Millis, Slots, UpstreamId};
 use published::{Evacuations, RunStart, UpstreamMode};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -131,7 +131,8 @@
 ) -> Vec<String> {
     let mut rng = Pcg64Mcg::seed_from_u64(7);
     let excluded: Vec<_> = excluded.iter().map(|name| id(name)).collect();
-    let ids = set.to_ask(NOW, &"parts".parse().unwrap(), &excluded, (most, reach), &mut rng);
+    let ids =
+        set.to_ask(NOW, &"parts".parse().unwrap(), &excluded, (most, reach), |_| false, &mut rng);
     let mut names: Vec<String> = ids.iter().map(ToString::to_string).collect();
     names.sort();
     names
@@ -214,3 +215,22 @@
     assert!(busy_ms > Millis(580) && busy_ms <= Millis(600), "{busy_ms}");
     assert_eq!(set.expected_ms(&service, 1.0), Some(Millis(100)));
 }
+
+/// Of equals the connected one is asked; one that is known to be slow is not.
+#[rstest]
+#[case::equals(100, "i-2")]
+#[case::the_connected_one_is_slow(700, "i-1")]
+fn a_connected_upstream_is_asked_by_preference(#[case] slowness: u32, #[case] wanted: &str) {
+    let mut set = support::set(&[entry("i-1", "kariakoo"), entry("i-2", "kariakoo")]);
+    let now_ms = Millis(1_000);
+    set.note_report(now_ms, (&id("i-1"), RunStart::default()), report(0, 0, 100));
+    set.note_report(now_ms, (&id("i-2"), RunStart::default()), report(0, 0, slowness));
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    for _ in 0..50 {
+        let is_connected = |other: &UpstreamId| other.as_str() == "i-2";
+        let service = "parts".parse().unwrap();
+        let one = (1, Reach::Near);
+        let asked = set.to_ask(now_ms, &service, &[], one, is_connected, &mut rng);
+        assert_eq!(asked, [id(wanted)]);
+    }
+}
--- a/crates/dispatch/tests/evacuation.rs
+++ b/crates/dispatch/tests/evacuation.rs
@@ -70,7 +70,7 @@
     let set = set_of(&site(each), &["kariakoo"]);
     let mut rng = Pcg64Mcg::seed_from_u64(1);
     for reach in [Reach::Near, Reach::Far] {
-        let asked = set.to_ask(NOW, &service(), &[], (100, reach), &mut rng);
+        let asked = set.to_ask(NOW, &service(), &[], (100, reach), |_| false, &mut rng);
         assert_eq!(asked.len(), 2 * each);
         assert!(asked.iter().all(|id| !id.as_str().contains("kariakoo")), "{asked:?}");
     }
--- a/crates/dispatch/tests/subset.rs
+++ b/crates/dispatch/tests/subset.rs
@@ -34,6 +34,7 @@
                 &"parts".parse().unwrap(),
                 &[],
                 (NEAR + FAR, Reach::Near),
+                |_| false,
                 &mut rng,
             );
             for id in asked {
@@ -69,7 +70,14 @@
         UpstreamSet::new("front-kariakoo-0".parse().unwrap(), "kariakoo".parse().unwrap());
     set.sync(Millis::ZERO, entries.iter(), &Evacuations::default());
     let mut rng = Pcg64Mcg::seed_from_u64(0);
-    let asked = set.to_ask(Millis(1), &"parts".parse().unwrap(), &[], (1, Reach::Near), &mut rng);
+    let asked = set.to_ask(
+        Millis(1),
+        &"parts".parse().unwrap(),
+        &[],
+        (1, Reach::Near),
+        |_| false,
+        &mut rng,
+    );
     let hosts = u32::try_from(hosts_per_zone).unwrap();
     let fleet = FleetShape { hosts: hosts * 3, hosts_in_zone: hosts };
     let sharing = set.sharing_hosts(&"parts".parse().unwrap(), &asked[0], fleet);
--- a/crates/dispatch/tests/support/cold_site.rs
+++ b/crates/dispatch/tests/support/cold_site.rs
@@ -235,7 +235,7 @@
         let now_ms = Millis(self.now_ms);
         let hosts = self.site.hosts as u32;
         let Host { upstreams, rng, sender, .. } = &mut self.hosts[host];
-        let asked = upstreams.to_ask(now_ms, &service(), &[], (3, Reach::Near), rng);
+        let asked = upstreams.to_ask(now_ms, &service(), &[], (3, Reach::Near), |_| false, rng);
         let chosen = asked.into_iter().find(|id| sender.may_send(now_ms, upstreams, id, hosts));
         let Some(chosen) = chosen else { return };
         sender.note_sent(now_ms, upstreams, &chosen, hosts);
--- a/crates/gateway/src/ask.rs
+++ b/crates/gateway/src/ask.rs
@@ -103,7 +103,9 @@
         let upstreams = host.upstreams.borrow();
         let mut rng = host.rng.borrow_mut();
         let part = (ASKED_AT_ONCE, Reach::Near);
-        let near = upstreams.to_ask(host.now_ms(), service, &[], part, &mut rng);
+        let pool = host.pool.borrow();
+        let is_connected = |id: &UpstreamId| pool.holds(id);
+        let near = upstreams.to_ask(host.now_ms(), service, &[], part, is_connected, &mut rng);
         near.into_iter().filter(|id| !upstreams.is_other_zone(id)).collect()
     };
     if candidates.is_empty() {
@@ -128,8 +130,10 @@
     let upstreams = host.upstreams.borrow();
     let mut rng = host.rng.borrow_mut();
     let begin = excluded.len();
+    let pool = host.pool.borrow();
+    let is_connected = |id: &UpstreamId| pool.holds(id);
     for &part in round {
-        let next = upstreams.to_ask(host.now_ms(), service, excluded, part, &mut rng);
+        let next = upstreams.to_ask(host.now_ms(), service, excluded, part, is_connected, &mut rng);
         excluded.extend(next);
     }
     excluded[begin..].to_vec()
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -126,6 +126,11 @@
         matches!(self.stream.try_read(&mut byte), Err(e) if e.kind() == ErrorKind::WouldBlock)
     }
 
+    /// Whether its other side is taken to keep it: that is looked at no further.
+    pub fn is_kept(&self) -> bool {
+        self.is_reusable && self.used.elapsed() < self.idle
+    }
+
     /// Time since its last use.
     pub fn idle(&self) -> Duration {
         self.used.elapsed()
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -45,6 +45,12 @@
         });
     }
 
+    /// Whether one waits for an upstream that is taken to be alive.
+    pub fn holds(&self, upstream: &UpstreamId) -> bool {
+        let alive = |connection: &Connection| connection.is_kept();
+        self.idle.get(upstream).is_some_and(|idle| idle.iter().any(alive))
+    }
+
     /// Connections that wait.
     pub fn len(&self) -> usize {
         self.idle.values().map(Vec::len).sum()
