--- a/crates/dispatch/src/upstream_set.rs
+++ b/crates/dispatch/src/upstream_set.rs
@@ -150,6 +150,11 @@
         known.note_cold(now_ms, left_ms.or(tells.then_some(Millis::ZERO)));
     }
 
+    /// How many upstreams are cold, or may be.
+    pub fn count_cold(&self, now_ms: Millis) -> usize {
+        self.known.values().filter(|known| known.warmth(now_ms) != Warmth::Warm).count()
+    }
+
     /// Takes what the routing states of cold upstreams.
     pub fn set_cold_rates<'s>(&mut self, services: impl Iterator<Item = &'s ServiceSettings>) {
         for service in self.services.values_mut() {
--- a/crates/gateway/src/event_log/event.rs
+++ b/crates/gateway/src/event_log/event.rs
@@ -3,8 +3,10 @@
 use dispatch::attempts::Refusal;
 use dispatch::quarantine::Change;
 use dispatch::scheduler::{Cell, Ticket};
-use dispatch::{AskFailure, SendFailure, Verdict};
-use domain::{HostId, Incarnation, Millis, RequestFingerprint, ServiceName, UpstreamId, Version};
+use dispatch::{AskFailure, SendFailure, Verdict, Warmth};
+use domain::{
+    HostId, Incarnation, Millis, RequestFingerprint, ServiceName, UpstreamId, Version, ZoneName,
+};
 use published::{Belief, Revision};
 use serde::Serialize;
 
@@ -52,6 +54,9 @@
     },
     /// More changed at once than is told one by one.
     MoreBeliefs { count: usize, joined: usize, gone: usize, from: &'a str },
+    /// A zone is evacuated, with so many upstreams in it; none where the name is of no zone that is
+    /// known here.
+    EvacuatedZone { zone: &'a ZoneName, upstreams: usize },
     /// A published value can't be read: the last good routing stays, an upstream is gone.
     Unreadable { key: &'a str, revision: Revision, problem: &'a str },
     /// More values of one reading can't be read than are told one by one.
@@ -90,6 +95,7 @@
         report_age_ms: Option<Millis>,
         waited_ms: Millis,
         is_other_zone: bool,
+        warmth: Option<Warmth>,
     },
     /// The scheduler had no room in time; so many waited before it.
     Unplaced { id: &'a str, ahead: usize, retry_after_ms: Millis },
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -202,6 +202,10 @@
     pub fn picture_changed(&self, beliefs: &[Belief], from: &str) {
         for belief in beliefs.iter().take(MOST_BELIEFS_TOLD) {
             self.log.write(&LogEvent::Belief { belief, from });
+            if let Belief::ZoneEvacuated { zone, .. } = belief {
+                let upstreams = self.picture().upstreams_in(zone);
+                self.log.write(&LogEvent::EvacuatedZone { zone, upstreams });
+            }
         }
         if let Some(rest) = beliefs.get(MOST_BELIEFS_TOLD..).filter(|rest| !rest.is_empty()) {
             let count_of = |is_it: fn(&Belief) -> bool| rest.iter().filter(|b| is_it(b)).count();
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -44,6 +44,8 @@
     log_lines_dropped: Gauge<u64>,
     open_requests: Gauge<u64>,
     quarantined: Gauge<u64>,
+    evacuated_zones: Gauge<u64>,
+    cold_upstreams: Gauge<u64>,
 }
 
 impl Metrics {
@@ -90,6 +92,14 @@
                 "gateway_quarantined",
                 "Requests that are held back, by fingerprint",
             ),
+            evacuated_zones: gauge(
+                "gateway_evacuated_zones",
+                "Availability zones that are evacuated",
+            ),
+            cold_upstreams: gauge(
+                "gateway_cold_upstreams",
+                "Upstreams that are cold, or may be, as far as this host knows",
+            ),
             registry,
             _provider: provider,
         })
@@ -148,6 +158,8 @@
         self.log_lines_dropped.record(state.log_lines_dropped, &[]);
         self.open_requests.record(state.open_requests, &[]);
         self.quarantined.record(state.quarantined, &[]);
+        self.evacuated_zones.record(state.evacuated_zones, &[]);
+        self.cold_upstreams.record(state.cold_upstreams, &[]);
         if let Some(age) = state.picture_age {
             self.picture_age.record(age.as_secs_f64(), &[]);
         }
@@ -171,6 +183,10 @@
     pub open_requests: u64,
     /// Requests that are held back.
     pub quarantined: u64,
+    /// Availability zones that are evacuated.
+    pub evacuated_zones: u64,
+    /// Upstreams that are cold, or may be.
+    pub cold_upstreams: u64,
     /// Age of the picture.
     pub picture_age: Option<Duration>,
 }
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -4,9 +4,10 @@
 use crate::http1::{AnswerWriter, RequestHead, read_request};
 use crate::metrics::StateFigures;
 use crate::quarantine;
+use dispatch::Warmth;
 use dispatch::quarantine::SuspectDump;
-use domain::{Millis, RequestFingerprint};
-use published::{Entry, Revision, Upstream};
+use domain::{Millis, RequestFingerprint, ZoneName};
+use published::{Eligibility, Entry, Picture, Revision, Upstream};
 use serde::Serialize;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -43,6 +44,7 @@
     open_requests: usize,
     hosts: u32,
     routing_version: Option<String>,
+    evacuated_zones: Vec<EvacuationDump>,
     revision: Revision,
     picture_age_ms: Option<Millis>,
     idle_connections: usize,
@@ -51,6 +53,15 @@
     upstreams: Vec<UpstreamDump>,
 }
 
+/// A zone that is evacuated, and the change that says so.
+#[derive(Debug, Serialize)]
+struct EvacuationDump {
+    zone: ZoneName,
+    revision: Revision,
+    /// Upstreams there that get nothing new for it.
+    upstreams: usize,
+}
+
 #[derive(Debug, Serialize)]
 struct UpstreamDump {
     #[serde(flatten)]
@@ -59,6 +70,9 @@
     failure_share: f64,
     slowness: f64,
     is_avoided: bool,
+    /// Whether it may get new requests, and why not.
+    eligibility: Eligibility,
+    warmth: Warmth,
 }
 
 /// Answers questions; never ends.
@@ -141,11 +155,22 @@
         log_lines_dropped: host.log.dropped(),
         open_requests: host.open_requests.get() as u64,
         quarantined: host.quarantine.borrow().held(host.now_ms()) as u64,
+        evacuated_zones: host.picture().evacuations().in_force().count() as u64,
+        cold_upstreams: host.upstreams.borrow().count_cold(host.now_ms()) as u64,
         picture_age: host.picture_age_ms().map(crate::host::duration),
     });
     (200, "text/plain; version=0.0.4", host.metrics.render())
 }
 
+fn evacuated_zones(picture: &Picture) -> Vec<EvacuationDump> {
+    let dump = |(zone, revision): (&ZoneName, Revision)| EvacuationDump {
+        zone: zone.clone(),
+        revision,
+        upstreams: picture.upstreams_in(zone),
+    };
+    picture.evacuations().in_force().map(dump).collect()
+}
+
 fn state(host: &Host) -> (u16, &'static str, String) {
     let now_ms = host.now_ms();
     let picture = host.picture();
@@ -158,6 +183,8 @@
             failure_share: known.failure_share(now_ms),
             slowness: known.slowness(now_ms, upstreams.load(&entry.value.service)),
             is_avoided: known.is_avoided(now_ms),
+            eligibility: known.eligibility,
+            warmth: known.warmth(now_ms),
         })
     };
     let dump = StateDump {
@@ -167,6 +194,7 @@
         is_stopping: host.is_stopping(),
         open_requests: host.open_requests.get(),
         hosts: host.hosts(),
+        evacuated_zones: evacuated_zones(&picture),
         routing_version: picture.routing().map(|entry| entry.value.version.to_string()),
         revision: picture.revision(),
         picture_age_ms: picture.age_ms(now_ms),
--- a/crates/gateway/src/serve/sending.rs
+++ b/crates/gateway/src/serve/sending.rs
@@ -126,7 +126,11 @@
 
     fn note_begin(&self, found: &Found, now_ms: Millis, sending: u32) {
         self.host.metrics.sent(sending > 1);
-        let is_other_zone = self.host.upstreams.borrow().is_other_zone(&found.upstream);
+        let (is_other_zone, warmth) = {
+            let upstreams = self.host.upstreams.borrow();
+            let known = upstreams.get(&found.upstream);
+            (upstreams.is_other_zone(&found.upstream), known.map(|known| known.warmth(now_ms)))
+        };
         self.host.log.write(&LogEvent::Chosen {
             id: &self.id,
             upstream: &found.upstream,
@@ -136,6 +140,7 @@
             report_age_ms: found.report_age_ms,
             waited_ms: now_ms.since(found.sought_ms),
             is_other_zone,
+            warmth,
         });
         self.host.log.write(&LogEvent::Sent {
             id: &self.id,
--- a/crates/published/src/picture.rs
+++ b/crates/published/src/picture.rs
@@ -91,6 +91,12 @@
         &self.evacuations
     }
 
+    /// How many upstreams stand in an availability zone.
+    pub fn upstreams_in(&self, zone: &ZoneName) -> usize {
+        let is_there = |entry: &&Entry<Arc<Upstream>>| entry.value.availability_zone == *zone;
+        self.upstreams.values().filter(is_there).count()
+    }
+
     /// An upstream's entry.
     pub fn upstream(&self, id: &UpstreamId) -> Option<&Entry<Arc<Upstream>>> {
         self.upstreams.get(id)
