Upstreams that hosts can't reach get nothing more from their scheduler

Ruled out: cold upstreams' rate (the refusals came before any was back). Change: a place is given back as not sent, unreachable or sent. The scheduler leaves an unreachable upstream alone like one that it could not ask itself; a zone of several without any that can be reached refuses with NoUpstream, and the host hands the request to another zone. An entry that is written anew ends the time for which its upstream is left alone.

--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -24,12 +24,13 @@
 pub use cell::Cell;
 pub use directory::Directory;
 pub use job::{Submission, Ticket};
-pub use message::{Asker, Effect, Outcome, Place, PlacementMessage, RefusalCause};
+pub use message::{Asker, Effect, Outcome, Place, PlacementMessage, RefusalCause, Withdrawal};
 use set::Cold;
 pub use set::SchedulerSet;
 
 use crate::choice::Candidate;
 use crate::service::Run;
+use crate::upstream::AskFailure;
 use crate::upstream_set::UpstreamSet;
 use decision::{Decision, View};
 use domain::{FastMap, Millis, UpstreamId};
@@ -116,12 +117,16 @@
         &mut self,
         now_ms: Millis,
         key: Key,
+        how: Withdrawal,
         upstreams: &mut UpstreamSet,
     ) -> Option<UpstreamId> {
         self.waiting.retain(|job| job.key != key);
         let placed = self.placed.take(now_ms, key)?;
         if let Some(known) = upstreams.get_run_mut(&placed.upstream, placed.run) {
             known.note_withdrawn();
+            if how == Withdrawal::Unreachable {
+                known.note_ask_failed(now_ms, AskFailure::Unreachable);
+            }
         }
         Some(placed.upstream)
     }
@@ -246,7 +251,7 @@
     fn forget(&mut self, now_ms: Millis, upstreams: &mut UpstreamSet) {
         self.forgot_ms = now_ms;
         for key in self.placed.over(now_ms) {
-            self.withdraw(now_ms, key, upstreams);
+            self.withdraw(now_ms, key, Withdrawal::Sent, upstreams);
         }
         self.asked_ms.retain(|_, at_ms| now_ms.since(*at_ms) < decision::ASK_AGAIN_MS);
         self.sent.retain(|_, sent| {
--- a/crates/dispatch/src/scheduler/message.rs
+++ b/crates/dispatch/src/scheduler/message.rs
@@ -41,11 +41,22 @@
     Withdrawn {
         /// Which.
         ticket: Ticket,
-        /// Whether it had left for its upstream.
-        was_sent: bool,
+        /// How far it came.
+        how: Withdrawal,
     },
 }
 
+/// How far a request came whose place is given back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Withdrawal {
+    /// It was not sent.
+    NotSent,
+    /// It was not sent, as its upstream can't be reached.
+    Unreachable,
+    /// It had left for its upstream.
+    Sent,
+}
+
 /// The place of a request, and what it was chosen by.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Place {
--- a/crates/dispatch/src/scheduler/outlook.rs
+++ b/crates/dispatch/src/scheduler/outlook.rs
@@ -87,8 +87,9 @@
     }
 }
 
-/// Those that take work, can be reached and don't fail more than the others; all that take
-/// work if there are no such.
+/// Those that take work, can be reached and don't fail more than the others. Where there are no
+/// such, none in a cell that is one zone of several: the others have some. Elsewhere all that
+/// take work, as what is known of them may be old.
 fn sound_upstreams(now_ms: Millis, cell: &Cell, upstreams: &UpstreamSet) -> Vec<UpstreamId> {
     let is_in_cell = |id: &&UpstreamId| {
         let zone = upstreams.get(id).map(|known| &known.entry.availability_zone);
@@ -104,7 +105,7 @@
         !is_avoided && failing(id) - mean < FAILS_MORE
     };
     let sound: Vec<UpstreamId> = all.iter().copied().filter(is_sound).cloned().collect();
-    match sound.is_empty() {
+    match sound.is_empty() && cell.zone.is_none() {
         true => all.into_iter().cloned().collect(),
         false => sound,
     }
--- a/crates/dispatch/src/scheduler/set.rs
+++ b/crates/dispatch/src/scheduler/set.rs
@@ -2,7 +2,7 @@
 
 use super::decision::cold_share;
 use super::job::{Job, Key};
-use super::message::{Asker, Effect, PlacementMessage, RefusalCause};
+use super::message::{Asker, Effect, PlacementMessage, RefusalCause, Withdrawal};
 use super::{Cell, Scheduler};
 use crate::cold::{ColdBudget, Lenders};
 use crate::subset::FleetShape;
@@ -104,12 +104,12 @@
                 }
                 scheduler
             }
-            PlacementMessage::Withdrawn { ticket, was_sent } => {
+            PlacementMessage::Withdrawn { ticket, how } => {
                 let key = Key { asker, ticket };
                 let mut scheduler = that_knows(&mut self.schedulers, key);
                 if let Some(scheduler) = &mut scheduler {
-                    let upstream = scheduler.withdraw(now_ms, key, upstreams);
-                    if let Some(upstream) = upstream.filter(|_| !was_sent) {
+                    let upstream = scheduler.withdraw(now_ms, key, how, upstreams);
+                    if let Some(upstream) = upstream.filter(|_| how != Withdrawal::Sent) {
                         self.cold.budget.give_back(&upstream);
                     }
                 }
--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -145,6 +145,9 @@
     ) {
         if entry.revision != self.revision {
             self.cold.note_entry(now_ms, entry.value.warmup_left_ms);
+            // It has just written its entry anew, so it is there.
+            self.unreached = 0;
+            self.avoid_until_ms = Millis::ZERO;
         }
         if self.eligibility == Eligibility::ZoneEvacuated && eligibility != self.eligibility {
             self.cold.note_away(now_ms);
--- a/crates/dispatch/tests/restart.rs
+++ b/crates/dispatch/tests/restart.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use dispatch::scheduler::{
-    Asker, Cell, Effect, Outcome, PlacementMessage, SchedulerSet, Submission, Ticket,
+    Asker, Cell, Effect, Outcome, PlacementMessage, SchedulerSet, Submission, Ticket, Withdrawal,
 };
 use dispatch::{AskFailure, SendFailure, UpstreamSet};
 use domain::Millis;
@@ -87,7 +87,7 @@
     let known = upstreams.get(&id("i-1")).unwrap();
     assert_eq!((known.open(), known.failure_share(NOW)), (1, 0.0));
     assert_eq!(known.report(NOW).unwrap().0.running, 0);
-    take(&mut upstreams, PlacementMessage::Withdrawn { ticket: Ticket(2), was_sent: true });
+    take(&mut upstreams, PlacementMessage::Withdrawn { ticket: Ticket(2), how: Withdrawal::Sent });
     assert_eq!(upstreams.get(&id("i-1")).unwrap().open(), 0);
 }
 
--- a/crates/dispatch/tests/scheduler.rs
+++ b/crates/dispatch/tests/scheduler.rs
@@ -5,10 +5,11 @@
 
 use dispatch::scheduler::{
     Asker, Cell, Effect, Outcome, PlacementMessage, RefusalCause, SchedulerSet, Submission, Ticket,
+    Withdrawal,
 };
 use dispatch::{AskFailure, LoadReport, SendFailure, UpstreamSet};
 use domain::{Millis, UpstreamId};
-use published::RunStart;
+use published::{Entry, Evacuations, Revision, RunStart};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use rstest::rstest;
@@ -214,7 +215,7 @@
         play.wait(93);
         for ticket in tickets {
             play.take(PlacementMessage::Ended { ticket, outcome: outcome(100) });
-            play.take(PlacementMessage::Withdrawn { ticket, was_sent: true });
+            play.take(PlacementMessage::Withdrawn { ticket, how: Withdrawal::Sent });
         }
     }
     assert_eq!(most, 6);
@@ -359,7 +360,7 @@
     play.tell("i-1", report(0, 0, 100));
     let (ticket, _) = play.submit();
     assert_eq!(play.upstreams.get(&id("i-1")).unwrap().open(), 1);
-    play.take(PlacementMessage::Withdrawn { ticket, was_sent: true });
+    play.take(PlacementMessage::Withdrawn { ticket, how: Withdrawal::Sent });
     assert_eq!(play.upstreams.get(&id("i-1")).unwrap().open(), 0);
 }
 
@@ -434,3 +435,40 @@
     }
     assert!(placed.iter().all(|upstream| *upstream == placed[0]), "{placed:?}");
 }
+
+/// All upstreams of a zone are down: hosts find out by connecting, and tell the scheduler. Before
+/// it was told, it placed request after request there until each had been tried eight times, and
+/// callers were refused while the other zones were idle.
+#[rstest]
+#[case::one_zone_of_several(Some("kariakoo"), true)]
+#[case::the_whole_service(None, false)]
+fn upstreams_that_hosts_cannot_reach_get_nothing_more(
+    #[case] zone: Option<&str>,
+    #[case] is_refused: bool,
+) {
+    let mut play = Play::new(&["i-1", "i-2", "i-3"]);
+    let cell = Cell { zone: zone.map(|zone| zone.parse().unwrap()), ..cell() };
+    let mut submit = |play: &mut Play| {
+        let submission = Submission { cell: cell.clone(), ..play.submission(&[]) };
+        let ticket = submission.ticket;
+        (ticket, play.take(PlacementMessage::Submit(submission)))
+    };
+    for _ in 0..3 {
+        for name in ["i-1", "i-2", "i-3"] {
+            play.tell(name, report(0, 0, 100));
+        }
+        let (ticket, effects) = submit(&mut play);
+        assert!(matches!(fate(&effects, ticket), Fate::Placed(_)), "{effects:?}");
+        play.take(PlacementMessage::Withdrawn { ticket, how: Withdrawal::Unreachable });
+    }
+    let (ticket, effects) = submit(&mut play);
+    let refused = fate(&effects, ticket) == Fate::Refused(RefusalCause::NoUpstream);
+    assert_eq!(refused, is_refused, "{effects:?}");
+    // Their entries are written anew: they are there.
+    let entries: Vec<_> = ["i-1", "i-2", "i-3"]
+        .map(|name| Entry { revision: Revision(2), ..entry(name, "kariakoo") })
+        .to_vec();
+    play.upstreams.sync(play.now_ms, entries.iter(), &Evacuations::default());
+    let (ticket, effects) = submit(&mut play);
+    assert!(matches!(fate(&effects, ticket), Fate::Placed(_)), "{effects:?}");
+}
--- a/crates/dispatch/tests/support/cold_site.rs
+++ b/crates/dispatch/tests/support/cold_site.rs
@@ -3,7 +3,7 @@
 
 use super::{entry, id};
 use dispatch::scheduler::{
-    Asker, Cell, Directory, Effect, PlacementMessage, SchedulerSet, Submission, Ticket,
+    Asker, Cell, Directory, Effect, PlacementMessage, SchedulerSet, Submission, Ticket, Withdrawal,
 };
 use dispatch::{ColdSender, FleetShape, LoadReport, Reach, UpstreamSet};
 use domain::{
@@ -304,7 +304,7 @@
     }
 
     fn withdraw(&mut self, host: usize, to: usize, ticket: Ticket) {
-        let message = PlacementMessage::Withdrawn { ticket, was_sent: false };
+        let message = PlacementMessage::Withdrawn { ticket, how: Withdrawal::NotSent };
         self.carry(host, to, || Event::Scheduler { to, from: host, message: message.clone() });
     }
 
--- a/crates/emulator/src/play/scheduled.rs
+++ b/crates/emulator/src/play/scheduled.rs
@@ -4,6 +4,7 @@
 use crate::site::Site;
 use dispatch::scheduler::{
     Asker, Cell, Effect, Outcome, PlacementMessage, RefusalCause, SchedulerSet, Submission, Ticket,
+    Withdrawal,
 };
 use dispatch::{LoadReport, SendFailure, UpstreamSet};
 use domain::{Millis, Slots, UpstreamId, ZoneName};
@@ -187,7 +188,7 @@
         }
         let host = self.requests[request].host;
         let ticket = Ticket(request as u64);
-        self.tell_scheduler(host, PlacementMessage::Withdrawn { ticket, was_sent: false });
+        self.tell_scheduler(host, PlacementMessage::Withdrawn { ticket, how: Withdrawal::NotSent });
         let upstream = self.emptier_of_two();
         self.send(request, upstream, false);
     }
--- a/crates/gateway/src/placing/held.rs
+++ b/crates/gateway/src/placing/held.rs
@@ -2,7 +2,7 @@
 
 use super::tell;
 use crate::host::Host;
-use dispatch::scheduler::{Asker, Outcome, PlacementMessage, Ticket};
+use dispatch::scheduler::{Asker, Outcome, PlacementMessage, Ticket, Withdrawal};
 use domain::HostId;
 use published::Member;
 use std::rc::Rc;
@@ -14,7 +14,7 @@
     ticket: Ticket,
     scheduler: Asker,
     name: HostId,
-    was_sent: bool,
+    withdrawal: Withdrawal,
     is_over: bool,
 }
 
@@ -26,7 +26,7 @@
             ticket,
             scheduler: if is_own { Asker::Own } else { Asker::Peer(scheduler.address) },
             name: scheduler.host.clone(),
-            was_sent: false,
+            withdrawal: Withdrawal::NotSent,
             is_over: false,
         }
     }
@@ -48,7 +48,12 @@
 
     /// The request leaves for the upstream.
     pub fn note_sent(&mut self) {
-        self.was_sent = true;
+        self.withdrawal = Withdrawal::Sent;
+    }
+
+    /// The upstream can't be reached; the place is given back as it is dropped.
+    pub fn note_unreachable(&mut self) {
+        self.withdrawal = Withdrawal::Unreachable;
     }
 
     /// The request came to its end at the upstream.
@@ -71,7 +76,7 @@
     fn drop(&mut self) {
         self.host.placing.awaited.borrow_mut().remove(&self.ticket);
         if !self.is_over {
-            self.tell(PlacementMessage::Withdrawn { ticket: self.ticket, was_sent: self.was_sent });
+            self.tell(PlacementMessage::Withdrawn { ticket: self.ticket, how: self.withdrawal });
         }
     }
 }
--- a/crates/gateway/src/serve/finding.rs
+++ b/crates/gateway/src/serve/finding.rs
@@ -14,7 +14,6 @@
 use dispatch::scheduler::{Cell, Place, RefusalCause, Submission, Ticket};
 use dispatch::{Offer, Patience, Verdict};
 use domain::{Millis, UpstreamId, ZoneName};
-use rand::seq::IndexedRandom;
 
 /// Time between the choice and the sending past which the world is looked at again.
 const STALE_CHOICE_MS: Millis = Millis(40);
@@ -77,7 +76,12 @@
                     }
                     self.host.pool.borrow_mut().put(&found.upstream, connection);
                 }
-                _ => tally.tried.push(found.upstream),
+                connection => {
+                    if connection.is_none() {
+                        found.held.iter_mut().for_each(HeldPlace::note_unreachable);
+                    }
+                    tally.tried.push(found.upstream);
+                }
             }
         }
         Err(match tally.may_have_run() > 0 {
@@ -133,7 +137,8 @@
         };
         let asked_zone = cell.zone.clone();
         let placement = placing::place(&self.host, cell, self.submission(&zone, tally)).await;
-        let has_no_room = matches!(placement, Placement::Refused(RefusalCause::NoRoom { .. }));
+        // Its zone has no room, or none that can be reached.
+        let has_no_room = matches!(placement, Placement::Refused(_));
         match asked_zone.and_then(|asked| self.other_zone(&asked)) {
             Some(other) if has_no_room => {
                 let cell = Cell { service: self.service.clone(), zone: Some(other) };
@@ -144,10 +149,8 @@
     }
 
     fn other_zone(&self, zone: &ZoneName) -> Option<ZoneName> {
-        let upstreams = self.host.upstreams.borrow();
-        let zones = upstreams.zones_of(&self.service);
-        let others: Vec<&ZoneName> = zones.into_iter().filter(|other| *other != zone).collect();
-        others.choose(&mut self.host.rng.borrow_mut()).map(|&other| other.clone())
+        let (upstreams, mut rng) = (self.host.upstreams.borrow(), self.host.rng.borrow_mut());
+        upstreams.draw_other_zone(&self.service, zone, &mut rng)
     }
 
     fn submission(
