--- a/crates/published/src/picture.rs
+++ b/crates/published/src/picture.rs
@@ -8,14 +8,17 @@
 
 mod bootstrap;
 mod catch_up;
+mod entries;
 mod evacuated;
+mod routing;
 
 pub use bootstrap::BootstrapSnapshot;
 pub use catch_up::{CatchUp, Held};
+use entries::{Lapsed, TOMBSTONE_MS, Tombstone};
 
 use crate::{
     Belief, Change, Entry, EvacuationEnd, Evacuations, Item, Removal, RemovalCause, Revision,
-    Routing, RoutingPatch, RunStart, Upstream, UpstreamMode, Whole,
+    Routing, RoutingPatch, Upstream, Whole,
 };
 use domain::{FastMap, FastSet, Millis, UpstreamId};
 use std::sync::Arc;
@@ -45,42 +48,6 @@
     removals_since: Revision,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Tombstone {
-    revision: Revision,
-    cause: RemovalCause,
-    /// The run whose entry was removed, as far as it was held.
-    run: RunStart,
-    since_ms: Millis,
-}
-
-impl Tombstone {
-    fn removal(self, upstream: &UpstreamId) -> Removal {
-        Removal { upstream: upstream.clone(), revision: self.revision, cause: self.cause }
-    }
-
-    /// Whether an entry is older than the removal, or of a run before the one that was removed.
-    fn buries(self, entry: &Entry<Arc<Upstream>>) -> bool {
-        self.revision >= entry.revision || self.run.is_after(entry.value.run)
-    }
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Lapsed {
-    revision: Revision,
-    until_ms: Millis,
-}
-
-impl Lapsed {
-    fn removal(self, upstream: &UpstreamId) -> Removal {
-        let cause = RemovalCause::Deleted;
-        Removal { upstream: upstream.clone(), revision: self.revision, cause }
-    }
-}
-
-/// Tombstones guard against late news of removed entries; no news is older than this.
-const TOMBSTONE_MS: Millis = Millis(60_000);
-
 impl Picture {
     /// The routing in force.
     pub fn routing(&self) -> Option<&Entry<Arc<Routing>>> {
@@ -295,159 +262,4 @@
             }
         }
     }
-
-    /// False if the routing that the patch is for is not held.
-    fn patch(&mut self, entry: &Entry<RoutingPatch>, beliefs: &mut Vec<Belief>) -> bool {
-        let patched = match &self.routing {
-            Some(held) if held.revision >= entry.revision => return true,
-            Some(held) if held.revision == entry.value.base => entry.value.apply(&held.value),
-            _ => return false,
-        };
-        let value = Arc::new(patched);
-        self.write_routing(Entry { revision: entry.revision, value }, beliefs);
-        self.last_patch = Some(entry.clone());
-        true
-    }
-
-    /// The same changes with the routing told as its difference from the one held now.
-    pub fn patched(&self, changes: &[Change]) -> Vec<Change> {
-        let mut held = self.routing.clone();
-        let patch = |change: &Change| {
-            let Change::Written(Entry { revision, value: Item::Routing(routing) }) = change else {
-                return change.clone();
-            };
-            let entry = Entry { revision: *revision, value: Arc::clone(routing) };
-            let old = held.replace(entry).filter(|old| old.revision < *revision);
-            let value =
-                old.and_then(|old| RoutingPatch::between(old.revision, &old.value, routing));
-            match value {
-                Some(value) => Change::Patched(Entry { revision: *revision, value }),
-                None => change.clone(),
-            }
-        };
-        changes.iter().map(patch).collect()
-    }
-
-    fn write_routing(&mut self, entry: Entry<Arc<Routing>>, beliefs: &mut Vec<Belief>) {
-        let version = entry.value.version;
-        match &self.routing {
-            Some(held) if held.revision >= entry.revision => {}
-            Some(held) if held.value.version > version => {
-                let in_force = held.value.version;
-                beliefs.push(Belief::RoutingRefused { version, in_force });
-            }
-            _ => {
-                beliefs.push(Belief::RoutingInForce { version, revision: entry.revision });
-                self.routing = Some(entry);
-            }
-        }
-    }
-
-    fn write_upstream(&mut self, entry: Entry<Arc<Upstream>>, beliefs: &mut Vec<Belief>) {
-        let (id, revision) = (entry.value.id.clone(), entry.revision);
-        let is_buried = self.removed.get(&id).is_some_and(|tombstone| tombstone.buries(&entry));
-        let held = self.upstreams.get(&id);
-        if is_buried || held.is_some_and(|held| !replaces(&entry, held)) {
-            return;
-        }
-        let entry = with_known_start(entry, held);
-        match held {
-            Some(held) if entry.value.is_later_run_than(&held.value) => {
-                beliefs.push(Belief::UpstreamRestarted {
-                    upstream: id.clone(),
-                    revision,
-                    former_start_ms: held.value.run,
-                    start_ms: entry.value.run,
-                });
-            }
-            _ => {}
-        }
-        if self.lapsed.get(&id).is_some_and(|lapsed| lapsed.revision < revision) {
-            self.lapsed.remove(&id);
-            beliefs.push(Belief::UpstreamReturned { upstream: id.clone(), revision });
-        }
-        let was = held.map(|held| held.value.mode);
-        match entry.value.mode {
-            mode if was == Some(mode) => {}
-            UpstreamMode::Ready => {
-                beliefs.push(Belief::UpstreamJoined { upstream: id.clone(), revision });
-            }
-            UpstreamMode::Draining => {
-                beliefs.push(Belief::UpstreamLeaving { upstream: id.clone(), revision });
-            }
-        }
-        // From here on the newer entry guards against late news.
-        self.removed.remove(&id);
-        self.upstreams.insert(id, entry);
-    }
-
-    fn remove(&mut self, now_ms: Millis, removal: Removal, beliefs: &mut Vec<Belief>) {
-        let Some(held) = self.upstreams.get(&removal.upstream) else {
-            self.bury(now_ms, &removal);
-            return;
-        };
-        if held.revision > removal.revision {
-            return;
-        }
-        let grace_end_ms = self.returned_ms.map(|at_ms| at_ms + RETURN_GRACE_MS);
-        match grace_end_ms.filter(|&end_ms| now_ms < end_ms) {
-            Some(until_ms)
-                if held.value.mode == UpstreamMode::Ready
-                    && removal.cause == RemovalCause::Deleted =>
-            {
-                self.lapse(removal, until_ms, beliefs);
-            }
-            _ => self.drop_entry(now_ms, removal, beliefs),
-        }
-    }
-
-    fn lapse(&mut self, removal: Removal, until_ms: Millis, beliefs: &mut Vec<Belief>) {
-        let Removal { upstream, revision, .. } = removal;
-        let lapsed = Lapsed { revision, until_ms };
-        if self.lapsed.insert(upstream.clone(), lapsed).is_none() {
-            beliefs.push(Belief::UpstreamLapsed { upstream, until_ms });
-        }
-    }
-
-    fn drop_entry(&mut self, now_ms: Millis, removal: Removal, beliefs: &mut Vec<Belief>) {
-        self.bury(now_ms, &removal);
-        self.lapsed.remove(&removal.upstream);
-        if self.upstreams.remove(&removal.upstream).is_some() {
-            let Removal { upstream, revision, cause } = removal;
-            beliefs.push(Belief::UpstreamGone { upstream, revision, cause });
-        }
-    }
-
-    fn bury(&mut self, now_ms: Millis, removal: &Removal) {
-        let held = self.upstreams.get(&removal.upstream).map(|held| held.value.run);
-        let former = self.removed.get(&removal.upstream);
-        if former.is_some_and(|former| former.revision > removal.revision) {
-            return;
-        }
-        let run = held.unwrap_or_default().or(former.map(|former| former.run).unwrap_or_default());
-        let Removal { revision, cause, .. } = *removal;
-        let tombstone = Tombstone { revision, cause, run, since_ms: now_ms };
-        self.removed.insert(removal.upstream.clone(), tombstone);
-    }
-}
-
-/// Whether an entry takes the place of the one that is held. A later run always does, an
-/// earlier one never: its last words may be written late.
-fn replaces(entry: &Entry<Arc<Upstream>>, held: &Entry<Arc<Upstream>>) -> bool {
-    if entry.value.is_later_run_than(&held.value) {
-        return true;
-    }
-    !held.value.is_later_run_than(&entry.value) && entry.revision >= held.revision
-}
-
-/// The entry with the start of its run, where only an earlier entry of that run told it.
-fn with_known_start(
-    mut entry: Entry<Arc<Upstream>>,
-    held: Option<&Entry<Arc<Upstream>>>,
-) -> Entry<Arc<Upstream>> {
-    let known = held.map(|held| held.value.run).unwrap_or_default();
-    if entry.value.run.0.is_none() && known.0.is_some() {
-        Arc::make_mut(&mut entry.value).run = known;
-    }
-    entry
 }
--- /dev/null
+++ b/crates/published/src/picture/entries.rs
@@ -0,0 +1,162 @@
+//! The picture's entries: each moves forward by its own revision, and an end is remembered for a
+//! while against late news.
+
+use super::{Picture, RETURN_GRACE_MS};
+use crate::{Belief, Entry, Removal, RemovalCause, Revision, RunStart, Upstream, UpstreamMode};
+use domain::{Millis, UpstreamId};
+use std::sync::Arc;
+
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Tombstone {
+    pub(super) revision: Revision,
+    pub(super) cause: RemovalCause,
+    /// The run whose entry was removed, as far as it was held.
+    run: RunStart,
+    pub(super) since_ms: Millis,
+}
+
+impl Tombstone {
+    pub(super) fn removal(self, upstream: &UpstreamId) -> Removal {
+        Removal { upstream: upstream.clone(), revision: self.revision, cause: self.cause }
+    }
+
+    /// Whether an entry is older than the removal, or of a run before the one that was removed.
+    fn buries(self, entry: &Entry<Arc<Upstream>>) -> bool {
+        self.revision >= entry.revision || self.run.is_after(entry.value.run)
+    }
+}
+
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Lapsed {
+    pub(super) revision: Revision,
+    pub(super) until_ms: Millis,
+}
+
+impl Lapsed {
+    pub(super) fn removal(self, upstream: &UpstreamId) -> Removal {
+        let cause = RemovalCause::Deleted;
+        Removal { upstream: upstream.clone(), revision: self.revision, cause }
+    }
+}
+
+/// Tombstones guard against late news of removed entries; no news is older than this.
+pub(super) const TOMBSTONE_MS: Millis = Millis(60_000);
+
+impl Picture {
+    pub(super) fn write_upstream(
+        &mut self,
+        entry: Entry<Arc<Upstream>>,
+        beliefs: &mut Vec<Belief>,
+    ) {
+        let (id, revision) = (entry.value.id.clone(), entry.revision);
+        let is_buried = self.removed.get(&id).is_some_and(|tombstone| tombstone.buries(&entry));
+        let held = self.upstreams.get(&id);
+        if is_buried || held.is_some_and(|held| !replaces(&entry, held)) {
+            return;
+        }
+        let entry = with_known_start(entry, held);
+        match held {
+            Some(held) if entry.value.is_later_run_than(&held.value) => {
+                beliefs.push(Belief::UpstreamRestarted {
+                    upstream: id.clone(),
+                    revision,
+                    former_start_ms: held.value.run,
+                    start_ms: entry.value.run,
+                });
+            }
+            _ => {}
+        }
+        if self.lapsed.get(&id).is_some_and(|lapsed| lapsed.revision < revision) {
+            self.lapsed.remove(&id);
+            beliefs.push(Belief::UpstreamReturned { upstream: id.clone(), revision });
+        }
+        let was = held.map(|held| held.value.mode);
+        match entry.value.mode {
+            mode if was == Some(mode) => {}
+            UpstreamMode::Ready => {
+                beliefs.push(Belief::UpstreamJoined { upstream: id.clone(), revision });
+            }
+            UpstreamMode::Draining => {
+                beliefs.push(Belief::UpstreamLeaving { upstream: id.clone(), revision });
+            }
+        }
+        // From here on the newer entry guards against late news.
+        self.removed.remove(&id);
+        self.upstreams.insert(id, entry);
+    }
+
+    pub(super) fn remove(&mut self, now_ms: Millis, removal: Removal, beliefs: &mut Vec<Belief>) {
+        let Some(held) = self.upstreams.get(&removal.upstream) else {
+            self.bury(now_ms, &removal);
+            return;
+        };
+        if held.revision > removal.revision {
+            return;
+        }
+        let grace_end_ms = self.returned_ms.map(|at_ms| at_ms + RETURN_GRACE_MS);
+        match grace_end_ms.filter(|&end_ms| now_ms < end_ms) {
+            Some(until_ms)
+                if held.value.mode == UpstreamMode::Ready
+                    && removal.cause == RemovalCause::Deleted =>
+            {
+                self.lapse(removal, until_ms, beliefs);
+            }
+            _ => self.drop_entry(now_ms, removal, beliefs),
+        }
+    }
+
+    fn lapse(&mut self, removal: Removal, until_ms: Millis, beliefs: &mut Vec<Belief>) {
+        let Removal { upstream, revision, .. } = removal;
+        let lapsed = Lapsed { revision, until_ms };
+        if self.lapsed.insert(upstream.clone(), lapsed).is_none() {
+            beliefs.push(Belief::UpstreamLapsed { upstream, until_ms });
+        }
+    }
+
+    pub(super) fn drop_entry(
+        &mut self,
+        now_ms: Millis,
+        removal: Removal,
+        beliefs: &mut Vec<Belief>,
+    ) {
+        self.bury(now_ms, &removal);
+        self.lapsed.remove(&removal.upstream);
+        if self.upstreams.remove(&removal.upstream).is_some() {
+            let Removal { upstream, revision, cause } = removal;
+            beliefs.push(Belief::UpstreamGone { upstream, revision, cause });
+        }
+    }
+
+    fn bury(&mut self, now_ms: Millis, removal: &Removal) {
+        let held = self.upstreams.get(&removal.upstream).map(|held| held.value.run);
+        let former = self.removed.get(&removal.upstream);
+        if former.is_some_and(|former| former.revision > removal.revision) {
+            return;
+        }
+        let run = held.unwrap_or_default().or(former.map(|former| former.run).unwrap_or_default());
+        let Removal { revision, cause, .. } = *removal;
+        let tombstone = Tombstone { revision, cause, run, since_ms: now_ms };
+        self.removed.insert(removal.upstream.clone(), tombstone);
+    }
+}
+
+/// Whether an entry takes the place of the one that is held. A later run always does, an
+/// earlier one never: its last words may be written late.
+fn replaces(entry: &Entry<Arc<Upstream>>, held: &Entry<Arc<Upstream>>) -> bool {
+    if entry.value.is_later_run_than(&held.value) {
+        return true;
+    }
+    !held.value.is_later_run_than(&entry.value) && entry.revision >= held.revision
+}
+
+/// The entry with the start of its run, where only an earlier entry of that run told it.
+fn with_known_start(
+    mut entry: Entry<Arc<Upstream>>,
+    held: Option<&Entry<Arc<Upstream>>>,
+) -> Entry<Arc<Upstream>> {
+    let known = held.map(|held| held.value.run).unwrap_or_default();
+    if entry.value.run.0.is_none() && known.0.is_some() {
+        Arc::make_mut(&mut entry.value).run = known;
+    }
+    entry
+}
--- /dev/null
+++ b/crates/published/src/picture/routing.rs
@@ -0,0 +1,54 @@
+//! The picture's routing, taken whole or as its difference from the one before.
+
+use super::Picture;
+use crate::{Belief, Change, Entry, Item, Routing, RoutingPatch};
+use std::sync::Arc;
+
+impl Picture {
+    /// False if the routing that the patch is for is not held.
+    pub(super) fn patch(&mut self, entry: &Entry<RoutingPatch>, beliefs: &mut Vec<Belief>) -> bool {
+        let patched = match &self.routing {
+            Some(held) if held.revision >= entry.revision => return true,
+            Some(held) if held.revision == entry.value.base => entry.value.apply(&held.value),
+            _ => return false,
+        };
+        let value = Arc::new(patched);
+        self.write_routing(Entry { revision: entry.revision, value }, beliefs);
+        self.last_patch = Some(entry.clone());
+        true
+    }
+
+    /// The same changes with the routing told as its difference from the one held now.
+    pub fn patched(&self, changes: &[Change]) -> Vec<Change> {
+        let mut held = self.routing.clone();
+        let patch = |change: &Change| {
+            let Change::Written(Entry { revision, value: Item::Routing(routing) }) = change else {
+                return change.clone();
+            };
+            let entry = Entry { revision: *revision, value: Arc::clone(routing) };
+            let old = held.replace(entry).filter(|old| old.revision < *revision);
+            let value =
+                old.and_then(|old| RoutingPatch::between(old.revision, &old.value, routing));
+            match value {
+                Some(value) => Change::Patched(Entry { revision: *revision, value }),
+                None => change.clone(),
+            }
+        };
+        changes.iter().map(patch).collect()
+    }
+
+    pub(super) fn write_routing(&mut self, entry: Entry<Arc<Routing>>, beliefs: &mut Vec<Belief>) {
+        let version = entry.value.version;
+        match &self.routing {
+            Some(held) if held.revision >= entry.revision => {}
+            Some(held) if held.value.version > version => {
+                let in_force = held.value.version;
+                beliefs.push(Belief::RoutingRefused { version, in_force });
+            }
+            _ => {
+                beliefs.push(Belief::RoutingInForce { version, revision: entry.revision });
+                self.routing = Some(entry);
+            }
+        }
+    }
+}
