An upstream that joins is asked without a connection

Ruled out: the cold rate (that service states none). Change: for 20 s after it joined an upstream costs no more for want of a connection; what a host hears of within 5 s of its first entries is no newcomer.

--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -63,6 +63,8 @@
     /// Whether it may get new requests.
     pub eligibility: Eligibility,
     revision: Revision,
+    /// When it was first published, as far as this host knows.
+    joined_ms: Millis,
     cold: ToldCold,
     report: Option<(LoadReport, Millis)>,
     /// Requests that the report told beyond those that were known.
@@ -83,6 +85,7 @@
             entry: Arc::clone(&entry.value),
             eligibility: Eligibility::Eligible,
             revision: entry.revision,
+            joined_ms: now_ms,
             cold,
             report: None,
             others: 0.0,
@@ -126,6 +129,11 @@
         self.failed.at(now_ms) / (self.ended.at(now_ms) + 1.0)
     }
 
+    /// When it was first published, as far as this host knows.
+    pub(crate) fn joined_ms(&self) -> Millis {
+        self.joined_ms
+    }
+
     /// Whether it is cold, as far as that is known.
     pub fn warmth(&self, now_ms: Millis) -> Warmth {
         self.cold.at(now_ms)
--- a/crates/dispatch/src/upstream_set.rs
+++ b/crates/dispatch/src/upstream_set.rs
@@ -25,6 +25,14 @@
 /// answers were in time.
 const UNCONNECTED: f64 = 1.0;
 
+/// So long an upstream that joins is asked as if there were a connection: until it is warm, and some
+/// hosts have sent to it. Else those of 17 hosts that were added in calm times got nothing.
+const NEWCOMER_MS: Millis = Millis(20_000);
+
+/// What a host hears of within this time of the first is no newcomer: it has just started, or was
+/// told a part first.
+const FILLING_MS: Millis = Millis(5_000);
+
 /// Which upstreams come first when some are to be asked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reach {
@@ -41,12 +49,15 @@
     zone: ZoneName,
     known: FastMap<UpstreamId, Known>,
     services: FastMap<ServiceName, Service>,
+    /// When it was first told of any.
+    filled_ms: Option<Millis>,
 }
 
 impl UpstreamSet {
     /// None yet, seen from a host in an availability zone.
     pub fn new(host: HostId, zone: ZoneName) -> UpstreamSet {
-        UpstreamSet { host, zone, known: FastMap::default(), services: FastMap::default() }
+        let (known, services) = (FastMap::default(), FastMap::default());
+        UpstreamSet { host, zone, known, services, filled_ms: None }
     }
 
     /// Takes the published entries: new ones join, missing ones go, the rest keeps what is known.
@@ -72,6 +83,9 @@
             service.grow_curve(entry.value.slots);
             self.known.insert(id, known);
         }
+        if !self.known.is_empty() {
+            self.filled_ms.get_or_insert(now_ms);
+        }
         for service in self.services.values_mut() {
             service.subset =
                 Subset::choose(&self.host, &self.zone, &service.upstreams, &self.known);
@@ -152,6 +166,12 @@
         known.note_cold(now_ms, left_ms.or(tells.then_some(Millis::ZERO)));
     }
 
+    fn is_newcomer(&self, now_ms: Millis, known: &Known) -> bool {
+        let joined_ms = known.joined_ms();
+        let was_filled = self.filled_ms.is_some_and(|at_ms| joined_ms.since(at_ms) >= FILLING_MS);
+        was_filled && now_ms.since(joined_ms) < NEWCOMER_MS
+    }
+
     /// How many upstreams are cold, or may be.
     pub fn count_cold(&self, now_ms: Millis) -> usize {
         self.known.values().filter(|known| known.warmth(now_ms) != Warmth::Warm).count()
@@ -306,7 +326,8 @@
                 let known = self.known.get(id)?;
                 // The zone is a matter of reach here, not of cost.
                 let cost = self.weigh_from(now_ms, id, &known.entry.availability_zone)?.cost;
-                let connecting = if is_connected(id) { 0.0 } else { UNCONNECTED };
+                let is_preferred = is_connected(id) || self.is_newcomer(now_ms, known);
+                let connecting = if is_preferred { 0.0 } else { UNCONNECTED };
                 let shaken = cost * (1.0 + SHAKE * rng.random::<f64>()) + connecting;
                 let is_unwanted = self.is_other_zone(id) != (reach == Reach::Far);
                 let is_outside = !known_service.subset.contains(id);
--- a/crates/dispatch/tests/choice.rs
+++ b/crates/dispatch/tests/choice.rs
@@ -234,3 +234,29 @@
         assert_eq!(asked, [id(wanted)]);
     }
 }
+
+/// An upstream that is added is asked like those to which there are connections; one that was
+/// there when the host started is not.
+#[rstest]
+#[case::added(10_000, 11_000, true)]
+#[case::added_long_ago(10_000, 40_000, false)]
+#[case::there_from_the_start(1_000, 11_000, false)]
+fn a_newcomer_needs_no_connection(
+    #[case] joined_ms: u64,
+    #[case] now_ms: u64,
+    #[case] is_asked: bool,
+) {
+    let (old, new) = (entry("i-1", "kariakoo"), entry("i-2", "kariakoo"));
+    let mut set = support::set(std::slice::from_ref(&old));
+    set.sync(Millis(joined_ms), [old, new].iter(), &Evacuations::default());
+    let now_ms = Millis(now_ms);
+    for name in ["i-1", "i-2"] {
+        set.note_report(now_ms, (&id(name), RunStart::default()), report(0, 0, 100));
+    }
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let is_connected = |other: &UpstreamId| other.as_str() == "i-1";
+    let service = "parts".parse().unwrap();
+    let mut ask = || set.to_ask(now_ms, &service, &[], (1, Reach::Near), is_connected, &mut rng);
+    let asked = (0..50).filter(|_| ask() == [id("i-2")]).count();
+    assert_eq!(asked > 10, is_asked, "{asked} of 50");
+}
