--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -6,7 +6,7 @@
 //! are kept below what is allowed, since hosts restart and forget what they spent, and
 //! know each other late.
 
-use domain::{FastMap, Millis, PerSecond, ServiceName, Share, UpstreamId};
+use domain::{FastMap, Millis, PerSecond, ServiceName, Share, UpstreamId, Wakefulness};
 use std::collections::VecDeque;
 
 /// Part of the allowed share that is spent.
@@ -126,8 +126,7 @@
 pub struct AskBudget {
     per_second: PerSecond,
     tokens: FastMap<UpstreamId, (f64, Millis)>,
-    /// When the process was last seen awake; none while nobody says so.
-    awake_ms: Option<Millis>,
+    wakefulness: Wakefulness,
 }
 
 /// Part of the health checks that the scheduler of a service spends on each upstream.
@@ -147,13 +146,11 @@
 /// mean of a long time, and bursts are when fresh knowledge counts most.
 const ASK_SAVED_S: f64 = 30.0;
 
-/// A process that was not seen awake for so long stood still; it looks twice a second.
-const STOOD_STILL_MS: Millis = Millis(2_000);
-
 impl AskBudget {
     /// A budget of what all hosts together may ask one upstream.
     pub fn new(per_second: PerSecond) -> AskBudget {
-        AskBudget { per_second, tokens: FastMap::default(), awake_ms: None }
+        let wakefulness = Wakefulness::default();
+        AskBudget { per_second, tokens: FastMap::default(), wakefulness }
     }
 
     /// Takes another allowance into force.
@@ -164,16 +161,15 @@
     /// The process is awake. Nothing is saved up while it stands still: a fleet that wakes
     /// together would ask for all that time at once.
     pub fn note_awake(&mut self, now_ms: Millis) {
-        let still_ms = self.awake_ms.map_or(Millis::ZERO, |awake_ms| now_ms.since(awake_ms));
-        if still_ms >= STOOD_STILL_MS {
+        let still_ms = self.wakefulness.note(now_ms);
+        if still_ms > Millis::ZERO {
             self.tokens.values_mut().for_each(|(_, at_ms)| *at_ms = *at_ms + still_ms);
         }
-        self.awake_ms = Some(now_ms);
     }
 
     /// Takes one question to the upstream, if there is one left.
     pub fn take(&mut self, now_ms: Millis, upstream: &UpstreamId, sharing_hosts: f64) -> bool {
-        if self.awake_ms.is_some() {
+        if self.wakefulness.is_noted() {
             self.note_awake(now_ms);
         }
         let rate = self.per_second.0 * ASK_MARGIN / sharing_hosts.max(1.0);
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -16,6 +16,7 @@
 mod cold_placing;
 mod decision;
 mod directory;
+mod freshness;
 mod job;
 mod message;
 mod outlook;
--- a/crates/dispatch/src/scheduler/cold_placing.rs
+++ b/crates/dispatch/src/scheduler/cold_placing.rs
@@ -1,9 +1,10 @@
 //! What a scheduler may send to cold upstreams.
 
-use super::decision::cold_share;
+use super::freshness::just_told;
 use super::{Asker, Cell};
-use crate::cold::{ColdBudget, Lenders};
+use crate::cold::{ColdBudget, Lenders, spendable};
 use crate::subset::FleetShape;
+use crate::upstream::Known;
 use crate::upstream_set::UpstreamSet;
 use domain::{HostId, Millis, UpstreamId};
 
@@ -55,3 +56,13 @@
         self.lenders.share(now_ms, hosts)
     }
 }
+
+/// The part of the fleet's rate that may be spent on a cold upstream.
+pub(super) fn cold_share(known: &Known, now_ms: Millis, lent: f64) -> f64 {
+    spendable(lent, just_told(known, now_ms).is_some() && known.others() < 0.5)
+}
+
+/// The same, if it turns out to have no requests of others where that was not told just now.
+pub(super) fn hoped_share(known: &Known, now_ms: Millis, lent: f64) -> f64 {
+    spendable(lent, just_told(known, now_ms).is_none() || known.others() < 0.5)
+}
--- a/crates/dispatch/src/scheduler/decision.rs
+++ b/crates/dispatch/src/scheduler/decision.rs
@@ -6,23 +6,19 @@
 //! soon as it can't.
 
 use super::Scheduler;
+use super::cold_placing::{cold_share, hoped_share};
+use super::freshness::just_told;
 use super::job::Job;
 use super::message::RefusalCause;
 use super::outlook::Outlook;
-use crate::LoadReport;
 use crate::asking::{ASKED_AT_ONCE, AT_ONCE};
 use crate::choice::Candidate;
-use crate::cold::{ColdBudget, spendable};
-use crate::upstream::Known;
+use crate::cold::ColdBudget;
 use crate::upstream_set::UpstreamSet;
 use domain::{Millis, UpstreamId};
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 
-/// A report of this age is as good as asking: the load of upstreams shifts within 300 to
-/// 500 ms, so one in forty has changed since.
-const FRESH_MS: Millis = Millis(25);
-
 /// Time after which an upstream is asked again for requests that still wait.
 pub(super) const ASK_AGAIN_MS: Millis = Millis(25);
 
@@ -190,22 +186,6 @@
     }
 }
 
-/// The part of the fleet's rate that may be spent on a cold upstream.
-pub(super) fn cold_share(known: &Known, now_ms: Millis, lent: f64) -> f64 {
-    spendable(lent, just_told(known, now_ms).is_some() && known.others() < 0.5)
-}
-
-/// The same, if it turns out to have no requests of others where that was not told just now.
-pub(super) fn hoped_share(known: &Known, now_ms: Millis, lent: f64) -> f64 {
-    spendable(lent, just_told(known, now_ms).is_none() || known.others() < 0.5)
-}
-
-/// What an upstream told just now.
-pub(super) fn just_told(known: &Known, now_ms: Millis) -> Option<LoadReport> {
-    let report = known.report(now_ms).filter(|(_, age_ms)| *age_ms <= FRESH_MS);
-    report.map(|(report, _)| report)
-}
-
 /// Upstreams of which nothing was told just now, the best first. Where nobody has room, those
 /// that are full only by what others were said to send: old hearsay would shut them off for
 /// ever.
--- a/crates/dispatch/src/scheduler/outlook.rs
+++ b/crates/dispatch/src/scheduler/outlook.rs
@@ -1,8 +1,9 @@
 //! When a request that waits will have its place.
 
 use super::Cell;
-use super::decision::hoped_share;
+use super::cold_placing::hoped_share;
 use super::job::Job;
+use crate::cold::ColdLimit;
 use crate::load::LEAST_SLOWNESS;
 use crate::upstream_set::UpstreamSet;
 use domain::{Millis, UpstreamId};
@@ -50,10 +51,9 @@
             let best = f64::from(curve.best());
             let slowness = known.slowness(now_ms, load).max(LEAST_SLOWNESS);
             let done = best * curve.speed(best) / slowness / usual_ms?.as_f64().max(1.0);
-            let cold_limit = upstreams.cold_limit(now_ms, id);
-            let share = hoped_share(known, now_ms, lent);
-            let most = cold_limit.map(|limit| limit.rate.0 * share / 1_000.0);
-            Some(most.map_or(done, |most| done.min(most)))
+            let bears =
+                |limit: ColdLimit| limit.rate.0 * hoped_share(known, now_ms, lent) / 1_000.0;
+            Some(upstreams.cold_limit(now_ms, id).map_or(done, |limit| done.min(bears(limit))))
         };
         let done_per_ms = sound.iter().filter_map(done_per_ms).sum();
         Outlook { upstreams: sound, done_per_ms, usual_ms }
--- a/crates/dispatch/src/scheduler/placed.rs
+++ b/crates/dispatch/src/scheduler/placed.rs
@@ -1,6 +1,6 @@
 //! Requests that have their place, and beside how many others they run.
 
-use super::decision::just_told;
+use super::freshness::just_told;
 use super::job::{Job, Key};
 use crate::choice::Candidate;
 use crate::cold::Warmth;
--- a/crates/dispatch/src/upstream_set.rs
+++ b/crates/dispatch/src/upstream_set.rs
@@ -8,7 +8,7 @@
 use crate::service_load::ServiceLoad;
 use crate::subset::{FleetShape, Subset};
 use crate::upstream::Known;
-use domain::{FastMap, FastSet, HostId, Millis, ServiceName, UpstreamId, ZoneName};
+use domain::{FastMap, HostId, Millis, ServiceName, UpstreamId, ZoneName};
 use published::{Eligibility, Entry, Evacuations, RunStart, ServiceSettings, Upstream};
 use rand::RngExt;
 use rand::seq::IndexedRandom;
@@ -204,11 +204,15 @@
         self.services.get(service).map_or(&[][..], |service| &service.upstreams)
     }
 
-    /// Availability zones in which a service has upstreams that take work.
-    pub fn zones_of(&self, service: &ServiceName) -> FastSet<&ZoneName> {
+    /// Whether a service has an upstream that takes work in an availability zone.
+    pub fn takes_work_in(&self, service: &ServiceName, zone: &ZoneName) -> bool {
+        self.open_zones(service).any(|open| open == zone)
+    }
+
+    /// The availability zone of each upstream of a service that takes work.
+    fn open_zones(&self, service: &ServiceName) -> impl Iterator<Item = &ZoneName> {
         let open = self.of_service(service).iter().filter(|id| self.takes_work(id));
-        let known = open.filter_map(|id| self.known.get(id));
-        known.map(|known| &known.entry.availability_zone).collect()
+        open.filter_map(|id| self.known.get(id)).map(|known| &known.entry.availability_zone)
     }
 
     /// Another availability zone in which a service has upstreams that take work, drawn by how
@@ -219,9 +223,8 @@
         zone: &ZoneName,
         rng: &mut Pcg64Mcg,
     ) -> Option<ZoneName> {
-        let zone_of = |id: &UpstreamId| &self.known[id].entry.availability_zone;
-        let open = self.of_service(service).iter().filter(|id| self.takes_work(id));
-        let others: Vec<&ZoneName> = open.map(zone_of).filter(|other| *other != zone).collect();
+        let others: Vec<&ZoneName> =
+            self.open_zones(service).filter(|other| *other != zone).collect();
         others.choose(rng).map(|&other| other.clone())
     }
 
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -3,10 +3,12 @@
 //! Each is a newtype, so that a number of slots can't be passed for a number of
 //! connections, and each reads and prints itself. This crate knows nothing of IO.
 
+mod awake;
 mod ids;
 mod quantities;
 mod time;
 
+pub use awake::Wakefulness;
 pub use ids::{
     AttemptId, CallId, CallerId, HostId, IdError, IdempotencyKey, Incarnation, LeaseId, ProbeId,
     RequestFingerprint, ServiceName, SiteName, UpstreamId, Version, ZoneName,
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -119,7 +119,7 @@
 
     /// Whether another exchange may begin: nothing came since the last, and it isn't idle for too long.
     pub fn is_fresh(&mut self) -> bool {
-        if !self.is_reusable || self.used.elapsed() >= self.idle || !self.buffer.is_empty() {
+        if !self.is_kept() || !self.buffer.is_empty() {
             return false;
         }
         let mut byte = [0; 1];
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -190,12 +190,7 @@
                 return;
             }
         };
-        for &address in to {
-            // Lost is lost: what it says is repeated, or found missing.
-            if self.socket.try_send_to(&datagram, address).is_ok() {
-                self.host.metrics.told_peers(datagram.len());
-            }
-        }
+        self.host.placing.send_to_peers(&self.host.metrics, &datagram, to);
     }
 
     fn act_later(
--- a/crates/gateway/src/placing.rs
+++ b/crates/gateway/src/placing.rs
@@ -213,11 +213,7 @@
     };
     match codec::encode(&Datagram::Placement(message)) {
         // Lost is lost: whoever waits in vain asks upstreams by itself.
-        Ok(datagram) => {
-            if host.placing.socket.try_send_to(&datagram, address).is_ok() {
-                host.metrics.told_peers(datagram.len());
-            }
-        }
+        Ok(datagram) => host.placing.send_to_peers(&host.metrics, &datagram, &[address]),
         Err(e) => host.log.write(&LogEvent::PeerUnwritable { problem: e.to_string() }),
     }
 }
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -116,9 +116,7 @@
 
 /// An upstream ran a request to its end.
 pub fn note_answered(host: &Host, fingerprint: RequestFingerprint) {
-    let changed = host.quarantine.borrow_mut().clear(host.now_ms(), fingerprint);
-    announce(host, changed);
-    tell_fleet(host);
+    clear(host, fingerprint);
 }
 
 /// A request that an upstream crashed under got its final answer.
@@ -141,11 +139,16 @@
 
 /// An operator lifts the verdict on a request; false if there is none.
 pub fn lift(host: &Host, fingerprint: RequestFingerprint) -> bool {
+    clear(host, fingerprint)
+}
+
+/// What was held against a request is void, here and on all hosts; false if nothing was.
+fn clear(host: &Host, fingerprint: RequestFingerprint) -> bool {
     let changed = host.quarantine.borrow_mut().clear(host.now_ms(), fingerprint);
-    let is_lifted = changed.is_some();
+    let is_cleared = changed.is_some();
     announce(host, changed);
     tell_fleet(host);
-    is_lifted
+    is_cleared
 }
 
 /// What is due now and then: forgets, and offers a peer what it may have missed.
--- a/crates/published/src/lib.rs
+++ b/crates/published/src/lib.rs
@@ -2,10 +2,10 @@
 //!
 //! Three things are published: the [`Routing`] that operators write, the availability zones
 //! that they evacuate ([`Evacuations`]), and one [`Upstream`] entry for each instance that
-//! registers itself. One revision orders every change, so what is newer never has to be asked of anybody. [`Picture`] holds what is
-//! believed and keeps the rules: nothing older is ever put in force, nothing that lapsed
-//! while the source was away is dropped before it had time to come back. [`Gossip`] is a
-//! host's part in telling the fleet, [`Reader`] its part in reading.
+//! registers itself. One revision orders every change, so what is newer never has to be asked of
+//! anybody. [`Picture`] holds what is believed and keeps the rules: nothing older is ever put in
+//! force, nothing that lapsed while the source was away is dropped before it had time to come
+//! back. [`Gossip`] is a host's part in telling the fleet, [`Reader`] its part in reading.
 //!
 //! This crate knows nothing of IO, and time is handed in.
 
--- a/crates/published/src/members.rs
+++ b/crates/published/src/members.rs
@@ -10,7 +10,7 @@
 pub use telling::Listener;
 
 use decision_core::{Job, Role};
-use domain::{FastMap, HostId, Incarnation, Millis, ZoneName};
+use domain::{FastMap, HostId, Incarnation, Millis, Wakefulness, ZoneName};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -29,9 +29,6 @@
 /// A reader that was silent for so long doesn't read; twice the time between its news.
 const READER_SILENT_MS: Millis = Millis(1_500);
 
-/// A process that looked after its peers no sooner stood still; it does twice a second.
-const STOOD_STILL_MS: Millis = Millis(2_000);
-
 /// A host that said farewell serves on for some seconds, until its process ends: so long it is
 /// told what is read. Untold, each host that stopped read for itself: with that, and hosts that had
 /// begun with a sample reading once more, 397 of the 588 calls of a day in which a third of 111
@@ -92,8 +89,7 @@
     /// When a host was last heard of for the first time, or in a new run.
     changed_ms: Millis,
     told: ToldFleet,
-    /// When silent hosts were last looked for.
-    awake_ms: Option<Millis>,
+    wakefulness: Wakefulness,
 }
 
 /// Size of the fleet that another host told.
@@ -129,7 +125,7 @@
             others_in_zone: 0,
             changed_ms: Millis::ZERO,
             told: ToldFleet::default(),
-            awake_ms: None,
+            wakefulness: Wakefulness::default(),
         }
     }
 
@@ -282,11 +278,8 @@
     /// Nobody is heard while this host itself stands still. To forget them all for that would let
     /// it spend the fleet's budgets alone.
     pub fn forget(&mut self, now_ms: Millis) -> Vec<HostId> {
-        let still_ms = self.awake_ms.map_or(Millis::ZERO, |awake_ms| now_ms.since(awake_ms));
-        if still_ms >= STOOD_STILL_MS {
-            self.others.values_mut().for_each(|known| known.heard_ms = known.heard_ms + still_ms);
-        }
-        self.awake_ms = Some(now_ms);
+        let still_ms = self.wakefulness.note(now_ms);
+        self.others.values_mut().for_each(|known| known.heard_ms = known.heard_ms + still_ms);
         self.leaving.retain(|_, (_, left_ms)| now_ms.since(*left_ms) < LEAVING_MS);
         if now_ms.since(self.told.at_ms) > FLEET_TOLD_MS {
             self.told = ToldFleet::default();
--- a/crates/published/src/picture/bootstrap.rs
+++ b/crates/published/src/picture/bootstrap.rs
@@ -1,9 +1,9 @@
 //! What a host needs to serve before it holds the whole picture.
 //!
-//! The routing, the zones that are evacuated and the upstreams that it prefers fit one datagram, whatever the size of the
-//! fleet. A host of a tenth of a core behind 20 Mbit/s serves 20 ms after it is told them; for
-//! the whole picture of a thousand upstreams it needs some hundred milliseconds, and the host
-//! that tells it as long again for each host that asks.
+//! The routing, the zones that are evacuated and the upstreams that it prefers fit one datagram,
+//! whatever the size of the fleet. A host of a tenth of a core behind 20 Mbit/s serves 20 ms after
+//! it is told them; for the whole picture of a thousand upstreams it needs some hundred
+//! milliseconds, and the host that tells it as long again for each host that asks.
 
 use super::Picture;
 use crate::preference::{Preferred, preferred};
--- a/crates/published/src/reading.rs
+++ b/crates/published/src/reading.rs
@@ -80,7 +80,7 @@
     started_ms: Millis,
     start_wait_ms: Millis,
     rest_wait_ms: Millis,
-    begun: Begun,
+    has_first: bool,
     may_sample: bool,
     is_reading: bool,
     needs_whole: bool,
@@ -89,15 +89,6 @@
     hold: Option<Hold>,
 }
 
-/// How far a whole reading has come.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Begun {
-    /// Nothing has been read.
-    Nothing,
-    /// Enough to serve.
-    Enough,
-}
-
 /// A host's next try while the source is away for all.
 #[derive(Debug, Clone, Copy)]
 struct Hold {
@@ -115,7 +106,7 @@
             started_ms: now_ms,
             start_wait_ms: waits.first_ms,
             rest_wait_ms: waits.rest_ms,
-            begun: Begun::Nothing,
+            has_first: false,
             may_sample: start.may_sample(),
             is_reading: false,
             needs_whole: false,
@@ -143,7 +134,7 @@
         picture: &Picture,
         is_wanted: bool,
     ) -> ReadStep {
-        let samples = is_wanted && self.may_sample && self.begun == Begun::Nothing;
+        let samples = is_wanted && self.may_sample && !self.has_first;
         let due_ms = match picture.confirmed_ms() {
             None if samples => self.started_ms + SAMPLE_WAIT_MS,
             _ => self.due_ms(now_ms, members, picture),
@@ -155,11 +146,9 @@
         self.is_reading = true;
         self.hold = None;
         match picture.confirmed_ms() {
-            None => match self.begun {
-                Begun::Nothing if samples => ReadStep::Sample,
-                Begun::Nothing => ReadStep::First,
-                Begun::Enough => ReadStep::Whole,
-            },
+            None if samples => ReadStep::Sample,
+            None if !self.has_first => ReadStep::First,
+            None => ReadStep::Whole,
             Some(_) if self.needs_whole => ReadStep::Whole,
             // Who steps in for a silent reader tells the others at once that it has.
             Some(at_ms) if now_ms.since(at_ms) >= PATIENCE_MS => ReadStep::Changes(Millis::ZERO),
@@ -170,7 +159,7 @@
     /// The first call brought something, but not all; true if this host reads on at once.
     pub fn began(&mut self) -> bool {
         self.failures = 0;
-        self.begun = Begun::Enough;
+        self.has_first = true;
         let reads_on = self.rest_wait_ms == Millis::ZERO;
         // Who waits for the rest from a peer reads for nobody.
         self.is_reading = reads_on;
@@ -182,9 +171,7 @@
         self.failures = 0;
         self.may_sample = false;
         self.is_reading = false;
-        if is_enough {
-            self.begun = Begun::Enough;
-        }
+        self.has_first = is_enough;
     }
 
     /// A reading came back, with changes or without.
@@ -211,10 +198,7 @@
 
     fn due_ms(&mut self, now_ms: Millis, members: &Members, picture: &Picture) -> Millis {
         let Some(confirmed_ms) = picture.confirmed_ms() else {
-            let rest_ms = match self.begun {
-                Begun::Enough => self.rest_wait_ms,
-                Begun::Nothing => Millis::ZERO,
-            };
+            let rest_ms = if self.has_first { self.rest_wait_ms } else { Millis::ZERO };
             return self.started_ms + self.start_wait_ms + rest_ms;
         };
         let rank = members.reader_rank();
