Organisations are identified by their keys; upstreams get names, never keys

Cause: tenants, apiKeys, public and the authorization header were read by nothing. A request without a known key gets 401 from a host whose state was confirmed within 1.5 s, and 503 with Retry-After from one that may not know the newest keys. Upstreams get the organisation's name; names that callers claim and keys in any form are dropped. An organisation's priority goes before its route's.

--- a/crates/dispatch/src/attempts.rs
+++ b/crates/dispatch/src/attempts.rs
@@ -89,6 +89,14 @@
     NotConfigured,
     /// No route matches.
     NoRoute,
+    /// The route needs a key, and no organisation holds the one that was sent.
+    UnknownKey,
+    /// The same, but this host may not know the newest keys.
+    KeyUnconfirmed,
+    /// The organisation's quota is used up.
+    OverQuota,
+    /// It can't be confirmed in time that the organisation's quota allows the request.
+    QuotaUnconfirmed,
     /// The request is malformed.
     BadRequest,
     /// The head exceeds the size limit.
@@ -124,6 +132,9 @@
             Cause::NotConfigured | Cause::NoUpstream | Cause::UpstreamsRefused => 503,
             Cause::ZonesEvacuated | Cause::UpstreamsLimited => 503,
             Cause::Expired | Cause::Overloaded | Cause::CrashesUpstreams => 503,
+            Cause::KeyUnconfirmed | Cause::QuotaUnconfirmed => 503,
+            Cause::UnknownKey => 401,
+            Cause::OverQuota => 429,
             Cause::NoRoute => 404,
             Cause::BadRequest => 400,
             Cause::HeadTooLarge => 431,
@@ -139,6 +150,10 @@
         match self {
             Cause::NotConfigured => "not-configured",
             Cause::NoRoute => "no-route",
+            Cause::UnknownKey => "unknown-key",
+            Cause::KeyUnconfirmed => "key-unconfirmed",
+            Cause::OverQuota => "over-quota",
+            Cause::QuotaUnconfirmed => "quota-unconfirmed",
             Cause::BadRequest => "bad-request",
             Cause::HeadTooLarge => "head-too-large",
             Cause::BodyTooLarge => "body-too-large",
@@ -175,6 +190,12 @@
         Refusal { cause: Cause::UpstreamsLimited, is_not_run: true, retry_after_ms }
     }
 
+    /// For an organisation's quota that is used up, until it allows the next request.
+    pub fn over_quota(next_request_in_ms: Millis) -> Refusal {
+        let retry_after_ms = Some(next_request_in_ms);
+        Refusal { cause: Cause::OverQuota, is_not_run: true, retry_after_ms }
+    }
+
     /// For a quarantined request, until it may be tried again.
     pub fn quarantined(remaining_ms: Millis) -> Refusal {
         Refusal {
--- a/crates/domain/src/ids.rs
+++ b/crates/domain/src/ids.rs
@@ -99,6 +99,8 @@
     UpstreamId
     /// An availability zone.
     ZoneName
+    /// An organisation whose requests are served.
+    OrganisationName
     /// A site: the hosts that share one configuration overlay.
     SiteName
     /// The sender of requests, as named by the platform's load balancer in front of the hosts.
--- a/crates/domain/src/lib.rs
+++ b/crates/domain/src/lib.rs
@@ -10,8 +10,9 @@
 mod time;
 
 pub use ids::{
-    AttemptId, CallId, CallerId, HostId, IdError, IdempotencyKey, Incarnation, LeaseId, ProbeId,
-    RequestFingerprint, ServiceName, SiteName, UpstreamId, Version, ZoneName,
+    AttemptId, CallId, CallerId, HostId, IdError, IdempotencyKey, Incarnation, LeaseId,
+    OrganisationName, ProbeId, RequestFingerprint, ServiceName, SiteName, UpstreamId, Version,
+    ZoneName,
 };
 pub use quantities::{ByteCount, Connections, ParseQuantityError, PerSecond, Share, Slots};
 pub use signed_time::SignedTime;
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -32,6 +32,11 @@
     pub rate_limit: &'static str,
     /// `1` on the responses of an upstream that is leaving.
     pub leaving: &'static str,
+    /// Name of the organisation that sent the request; set by the host for upstreams, whatever the
+    /// caller sent.
+    pub organisation: &'static str,
+    /// Scheme of the `authorization` header that carries an organisation's key.
+    pub key_scheme: &'static str,
     /// Cause of a refusal, on responses that the host itself makes.
     pub cause: &'static str,
     /// Path of the readiness check.
@@ -63,6 +68,8 @@
             cold_ms: "x-upstream-cold-ms",
             rate_limit: "x-upstream-limit",
             leaving: "x-upstream-leaving",
+            organisation: "x-organisation",
+            key_scheme: "Bearer",
             cause: "x-refusal-cause",
             ready_path: "/ready",
             parse_load: parse_load_report,
--- a/crates/gateway/src/http1/head.rs
+++ b/crates/gateway/src/http1/head.rs
@@ -1,5 +1,6 @@
 //! Headers, stored as ranges of the head's bytes.
 
+use std::fmt;
 use std::ops::Range;
 
 /// Most headers in a head; bounds the work of parsing one.
@@ -19,12 +20,19 @@
 }
 
 /// The headers of a request or response.
-#[derive(Debug, Clone, Default)]
+#[derive(Clone, Default)]
 pub struct HeadFields {
     bytes: Vec<u8>,
     fields: Vec<(Range<usize>, Range<usize>)>,
 }
 
+/// Shows names only: values may be credentials.
+impl fmt::Debug for HeadFields {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_list().entries(self.iter().map(|(name, _)| name)).finish()
+    }
+}
+
 impl HeadFields {
     /// Stores a complete head and the headers that were parsed from it.
     pub fn new(bytes: &[u8], parsed: &[httparse::Header<'_>]) -> Result<HeadFields, HeadError> {
--- a/crates/gateway/src/http1/write.rs
+++ b/crates/gateway/src/http1/write.rs
@@ -21,22 +21,32 @@
     HOP_BY_HOP.iter().any(|hop| name.eq_ignore_ascii_case(hop)) || fields.lists("connection", name)
 }
 
-/// Returns the bytes of a request to an upstream. `added` headers replace those of the same name.
-pub fn write_request(head: &RequestHead, body: &[u8], added: &[(&str, &str)]) -> Vec<u8> {
+/// Changes of a request's headers on its way to an upstream.
+pub struct HeaderChanges<'a> {
+    /// Headers to add, in place of all of the same name.
+    pub added: &'a [(&'a str, &'a str)],
+    /// Whether to drop a header with this name and value.
+    pub is_dropped: &'a dyn Fn(&str, &[u8]) -> bool,
+}
+
+/// Returns the bytes of a request to an upstream.
+pub fn write_request(head: &RequestHead, body: &[u8], changes: &HeaderChanges<'_>) -> Vec<u8> {
+    let HeaderChanges { added, is_dropped } = changes;
     let mut out = Vec::with_capacity(512 + body.len());
     for part in [&head.method, " ", &head.target, " HTTP/1.1\r\n"] {
         out.extend_from_slice(part.as_bytes());
     }
     let is_replaced = |name: &str| added.iter().any(|(added, _)| name.eq_ignore_ascii_case(added));
     for (name, value) in head.fields.iter() {
-        let is_dropped = is_hop_by_hop(name, &head.fields)
+        let is_left_out = is_hop_by_hop(name, &head.fields)
             || is_replaced(name)
-            || name.eq_ignore_ascii_case("expect");
-        if !is_dropped {
+            || name.eq_ignore_ascii_case("expect")
+            || is_dropped(name, value);
+        if !is_left_out {
             write_field(&mut out, name, value);
         }
     }
-    for (name, value) in added {
+    for (name, value) in *added {
         write_field(&mut out, name, value.as_bytes());
     }
     if !body.is_empty() || !head.is_safe_method() {
@@ -106,6 +116,7 @@
         201 => "Created",
         204 => "No Content",
         400 => "Bad Request",
+        401 => "Unauthorized",
         404 => "Not Found",
         408 => "Request Timeout",
         413 => "Content Too Large",
--- a/crates/gateway/src/ingress/render.rs
+++ b/crates/gateway/src/ingress/render.rs
@@ -3,7 +3,7 @@
 use crate::host::Host;
 use crate::http1::{ResponseWriter, is_hop_by_hop};
 use crate::serve::{Reply, Request};
-use dispatch::attempts::Refusal;
+use dispatch::attempts::{Cause, Refusal};
 use rand::RngExt;
 
 /// Largest share by which `retry-after` is extended at random, so that refused callers spread out.
@@ -42,6 +42,9 @@
     if let Some(id) = id {
         writer = writer.field(host.dialect.request_id, id.as_bytes());
     }
+    if refusal.cause == Cause::UnknownKey {
+        writer = writer.field("www-authenticate", host.dialect.key_scheme.as_bytes());
+    }
     if let Some(after_ms) = refusal.retry_after_ms {
         let jitter = 1.0 + RETRY_JITTER * host.rng.borrow_mut().random::<f64>();
         let seconds = format!("{:.3}", after_ms.as_f64() * jitter / 1000.0);
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod attempt_end;
 mod attempt_guard;
+mod authentication;
 mod fingerprint;
 mod routing;
 mod selection;
@@ -15,12 +16,14 @@
 use crate::host::Host;
 use crate::http1::RequestHead;
 use crate::ingress::Caller;
+use authentication::{Credentials, authenticate};
 use dispatch::attempts::{Cause, Refusal};
 use domain::{Millis, RequestFingerprint, ServiceName};
-use published::MatchedRoute;
+use published::{MatchedRoute, Organisation};
 use routing::{next_service, wait_for_routing};
 use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
+use std::sync::Arc;
 
 /// A request that was read completely.
 #[derive(Debug)]
@@ -68,6 +71,8 @@
     progress: Rc<RequestProgress>,
     id: String,
     matched: MatchedRoute,
+    organisation: Option<Arc<Organisation>>,
+    credentials: Credentials,
     service: ServiceName,
     end_ms: Millis,
     fingerprint: OnceCell<RequestFingerprint>,
@@ -164,6 +169,7 @@
     let authority = request.head.fields.get("host").unwrap_or_default();
     let matched = table.find(authority, request.head.path());
     let matched = matched.ok_or(Refusal::not_run(Cause::NoRoute))?;
+    let organisation = authenticate(host, &table, &matched.route, &request.head)?;
     let service = next_service(host, &matched.route)?;
     let now_ms = host.now_ms();
     host.retry_budget.borrow_mut().record_request(now_ms, &service, host.host_count());
@@ -186,6 +192,8 @@
         progress: Rc::clone(progress),
         id: id.to_owned(),
         matched,
+        organisation,
+        credentials: Credentials::new(table),
         service,
         end_ms,
         fingerprint: OnceCell::new(),
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -7,7 +7,7 @@
 use crate::backpressure;
 use crate::connection::{Connection, ExchangeError, Expected, Response};
 use crate::event_log::{LogEvent, ResponseTo};
-use crate::http1::write_request;
+use crate::http1::{HeaderChanges, write_request};
 use crate::probe;
 use crate::quarantine::{self, BrokenAttempt};
 use dispatch::attempts::{AttemptResult, Cause, Refusal, ResponseSummary};
@@ -159,11 +159,18 @@
 
     fn encode(&self, upstream: &UpstreamId, now_ms: Millis) -> Vec<u8> {
         let left_ms = self.end_ms.since(now_ms).0.max(1).to_string();
-        let headers = [
-            (self.host.dialect.deadline_ms, left_ms.as_str()),
-            (self.host.dialect.expected_upstream, upstream.as_str()),
+        let dialect = &self.host.dialect;
+        let mut added = vec![
+            (dialect.deadline_ms, left_ms.as_str()),
+            (dialect.expected_upstream, upstream.as_str()),
         ];
-        write_request(&self.request.head, &self.request.body, &headers)
+        if let Some(organisation) = &self.organisation {
+            added.push((dialect.organisation, organisation.name.as_str()));
+        }
+        let is_dropped =
+            |name: &str, value: &[u8]| self.credentials.is_withheld(dialect, name, value);
+        let changes = HeaderChanges { added: &added, is_dropped: &is_dropped };
+        write_request(&self.request.head, &self.request.body, &changes)
     }
 
     async fn send(&self, attempt: Attempt) -> EndedAttempt {
--- a/crates/gateway/src/serve/selection.rs
+++ b/crates/gateway/src/serve/selection.rs
@@ -185,7 +185,9 @@
     ) -> impl FnOnce(Ticket, Cell) -> Submission {
         let now_ms = self.host.now_ms();
         let route = self.route();
-        let (priority, objective_ms) = (route.priority, route.objective_ms);
+        let objective_ms = route.objective_ms;
+        let own_priority = self.organisation.as_ref().and_then(|known| known.priority);
+        let priority = own_priority.unwrap_or(route.priority);
         let age_ms = now_ms.since(self.request.arrived_ms);
         let left_ms = self.end_ms.since(now_ms);
         let (zone, tried) = (zone.clone(), counts.tried.clone());
--- a/crates/gateway/tests/http1.rs
+++ b/crates/gateway/tests/http1.rs
@@ -2,8 +2,8 @@
 #![allow(clippy::unwrap_used)]
 
 use gateway::http1::{
-    BodyProgress, BodyReader, Framing, HeadError, RequestError, read_request, read_response,
-    write_request,
+    BodyProgress, BodyReader, Framing, HeadError, HeaderChanges, RequestError, read_request,
+    read_response, write_request,
 };
 use rstest::rstest;
 
@@ -183,7 +183,9 @@
     let text = "POST /a?b HTTP/1.1\r\nHost: x\r\nConnection: keep-alive, X-Own\r\nX-Own: 1\r\n\
                 Transfer-Encoding: chunked\r\nX-Deadline: 900\r\nExpect: 100-continue\r\nX-Any: 2\r\n\r\n";
     let head = request(text).unwrap().unwrap();
-    let out = write_request(&head, b"hello", &[("x-deadline", "700"), ("x-expected", "i-1")]);
+    let added = [("x-deadline", "700"), ("x-expected", "i-1")];
+    let changes = HeaderChanges { added: &added, is_dropped: &|_, _| false };
+    let out = write_request(&head, b"hello", &changes);
     let out = String::from_utf8(out).unwrap();
     assert_eq!(
         out,
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -45,6 +45,7 @@
         timeout_ms: Millis(1_200),
         attempts: 2,
         priority: 0,
+        is_public: false,
         split: vec![Destination { service: service(), weight: 1 }],
     };
     Routing {
@@ -62,6 +63,7 @@
             max_connections: Connections(100),
             cold_rate: None,
         }],
+        organisations: None,
     }
 }
 
@@ -123,8 +125,12 @@
 }
 
 pub async fn start(settings: Settings, published: &Published) -> Gateway {
-    let source = StandInSource::new(published);
     let log = EventLog::new(settings.host.clone(), None);
+    start_with_log(settings, published, log).await
+}
+
+pub async fn start_with_log(settings: Settings, published: &Published, log: EventLog) -> Gateway {
+    let source = StandInSource::new(published);
     Gateway::start(settings, Dialect::default(), source, NoReload, log).await.unwrap()
 }
 
--- a/crates/gateway/tests/support/upstream.rs
+++ b/crates/gateway/tests/support/upstream.rs
@@ -57,6 +57,8 @@
     pub id: String,
     pub expected: String,
     pub deadline_ms: u64,
+    pub organisations: Vec<String>,
+    pub authorizations: Vec<String>,
     pub body: String,
 }
 
@@ -321,11 +323,17 @@
                 _ => self.state.script.borrow_mut().pop_front().unwrap_or(Behaviour::Respond),
             };
             let field = |name: &str| head.fields.get(name).unwrap_or_default().to_owned();
+            let all = |name: &str| {
+                let values = head.fields.all(name);
+                values.map(|value| String::from_utf8(value.to_vec()).unwrap()).collect()
+            };
             let mut request = ReceivedRequest {
                 line: format!("{} {}", head.method, head.target),
                 id: field("x-request-id"),
                 expected: field("x-expected-upstream"),
                 deadline_ms: field("x-deadline-ms").parse().unwrap_or_default(),
+                organisations: all("x-organisation"),
+                authorizations: all("authorization"),
                 body: String::new(),
             };
             self.state.arrivals.borrow_mut().push((Instant::now(), request.id.clone()));
--- a/crates/published/src/lib.rs
+++ b/crates/published/src/lib.rs
@@ -13,6 +13,7 @@
 mod evacuation;
 mod gossip;
 mod members;
+mod organisation;
 mod patch;
 mod preference;
 mod reading;
@@ -28,6 +29,7 @@
     Origin, StateUpdate,
 };
 pub use members::{Capacity, Member, Members, Recipient};
+pub use organisation::{KeyDigest, Organisation, Quota};
 pub use patch::RoutingPatch;
 pub use preference::{PreferredCounts, preferred_upstreams};
 pub use reading::{
--- a/crates/published/src/patch.rs
+++ b/crates/published/src/patch.rs
@@ -3,8 +3,8 @@
 //! A routing of thousands of routes is published as a whole for each change, which usually concerns
 //! few of them. Hosts send each other patches instead to save traffic between availability zones.
 
-use crate::{CallerLimits, Revision, Route, Routing, ServiceSettings};
-use domain::{FastMap, Version};
+use crate::{CallerLimits, Organisation, Revision, Route, Routing, ServiceSettings};
+use domain::{FastMap, OrganisationName, Version};
 use serde::{Deserialize, Serialize};
 
 /// Turns a routing into a later one.
@@ -18,6 +18,15 @@
     services: Vec<ServiceSettings>,
     removed: Vec<RouteKey>,
     written: Vec<Route>,
+    /// Absent if callers need no key in the later routing.
+    organisations: Option<OrganisationsPatch>,
+}
+
+/// The changed organisations of a routing.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct OrganisationsPatch {
+    removed: Vec<OrganisationName>,
+    written: Vec<Organisation>,
 }
 
 /// Identifies a route by its host and name.
@@ -53,6 +62,10 @@
             services: new.services.clone(),
             removed,
             written: new.routes.iter().filter(is_changed).cloned().collect(),
+            organisations: new
+                .organisations
+                .as_ref()
+                .map(|after| OrganisationsPatch::between(organisations_of(old), after)),
         })
     }
 
@@ -70,8 +83,48 @@
             limits: self.limits,
             routes: routes.into_values().cloned().collect(),
             services: self.services.clone(),
+            organisations: self
+                .organisations
+                .as_ref()
+                .map(|patch| patch.apply(organisations_of(old))),
+        }
+    }
+}
+
+impl OrganisationsPatch {
+    fn between(old: &[Organisation], new: &[Organisation]) -> OrganisationsPatch {
+        let (before, after) = (by_name(old), by_name(new));
+        let is_changed =
+            |organisation: &&Organisation| before.get(&organisation.name) != Some(organisation);
+        OrganisationsPatch {
+            removed: before
+                .keys()
+                .filter(|name| !after.contains_key(*name))
+                .map(|name| (*name).clone())
+                .collect(),
+            written: new.iter().filter(is_changed).cloned().collect(),
         }
     }
+
+    fn apply(&self, old: &[Organisation]) -> Vec<Organisation> {
+        let mut organisations = by_name(old);
+        for name in &self.removed {
+            organisations.remove(name);
+        }
+        for organisation in &self.written {
+            organisations.insert(&organisation.name, organisation);
+        }
+        organisations.into_values().cloned().collect()
+    }
+}
+
+/// The organisations of a routing; none if callers need no key.
+fn organisations_of(routing: &Routing) -> &[Organisation] {
+    routing.organisations.as_deref().unwrap_or_default()
+}
+
+fn by_name(organisations: &[Organisation]) -> FastMap<&OrganisationName, &Organisation> {
+    organisations.iter().map(|organisation| (&organisation.name, organisation)).collect()
 }
 
 fn by_key(routing: &Routing) -> FastMap<RouteKey, &Route> {
--- a/crates/published/src/routing.rs
+++ b/crates/published/src/routing.rs
@@ -1,5 +1,6 @@
 //! Routing: which requests go to which services, and their limits.
 
+use crate::organisation::{KeyTable, Organisation};
 use domain::{ByteCount, Connections, FastMap, Millis, PerSecond, ServiceName, Version};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -15,6 +16,8 @@
     pub routes: Vec<Route>,
     /// The services that routes refer to.
     pub services: Vec<ServiceSettings>,
+    /// The organisations that are served; absent if callers need no key.
+    pub organisations: Option<Vec<Organisation>>,
 }
 
 /// Limits of a caller's requests and connections.
@@ -59,6 +62,8 @@
     pub attempts: u32,
     /// Priority under overload; 0 is the highest.
     pub priority: u32,
+    /// Whether its requests need no key, even if others do.
+    pub is_public: bool,
     /// Services that get its requests, by weight; never empty.
     pub split: Vec<Destination>,
 }
@@ -100,6 +105,7 @@
     routing: Arc<Routing>,
     hosts: FastMap<String, Vec<Arc<Route>>>,
     services: FastMap<ServiceName, ServiceSettings>,
+    keys: Option<KeyTable>,
 }
 
 impl RouteTable {
@@ -115,7 +121,8 @@
         }
         let by_name = |service: &ServiceSettings| (service.name.clone(), service.clone());
         let services = routing.services.iter().map(by_name).collect();
-        RouteTable { routing, hosts, services }
+        let keys = routing.organisations.as_deref().map(KeyTable::new);
+        RouteTable { routing, hosts, services, keys }
     }
 
     /// Finds the route of a request; the longest prefix wins.
@@ -126,6 +133,21 @@
         Some(MatchedRoute { route: Arc::clone(route), version: self.routing.version })
     }
 
+    /// Whether requests of a route need a key.
+    pub fn requires_key(&self, route: &Route) -> bool {
+        self.keys.is_some() && !route.is_public
+    }
+
+    /// Whether callers are identified by keys.
+    pub fn has_keys(&self) -> bool {
+        self.keys.is_some()
+    }
+
+    /// The organisation that holds a key.
+    pub fn organisation_of(&self, key: &[u8]) -> Option<&Arc<Organisation>> {
+        self.keys.as_ref()?.find(key)
+    }
+
     /// The settings of a service.
     pub fn service(&self, name: &ServiceName) -> Option<&ServiceSettings> {
         self.services.get(name)
--- a/crates/published/src/state/bootstrap.rs
+++ b/crates/published/src/state/bootstrap.rs
@@ -6,7 +6,7 @@
 
 use super::PublishedState;
 use crate::preference::{PreferredCounts, preferred_upstreams};
-use crate::{Eligibility, Entry, Item, Revision, Snapshot, StateChange, Upstream};
+use crate::{Eligibility, Entry, Item, Revision, Routing, Snapshot, StateChange, Upstream};
 use domain::{FastMap, HostId, Millis, ServiceName, ZoneName};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -22,6 +22,9 @@
 /// Largest number of routes in a bootstrap snapshot. A larger routing has to be fetched.
 const MAX_ROUTES: usize = 40;
 
+/// Largest number of keys of organisations in one, for the same reason: about four kilobytes.
+const MAX_KEYS: usize = 200;
+
 /// Upstreams of each service that are sent if they fit: enough to probe three and choose the best,
 /// and to use another zone when the local one has no capacity.
 const PREFERRED_COUNTS: PreferredCounts = PreferredCounts { local_zone: 5, other_zones: 3 };
@@ -62,12 +65,12 @@
         let without_items =
             BootstrapSnapshot { age_ms, revision, items: Vec::new(), is_complete: false };
         let routing = self.routing.as_ref();
-        if routing.is_some_and(|entry| entry.value.routes.len() > MAX_ROUTES) {
+        if routing.is_some_and(|entry| !fits_datagram(&entry.value)) {
             return Some(without_items);
         }
-        let fits_datagram =
+        let has_few_upstreams =
             self.upstreams.len() <= MAX_COMPLETE_UPSTREAMS && self.lapsed.is_empty();
-        let is_complete = fits_datagram && self.confirmed_ms.is_some();
+        let is_complete = has_few_upstreams && self.confirmed_ms.is_some();
         let upstreams = match is_complete {
             true => self.upstreams.values().cloned().collect(),
             false => self.upstreams_preferred_by(host, zone),
@@ -147,3 +150,9 @@
         self.routing.is_some() && self.confirmed_ms.is_none()
     }
 }
+
+fn fits_datagram(routing: &Routing) -> bool {
+    let organisations = routing.organisations.iter().flatten();
+    let keys: usize = organisations.map(|organisation| organisation.keys.len()).sum();
+    routing.routes.len() <= MAX_ROUTES && keys <= MAX_KEYS
+}
--- a/crates/published/tests/routing.rs
+++ b/crates/published/tests/routing.rs
@@ -16,6 +16,7 @@
         timeout_ms: Millis(1_200),
         attempts: 2,
         priority: 0,
+        is_public: false,
         split: vec![Destination { service: "parts".parse().unwrap(), weight: 1 }],
     }
 }
@@ -29,7 +30,8 @@
     };
     let routes =
         vec![route("a.example", "/x/"), route("a.example", "/x/y/"), route("B.example", "/")];
-    let routing = Routing { version: Version(7), limits, routes, services: Vec::new() };
+    let routing =
+        Routing { version: Version(7), limits, routes, services: Vec::new(), organisations: None };
     RouteTable::new(Arc::new(routing))
 }
 
--- a/crates/published/tests/state.rs
+++ b/crates/published/tests/state.rs
@@ -189,6 +189,7 @@
         timeout_ms: Millis(timeout_ms),
         attempts: 2,
         priority: 0,
+        is_public: false,
         split: Vec::new(),
     }
 }
--- a/crates/published/tests/support/mod.rs
+++ b/crates/published/tests/support/mod.rs
@@ -69,6 +69,7 @@
         },
         routes: Vec::new(),
         services: Vec::new(),
+        organisations: None,
     };
     Change::Written(Entry { revision: Revision(revision), value: Item::Routing(Arc::new(routing)) })
 }
