Quotas: one host owns each organisation's quota and is asked for a token with each request

Equal shares use 1 / hosts of a quota where callers are on few hosts; the scheduler doesn't see requests that find an idle upstream; counts by gossip cost hosts x organisations. Chosen: an owner by rendezvous hashing, which estimates by pings which part of the fleet it reaches and grants that part.

--- a/crates/core/src/rendezvous.rs
+++ b/crates/core/src/rendezvous.rs
@@ -23,6 +23,8 @@
     Prober = 4,
     /// Places the requests for a service.
     Scheduler = 5,
+    /// Grants the tokens of an organisation's quota.
+    QuotaOwner = 6,
 }
 
 /// A job to be given to a host.
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,7 +4,8 @@
 //! generator. [`UpstreamSet`] holds the state of all upstreams; [`scheduler`] places the requests
 //! of many hosts from one queue; [`quarantine`] holds back requests that crash upstreams;
 //! [`backpressure`] tracks what upstreams state about their load; [`attempts`] has the rules of
-//! retrying; [`budget`] limits this host's part of what the fleet may spend on retries and probes.
+//! retrying; [`quota`] keeps organisations within their quotas;
+//! [`budget`] limits this host's part of what the fleet may spend on retries and probes.
 
 pub mod attempts;
 pub mod backpressure;
@@ -18,6 +19,7 @@
 mod load;
 mod probing;
 pub mod quarantine;
+pub mod quota;
 pub mod scheduler;
 mod service;
 mod service_load;
--- a/crates/gateway/src/event_log/event.rs
+++ b/crates/gateway/src/event_log/event.rs
@@ -8,7 +8,8 @@
 use dispatch::scheduler::{Cell, Ticket};
 use dispatch::{AttemptFailure, ProbeFailure, Verdict, Warmth};
 use domain::{
-    HostId, Incarnation, Millis, RequestFingerprint, ServiceName, UpstreamId, Version, ZoneName,
+    HostId, Incarnation, Millis, OrganisationName, PerSecond, RequestFingerprint, ServiceName,
+    UpstreamId, Version, ZoneName,
 };
 use published::{Revision, StateChange};
 use serde::Serialize;
@@ -85,11 +86,25 @@
     Routed {
         id: &'a str,
         route: &'a str,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        organisation: Option<&'a OrganisationName>,
         service: &'a ServiceName,
         routing: Version,
         left_ms: Millis,
         picture_age_ms: Option<Millis>,
     },
+    /// An organisation's quota did not allow a request: it is used up, or that can't be confirmed.
+    QuotaRefused {
+        id: &'a str,
+        organisation: &'a OrganisationName,
+        rate_per_s: PerSecond,
+        burst: u32,
+        /// The host that decided; none if this one did, by its standing share or by what it was
+        /// told shortly before.
+        owner: Option<&'a HostId>,
+        waited_ms: Millis,
+        next_in_ms: Option<Millis>,
+    },
     /// An upstream was chosen for a request.
     Chosen {
         id: &'a str,
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -10,6 +10,7 @@
 use crate::metrics::Metrics;
 use crate::placement::PlacementState;
 use crate::pool::{Pool, PoolLimit};
+use crate::quota::QuotaState;
 use crate::settings::Settings;
 use crate::unread_headers::UnreadHeaderLog;
 use clock::Clock;
@@ -61,6 +62,8 @@
     pub rate_limiter: RefCell<LocalRateLimiter>,
     /// This host's part in scheduling requests.
     pub placement: PlacementState,
+    /// The quotas that this host owns, and what it knows of those of others.
+    pub quotas: QuotaState,
     /// The state of routes that split their requests between services.
     pub split_table: RefCell<SplitTable>,
     /// Idle connections to upstreams.
@@ -136,6 +139,7 @@
                 ProbeBudget::new(scheduler_probes(&settings)),
                 seed,
             ),
+            quotas: QuotaState::new(settings.host.clone(), seed),
             split_table: RefCell::default(),
             pool: RefCell::default(),
             quarantine: RefCell::default(),
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod pool;
 pub mod probe;
 pub mod quarantine;
+pub mod quota;
 pub mod run;
 pub mod serve;
 pub mod settings;
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -6,6 +6,7 @@
 use crate::quarantine;
 use dispatch::Warmth;
 use dispatch::quarantine::SuspectDump;
+use dispatch::quota::QuotaDump;
 use domain::{Millis, PerSecond, RequestFingerprint, ZoneName};
 use published::{Eligibility, Entry, PublishedState, Revision, Upstream};
 use serde::Serialize;
@@ -38,6 +39,10 @@
 struct StateDump {
     host: String,
     is_ready: bool,
+    /// Buckets of the quotas that this host owns.
+    quotas: Vec<QuotaDump>,
+    /// Part of the fleet that it reaches, as the owner of a quota.
+    quota_reach: f64,
     /// Whether only some upstreams are known yet.
     is_partial: bool,
     is_stopping: bool,
@@ -218,6 +223,8 @@
     };
     let dump = StateDump {
         host: host.settings.borrow().host.to_string(),
+        quotas: host.quotas.dump(now_ms),
+        quota_reach: host.quotas.reach(host.host_count()),
         is_ready: host.is_ready(),
         is_partial: host.is_partial(),
         is_stopping: host.is_stopping(),
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -14,6 +14,7 @@
 use crate::host::{ACCEPT_PAUSE, Host, to_duration};
 use crate::placement;
 use crate::quarantine;
+use crate::quota;
 use codec::{CodecError, Datagram};
 use dispatch::scheduler::Requester;
 use domain::Millis;
@@ -153,6 +154,7 @@
                     self.run_gossip(|gossip| gossip.acknowledge_relay(from));
                 }
             }
+            Ok(Datagram::Quota(message)) => quota::handle_message(&self.host, message, from),
             Ok(Datagram::Placement(message)) => {
                 placement::handle_message(&self.host, message, Requester::Peer(from));
             }
@@ -176,7 +178,10 @@
                 self.host.log.write(&LogEvent::Fetched { peer, revision, is_whole: is_full });
             }
             Effect::PeersDiscovered(peers) => {
-                peers.iter().for_each(|peer| self.host.placement.mark_responsive(peer));
+                for peer in &peers {
+                    self.host.placement.mark_responsive(peer);
+                    self.host.quotas.mark_responsive(peer);
+                }
                 let (count, first) = (peers.len(), peers.first());
                 quarantine::catch_up_after_start(&self.host);
                 backpressure::catch_up_after_start(&self.host);
--- a/crates/gateway/src/peers/codec.rs
+++ b/crates/gateway/src/peers/codec.rs
@@ -6,6 +6,7 @@
 
 use dispatch::backpressure::BackpressureMessage;
 use dispatch::quarantine::QuarantineMessage;
+use dispatch::quota::QuotaMessage;
 use dispatch::scheduler::PlacementMessage;
 use published::Message;
 use serde::de::DeserializeOwned;
@@ -26,6 +27,8 @@
     Quarantine(QuarantineMessage),
     /// Rate limits and backoffs that upstreams state.
     Backpressure(BackpressureMessage),
+    /// Quotas of organisations.
+    Quota(QuotaMessage),
 }
 
 /// Why a peer's message can't be decoded.
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -14,6 +14,7 @@
 use crate::peers::Peers;
 use crate::placement;
 use crate::quarantine;
+use crate::quota;
 use crate::settings::Settings;
 use crate::source::Source;
 use crate::source_reader::SourceReader;
@@ -197,6 +198,7 @@
         spawn_local(Rc::clone(&peers).send_hello());
         spawn_local(source_reader.run());
         spawn_local(placement::run(Rc::clone(&host)));
+        spawn_local(quota::run(Rc::clone(&host)));
         spawn_local(maintain(Rc::clone(&host), Rc::clone(&peers), reload, hangup));
         let flushing = Rc::clone(&host);
         spawn_local(async move { flushing.log.run().await });
@@ -275,6 +277,7 @@
         placement::reschedule(&host);
         quarantine::run_maintenance(&host);
         backpressure::run_maintenance(&host);
+        quota::run_maintenance(&host);
         host.prune_connections();
     }
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -16,10 +16,11 @@
 use crate::host::Host;
 use crate::http1::RequestHead;
 use crate::ingress::Caller;
+use crate::quota;
 use authentication::{Credentials, authenticate};
 use dispatch::attempts::{Cause, Refusal};
 use domain::{Millis, RequestFingerprint, ServiceName};
-use published::{MatchedRoute, Organisation};
+use published::{MatchedRoute, Organisation, RouteTable};
 use routing::{next_service, wait_for_routing};
 use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
@@ -120,10 +121,10 @@
         is_answered: false,
     };
     wait_for_routing(&host, &request).await;
-    let (route, outcome) = match route(&host, &caller, &request, &progress, &id) {
-        Ok(routed) => {
-            let name = routed.matched.route.name.clone();
-            (name, routed.run().await)
+    let (route, outcome) = match find_route(&host, &request) {
+        Ok(found) => {
+            let name = found.matched.route.name.clone();
+            (name, serve_found(&host, &caller, &request, &progress, &id, found).await)
         }
         Err(refusal) => (String::new(), Err(refusal)),
     };
@@ -156,20 +157,57 @@
     });
 }
 
-/// Chooses the route and the service of a request, and computes its deadline.
+/// A request's route, and the organisation that sent it.
+struct FoundRoute {
+    table: Rc<RouteTable>,
+    matched: MatchedRoute,
+    organisation: Option<Arc<Organisation>>,
+}
+
+fn find_route(host: &Host, request: &Request) -> Result<FoundRoute, Refusal> {
+    let table = host.table.borrow().clone();
+    let table = table.ok_or(Refusal::not_run(Cause::NotConfigured))?;
+    let authority = request.head.fields.get("host").unwrap_or_default();
+    let matched = table.find(authority, request.head.path());
+    let matched = matched.ok_or(Refusal::not_run(Cause::NoRoute))?;
+    let organisation = authenticate(host, &table, &matched.route, &request.head)?;
+    Ok(FoundRoute { table, matched, organisation })
+}
+
+/// Serves a request if its organisation's quota allows it.
+async fn serve_found(
+    host: &Rc<Host>,
+    caller: &Rc<Caller>,
+    request: &Rc<Request>,
+    progress: &Rc<RequestProgress>,
+    id: &str,
+    found: FoundRoute,
+) -> Result<Reply, Refusal> {
+    let organisation = found.organisation.clone();
+    if let Some(organisation) = &organisation {
+        quota::admit(host, organisation, id).await?;
+    }
+    let outcome = match route(host, caller, request, progress, id, found) {
+        Ok(routed) => routed.run().await,
+        Err(refusal) => Err(refusal),
+    };
+    let is_unsent = outcome.is_err() && progress.attempts.get() == 0;
+    if let Some(organisation) = organisation.filter(|_| is_unsent) {
+        host.quotas.return_token(host.now_ms(), &organisation);
+    }
+    outcome
+}
+
+/// Chooses the service of a request, and computes its deadline.
 fn route(
     host: &Rc<Host>,
     caller: &Rc<Caller>,
     request: &Rc<Request>,
     progress: &Rc<RequestProgress>,
     id: &str,
+    found: FoundRoute,
 ) -> Result<RoutedRequest, Refusal> {
-    let table = host.table.borrow().clone();
-    let table = table.ok_or(Refusal::not_run(Cause::NotConfigured))?;
-    let authority = request.head.fields.get("host").unwrap_or_default();
-    let matched = table.find(authority, request.head.path());
-    let matched = matched.ok_or(Refusal::not_run(Cause::NoRoute))?;
-    let organisation = authenticate(host, &table, &matched.route, &request.head)?;
+    let FoundRoute { table, matched, organisation } = found;
     let service = next_service(host, &matched.route)?;
     let now_ms = host.now_ms();
     host.retry_budget.borrow_mut().record_request(now_ms, &service, host.host_count());
@@ -180,6 +218,7 @@
     host.log.write(&LogEvent::Routed {
         id,
         route: &matched.route.name,
+        organisation: organisation.as_ref().map(|organisation| &organisation.name),
         service: &service,
         routing: matched.version,
         left_ms: end_ms.since(now_ms),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,6 +1,7 @@
 //! Settings of a host, read at its start and at each reload.
 
 use dispatch::budget::FleetRetryLimits;
+use dispatch::quota::QuotaTolerance;
 use domain::{HostId, Millis, PerSecond, ZoneName};
 use published::Capacity;
 use std::net::{IpAddr, SocketAddr};
@@ -48,6 +49,8 @@
     pub retries: FleetRetryLimits,
     /// Rate of probes that one upstream gets from all hosts together.
     pub probes: PerSecond,
+    /// By how much the fleet may exceed the quotas of organisations.
+    pub quotas: QuotaTolerance,
     /// Time between the signal to stop and the kill of the process.
     pub stop_ms: Millis,
 }
--- a/crates/gateway/tests/docs.rs
+++ b/crates/gateway/tests/docs.rs
@@ -52,6 +52,10 @@
     #[values(
         Cause::NotConfigured,
         Cause::NoRoute,
+        Cause::UnknownKey,
+        Cause::KeyUnconfirmed,
+        Cause::OverQuota,
+        Cause::QuotaUnconfirmed,
         Cause::NoUpstream,
         Cause::ZonesEvacuated,
         Cause::UpstreamsLimited,
--- a/crates/gateway/tests/logs.rs
+++ b/crates/gateway/tests/logs.rs
@@ -28,6 +28,7 @@
     LogEvent::Routed {
         id: "id-1",
         route: "r",
+        organisation: None,
         service,
         routing: domain::Version(1),
         left_ms: Millis(100),
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -6,6 +6,7 @@
 pub mod upstream;
 
 use dispatch::budget::FleetRetryLimits;
+use dispatch::quota::QuotaTolerance;
 use domain::{ByteCount, Connections, Millis, PerSecond, ServiceName, Share, Slots, Version};
 use gateway::dialect::Dialect;
 use gateway::event_log::EventLog;
@@ -118,6 +119,7 @@
                 slack: 400.0,
                 window_ms: Millis(10_000),
             },
+            quotas: QuotaTolerance { over: Share(0.25), slack: 20.0, window_ms: Millis(5_000) },
             probes: PerSecond(10_000.0),
             stop_ms: Millis(6_000),
         },
--- a/crates/published/src/organisation.rs
+++ b/crates/published/src/organisation.rs
@@ -64,16 +64,22 @@
 #[derive(Debug, Default)]
 pub(crate) struct KeyTable {
     by_digest: FastMap<KeyDigest, Arc<Organisation>>,
+    by_name: FastMap<OrganisationName, Arc<Organisation>>,
 }
 
 impl KeyTable {
     pub(crate) fn new(organisations: &[Organisation]) -> KeyTable {
-        let mut by_digest = FastMap::default();
+        let (mut by_digest, mut by_name) = (FastMap::default(), FastMap::default());
         for organisation in organisations {
             let shared = Arc::new(organisation.clone());
             by_digest.extend(organisation.keys.iter().map(|key| (*key, Arc::clone(&shared))));
+            by_name.insert(organisation.name.clone(), shared);
         }
-        KeyTable { by_digest }
+        KeyTable { by_digest, by_name }
+    }
+
+    pub(crate) fn get(&self, name: &OrganisationName) -> Option<&Arc<Organisation>> {
+        self.by_name.get(name)
     }
 
     /// The organisation that holds a key. The final comparison takes the same time for all keys.
--- a/crates/published/src/routing.rs
+++ b/crates/published/src/routing.rs
@@ -1,7 +1,9 @@
 //! Routing: which requests go to which services, and their limits.
 
 use crate::organisation::{KeyTable, Organisation};
-use domain::{ByteCount, Connections, FastMap, Millis, PerSecond, ServiceName, Version};
+use domain::{
+    ByteCount, Connections, FastMap, Millis, OrganisationName, PerSecond, ServiceName, Version,
+};
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
 
@@ -143,6 +145,11 @@
         self.keys.is_some()
     }
 
+    /// The organisation with a name.
+    pub fn organisation(&self, name: &OrganisationName) -> Option<&Arc<Organisation>> {
+        self.keys.as_ref()?.get(name)
+    }
+
     /// The organisation that holds a key.
     pub fn organisation_of(&self, key: &[u8]) -> Option<&Arc<Organisation>> {
         self.keys.as_ref()?.find(key)
