A scheduler doesn't record what its own host received a second time

Cause: the host that receives the statement records it and is to broadcast it; if its own scheduler placed the request, the outcome is recorded again as another host's statement. A millisecond later that counts as newer, and drops the pending broadcast. Change: the scheduler records outcomes of other hosts only. Test first: dispatch scheduler a_statement_is_broadcast_by_the_host_that_received_it, failed 1 and 5 ms later for the own host, passes now.

--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -144,12 +144,11 @@
             upstreams.record_report(now_ms, (&placed.upstream, placed.run), report);
         }
         let at = (&placed.upstream, placed.run);
-        upstreams.record_forwarded_backpressure(
-            now_ms,
-            at,
-            outcome.response_kind(),
-            outcome.backpressure,
-        );
+        // What its own host received is recorded there already, and waits to be broadcast.
+        if key.requester != Requester::OwnHost {
+            let kind = outcome.response_kind();
+            upstreams.record_forwarded_backpressure(now_ms, at, kind, outcome.backpressure);
+        }
         let Some(state) = upstreams.get_run_mut(&placed.upstream, placed.run) else { return };
         state.record_ended(now_ms, outcome.failure);
         let reports_load = state.report(now_ms).is_some();
--- a/crates/dispatch/tests/scheduler.rs
+++ b/crates/dispatch/tests/scheduler.rs
@@ -3,13 +3,13 @@
 
 mod support;
 
-use dispatch::backpressure::Backpressure;
+use dispatch::backpressure::{Backpressure, ResponseKind};
 use dispatch::scheduler::{
     Cell, Effect, Outcome, PlacementMessage, RefusalCause, Requester, SchedulerSet, Submission,
     Ticket, Withdrawal,
 };
 use dispatch::{AttemptFailure, LoadReport, ProbeFailure, UpstreamSet};
-use domain::{Millis, UpstreamId};
+use domain::{Millis, PerSecond, UpstreamId};
 use published::{Entry, Evacuations, Revision, RunStart};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -58,7 +58,10 @@
     }
 
     fn handle(&mut self, message: PlacementMessage) -> Vec<Effect> {
-        let requester = Requester::Peer("127.0.0.1:7000".parse().unwrap());
+        self.handle_from(Requester::Peer("127.0.0.1:7000".parse().unwrap()), message)
+    }
+
+    fn handle_from(&mut self, requester: Requester, message: PlacementMessage) -> Vec<Effect> {
         self.schedulers.handle_message(
             self.now_ms,
             message,
@@ -492,3 +495,33 @@
     let (ticket, effects) = submit(&mut harness);
     assert!(matches!(request_state(&effects, ticket), RequestState::Placed(_)), "{effects:?}");
 }
+
+/// A host records what an upstream states, and its own scheduler, a millisecond later, takes that for
+/// a newer statement to another host: peers never receive it.
+#[rstest]
+#[case::own_host(Requester::OwnHost, true)]
+#[case::peer_that_broadcasts_it_itself(Requester::Peer("127.0.0.1:7000".parse().unwrap()), false)]
+fn a_statement_is_broadcast_by_the_host_that_received_it(
+    #[case] requester: Requester,
+    #[case] is_pending: bool,
+    #[values(0, 1, 5)] later_ms: u64,
+) {
+    let mut harness = Harness::new(&["i-1"]);
+    harness.report("i-1", report(0, 0, 100));
+    let submission = harness.submission(&[]);
+    let ticket = submission.ticket;
+    harness.handle_from(requester, PlacementMessage::Submit(submission));
+    let stated = Backpressure { rate_limit: Some(PerSecond(7.0)), ..Backpressure::default() };
+    let (upstream, run) = (id("i-1"), RunStart::default());
+    if requester == Requester::OwnHost {
+        let at = (&upstream, run);
+        harness.upstreams.record_backpressure(harness.now_ms, at, ResponseKind::Served, stated);
+    }
+    harness.advance(later_ms);
+    let outcome =
+        Outcome { failure: None, took_ms: Millis(100), report: None, backpressure: stated };
+    harness.handle_from(requester, PlacementMessage::Ended { ticket, outcome });
+    assert_eq!(harness.upstreams.backpressure().has_pending(), is_pending);
+    let limit = harness.upstreams.fleet_rate(harness.now_ms, &upstream);
+    assert_eq!(limit.map(|limit| limit.rate), Some(PerSecond(7.0)));
+}
