The hosts of the greatest capacity read the source and relay

Change: capacity goes before the hash in the weight of a reader; of the two relays of each other zone one is chosen so, the other by hash. Capacity is that of the present run. Tests first: published members, 20, 600 and 3,000 hosts.

--- a/crates/gateway/src/serve/selection.rs
+++ b/crates/gateway/src/serve/selection.rs
@@ -15,6 +15,7 @@
 use dispatch::scheduler::{Cell, Placement, RefusalCause, Submission, Ticket};
 use dispatch::{DeadlineCheck, LatencyEstimate, Verdict};
 use domain::{Millis, UpstreamId, ZoneName};
+use published::Organisation;
 
 /// If selecting and connecting took longer than this, the caller's connection is checked again.
 const STALE_SELECTION_MS: Millis = Millis(40);
@@ -186,8 +187,7 @@
         let now_ms = self.host.now_ms();
         let route = self.route();
         let objective_ms = route.objective_ms;
-        let own_priority = self.organisation.as_ref().and_then(|known| known.priority);
-        let priority = own_priority.unwrap_or(route.priority);
+        let priority = Organisation::priority_of(self.organisation.as_deref(), route.priority);
         let age_ms = now_ms.since(self.request.arrived_ms);
         let left_ms = self.end_ms.since(now_ms);
         let (zone, tried) = (zone.clone(), counts.tried.clone());
--- a/crates/published/src/members.rs
+++ b/crates/published/src/members.rs
@@ -66,7 +66,7 @@
     /// Includes the host's id, since machines that are powered on together start in the same
     /// microsecond and would otherwise draw the same pauses and the same upstreams.
     pub fn seed(&self) -> u64 {
-        reader_weight(self) ^ self.incarnation.0.wrapping_mul(SPREAD_BITS)
+        drawn_weight(self) ^ self.incarnation.0.wrapping_mul(SPREAD_BITS)
     }
 }
 
@@ -77,8 +77,8 @@
 #[derive(Debug)]
 pub struct Members {
     own: Member,
-    /// Rendezvous weight of this host as reader; the host with the greatest weight reads.
-    own_weight: u64,
+    /// Weight of this host as reader; the host with the greatest weight reads.
+    own_weight: ReaderWeight,
     others: FastMap<HostId, Peer>,
     /// Hosts that announced their exit, and when. They only still get updates.
     leaving: FastMap<HostId, (Member, Millis)>,
@@ -100,8 +100,8 @@
 #[derive(Debug)]
 struct Peer {
     member: Member,
-    /// Rendezvous weight of the host as reader.
-    weight: u64,
+    /// Weight of the host as reader.
+    weight: ReaderWeight,
     last_heard_ms: Millis,
     read_ms: Option<Millis>,
     /// When it last reported a failed read.
@@ -113,7 +113,7 @@
 impl Members {
     /// A table with this host only.
     pub fn new(own: Member) -> Members {
-        let (own_weight, digest) = (reader_weight(&own), own.seed());
+        let (own_weight, digest) = (ReaderWeight::of(&own), own.seed());
         Members {
             own,
             own_weight,
@@ -188,10 +188,12 @@
         self.leaving.remove(&member.host);
         let former = self.remove(&member.host);
         let peer = match former {
-            Some(peer) => Peer { last_heard_ms: now_ms, member, ..peer },
+            Some(peer) => {
+                Peer { last_heard_ms: now_ms, weight: ReaderWeight::of(&member), member, ..peer }
+            }
             None => Peer {
                 last_heard_ms: now_ms,
-                weight: reader_weight(&member),
+                weight: ReaderWeight::of(&member),
                 read_ms: None,
                 failed_ms: None,
                 relay_asked_ms: None,
@@ -323,6 +325,24 @@
     }
 }
 
-fn reader_weight(member: &Member) -> u64 {
+/// How much a host is wanted as reader and as relay.
+///
+/// A reader sends each update to all hosts of its zone, and a relay does the same: work that grows
+/// with the fleet, and that leaves a small host no room to read. So capacity goes first, and
+/// rendezvous hashing decides among equals.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct ReaderWeight {
+    capacity: Capacity,
+    /// By rendezvous hashing.
+    drawn: u64,
+}
+
+impl ReaderWeight {
+    fn of(member: &Member) -> ReaderWeight {
+        ReaderWeight { capacity: member.capacity, drawn: drawn_weight(member) }
+    }
+}
+
+fn drawn_weight(member: &Member) -> u64 {
     Job { role: Role::ConfigWatcher, name: "published" }.weight(&member.host)
 }
--- a/crates/published/src/members/recipients.rs
+++ b/crates/published/src/members/recipients.rs
@@ -62,6 +62,8 @@
         return hosts.iter().map(|peer| peer.recipient(false)).collect();
     }
     hosts.sort_by_key(|peer| (peer.is_unresponsive(now_ms), Reverse(peer.weight)));
+    // The others by hash alone: the hosts of great capacity may all have just started.
+    hosts[1..].sort_by_key(|peer| (peer.is_unresponsive(now_ms), Reverse(peer.weight.drawn)));
     let ask_to_relay = |peer: &mut Peer| {
         peer.relay_asked_ms.get_or_insert(now_ms);
         peer.recipient(true)
--- a/crates/published/src/organisation.rs
+++ b/crates/published/src/organisation.rs
@@ -51,6 +51,13 @@
     pub quota: Option<Quota>,
 }
 
+impl Organisation {
+    /// Priority of a request on a route with this priority, if `sender` sent it; 0 is the highest.
+    pub fn priority_of(sender: Option<&Organisation>, route_priority: u32) -> u32 {
+        sender.and_then(|sender| sender.priority).unwrap_or(route_priority)
+    }
+}
+
 /// A limit on an organisation's requests, over all hosts together.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Quota {
--- a/crates/published/tests/members.rs
+++ b/crates/published/tests/members.rs
@@ -247,3 +247,54 @@
 fn local_zone_peers_are_the_other_hosts_of_the_own_zone() {
     assert_eq!(reader(&[("a", 3), ("b", 4)]).local_zone_peers().len(), 3);
 }
+
+/// A small host reads for the whole fleet: it sends each update to a hundred others, its own reads time
+/// out meanwhile, and many others read in its place.
+#[rstest]
+fn hosts_of_the_greatest_capacity_read_and_relay(#[values(20, 600, 3_000)] hosts: usize) {
+    const ZONES: [&str; 5] = ["kariakoo", "msasani", "temeke", "mikocheni", "ubungo"];
+    let is_large = |number: usize| number.is_multiple_of(30);
+    let at = |number: usize| Member {
+        availability_zone: ZONES[(number / 30 + number) % ZONES.len()].parse().unwrap(),
+        address: format!("10.{}.{}.1:7001", number / 250, number % 250).parse().unwrap(),
+        capacity: match is_large(number) {
+            true => Capacity { link_mbps: 200, cpu_percent: 50 },
+            false => Capacity { link_mbps: 20, cpu_percent: 10 },
+        },
+        ..member(&format!("front-{number}"), 1)
+    };
+    let table_of = |own: usize| {
+        let mut members = Members::new(at(own));
+        for number in (0..hosts).filter(|number| *number != own) {
+            members.record(Millis(1), at(number));
+        }
+        members
+    };
+    let large = (0..hosts).filter(|number| is_large(*number)).count();
+    for number in [0, 1, 7, 15].into_iter().filter(|number| *number < hosts) {
+        assert_eq!(table_of(number).reader_rank() < large, is_large(number), "{number}");
+    }
+    let recipients = table_of(0).recipients(Millis(2));
+    let is_large_at = |address| (0..hosts).any(|n| is_large(n) && at(n).address == address);
+    let relays = recipients.iter().filter(|recipient| recipient.should_relay);
+    let large_relays = relays.clone().filter(|relay| is_large_at(relay.address)).count();
+    // Two in each other zone, one of them large if the zone has any.
+    let zones = ZONES.len() - 1;
+    assert_eq!(relays.count(), 2 * zones);
+    assert_eq!(large_relays >= zones, hosts >= 600, "{large_relays}");
+}
+
+/// A host that returns with another capacity keeps its former place among readers.
+#[test]
+fn a_new_run_has_the_weight_of_its_capacity() {
+    let mut members = Members::new(member("a", 1));
+    let large = Capacity { link_mbps: 200, cpu_percent: 50 };
+    members.record(Millis(1), Member { capacity: large, ..member("b", 1) });
+    assert_eq!(members.reader_rank(), 1);
+    let own = Member { capacity: Capacity { link_mbps: 20, cpu_percent: 10 }, ..member("a", 1) };
+    let mut members = Members::new(own);
+    members.record(Millis(1), Member { capacity: large, ..member("b", 1) });
+    assert_eq!(members.reader_rank(), 1);
+    members.record(Millis(2), member("b", 2));
+    assert_eq!(members.reader_rank(), 0);
+}
--- a/crates/published/tests/organisations.rs
+++ b/crates/published/tests/organisations.rs
@@ -80,3 +80,17 @@
 fn a_digest_is_not_shown() {
     assert_eq!(format!("{:?}", KeyDigest::of(b"k")), "KeyDigest(..)");
 }
+
+/// Requests of an urgent organisation wait behind those of their route's priority.
+#[rstest]
+#[case::nobody_known(None, 2)]
+#[case::organisation_without_a_priority(Some(None), 2)]
+#[case::urgent_organisation(Some(Some(0)), 0)]
+#[case::patient_organisation(Some(Some(5)), 5)]
+fn an_organisations_priority_goes_before_its_routes(
+    #[case] sender: Option<Option<u32>>,
+    #[case] expected: u32,
+) {
+    let sender = sender.map(|priority| Organisation { priority, ..a() });
+    assert_eq!(Organisation::priority_of(sender.as_ref(), 2), expected);
+}
