--- a/crates/gateway/src/event_log/event.rs
+++ b/crates/gateway/src/event_log/event.rs
@@ -99,8 +99,8 @@
         organisation: &'a OrganisationName,
         rate_per_s: PerSecond,
         burst: u32,
-        /// The host that decided; none if this one did, by its standing share or by what it was
-        /// told shortly before.
+        /// The host that decided; none if this one did, by its standing share or by a refusal that
+        /// it received shortly before.
         owner: Option<&'a HostId>,
         waited_ms: Millis,
         next_in_ms: Option<Millis>,
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -318,6 +318,6 @@
 }
 
 fn send(host: &Host, message: QuotaMessage, to: SocketAddr) {
-    // Not repeated: who asks in vain asks another host.
+    // Not retried: a host that gets no answer asks another one.
     fleet_message::send(host, &Datagram::Quota(message), &[to]);
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -124,7 +124,14 @@
     let (route, outcome) = match find_route(&host, &request) {
         Ok(found) => {
             let name = found.matched.route.name.clone();
-            (name, serve_found(&host, &caller, &request, &progress, &id, found).await)
+            let arrived = Arrived {
+                host: &host,
+                caller: &caller,
+                request: &request,
+                progress: &progress,
+                id: &id,
+            };
+            (name, serve_found(arrived, found).await)
         }
         Err(refusal) => (String::new(), Err(refusal)),
     };
@@ -174,20 +181,24 @@
     Ok(FoundRoute { table, matched, organisation })
 }
 
+/// A request that has arrived, with what its task shares with others.
+#[derive(Clone, Copy)]
+struct Arrived<'a> {
+    host: &'a Rc<Host>,
+    caller: &'a Rc<Caller>,
+    request: &'a Rc<Request>,
+    progress: &'a Rc<RequestProgress>,
+    id: &'a str,
+}
+
 /// Serves a request if its organisation's quota allows it.
-async fn serve_found(
-    host: &Rc<Host>,
-    caller: &Rc<Caller>,
-    request: &Rc<Request>,
-    progress: &Rc<RequestProgress>,
-    id: &str,
-    found: FoundRoute,
-) -> Result<Reply, Refusal> {
+async fn serve_found(arrived: Arrived<'_>, found: FoundRoute) -> Result<Reply, Refusal> {
+    let Arrived { host, progress, id, .. } = arrived;
     let organisation = found.organisation.clone();
     if let Some(organisation) = &organisation {
         quota::admit(host, organisation, id).await?;
     }
-    let outcome = match route(host, caller, request, progress, id, found) {
+    let outcome = match route(arrived, found) {
         Ok(routed) => routed.run().await,
         Err(refusal) => Err(refusal),
     };
@@ -199,14 +210,8 @@
 }
 
 /// Chooses the service of a request, and computes its deadline.
-fn route(
-    host: &Rc<Host>,
-    caller: &Rc<Caller>,
-    request: &Rc<Request>,
-    progress: &Rc<RequestProgress>,
-    id: &str,
-    found: FoundRoute,
-) -> Result<RoutedRequest, Refusal> {
+fn route(arrived: Arrived<'_>, found: FoundRoute) -> Result<RoutedRequest, Refusal> {
+    let Arrived { host, caller, request, progress, id } = arrived;
     let FoundRoute { table, matched, organisation } = found;
     let service = next_service(host, &matched.route)?;
     let now_ms = host.now_ms();
