--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -156,8 +156,10 @@
         let verdict = match is_own {
             true => Some(decide(host, &organisation.name)),
             // The second is given time to ask the first itself.
-            false if asked.is_empty() => ask(host, &owner, organisation, ANSWER_TIMEOUT).await,
-            false => ask(host, &owner, organisation, ANSWER_TIMEOUT + RELAY_TIMEOUT).await,
+            false => {
+                let relay = if asked.is_empty() { Duration::ZERO } else { RELAY_TIMEOUT };
+                ask(host, &owner, &organisation.name, ANSWER_TIMEOUT + relay, false).await
+            }
         };
         match verdict {
             Some(verdict) => {
@@ -171,17 +173,8 @@
     }
 }
 
-async fn ask(
-    host: &Rc<Host>,
-    owner: &Member,
-    organisation: &Organisation,
-    within: Duration,
-) -> Option<Verdict> {
-    ask_as(host, owner, &organisation.name, within, false).await
-}
-
 /// Asks a host, and records if it doesn't answer.
-async fn ask_as(
+async fn ask(
     host: &Rc<Host>,
     owner: &Member,
     organisation: &OrganisationName,
@@ -282,7 +275,7 @@
         !is_relayed && !is_own && is_responsive
     });
     let relayed = match owner {
-        Some(owner) => ask_as(host, owner, organisation, RELAY_TIMEOUT, true).await,
+        Some(owner) => ask(host, owner, organisation, RELAY_TIMEOUT, true).await,
         None => None,
     };
     relayed.unwrap_or_else(|| decide(host, organisation))
