Second reading: one decaying sum, one token bucket, one ticket counter

Found by reading the whole change; behaviour as before, tests untouched. - quota::client had its own decaying count: it uses the DecayingSum of upstream, now a module of its own. - The owner's bucket and the standing share refilled alike: quota::token_bucket. - quota and placement drew tickets alike: gateway::ticket_counter. - Reach checked an interval that its only caller waits already, with a second constant for it. - Credentials was a wrapper with a Debug that nothing used; the age of the state was read for each known key; a hash was computed for each use of a standing share. quota::admit matches once.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -15,6 +15,7 @@
 mod cost;
 mod curve;
 mod deadline;
+mod decaying_sum;
 mod fleet_rate;
 mod load;
 mod probing;
--- a/crates/dispatch/src/quota.rs
+++ b/crates/dispatch/src/quota.rs
@@ -10,12 +10,13 @@
 mod owner;
 mod ownership;
 mod reach;
+mod token_bucket;
 
 pub use client::QuotaClient;
 pub use message::{QuotaMessage, Verdict};
 pub use owner::{QuotaDump, QuotaOwner};
 pub use ownership::candidates;
-pub use reach::{Ping, Reach};
+pub use reach::{PING_INTERVAL_MS, Ping, Reach};
 
 use domain::{Millis, Share};
 use published::Quota;
@@ -43,3 +44,6 @@
 /// Part of the allowance that hosts without an owner may start with together, and again by which a
 /// bucket may exceed the burst.
 const ALLOWANCE_PART: f64 = 0.2;
+
+/// Time after which an organisation without requests is forgotten.
+const UNUSED_MS: Millis = Millis(60_000);
--- a/crates/dispatch/src/quota/client.rs
+++ b/crates/dispatch/src/quota/client.rs
@@ -1,8 +1,10 @@
 //! What a host knows of the quotas that it asks others for, and its share without an owner.
 
-use super::{ALLOWANCE_PART, QuotaTolerance, Verdict};
+use super::token_bucket::TokenBucket;
+use super::{ALLOWANCE_PART, QuotaTolerance, UNUSED_MS, Verdict};
+use crate::decaying_sum::DecayingSum;
 use decision_core::{Job, Role};
-use domain::{FastMap, HostId, Millis, OrganisationName};
+use domain::{FastMap, HostId, Millis, OrganisationName, PerSecond};
 use published::{Member, Organisation, Quota};
 
 /// Owners that are asked for one request.
@@ -24,9 +26,6 @@
 /// Part of the rate of its grants with which a host goes on without an owner.
 const STANDING_PART: f64 = 0.8;
 
-/// Time after which an organisation without requests is forgotten.
-const UNUSED_MS: Millis = Millis(60_000);
-
 /// This host's knowledge of quotas that others own.
 #[derive(Debug)]
 pub struct QuotaClient {
@@ -37,36 +36,32 @@
 }
 
 /// What is known of one organisation's quota.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Known {
     used_ms: Millis,
     refused_until_ms: Millis,
     /// Until when returned tokens may be used.
     returned: Vec<Millis>,
-    /// Decaying count of granted requests.
-    granted: f64,
-    granted_at_ms: Millis,
+    /// Granted requests.
+    granted: DecayingSum,
     /// The bucket that serves while no owner is reached.
-    standing: Option<StandingBucket>,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct StandingBucket {
-    tokens: f64,
-    at_ms: Millis,
+    standing: Option<TokenBucket>,
 }
 
 impl Known {
-    /// Rate of granted requests, per second.
-    fn granted_rate(&self, now_ms: Millis) -> f64 {
-        let age_ms = now_ms.since(self.granted_at_ms).as_f64();
-        self.granted * (-age_ms / GRANTED_DECAY_MS).exp() / (GRANTED_DECAY_MS / 1_000.0)
+    fn new() -> Known {
+        Known {
+            used_ms: Millis::ZERO,
+            refused_until_ms: Millis::ZERO,
+            returned: Vec::new(),
+            granted: DecayingSum::new(GRANTED_DECAY_MS),
+            standing: None,
+        }
     }
 
-    fn record_granted(&mut self, now_ms: Millis) {
-        let age_ms = now_ms.since(self.granted_at_ms).as_f64();
-        self.granted = self.granted * (-age_ms / GRANTED_DECAY_MS).exp() + 1.0;
-        self.granted_at_ms = now_ms;
+    /// Rate of granted requests.
+    fn granted_rate(&self, now_ms: Millis) -> PerSecond {
+        PerSecond(self.granted.at(now_ms) / (GRANTED_DECAY_MS / 1_000.0))
     }
 }
 
@@ -78,7 +73,7 @@
 
     /// Decides about a request without asking, if a returned token or a recent refusal allows that.
     pub fn decide_alone(&mut self, now_ms: Millis, organisation: &Organisation) -> Option<Verdict> {
-        let known = self.known.entry(organisation.name.clone()).or_default();
+        let known = self.known.entry(organisation.name.clone()).or_insert_with(Known::new);
         known.used_ms = now_ms;
         known.returned.retain(|until_ms| now_ms < *until_ms);
         if known.returned.pop().is_some() {
@@ -114,13 +109,13 @@
         verdict: Verdict,
     ) {
         self.record_responsive(owner);
-        let known = self.known.entry(organisation.clone()).or_default();
+        let known = self.known.entry(organisation.clone()).or_insert_with(Known::new);
         // The first token is given once: hosts may find an owner and lose it in turn.
         if let Some(standing) = &mut known.standing {
-            *standing = StandingBucket { tokens: 0.0, at_ms: now_ms };
+            *standing = TokenBucket::new(now_ms, 0.0);
         }
         match verdict {
-            Verdict::Granted => known.record_granted(now_ms),
+            Verdict::Granted => known.granted.add(now_ms, 1.0),
             Verdict::Refused { next_in_ms } => {
                 known.refused_until_ms = now_ms + next_in_ms.min(REFUSAL_HOLDS_MS);
             }
@@ -156,18 +151,17 @@
         hosts: u32,
     ) -> bool {
         let share = 1.0 / f64::from(hosts.max(1));
-        let initial = self.initial_token(organisation, tolerance.allowance(quota) * share);
-        let known = self.known.entry(organisation.clone()).or_default();
-        let rate = (quota.rate.0 * share).max(STANDING_PART * known.granted_rate(now_ms));
-        let bucket =
-            known.standing.get_or_insert(StandingBucket { tokens: initial, at_ms: now_ms });
-        let gained = now_ms.since(bucket.at_ms).as_f64() / 1_000.0 * rate;
-        bucket.tokens = (bucket.tokens + gained).min(1.0);
-        bucket.at_ms = bucket.at_ms.max(now_ms);
-        let has_token = bucket.tokens >= 1.0;
+        let known = self.known.entry(organisation.clone()).or_insert_with(Known::new);
+        let own_rate = STANDING_PART * known.granted_rate(now_ms).0;
+        let rate = PerSecond(own_rate.max(quota.rate.0 * share));
+        let host = &self.host;
+        let bucket = known.standing.get_or_insert_with(|| {
+            let allowance_share = tolerance.allowance(quota) * share;
+            TokenBucket::new(now_ms, initial_token(host, organisation, allowance_share))
+        });
+        let has_token = bucket.take(now_ms, rate, 1.0);
         if has_token {
-            bucket.tokens -= 1.0;
-            known.record_granted(now_ms);
+            known.granted.add(now_ms, 1.0);
         }
         has_token
     }
@@ -177,11 +171,11 @@
         self.known.retain(|_, known| now_ms.since(known.used_ms) < UNUSED_MS);
         self.silent_until_ms.retain(|_, until_ms| now_ms < *until_ms);
     }
+}
 
-    /// One token on so many hosts that all start with a part of the allowance.
-    fn initial_token(&self, organisation: &OrganisationName, allowance_share: f64) -> f64 {
-        let drawn = Job { role: Role::QuotaOwner, name: organisation.as_str() }.weight(&self.host);
-        let chance = allowance_share * ALLOWANCE_PART;
-        if (drawn as f64 / u64::MAX as f64) < chance { 1.0 } else { 0.0 }
-    }
+/// One token on so many hosts that all start with a part of the allowance.
+fn initial_token(host: &HostId, organisation: &OrganisationName, allowance_share: f64) -> f64 {
+    let drawn = Job { role: Role::QuotaOwner, name: organisation.as_str() }.weight(host);
+    let chance = allowance_share * ALLOWANCE_PART;
+    if (drawn as f64 / u64::MAX as f64) < chance { 1.0 } else { 0.0 }
 }
--- a/crates/dispatch/src/quota/owner.rs
+++ b/crates/dispatch/src/quota/owner.rs
@@ -1,13 +1,11 @@
 //! Grants the tokens of the quotas that this host owns.
 
-use super::{ALLOWANCE_PART, QuotaTolerance, Verdict};
+use super::token_bucket::TokenBucket;
+use super::{ALLOWANCE_PART, QuotaTolerance, UNUSED_MS, Verdict};
 use domain::{FastMap, Millis, OrganisationName, PerSecond};
 use published::Quota;
 use serde::Serialize;
 
-/// Time after which an unused bucket is dropped; a new one starts with less.
-const UNUSED_MS: Millis = Millis(60_000);
-
 /// How long a host counts as an owner after its last answer.
 const ACTIVE_MS: Millis = Millis(2_000);
 
@@ -29,17 +27,10 @@
 /// The quotas that this host owns.
 #[derive(Debug, Default)]
 pub struct QuotaOwner {
-    buckets: FastMap<OrganisationName, Bucket>,
+    buckets: FastMap<OrganisationName, TokenBucket>,
     answered_ms: Option<Millis>,
 }
 
-/// Token bucket of one organisation.
-#[derive(Debug, Clone, Copy)]
-struct Bucket {
-    tokens: f64,
-    at_ms: Millis,
-}
-
 /// A quota that this host owns, as the state dump shows it.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct QuotaDump {
@@ -63,18 +54,12 @@
         let capacity = capacity(quota, allowance);
         let rate = refill_rate(quota, tolerance, reach);
         let first_tokens = capacity.min(1.0 + allowance * FIRST_BUCKET_PART);
-        let first = Bucket { tokens: first_tokens, at_ms: now_ms };
+        let first = TokenBucket::new(now_ms, first_tokens);
         let bucket = self.buckets.entry(organisation.clone()).or_insert(first);
-        let gained = now_ms.since(bucket.at_ms).as_f64() / 1_000.0 * rate.0;
-        bucket.tokens = (bucket.tokens + gained).min(capacity);
-        bucket.at_ms = bucket.at_ms.max(now_ms);
-        match bucket.tokens >= 1.0 {
-            true => {
-                bucket.tokens -= 1.0;
-                Verdict::Granted
-            }
+        match bucket.take(now_ms, rate, capacity) {
+            true => Verdict::Granted,
             false => {
-                let missing_ms = (1.0 - bucket.tokens) / rate.0.max(1e-9) * 1_000.0;
+                let missing_ms = (1.0 - bucket.tokens()) / rate.0.max(1e-9) * 1_000.0;
                 Verdict::Refused { next_in_ms: Millis(missing_ms.ceil() as u64).max(MIN_RETRY_MS) }
             }
         }
@@ -87,15 +72,15 @@
 
     /// Drops buckets that aren't used any more.
     pub fn expire(&mut self, now_ms: Millis) {
-        self.buckets.retain(|_, bucket| now_ms.since(bucket.at_ms) < UNUSED_MS);
+        self.buckets.retain(|_, bucket| bucket.unused_ms(now_ms) < UNUSED_MS);
     }
 
     /// The buckets, for the state dump.
     pub fn dump(&self, now_ms: Millis) -> Vec<QuotaDump> {
-        let dump = |(organisation, bucket): (&OrganisationName, &Bucket)| QuotaDump {
+        let dump = |(organisation, bucket): (&OrganisationName, &TokenBucket)| QuotaDump {
             organisation: organisation.clone(),
-            tokens: bucket.tokens,
-            last_asked_ms: now_ms.since(bucket.at_ms),
+            tokens: bucket.tokens(),
+            last_asked_ms: bucket.unused_ms(now_ms),
         };
         self.buckets.iter().map(dump).collect()
     }
--- a/crates/dispatch/src/quota/reach.rs
+++ b/crates/dispatch/src/quota/reach.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 
 /// Time between two pings. The cost for each host doesn't grow with the fleet.
-const PING_INTERVAL_MS: Millis = Millis(60);
+pub const PING_INTERVAL_MS: Millis = Millis(60);
 
 /// Time after which a ping counts as lost: a round trip between regions, on slow machines.
 const PING_TIMEOUT_MS: Millis = Millis(100);
@@ -27,14 +27,13 @@
 #[derive(Debug, Default)]
 pub struct Reach {
     next_number: u64,
-    last_ms: Option<Millis>,
     open: FastMap<u64, Millis>,
     results: VecDeque<bool>,
     /// Hosts that are still to be pinged before any is pinged again: a small fleet is known exactly.
     round: Vec<SocketAddr>,
 }
 
-/// A ping that is due.
+/// A ping to send.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Ping {
     /// Identifies it.
@@ -44,7 +43,8 @@
 }
 
 impl Reach {
-    /// Returns the next ping if one is due; `others` are all other hosts.
+    /// Returns the next ping, of which one is sent every [`PING_INTERVAL_MS`]; none if there are no
+    /// `others`, which are all other hosts.
     pub fn next_ping(
         &mut self,
         now_ms: Millis,
@@ -52,15 +52,11 @@
         rng: &mut Pcg64Mcg,
     ) -> Option<Ping> {
         self.expire(now_ms);
-        if self.last_ms.is_some_and(|last_ms| now_ms.since(last_ms) < PING_INTERVAL_MS) {
-            return None;
-        }
         if self.round.is_empty() {
             self.round = others.collect();
             self.round.shuffle(rng);
         }
         let to = self.round.pop()?;
-        self.last_ms = Some(now_ms);
         self.next_number += 1;
         self.open.insert(self.next_number, now_ms);
         Some(Ping { number: self.next_number, to })
--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -6,6 +6,7 @@
 
 use crate::LoadReport;
 use crate::cold::{Warmth, WarmupState};
+use crate::decaying_sum::DecayingSum;
 use crate::service_load::{ServiceLoad, other_requests};
 use domain::Millis;
 use published::{Eligibility, Entry, Revision, RunStart, Upstream};
@@ -266,27 +267,3 @@
 fn report_weight(age_ms: Millis) -> f64 {
     (-age_ms.as_f64() / REPORT_DECAY_MS).exp()
 }
-
-/// A sum that decays exponentially.
-#[derive(Debug)]
-struct DecayingSum {
-    /// Time in which it decays to 1/e.
-    decay_ms: f64,
-    value: f64,
-    at_ms: Millis,
-}
-
-impl DecayingSum {
-    fn new(decay_ms: f64) -> DecayingSum {
-        DecayingSum { decay_ms, value: 0.0, at_ms: Millis::ZERO }
-    }
-
-    fn at(&self, now_ms: Millis) -> f64 {
-        self.value * (-now_ms.since(self.at_ms).as_f64() / self.decay_ms).exp()
-    }
-
-    fn add(&mut self, now_ms: Millis, amount: f64) {
-        self.value = self.at(now_ms) + amount;
-        self.at_ms = now_ms;
-    }
-}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,4 +40,5 @@
 pub mod settings;
 pub mod source;
 pub mod source_reader;
+pub mod ticket_counter;
 pub mod unread_headers;
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -15,6 +15,7 @@
 use crate::host::Host;
 use crate::metrics::Metrics;
 use crate::peers::codec::Datagram;
+use crate::ticket_counter::TicketCounter;
 use dispatch::budget::ProbeBudget;
 use dispatch::scheduler::{
     Cell, Directory, Placement, PlacementMessage, RefusalCause, Requester, SchedulerSet,
@@ -39,10 +40,6 @@
 /// How long a service counts as busy after one of its requests had to wait for a placement.
 const BUSY_MS: Millis = Millis(300);
 
-/// A run's first ticket is below this. Small numbers keep messages short; tickets rarely collide
-/// with those of an earlier run, which a scheduler remembers for some seconds.
-const FIRST_TICKETS: u64 = 1 << 20;
-
 /// The schedulers that run on this host, and its own requests' submissions to schedulers.
 #[derive(Debug)]
 pub struct PlacementState {
@@ -53,7 +50,7 @@
     pub probe_budget: RefCell<ProbeBudget>,
     directory: RefCell<Directory>,
     pending: RefCell<FastMap<Ticket, mpsc::UnboundedSender<SchedulerReply>>>,
-    next_ticket: std::cell::Cell<u64>,
+    tickets: TicketCounter,
     /// Services whose requests had to wait, until when they count as busy.
     busy_until: RefCell<FastMap<ServiceName, Millis>>,
     /// Notified when requests wait for a placement.
@@ -93,7 +90,7 @@
             probe_budget: RefCell::new(probe_budget),
             directory: RefCell::default(),
             pending: RefCell::default(),
-            next_ticket: std::cell::Cell::new(seed % FIRST_TICKETS),
+            tickets: TicketCounter::new(seed),
             busy_until: RefCell::default(),
             requests_waiting: Notify::new(),
         }
@@ -123,12 +120,6 @@
         }
     }
 
-    fn draw_ticket(&self) -> Ticket {
-        let number = self.next_ticket.get();
-        self.next_ticket.set(number.wrapping_add(1));
-        Ticket(number)
-    }
-
     fn deliver(&self, ticket: Ticket, reply: SchedulerReply) {
         // Replies to requests that have ended or were placed otherwise are ignored.
         if let Some(replies) = self.pending.borrow().get(&ticket) {
@@ -144,7 +135,7 @@
     submission: impl FnOnce(Ticket, Cell) -> Submission,
 ) -> PlacementResult {
     let Some(scheduler) = choose_scheduler(host, &cell) else { return PlacementResult::Unanswered };
-    let ticket = host.placement.draw_ticket();
+    let ticket = host.placement.tickets.draw();
     let (replies, mut received) = mpsc::unbounded_channel();
     host.placement.pending.borrow_mut().insert(ticket, replies);
     let guard = PlacementGuard::new(host, ticket, &scheduler);
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -5,16 +5,18 @@
 
 use crate::event_log::LogEvent;
 use crate::fleet_message;
-use crate::host::Host;
+use crate::host::{Host, to_duration};
 use crate::peers::codec::Datagram;
+use crate::ticket_counter::TicketCounter;
 use dispatch::attempts::{Cause, Refusal};
 use dispatch::quota::{
-    Ping, QuotaClient, QuotaDump, QuotaMessage, QuotaOwner, Reach, Verdict, candidates,
+    PING_INTERVAL_MS, Ping, QuotaClient, QuotaDump, QuotaMessage, QuotaOwner, Reach, Verdict,
+    candidates,
 };
 use dispatch::scheduler::Ticket;
 use domain::{FastMap, HostId, Millis, OrganisationName};
 use published::{Member, Organisation, Quota};
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -27,12 +29,6 @@
 /// so both together stay well below the objectives of requests.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(20);
 
-/// Time between two checks whether a ping is due.
-const PING_CHECK_INTERVAL: Duration = Duration::from_millis(60);
-
-/// A run's first ticket is below this. Small numbers keep messages short.
-const FIRST_TICKETS: u64 = 1 << 20;
-
 /// `Retry-After` of a request whose quota can't be confirmed: the time in which an unresponsive
 /// owner is replaced.
 const UNCONFIRMED_RETRY_MS: Millis = Millis(100);
@@ -44,7 +40,7 @@
     owner: RefCell<QuotaOwner>,
     reach: RefCell<Reach>,
     pending: RefCell<FastMap<Ticket, oneshot::Sender<Verdict>>>,
-    next_ticket: Cell<u64>,
+    tickets: TicketCounter,
     /// Notified when this host decides as an owner.
     decided: Notify,
     /// The hosts to ask, by organisation, for one table of hosts.
@@ -67,7 +63,7 @@
             owner: RefCell::default(),
             reach: RefCell::default(),
             pending: RefCell::default(),
-            next_ticket: Cell::new(seed % FIRST_TICKETS),
+            tickets: TicketCounter::new(seed),
             decided: Notify::new(),
             ranking: RefCell::default(),
         }
@@ -94,12 +90,6 @@
     pub fn reach(&self, hosts: u32) -> f64 {
         self.reach.borrow().part(hosts)
     }
-
-    fn draw_ticket(&self) -> Ticket {
-        let number = self.next_ticket.get();
-        self.next_ticket.set(number.wrapping_add(1));
-        Ticket(number)
-    }
 }
 
 /// Refuses a request that its organisation's quota doesn't allow.
@@ -112,15 +102,13 @@
         None => ask_owners(host, organisation).await,
     };
     let now_ms = host.now_ms();
-    let (is_admitted, next_in_ms) = match verdict {
-        Some(Verdict::Granted) => (true, None),
-        Some(Verdict::Refused { next_in_ms }) => (false, Some(next_in_ms)),
+    let next_in_ms = match verdict {
+        Some(Verdict::Granted) => return Ok(()),
+        Some(Verdict::Refused { next_in_ms }) => Some(next_in_ms),
         // The owner has another configuration, or doesn't answer.
-        Some(Verdict::Unknown) | None => (take_standing(host, organisation, quota), None),
+        Some(Verdict::Unknown) | None if take_standing(host, organisation, quota) => return Ok(()),
+        Some(Verdict::Unknown) | None => None,
     };
-    if is_admitted {
-        return Ok(());
-    }
     host.log.write(&LogEvent::QuotaRefused {
         id,
         organisation: &organisation.name,
@@ -181,7 +169,7 @@
     within: Duration,
     is_relayed: bool,
 ) -> Option<Verdict> {
-    let ticket = host.quotas.draw_ticket();
+    let ticket = host.quotas.tickets.draw();
     let (sender, answer) = oneshot::channel();
     let pending = PendingGuard { host: Rc::clone(host), ticket };
     host.quotas.pending.borrow_mut().insert(ticket, sender);
@@ -306,7 +294,7 @@
         if let Some(Ping { number, to }) = ping {
             send(&host, QuotaMessage::Ping { number }, to);
         }
-        clock::sleep(PING_CHECK_INTERVAL).await;
+        clock::sleep(to_duration(PING_INTERVAL_MS)).await;
     }
 }
 
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -17,7 +17,7 @@
 use crate::http1::RequestHead;
 use crate::ingress::Caller;
 use crate::quota;
-use authentication::{Credentials, authenticate};
+use authentication::authenticate;
 use dispatch::attempts::{Cause, Refusal};
 use domain::{Millis, RequestFingerprint, ServiceName};
 use published::{MatchedRoute, Organisation, RouteTable};
@@ -73,7 +73,8 @@
     id: String,
     matched: MatchedRoute,
     organisation: Option<Arc<Organisation>>,
-    credentials: Credentials,
+    /// The routing that identified the caller.
+    table: Rc<RouteTable>,
     service: ServiceName,
     end_ms: Millis,
     fingerprint: OnceCell<RequestFingerprint>,
@@ -237,7 +238,7 @@
         id: id.to_owned(),
         matched,
         organisation,
-        credentials: Credentials::new(table),
+        table,
         service,
         end_ms,
         fingerprint: OnceCell::new(),
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -2,6 +2,7 @@
 
 use super::attempt_end::{EndedAttempt, ErrorResponse, failure_of};
 use super::attempt_guard::AttemptGuard;
+use super::authentication::is_withheld;
 use super::selection::Selected;
 use super::{Reply, RoutedRequest};
 use crate::backpressure;
@@ -167,8 +168,7 @@
         if let Some(organisation) = &self.organisation {
             added.push((dialect.organisation, organisation.name.as_str()));
         }
-        let is_dropped =
-            |name: &str, value: &[u8]| self.credentials.is_withheld(dialect, name, value);
+        let is_dropped = |name: &str, value: &[u8]| is_withheld(&self.table, dialect, name, value);
         let changes = HeaderChanges { added: &added, is_dropped: &is_dropped };
         write_request(&self.request.head, &self.request.body, &changes)
     }
--- a/crates/gateway/src/serve/authentication.rs
+++ b/crates/gateway/src/serve/authentication.rs
@@ -9,8 +9,6 @@
 use dispatch::attempts::{Cause, Refusal};
 use domain::Millis;
 use published::{Organisation, Route, RouteTable};
-use std::fmt;
-use std::rc::Rc;
 use std::sync::Arc;
 
 /// Header with an organisation's key.
@@ -33,11 +31,11 @@
     }
     let key = sent_key(head, host.dialect.key_scheme);
     let organisation = key.and_then(|key| table.organisation_of(key)).cloned();
-    let is_fresh = host.state_age_ms().is_some_and(|age_ms| age_ms <= FRESH_STATE_MS);
+    let is_fresh = || host.state_age_ms().is_some_and(|age_ms| age_ms <= FRESH_STATE_MS);
     match organisation {
         Some(organisation) => Ok(Some(organisation)),
         None if !table.requires_key(route) => Ok(None),
-        None if is_fresh => Err(Refusal::not_run(Cause::UnknownKey)),
+        None if is_fresh() => Err(Refusal::not_run(Cause::UnknownKey)),
         None => Err(Refusal::not_run(Cause::KeyUnconfirmed)),
     }
 }
@@ -61,34 +59,17 @@
     has_scheme.then(|| rest.trim_ascii())
 }
 
-/// Decides which headers are kept from upstreams, by the routing that identified the caller.
-pub(super) struct Credentials {
-    table: Rc<RouteTable>,
-}
-
-impl fmt::Debug for Credentials {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("Credentials(..)")
-    }
-}
-
-impl Credentials {
-    pub(super) fn new(table: Rc<RouteTable>) -> Credentials {
-        Credentials { table }
-    }
-
-    /// Whether a header isn't forwarded: an organisation that the caller names itself, and a key,
-    /// however it is written.
-    pub(super) fn is_withheld(&self, dialect: &Dialect, name: &str, value: &[u8]) -> bool {
-        if name.eq_ignore_ascii_case(dialect.organisation) {
-            return true;
-        }
-        let is_key = |value: &[u8]| {
-            key_in(value, dialect.key_scheme).is_some()
-                || value
-                    .split(|byte| byte.is_ascii_whitespace() || *byte == b',')
-                    .any(|part| self.table.organisation_of(part).is_some())
-        };
-        self.table.has_keys() && name.eq_ignore_ascii_case(AUTHORIZATION) && is_key(value)
+/// Whether a header isn't forwarded: an organisation that the caller names itself, and a key, however
+/// it is written.
+pub(super) fn is_withheld(table: &RouteTable, dialect: &Dialect, name: &str, value: &[u8]) -> bool {
+    if name.eq_ignore_ascii_case(dialect.organisation) {
+        return true;
     }
+    let is_key = |value: &[u8]| {
+        key_in(value, dialect.key_scheme).is_some()
+            || value
+                .split(|byte| byte.is_ascii_whitespace() || *byte == b',')
+                .any(|part| table.organisation_of(part).is_some())
+    };
+    table.has_keys() && name.eq_ignore_ascii_case(AUTHORIZATION) && is_key(value)
 }
