--- a/crates/gateway/tests/datagram_bytes.rs
+++ b/crates/gateway/tests/datagram_bytes.rs
@@ -4,6 +4,7 @@
 
 use dispatch::backpressure::{Backpressure, BackpressureMessage, BackpressureUpdate};
 use dispatch::quarantine::{Crash, Quarantine, QuarantineMessage, SuspectUpdate};
+use dispatch::quota::{QuotaMessage, Verdict};
 use dispatch::scheduler::{
     Cell, Outcome, Placement, PlacementMessage, RefusalCause, Submission, Ticket, Withdrawal,
 };
@@ -15,9 +16,10 @@
 use gateway::peers::codec::{Datagram, decode, encode};
 use published::{
     Bootstrap, BootstrapSnapshot, CallerLimits, Capacity, CatchUp, Change, Destination, Entry,
-    EvacuationEnd, FetchReply, FetchRequest, HelloKind, Idempotency, Item, JoinReply,
-    KnownRevisions, Member, Message, Removal, RemovalCause, Revision, Route, Routing, RoutingPatch,
-    RunStart, ServiceSettings, Snapshot, StateUpdate, Upstream, UpstreamMode,
+    EvacuationEnd, FetchReply, FetchRequest, HelloKind, Idempotency, Item, JoinReply, KeyDigest,
+    KnownRevisions, Member, Message, Organisation, Quota, Removal, RemovalCause, Revision, Route,
+    Routing, RoutingPatch, RunStart, ServiceSettings, Snapshot, StateUpdate, Upstream,
+    UpstreamMode,
 };
 use rstest::rstest;
 use serde::Serialize;
@@ -578,3 +580,71 @@
 fn backpressure_keeps_its_bytes(#[case] message: BackpressureMessage, #[case] hex: &str) {
     check(&Datagram::Backpressure(message), hex);
 }
+
+fn limited_organisation() -> Organisation {
+    Organisation {
+        name: "acme".parse().unwrap(),
+        keys: vec![KeyDigest::of(b"key-1"), KeyDigest::of(b"key-2")],
+        priority: Some(3),
+        quota: Some(Quota { rate: PerSecond(7.5), burst: 300 }),
+    }
+}
+
+fn plain_organisation() -> Organisation {
+    Organisation { name: "initech".parse().unwrap(), keys: Vec::new(), priority: None, quota: None }
+}
+
+fn with_organisations(version: u64, organisations: Vec<Organisation>) -> Routing {
+    Routing { organisations: Some(organisations), ..routing(version, Vec::new()) }
+}
+
+fn entry_with_organisations() -> Change {
+    let value = with_organisations(15, vec![limited_organisation(), plain_organisation()]);
+    Change::Written(Entry { revision: Revision(4_021), value: Item::Routing(Arc::new(value)) })
+}
+
+fn patched_organisations() -> Change {
+    let old = with_organisations(16, vec![plain_organisation()]);
+    let new = with_organisations(17, vec![limited_organisation()]);
+    let value = RoutingPatch::between(Revision(4_022), &old, &new).unwrap();
+    Change::Patched(Entry { revision: Revision(4_023), value })
+}
+
+#[rstest]
+#[case::written(
+    entry_with_organisations(),
+    "0700040766726f6e742d31e907086b617269616b6f6f000a000001d936148201b41f19eaadc0e524a01f010100\
+     b51f000f808001808040904ee0d4030002057061727473082f6865616c74687a40010000000000002940067072\
+     69636573072f73746174757380020001020461636d6502b415dd679707f6b9d353fcf2a578196a3abeba84dce2\
+     847a1eaf006f461422d80103010000000000001e40ac0207696e697465636800000001"
+)]
+#[case::patched(
+    patched_organisations(),
+    "0700040766726f6e742d31e907086b617269616b6f6f000a000001d936148201b41f19eaadc0e524a01f010101\
+     b71fb61f11808001808040904ee0d40302057061727473082f6865616c74687a40010000000000002940067072\
+     69636573072f7374617475738002000000010107696e6974656368010461636d6502b415dd679707f6b9d353fc\
+     f2a578196a3abeba84dce2847a1eaf006f461422d80103010000000000001e40ac0201"
+)]
+fn organisations_keep_their_bytes(#[case] change: Change, #[case] hex: &str) {
+    check(&Datagram::Gossip(news(Some(vec![change]))), hex);
+}
+
+fn question(is_relayed: bool) -> QuotaMessage {
+    QuotaMessage::Ask { ticket: TICKET, organisation: "acme".parse().unwrap(), is_relayed }
+}
+
+fn verdict(verdict: Verdict) -> QuotaMessage {
+    QuotaMessage::Answer { ticket: TICKET, verdict }
+}
+
+#[rstest]
+#[case::ask(question(false), "070400c0a8a5040461636d6500")]
+#[case::relayed(question(true), "070400c0a8a5040461636d6501")]
+#[case::granted(verdict(Verdict::Granted), "070401c0a8a50400")]
+#[case::refused(verdict(Verdict::Refused { next_in_ms: Millis(850) }), "070401c0a8a50401d206")]
+#[case::unknown(verdict(Verdict::Unknown), "070401c0a8a50402")]
+#[case::ping(QuotaMessage::Ping { number: 300 }, "070402ac02")]
+#[case::pong(QuotaMessage::Pong { number: 301 }, "070403ad02")]
+fn quota_keeps_its_bytes(#[case] message: QuotaMessage, #[case] hex: &str) {
+    check(&Datagram::Quota(message), hex);
+}
