A request that was read, even in part, isn't dropped as its connection closes

Evidence: no line said how a caller's connection ended; caller-closed does. Tests that let each end fall due while a request is on its way show three ways. Cause: told to close at a stop, a session that was not idle but had no response to write ended, with half a request read. The last look before a close asked the runtime, which knows what arrived up to its last wait for events. Each close read on for 0.6 s and dropped what came, also on idle connections, where a reset would have told the caller that nothing was read. Change: a request that was read in part is served and its response announces the end; the last look asks the kernel; idle connections are closed without reading on; the idle time counts from the end of the last write. Ruled out for these: the deadline, the response's write limit.

--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -7,7 +7,7 @@
 
 mod event;
 
-pub use event::{ChosenBy, LogEvent, ResponseTo};
+pub use event::{ChosenBy, LogEvent, ResponseTo, SessionEnd};
 
 use domain::HostId;
 use event::Priority;
--- a/crates/gateway/src/event_log/event.rs
+++ b/crates/gateway/src/event_log/event.rs
@@ -194,6 +194,27 @@
     },
     /// The caller disconnected.
     CallerGone { id: &'a str, after_ms: Millis, sendings: u32, runs_on: bool },
+    /// A caller's connection ended: how, how long it had been inactive, how many of its requests got
+    /// no response, and how many bytes arrived that no request was read from.
+    CallerClosed { end: SessionEnd, idle_ms: Millis, unanswered: usize, dropped_bytes: usize },
+}
+
+/// How a caller's connection ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum SessionEnd {
+    /// No request arrived within the idle timeout.
+    Idle,
+    /// It was idle when the host stopped.
+    Stopping,
+    /// The last response announced the end.
+    LastResponse,
+    /// A request was refused before it was read completely.
+    Refused,
+    /// A response could not be written, or not in time.
+    Unwritable,
+    /// The caller disconnected.
+    CallerGone,
 }
 
 /// What an upstream responded to.
@@ -235,6 +256,7 @@
                 Priority::Routine
             }
             LogEvent::Declined { verdict: Verdict::ProbeAgain(_), .. } => Priority::Routine,
+            LogEvent::CallerClosed { unanswered: 0, .. } => Priority::Routine,
             LogEvent::Delivered { status, after_ms, objective_ms, .. }
                 if *status < 400 && after_ms <= objective_ms =>
             {
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -2,16 +2,20 @@
 //!
 //! Pipelined requests are served concurrently as long as all of them are idempotent; responses are
 //! sent in the order of the requests. A connection is read while its requests are served, so a
-//! disconnect is noticed at once. Closing shuts down the write half first, and then reads and drops
-//! what still arrives, since closing with unread bytes would reset the connection and lose the
-//! response.
+//! disconnect is noticed at once.
+//!
+//! A response that announces the end of the connection, or that refuses a request before it was read,
+//! is followed by shutting down the write half, and then reading and dropping what still arrives:
+//! closing with unread bytes would reset the connection and lose the response. A connection that ends
+//! while it is idle is closed without reading on: a request that was sent meanwhile meets a reset,
+//! which tells its caller that it was not read.
 
 mod caller;
 mod render;
 
 pub use caller::Caller;
 
-use crate::event_log::LogEvent;
+use crate::event_log::{LogEvent, SessionEnd};
 use crate::host::{ACCEPT_PAUSE, Host, to_duration};
 use crate::http1::{BodyProgress, BodyReader, RequestError, RequestHead, read_request};
 use crate::serve::{Reply, Request, RequestProgress, serve};
@@ -133,11 +137,11 @@
         is_last: false,
     };
     session.host.open_caller_connections.update(|open| open + 1);
-    session.run().await;
+    let end = session.run().await;
     for pending in &session.pending {
         pending.on_caller_gone(&session.host);
     }
-    linger(&session.caller).await;
+    session.close(end).await;
     session.host.open_caller_connections.update(|open| open - 1);
 }
 
@@ -150,36 +154,53 @@
 }
 
 impl Session {
-    async fn run(&mut self) {
+    async fn run(&mut self) -> SessionEnd {
         loop {
             self.caller.fill();
             if self.caller.is_gone.get() {
-                return;
+                return SessionEnd::CallerGone;
             }
             self.start_requests().await;
-            if self.pending.is_empty() && (self.is_last || self.refused.is_some()) {
-                self.write_refusal().await;
-                return;
+            if let Some(refusal) = self.refused.filter(|_| self.pending.is_empty()) {
+                self.write_refusal(refusal).await;
+                return SessionEnd::Refused;
             }
             match self.wait().await {
                 Next::Read => {}
                 Next::Answered(reply) => {
-                    if !self.write_response(reply).await {
-                        return;
+                    if let Some(end) = self.write_response(reply).await {
+                        return end;
                     }
                 }
-                Next::TimedOut if self.is_still_idle() => return,
+                Next::TimedOut if self.is_still_idle() => return SessionEnd::Idle,
                 Next::TimedOut if self.has_partial_request() => {
                     self.refused = Some(Refusal::not_run(Cause::SlowRequest));
                 }
                 // Requests in progress have timeouts of their own.
                 Next::TimedOut => {}
-                Next::Closing if self.is_still_idle() => return,
-                Next::Closing => self.is_last = true,
+                Next::Closing if self.is_still_idle() => return SessionEnd::Stopping,
+                // A request that was read, even in part, is served; its response announces the end.
+                Next::Closing => {}
             }
         }
     }
 
+    /// Closes the connection.
+    async fn close(&self, end: SessionEnd) {
+        let dropped_bytes = match end {
+            SessionEnd::Idle | SessionEnd::Stopping | SessionEnd::CallerGone => 0,
+            SessionEnd::LastResponse | SessionEnd::Refused | SessionEnd::Unwritable => {
+                linger(&self.caller).await
+            }
+        };
+        self.host.log.write(&LogEvent::CallerClosed {
+            end,
+            idle_ms: Millis(self.last_active.elapsed().as_millis() as u64),
+            unanswered: self.pending.len(),
+            dropped_bytes,
+        });
+    }
+
     fn is_idle(&self) -> bool {
         self.pending.is_empty()
             && self.partial.is_none()
@@ -189,7 +210,7 @@
 
     /// Whether the connection is idle after another read: a busy host may not have read everything.
     fn is_still_idle(&mut self) -> bool {
-        self.caller.fill();
+        self.caller.fill_now();
         self.is_idle()
     }
 
@@ -360,21 +381,24 @@
         true
     }
 
-    /// Writes the response to the first pending request; false if the connection ends with it.
-    async fn write_response(&mut self, reply: Reply) -> bool {
-        let Some(pending) = self.pending.pop_front() else { return false };
+    /// Writes the response to the first pending request; returns how the connection ends, if it
+    /// does.
+    async fn write_response(&mut self, reply: Reply) -> Option<SessionEnd> {
+        let pending = self.pending.pop_front()?;
         let should_close = self.pending.is_empty()
             && self.refused.is_none()
             && (self.is_last || self.host.is_stopping());
         let bytes = render(&self.host, &pending.request, &reply, should_close);
-        self.last_active = Moment::now();
         let written = clock::timeout(WRITE_LIMIT, self.caller.write(&bytes)).await;
-        matches!(written, Ok(Ok(()))) && !should_close
+        self.last_active = Moment::now();
+        match written {
+            Ok(Ok(())) => should_close.then_some(SessionEnd::LastResponse),
+            Ok(Err(_)) | Err(_) => Some(SessionEnd::Unwritable),
+        }
     }
 
     /// Writes the refusal of a malformed or slow request, which ends the connection.
-    async fn write_refusal(&mut self) {
-        let Some(refusal) = self.refused else { return };
+    async fn write_refusal(&self, refusal: Refusal) {
         self.host.metrics.request_refused("", refusal.cause);
         let bytes = render_refusal(&self.host, None, refusal, true);
         // The connection ends here either way.
--- a/crates/gateway/src/ingress/caller.rs
+++ b/crates/gateway/src/ingress/caller.rs
@@ -2,7 +2,7 @@
 
 use clock::Moment;
 use std::cell::{Cell, RefCell};
-use std::io::{self, ErrorKind};
+use std::io::{self, ErrorKind, Read};
 use std::time::Duration;
 use tokio::net::TcpStream;
 
@@ -24,18 +24,29 @@
 }
 
 impl Caller {
-    /// Reads what is available, and returns whether the caller has disconnected.
+    /// Reads what has arrived, and returns whether the caller has disconnected.
     pub fn is_gone_now(&self) -> bool {
-        self.fill();
+        self.fill_now();
         self.is_gone.get()
     }
 
-    /// Reads what is available into the inbox.
+    /// Reads what the runtime knows to have arrived into the inbox.
     pub(super) fn fill(&self) {
+        self.fill_by(|chunk| self.stream.try_read(chunk));
+    }
+
+    /// Reads all that has arrived into the inbox. The runtime learns of it only when it next waits
+    /// for events, which is too late before a connection is closed.
+    pub(super) fn fill_now(&self) {
+        let socket = socket2::SockRef::from(&self.stream);
+        self.fill_by(|chunk| (&*socket).read(chunk));
+    }
+
+    fn fill_by(&self, read: impl Fn(&mut [u8]) -> io::Result<usize>) {
         let mut chunk = [0; READ_BYTES];
         let mut inbox = self.inbox.borrow_mut();
         while !self.is_gone.get() && inbox.len() < MAX_READ_AHEAD {
-            match self.stream.try_read(&mut chunk) {
+            match read(&mut chunk) {
                 Ok(0) => self.is_gone.set(true),
                 Ok(read) => inbox.extend_from_slice(&chunk[..read]),
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
@@ -64,21 +75,23 @@
 }
 
 /// Shuts down the write half, and drops what the caller still sends, so that closing doesn't reset
-/// the connection before the caller has read the last response.
-pub(super) async fn linger(caller: &Caller) {
+/// the connection before the caller has read the last response. Returns the number of bytes dropped.
+pub(super) async fn linger(caller: &Caller) -> usize {
+    let mut dropped_bytes = caller.inbox.borrow().len();
     if caller.is_gone.get()
         || socket2::SockRef::from(&caller.stream).shutdown(std::net::Shutdown::Write).is_err()
     {
-        return;
+        return dropped_bytes;
     }
     let until = Moment::now() + LINGER;
     let mut chunk = [0; READ_BYTES];
     while clock::timeout_at(until, caller.stream.readable()).await.is_ok() {
         match caller.stream.try_read(&mut chunk) {
-            Ok(0) => return,
-            Ok(_) => {}
+            Ok(0) => break,
+            Ok(read) => dropped_bytes += read,
             Err(e) if e.kind() == ErrorKind::WouldBlock => {}
-            Err(_) => return,
+            Err(_) => break,
         }
     }
+    dropped_bytes
 }
--- /dev/null
+++ b/crates/gateway/tests/closing.rs
@@ -0,0 +1,96 @@
+//! Ends of callers' connections: a request gets its response, or was not read.
+#![allow(clippy::unwrap_used)]
+
+mod support;
+
+use gateway::run::Gateway;
+use rstest::rstest;
+use std::time::Duration;
+use support::caller::{Caller, get, post};
+use support::upstream::StandInUpstream;
+use support::{caller_address, on_one_thread, ready, wait_until};
+
+/// Begins the part of a stop in which idle connections are closed.
+fn close_idle(gateway: &Gateway) {
+    gateway.host().stopping.send_replace(true);
+    gateway.host().closing_idle.send_replace(true);
+}
+
+/// The `caller-closed` lines of the log.
+fn closed(gateway: &Gateway) -> Vec<serde_json::Value> {
+    let log = gateway.host().log.take_buffered();
+    let lines = log.lines().map(|line| serde_json::from_str::<serde_json::Value>(line).unwrap());
+    lines.filter(|line| line["event"] == "caller-closed").collect()
+}
+
+/// Guards against a stop that drops a request of which the host had read a part.
+#[rstest]
+#[case::half_a_head(20)]
+#[case::a_head_without_its_end(100)]
+#[case::half_a_body(-3)]
+fn a_request_that_is_being_read_at_a_stop_is_served(#[case] cut: isize) {
+    on_one_thread(async move {
+        let upstream = StandInUpstream::start("i-1").await;
+        let (gateway, _published) = ready(&[&upstream]).await;
+        let request = post("/once/x", "id-1", "a whole order");
+        let at = match usize::try_from(cut) {
+            Ok(from_start) => from_start,
+            Err(_) => request.len() - cut.unsigned_abs(),
+        };
+        let (first, rest) = request.split_at(at);
+        let mut caller = Caller::connect(caller_address(&gateway)).await;
+        caller.send(first).await;
+        // The host has read it.
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        close_idle(&gateway);
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        caller.send(rest).await;
+        let got = caller.receive().await.expect("an answer or a refusal");
+        assert_eq!((got.status, got.id.as_str(), got.closes), (200, "id-1", true));
+        assert_eq!(upstream.requests()[0].body, "a whole order");
+    });
+}
+
+/// Guards against a stop that drops a request which arrives in the same moment.
+#[test]
+fn a_request_that_arrives_with_the_stop_is_served() {
+    on_one_thread(async {
+        let upstream = StandInUpstream::start("i-1").await;
+        let (gateway, _published) = ready(&[&upstream]).await;
+        let mut caller = Caller::connect(caller_address(&gateway)).await;
+        assert_eq!(caller.exchange(&get("/any/x", "id-1")).await.status, 200);
+        // Without an await in between, the host learns of both at once.
+        let late = get("/any/x", "id-2");
+        assert_eq!(caller.stream.try_write(late.as_bytes()).unwrap(), late.len());
+        close_idle(&gateway);
+        let got = caller.receive().await.expect("an answer or a refusal");
+        assert_eq!((got.status, got.id.as_str(), got.closes), (200, "id-2", true));
+    });
+}
+
+/// Guards against reading and dropping a request that was delayed until its idle connection ended:
+/// its caller could not tell whether it ran.
+#[test]
+fn a_request_that_arrives_after_the_end_of_its_idle_connection_is_not_read() {
+    on_one_thread(async {
+        let upstream = StandInUpstream::start("i-1").await;
+        let (gateway, _published) = ready(&[&upstream]).await;
+        let mut caller = Caller::connect(caller_address(&gateway)).await;
+        assert_eq!(caller.exchange(&get("/any/x", "id-1")).await.status, 200);
+        close_idle(&gateway);
+        assert!(caller.receive().await.is_none());
+        caller.send(&post("/once/x", "id-2", "{}")).await;
+        let is_closed = || gateway.host().open_caller_connections.get() == 0;
+        wait_until("it is closed", is_closed).await;
+        let closed = closed(&gateway);
+        assert_eq!(closed.len(), 1, "{closed:?}");
+        assert_eq!(
+            (&closed[0]["end"], &closed[0]["dropped_bytes"]),
+            (&"stopping".into(), &0.into())
+        );
+        // The reset shows that nothing was read.
+        let is_reset = || caller.stream.try_write(b"x").is_err();
+        wait_until("the connection is reset", is_reset).await;
+        assert_eq!(upstream.requests().len(), 1);
+    });
+}
