Tests: each process has a loopback network of its own, and failing ones print their hosts' logs

Seen: requests_in_flight_in_unrelated_crashes_are_served_afterwards, 5 of 160 with 40 copies: AddrInUse when the stand-in listens again after a crash. With 100 copies of crashing_requests 399 of 400 processes failed so, and 689 of 1,000 of backpressure with 200: 19,682 panics, all but five at the first bind of port 0 on 127.0.0.1. Cause: all stand-ins shared one address. Its ports run out, and between a stand-in's crash and its restart another process may get its port. Two processes whose ids differ by 65,536 shared their hosts' addresses too. Change: a process claims 127.x.y.0/24 by a port that it holds open; hosts have an address each, stand-ins a port that is used once. A test's check is as it was. LogsOnFailure keeps their logs.

--- a/crates/gateway/tests/backpressure.rs
+++ b/crates/gateway/tests/backpressure.rs
@@ -11,7 +11,8 @@
 use support::source::Published;
 use support::upstream::{Behaviour, StandInUpstream};
 use support::{
-    caller_address, fleet, knows, on_one_thread, published, ready, settings, start, wait_until,
+    LogsOnFailure, caller_address, fleet, knows, on_one_thread, published, ready, settings, start,
+    wait_until,
 };
 
 #[rstest]
@@ -202,6 +203,7 @@
         let upstream = StandInUpstream::start("i-1").await;
         let published = published(&[&upstream]);
         let mut hosts = fleet(3, &published).await;
+        let _logs = LogsOnFailure::of(&hosts);
         upstream.set_extra_headers(&["x-upstream-limit: 4"]);
         let mut caller = Caller::connect(caller_address(&hosts[0])).await;
         assert_eq!(caller.exchange(&post("/once/x", "id-1", "{}")).await.status, 200);
--- a/crates/gateway/tests/crashing_requests.rs
+++ b/crates/gateway/tests/crashing_requests.rs
@@ -13,8 +13,8 @@
 use support::source::Published;
 use support::upstream::{Behaviour, StandInUpstream};
 use support::{
-    caller_address, fleet, knows, on_one_thread, published, settings, start, upstream_item,
-    wait_until,
+    LogsOnFailure, caller_address, fleet, knows, on_one_thread, published, settings, start,
+    upstream_item, wait_until,
 };
 use tokio::task::JoinHandle;
 
@@ -31,6 +31,7 @@
     upstreams: Vec<StandInUpstream>,
     published: Published,
     hosts: Vec<Gateway>,
+    _logs: LogsOnFailure,
 }
 
 impl Site {
@@ -45,7 +46,8 @@
         let published = published(&upstreams.iter().collect::<Vec<_>>());
         let hosts = fleet(3, &published).await;
         wait_until("all serve", || hosts.iter().all(|host| host.host().is_ready())).await;
-        Site { upstreams, published, hosts }
+        let _logs = LogsOnFailure::of(&hosts);
+        Site { upstreams, published, hosts, _logs }
     }
 
     fn publish(&self, upstream: &StandInUpstream) {
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::unwrap_used, dead_code)]
 
 pub mod caller;
+pub mod network;
 pub mod source;
 pub mod upstream;
 
@@ -18,16 +19,13 @@
 };
 use source::{Published, StandInSource};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 /// Longest wait for anything that a test expects.
 pub const WAIT_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Last part of the next gateway's IP address: each gateway of a test process has its own.
-static NEXT_HOST: AtomicU8 = AtomicU8::new(2);
-
 /// All hosts use the same port for peers.
 const PEER_PORT: u16 = 17_540;
 
@@ -97,10 +95,7 @@
 }
 
 pub fn settings(seeds: &[SocketAddr]) -> Settings {
-    // The address depends on the process, so that tests that run in parallel don't interfere.
-    let low = NEXT_HOST.fetch_add(1, Ordering::Relaxed);
-    let pid = std::process::id();
-    let ip = std::net::Ipv4Addr::new(127, (pid >> 8) as u8, pid as u8, low);
+    let (ip, low) = network::next_host();
     let at = |port| SocketAddr::new(ip.into(), port);
     Settings {
         host: format!("front-{low}").parse().unwrap(),
@@ -189,6 +184,23 @@
     );
 }
 
+/// Prints the logs of hosts if the test fails while it exists.
+pub struct LogsOnFailure(Vec<Rc<gateway::host::Host>>);
+
+impl LogsOnFailure {
+    pub fn of<'g>(gateways: impl IntoIterator<Item = &'g Gateway>) -> LogsOnFailure {
+        LogsOnFailure(gateways.into_iter().map(|gateway| Rc::clone(gateway.host())).collect())
+    }
+}
+
+impl Drop for LogsOnFailure {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            self.0.iter().for_each(|host| println!("{}", host.log.take_buffered()));
+        }
+    }
+}
+
 /// Runs a test on one thread, as the process does.
 pub fn on_one_thread(test: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
--- a/crates/gateway/tests/support/upstream.rs
+++ b/crates/gateway/tests/support/upstream.rs
@@ -1,5 +1,6 @@
 //! An upstream that follows a script, to simulate faults.
 
+use super::network::next_stand_in;
 use gateway::http1::{BodyProgress, BodyReader, read_request};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -114,7 +115,7 @@
 
 impl StandInUpstream {
     pub async fn start(id: &str) -> StandInUpstream {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let listener = TcpListener::bind(next_stand_in()).await.unwrap();
         let state = State {
             id: id.to_owned(),
             address: listener.local_addr().unwrap(),
