Crashes of an upstream that restarts at once count one by one

What callers saw: a request that crashes upstreams crashed a fourth before it was held. Evidence: crash-checked, a new line, says by what evidence a break was or wasn't taken for a crash. Cause: without a start time in its entry two crashes within a second counted as one. Ruled out: seen late (took_ms 0), told late (peers had it 1 ms later). Change: a crash whose request was sent 150 ms after the earlier crash is another one: a process that took it had started again. Copies of one host's report, shifted by their delay, are matched one to one within an update, and stay one for a second. One case of an old test is replaced: it wanted a request that was sent 550 ms after a crash, and crashed its upstream, to count as the same crash, which the trace shows to be wrong.

--- a/crates/dispatch/src/quarantine/suspect.rs
+++ b/crates/dispatch/src/quarantine/suspect.rs
@@ -7,10 +7,13 @@
 /// those of five trials after that.
 const MAX_CRASHES: usize = 8;
 
-/// Two crashes of an upstream that doesn't report its start time count as different if they are
-/// this far apart: a restart takes at least that long, and messages about a crash are rarely
-/// later.
-const MIN_RESTART_MS: Millis = Millis(1_000);
+/// An upstream that doesn't report its start time has restarted between two crashes if the request
+/// of the later one was sent this long after the earlier one: another process took it. Hosts differ
+/// by less in when they notice one crash.
+const MIN_RESTART_MS: Millis = Millis(150);
+
+/// Messages about a crash are rarely later than this.
+const MAX_REPORT_DELAY_MS: Millis = Millis(1_000);
 
 /// Crashes within this time count as one. Upstreams that lose power together end within some
 /// milliseconds, and a request that is retried in between is on the next of them.
@@ -86,10 +89,26 @@
         crashed_ms.max(self.cleared_ms).unwrap_or_default()
     }
 
-    /// Adds a crash; true if more crashes count against the request now.
+    /// Adds the crashes of a peer's update. Each of them was another one to the sender, so each
+    /// known crash has one copy among them at most.
+    pub(super) fn merge_crashes(&mut self, crashes: impl Iterator<Item = Crash>) {
+        let mut known = self.crashes.clone();
+        for crash in crashes {
+            match known.iter().position(|known| known.may_be_copy_of(&crash)) {
+                Some(at) => {
+                    known.remove(at);
+                }
+                None => {
+                    self.add_crash(crash);
+                }
+            }
+        }
+    }
+
+    /// Adds a crash that this host saw, or whose report is no copy of one that it has; true if more
+    /// crashes count against the request now.
     ///
-    /// A crash that several hosts saw, or that arrives twice, counts once. So do crashes that
-    /// overlap, such as those of upstreams that ran many copies of a request and lost power
+    /// A crash that several hosts saw counts once. So do crashes that overlap, such as those of upstreams that ran many copies of a request and lost power
     /// together.
     pub(super) fn add_crash(&mut self, crash: Crash) -> bool {
         let is_cleared = self.cleared_ms.is_some_and(|cleared_ms| crash.crashed_ms <= cleared_ms);
@@ -152,12 +171,32 @@
 
     /// Whether both are the same end of one process; a process run ends once.
     fn is_same(&self, other: &Crash) -> bool {
-        let apart_ms =
-            self.crashed_ms.since(other.crashed_ms).max(other.crashed_ms.since(self.crashed_ms));
         let is_run_known = self.run != RunStart::default();
         self.upstream == other.upstream
             && self.run == other.run
-            && (is_run_known || apart_ms < MIN_RESTART_MS)
+            && (is_run_known || !self.has_restarted_between(other))
+    }
+
+    /// Whether an upstream that doesn't report its start time must have restarted between both.
+    fn has_restarted_between(&self, other: &Crash) -> bool {
+        let (earlier, later) = match self.crashed_ms <= other.crashed_ms {
+            true => (self, other),
+            false => (other, self),
+        };
+        later.sent_ms.since(earlier.crashed_ms) >= MIN_RESTART_MS
+            || later.crashed_ms.since(earlier.crashed_ms) >= MAX_REPORT_DELAY_MS
+    }
+
+    /// Whether both may be copies of one host's report that arrived with different delays, which
+    /// shift a report as a whole.
+    fn may_be_copy_of(&self, other: &Crash) -> bool {
+        let took_ms = |crash: &Crash| crash.crashed_ms.since(crash.sent_ms);
+        self.upstream == other.upstream
+            && self.run == other.run
+            && self.seen_by == other.seen_by
+            && took_ms(self) == took_ms(other)
+            && self.crashed_ms.since(other.crashed_ms) < MAX_REPORT_DELAY_MS
+            && other.crashed_ms.since(self.crashed_ms) < MAX_REPORT_DELAY_MS
     }
 }
 
--- a/crates/dispatch/src/quarantine/sync.rs
+++ b/crates/dispatch/src/quarantine/sync.rs
@@ -95,9 +95,7 @@
         let trial_until_ms = update.trial_until_ms(now_ms);
         let is_cleared = update.cleared_ms(now_ms).is_some_and(|at_ms| suspect.clear(at_ms));
         let before = suspect.crashes().len();
-        for crash in update.into_crashes(now_ms) {
-            suspect.add_crash(crash);
-        }
+        suspect.merge_crashes(update.into_crashes(now_ms));
         if let Some(until_ms) = trial_until_ms {
             suspect.begin_trial(until_ms);
         }
--- a/crates/dispatch/tests/quarantine.rs
+++ b/crates/dispatch/tests/quarantine.rs
@@ -70,7 +70,8 @@
 /// A crash of a process that doesn't report its start time counts again once the process may have
 /// restarted.
 #[rstest]
-#[case::too_soon(600, Admission::Free)]
+#[case::too_soon(199, Admission::Free)]
+#[case::restarted_at_once(200, Admission::Trial)]
 #[case::later(2_000, Admission::Trial)]
 fn an_upstream_without_a_start_time_may_crash_again(
     #[case] sent_ms: u64,
@@ -82,6 +83,52 @@
     assert_eq!(quarantine.admit(Millis(3_000), REQUEST), expected);
 }
 
+/// Guards against counting the crashes of an upstream that restarts at once as one crash, which cost
+/// another upstream; and against counting one crash twice, as hosts notice it at different times and
+/// messages about it are delayed.
+#[rstest]
+#[case::restarted_at_once(of("front-2", 300, 340), Admission::Trial)]
+#[case::the_same_host(of("front-1", 300, 340), Admission::Trial)]
+#[case::noticed_later(of("front-2", 40, 130), Admission::Free)]
+#[case::reported_by_a_stalled_host(of("front-2", 140, 180), Admission::Free)]
+#[case::in_flight_for_long(of("front-2", 20, 900), Admission::Free)]
+fn an_upstream_without_a_start_time_crashes_again_if_it_took_another_request(
+    #[case] second: Crash,
+    #[case] expected: Admission,
+) {
+    let first = of("front-1", 0, 50);
+    for crashes in [[first.clone(), second.clone()], [second.clone(), first.clone()]] {
+        assert_eq!(after(&crashes).admit(Millis(1_000), REQUEST), expected);
+    }
+}
+
+/// Copies of a report that arrive with different delays are one crash, two crashes in one report are
+/// two.
+#[test]
+fn copies_of_a_report_count_once() {
+    let report = |crashes: &[Crash]| {
+        let mut host = after(crashes);
+        host.record_final_answer(REQUEST);
+        host.take_pending(Millis(1_000)).unwrap()
+    };
+    let (first, second) = (of("front-1", 0, 50), of("front-1", 300, 350));
+    let mut quarantine = Quarantine::default();
+    for received_ms in [1_000, 1_600, 1_010] {
+        quarantine.merge(Millis(received_ms), report(std::slice::from_ref(&first)));
+        assert_eq!(quarantine.admit(Millis(2_000), REQUEST), Admission::Free);
+    }
+    for received_ms in [1_020, 1_700, 1_005] {
+        quarantine.merge(Millis(received_ms), report(&[first.clone(), second.clone()]));
+        assert_eq!(quarantine.admit(Millis(2_000), REQUEST), Admission::Trial);
+    }
+}
+
+/// A crash of an upstream without a start time.
+fn of(host: &str, sent_ms: u64, crashed_ms: u64) -> Crash {
+    let run = RunStart::default();
+    Crash { run, seen_by: host.parse().unwrap(), ..crash("i-1", sent_ms, crashed_ms) }
+}
+
 /// A request that completed is not the cause, whatever crashed beside it, and even if an update
 /// about it arrives late.
 #[test]
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -7,7 +7,7 @@
 
 mod event;
 
-pub use event::{ChosenBy, LogEvent, ResponseTo, SessionEnd};
+pub use event::{ChosenBy, CrashEvidence, LogEvent, ResponseTo, SessionEnd};
 
 use domain::HostId;
 use event::Priority;
--- a/crates/gateway/src/event_log/event.rs
+++ b/crates/gateway/src/event_log/event.rs
@@ -164,6 +164,15 @@
         fingerprint: RequestFingerprint,
         has_crashed: bool,
     },
+    /// An upstream broke a connection during a request: whether its process crashed, by what
+    /// evidence, and how long the check took.
+    CrashChecked {
+        upstream: &'a UpstreamId,
+        fingerprint: RequestFingerprint,
+        evidence: CrashEvidence,
+        has_crashed: bool,
+        took_ms: Millis,
+    },
     /// The quarantine of a request that crashes upstreams changed.
     Quarantine {
         fingerprint: RequestFingerprint,
@@ -217,6 +226,33 @@
     CallerGone,
 }
 
+/// What tells a crash of an upstream from a connection that only broke.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum CrashEvidence {
+    /// A later run of it is published.
+    Restarted,
+    /// Its port refuses connections, and no other connection to it is open.
+    Refused,
+    /// Its port refuses connections, but another connection is open: it is full.
+    OnlyFull,
+    /// Its port accepts connections.
+    Accepts,
+    /// It drains, has announced that it leaves, or is no longer published: its end is no crash.
+    Leaves,
+    /// It can't be reached.
+    Unreachable,
+    /// The check took too long.
+    TooLate,
+}
+
+impl CrashEvidence {
+    /// Whether it proves a crash.
+    pub fn is_crash(self) -> bool {
+        matches!(self, CrashEvidence::Restarted | CrashEvidence::Refused)
+    }
+}
+
 /// What an upstream responded to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -6,7 +6,7 @@
 //! connection to the upstream is open. A crash that takes the machine off the network isn't detected.
 
 use crate::connection::Connection;
-use crate::event_log::LogEvent;
+use crate::event_log::{CrashEvidence, LogEvent};
 use crate::fleet_message;
 use crate::host::Host;
 use crate::peers::codec::Datagram;
@@ -42,9 +42,19 @@
 pub fn examine(host: &Rc<Host>, broken: BrokenAttempt) -> JoinHandle<bool> {
     let host = Rc::clone(host);
     tokio::task::spawn_local(async move {
-        let checking = has_crashed(&host, &broken.upstream);
-        let has_crashed = clock::timeout(CHECK_LIMIT, checking).await.unwrap_or(false);
+        let begun_ms = host.now_ms();
+        let checking = find_evidence(&host, &broken.upstream);
+        let evidence = clock::timeout(CHECK_LIMIT, checking).await;
+        let evidence = evidence.unwrap_or(CrashEvidence::TooLate);
+        let has_crashed = evidence.is_crash();
         host.metrics.upstream_broke_off(has_crashed);
+        host.log.write(&LogEvent::CrashChecked {
+            upstream: &broken.upstream.id,
+            fingerprint: broken.fingerprint,
+            evidence,
+            has_crashed,
+            took_ms: host.now_ms().since(begun_ms),
+        });
         if has_crashed {
             record_crash(&host, broken);
         }
@@ -52,20 +62,25 @@
     })
 }
 
-/// Whether the process behind an entry is gone without having announced that it leaves.
-async fn has_crashed(host: &Rc<Host>, entry: &Upstream) -> bool {
+/// Finds out whether the process behind an entry is gone without having announced that it leaves.
+async fn find_evidence(host: &Rc<Host>, entry: &Upstream) -> CrashEvidence {
     match state_of(host, &entry.id, entry.run) {
-        EntryState::Restarted => return true,
-        EntryState::Leaving => return false,
+        EntryState::Restarted => return CrashEvidence::Restarted,
+        EntryState::Leaving => return CrashEvidence::Leaves,
         EntryState::Ready => {}
     }
     host.metrics.connection_opened();
     match Connection::open(entry.address, CHECK_LIMIT).await {
         Ok(connection) => {
             host.pool.borrow_mut().put(&entry.id, connection.with_run(entry.run));
-            false
+            CrashEvidence::Accepts
         }
-        Err(e) => e.kind() == ErrorKind::ConnectionRefused && !is_connected(host, entry),
+        Err(e) => match e.kind() {
+            ErrorKind::ConnectionRefused if is_connected(host, entry) => CrashEvidence::OnlyFull,
+            ErrorKind::ConnectionRefused => CrashEvidence::Refused,
+            ErrorKind::TimedOut => CrashEvidence::TooLate,
+            _ => CrashEvidence::Unreachable,
+        },
     }
 }
 
