A timeout looks at what arrived while the process was held up

What callers saw: on a host that is held up, replies that were there in time counted as missing. Cause: timeout_at polled the future and then the timer; a stall in between let the timer win before the runtime had looked at its sockets. Change: when time is up the runtime gets a turn and the future one more poll.

--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -8,8 +8,10 @@
 use domain::Millis;
 use rustix::time::{ClockId, clock_gettime};
 use std::fmt;
+use std::future::poll_fn;
 use std::ops::Add;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
+use std::task::Poll;
 use std::time::Duration;
 use tokio::sync::Notify;
 
@@ -146,14 +148,23 @@
 
 /// Returns the output of `future`, if it completes before `moment`.
 ///
+/// A process that is held up may find `moment` reached before its runtime has looked at what
+/// arrived meanwhile. So the future is polled once more after the runtime has looked.
+///
 /// # Errors
 ///
 /// If `moment` is reached first.
 pub async fn timeout_at<F: Future>(moment: Moment, future: F) -> Result<F::Output, Elapsed> {
+    let mut future = pin!(future);
     tokio::select! {
         biased;
-        outcome = future => Ok(outcome),
-        () = sleep_until(moment) => Err(Elapsed),
+        outcome = &mut future => return Ok(outcome),
+        () = sleep_until(moment) => {}
+    }
+    tokio::task::yield_now().await;
+    match poll_fn(|context| Poll::Ready(future.as_mut().poll(context))).await {
+        Poll::Ready(outcome) => Ok(outcome),
+        Poll::Pending => Err(Elapsed),
     }
 }
 
