The end of a trial is broadcast

What callers saw: copies of a suspected request waited for up to their whole time for a trial that had ended long before, and were refused or sent in their last moment. A trial was answered after 23 ms; the next copy, at another host, waited 1.16 s of its 1.2 s for it. Cause: only the host that ran a trial knew that it had ended; the others took it to last until the request's deadline. A caller that left did not end it at all. It is sent once; what a host exports later says nothing of trials, as another host may run one. A trial ends with the value that stands for it, however its attempt ends.

--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -85,10 +85,12 @@
         }
     }
 
-    /// Ends a trial of this host. The other hosts regard it as running until its time is over.
+    /// Ends a trial of this host, if it is still running. Peers that don't receive that regard it
+    /// as running until its time is over.
     pub fn end_trial(&mut self, fingerprint: RequestFingerprint) {
-        if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
-            suspect.end_trial();
+        let suspect = self.suspects.get_mut(&fingerprint);
+        if suspect.is_some_and(Suspect::end_own_trial) {
+            self.mark_pending(fingerprint);
         }
     }
 
--- a/crates/dispatch/src/quarantine/message.rs
+++ b/crates/dispatch/src/quarantine/message.rs
@@ -37,9 +37,19 @@
     pub fingerprint: RequestFingerprint,
     crashes: Vec<CrashUpdate>,
     cleared_age_ms: Option<Millis>,
+    /// How much longer it may be on trial; zero if the sender's trial has just ended.
     trial_left_ms: Option<Millis>,
 }
 
+/// What an update says of a trial.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum TrialUpdate {
+    /// A host runs it until then at the latest.
+    RunningUntil(Millis),
+    /// The sender ran it, and it has ended.
+    Ended,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 struct CrashUpdate {
     upstream: UpstreamId,
@@ -75,8 +85,17 @@
         self.cleared_age_ms.map(|age_ms| now_ms - age_ms)
     }
 
-    pub(super) fn trial_until_ms(&self, now_ms: Millis) -> Option<Millis> {
-        self.trial_left_ms.map(|left_ms| now_ms + left_ms)
+    /// The same update, which also says that the sender's trial has ended.
+    pub(super) fn with_trial_ended(self) -> SuspectUpdate {
+        SuspectUpdate { trial_left_ms: Some(Millis::ZERO), ..self }
+    }
+
+    /// What it says of a trial.
+    pub(super) fn trial(&self, now_ms: Millis) -> Option<TrialUpdate> {
+        self.trial_left_ms.map(|left_ms| match left_ms {
+            Millis::ZERO => TrialUpdate::Ended,
+            left_ms => TrialUpdate::RunningUntil(now_ms + left_ms),
+        })
     }
 
     pub(super) fn into_crashes(self, now_ms: Millis) -> impl Iterator<Item = Crash> {
--- a/crates/dispatch/src/quarantine/suspect.rs
+++ b/crates/dispatch/src/quarantine/suspect.rs
@@ -47,6 +47,8 @@
     is_doubtful: bool,
     /// Until then, a host of the fleet is assumed to run it as a trial.
     trial_until_ms: Option<Millis>,
+    /// A trial of this host ended early, and peers have yet to learn of it.
+    has_pending_trial_end: bool,
 }
 
 impl Suspect {
@@ -132,6 +134,19 @@
     /// Records that a host runs it as a trial until then at the latest.
     pub(super) fn begin_trial(&mut self, until_ms: Millis) {
         self.trial_until_ms = self.trial_until_ms.max(Some(until_ms));
+        self.has_pending_trial_end = false;
+    }
+
+    /// Ends a trial of this host; true if peers are to learn of it.
+    pub(super) fn end_own_trial(&mut self) -> bool {
+        self.has_pending_trial_end = self.trial_until_ms.is_some();
+        self.end_trial();
+        self.has_pending_trial_end
+    }
+
+    /// Takes the end of a trial that peers have yet to learn of.
+    pub(super) fn take_trial_end(&mut self) -> bool {
+        std::mem::take(&mut self.has_pending_trial_end)
     }
 
     /// Ends the trial.
--- a/crates/dispatch/src/quarantine/sync.rs
+++ b/crates/dispatch/src/quarantine/sync.rs
@@ -1,6 +1,6 @@
 //! Synchronises the suspects between hosts: what is sent when, and how it is merged.
 
-use super::message::SuspectUpdate;
+use super::message::{SuspectUpdate, TrialUpdate};
 use super::report::SuspectChange;
 use super::suspect::Suspect;
 use super::{Quarantine, importance, with_offset};
@@ -27,8 +27,12 @@
         pending.sort_unstable();
         pending.dedup();
         let to_update = |fingerprint: RequestFingerprint| {
-            let suspect = self.suspects.get(&fingerprint)?;
-            Some(SuspectUpdate::of(now_ms, fingerprint, suspect))
+            let suspect = self.suspects.get_mut(&fingerprint)?;
+            let update = SuspectUpdate::of(now_ms, fingerprint, suspect);
+            Some(match suspect.take_trial_end() {
+                true => update.with_trial_ended(),
+                false => update,
+            })
         };
         // The digest reveals to peers what exceeds one message.
         let updates: Vec<_> =
@@ -92,12 +96,14 @@
             self.pending.push(fingerprint);
         }
         suspect.set_broadcast();
-        let trial_until_ms = update.trial_until_ms(now_ms);
+        let trial = update.trial(now_ms);
         let is_cleared = update.cleared_ms(now_ms).is_some_and(|at_ms| suspect.clear(at_ms));
         let before = suspect.crashes().len();
         suspect.merge_crashes(update.into_crashes(now_ms));
-        if let Some(until_ms) = trial_until_ms {
-            suspect.begin_trial(until_ms);
+        match trial {
+            Some(TrialUpdate::RunningUntil(until_ms)) => suspect.begin_trial(until_ms),
+            Some(TrialUpdate::Ended) => suspect.end_trial(),
+            None => {}
         }
         match suspect.crashes().len() > before {
             true => {
--- a/crates/dispatch/tests/quarantine.rs
+++ b/crates/dispatch/tests/quarantine.rs
@@ -143,6 +143,25 @@
     assert_eq!(quarantine.admit(Millis(500), REQUEST), Admission::Free, "it begins anew");
 }
 
+/// Guards against copies of a suspected request waiting until the end of a trial's time, though it
+/// ended long before.
+#[test]
+fn the_end_of_a_trial_is_broadcast() {
+    let (mut own, mut other) = (after(&three_crashes()[..2]), Quarantine::default());
+    own.begin_trial(REQUEST, Millis(900));
+    let begun = own.take_pending(Millis(300)).unwrap();
+    other.merge(Millis(300), begun);
+    own.end_trial(REQUEST);
+    other.merge(Millis(400), own.take_pending(Millis(400)).expect("the end"));
+    assert_eq!(other.admit(Millis(400), REQUEST), Admission::Trial);
+    own.end_trial(REQUEST);
+    assert_eq!(own.take_pending(Millis(400)), None, "it is broadcast once");
+    // What the host exports later says nothing of the trial, which may be another host's by then.
+    other.begin_trial(REQUEST, Millis(1_500));
+    other.merge(Millis(500), own.export(Millis(500)));
+    assert_eq!(other.admit(Millis(500), REQUEST), Admission::Wait { for_ms: Millis(1_000) });
+}
+
 /// A suspected request is on one upstream of the fleet at a time, until the trial's time is over.
 #[test]
 fn one_host_at_a_time_tries_it() {
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -137,16 +137,29 @@
     send_to_fleet(host);
 }
 
-/// Begins a trial: the request is the only one with its fingerprint that the fleet has in flight.
-pub fn begin_trial(host: &Host, fingerprint: RequestFingerprint, until_ms: Millis) {
-    host.quarantine.borrow_mut().begin_trial(fingerprint, until_ms);
-    send_to_fleet(host);
+/// A trial of this host, which ends when it is dropped: the request is the only one with its
+/// fingerprint that the fleet has in flight.
+#[derive(Debug)]
+pub struct Trial {
+    host: Rc<Host>,
+    fingerprint: RequestFingerprint,
+}
+
+impl Trial {
+    /// Begins a trial that ends at `until_ms` at the latest.
+    pub fn begin(host: &Rc<Host>, fingerprint: RequestFingerprint, until_ms: Millis) -> Trial {
+        host.quarantine.borrow_mut().begin_trial(fingerprint, until_ms);
+        send_to_fleet(host);
+        Trial { host: Rc::clone(host), fingerprint }
+    }
 }
 
-/// Ends a trial of this host.
-pub fn end_trial(host: &Host, fingerprint: RequestFingerprint) {
-    host.quarantine.borrow_mut().end_trial(fingerprint);
-    host.quarantine_changed.notify_waiters();
+impl Drop for Trial {
+    fn drop(&mut self) {
+        self.host.quarantine.borrow_mut().end_trial(self.fingerprint);
+        self.host.quarantine_changed.notify_waiters();
+        send_to_fleet(&self.host);
+    }
 }
 
 /// Lifts the quarantine of a request, for an operator; false if there is none.
--- a/crates/gateway/src/serve/admission.rs
+++ b/crates/gateway/src/serve/admission.rs
@@ -47,16 +47,12 @@
         }
     }
 
-    /// Ends the trial, and clears the request if an upstream served it. An error response clears
-    /// nothing: the upstream may have failed the request before it ran. Crashes are recorded
-    /// where they are detected.
-    pub(super) fn update_quarantine(&self, end: AttemptResult, is_trial: bool) {
+    /// Clears the request if an upstream served it. An error response clears nothing: the upstream
+    /// may have failed the request before it ran. Crashes are recorded where they are detected.
+    pub(super) fn update_quarantine(&self, end: AttemptResult) {
         if self.host.quarantine.borrow().is_empty() {
             return;
         }
-        if is_trial {
-            quarantine::end_trial(&self.host, self.fingerprint());
-        }
         match end {
             AttemptResult::Answered(response) if attempts::was_served(response) => {
                 quarantine::record_served(&self.host, self.fingerprint());
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -10,7 +10,7 @@
 use crate::event_log::{LogEvent, ResponseTo};
 use crate::http1::{HeaderChanges, write_request};
 use crate::probe;
-use crate::quarantine::{self, BrokenAttempt};
+use crate::quarantine::{self, BrokenAttempt, Trial};
 use dispatch::attempts::{AttemptResult, Cause, Refusal, ResponseSummary};
 use dispatch::backpressure::Backpressure;
 use dispatch::scheduler::Outcome;
@@ -24,8 +24,8 @@
     bytes: Vec<u8>,
     guard: AttemptGuard,
     sent_ms: Millis,
-    /// Whether it is a trial: the only request with its fingerprint that the fleet has in flight.
-    is_trial: bool,
+    /// Set if it is a trial: the only request with its fingerprint that the fleet has in flight.
+    trial: Option<Trial>,
 }
 
 /// Outcomes of a request's attempts so far.
@@ -110,9 +110,7 @@
                 return Err(refusal);
             }
         };
-        if is_trial {
-            quarantine::begin_trial(&self.host, self.fingerprint(), self.end_ms);
-        }
+        let trial = is_trial.then(|| Trial::begin(&self.host, self.fingerprint(), self.end_ms));
         counts.sent += 1;
         counts.arrived += 1;
         counts.tried.push(selected.upstream.clone());
@@ -126,7 +124,7 @@
         }
         let guard = AttemptGuard::begin(&self.host, &selected.upstream, selected.placement.take());
         let bytes = self.encode(&selected.upstream, now_ms);
-        Ok(Attempt { selected, connection, bytes, guard, sent_ms: now_ms, is_trial })
+        Ok(Attempt { selected, connection, bytes, guard, sent_ms: now_ms, trial })
     }
 
     fn log_attempt(&self, selected: &Selected, now_ms: Millis, sending: u32) {
@@ -174,7 +172,7 @@
     }
 
     async fn send(&self, attempt: Attempt) -> EndedAttempt {
-        let Attempt { selected, mut connection, bytes, guard, sent_ms, is_trial } = attempt;
+        let Attempt { selected, mut connection, bytes, guard, sent_ms, trial } = attempt;
         let expected = Expected {
             has_body: self.request.head.method != "HEAD",
             id: Some((self.host.dialect.request_id, &self.id)),
@@ -222,7 +220,7 @@
             }
             _ => false,
         };
-        EndedAttempt { upstream, result: end, response, sent_ms, has_crashed, is_trial }
+        EndedAttempt { upstream, result: end, response, sent_ms, has_crashed, trial }
     }
 
     fn summarize(&self, response: &Response) -> ResponseSummary {
--- a/crates/gateway/src/serve/attempt_end.rs
+++ b/crates/gateway/src/serve/attempt_end.rs
@@ -5,6 +5,7 @@
 use crate::connection::Response;
 use crate::event_log::LogEvent;
 use crate::host::to_duration;
+use crate::quarantine::Trial;
 use dispatch::AttemptFailure;
 use dispatch::attempts::{self, AttemptResult, AttemptState, Cause, NextStep, Refusal};
 use domain::{Millis, UpstreamId};
@@ -17,7 +18,7 @@
     pub(super) sent_ms: Millis,
     /// The upstream crashed during the attempt.
     pub(super) has_crashed: bool,
-    pub(super) is_trial: bool,
+    pub(super) trial: Option<Trial>,
 }
 
 /// An upstream's own error response, kept while the request is retried.
@@ -30,12 +31,14 @@
     /// Returns the request's outcome, or none if it is to be retried.
     pub(super) fn handle_end(
         &self,
-        ended: EndedAttempt,
+        mut ended: EndedAttempt,
         counts: &mut AttemptCounts,
         error_response: &mut Option<ErrorResponse>,
     ) -> Option<Result<Reply, Refusal>> {
         let now_ms = self.host.now_ms();
-        self.update_quarantine(ended.result, ended.is_trial);
+        self.update_quarantine(ended.result);
+        // After the result is recorded, so that peers learn of both at once.
+        drop(ended.trial.take());
         counts.crashes += u32::from(ended.has_crashed);
         if attempts::is_not_run(ended.result) {
             counts.not_run += 1;
