A trial has the time to show a crash

What callers saw: a request that crashes upstreams crashed a fourth before it was held. A fresh one is always sent, so short deadlines don't hold a request for good. Test first: dispatch quarantine, a_trial_has_the_time_to_show_a_crash.

--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -24,7 +24,7 @@
 pub use message::{QuarantineMessage, SuspectUpdate};
 pub use report::{CrashDump, SuspectChange, SuspectDump, SuspectStatus};
 pub use suspect::Crash;
-pub use verdict::{Admission, MIN_CRASHES_FOR_HOLD, MIN_CRASHES_FOR_TRIAL};
+pub use verdict::{Admission, MIN_CRASHES_FOR_HOLD, MIN_CRASHES_FOR_TRIAL, RequestTime};
 
 use domain::{FastMap, Millis, RequestFingerprint};
 use suspect::Suspect;
@@ -77,6 +77,18 @@
         suspect.map_or(Admission::Free, |suspect| verdict::admit(with_offset(now_ms), suspect))
     }
 
+    /// The same, for a request with this much time.
+    pub fn admit_in_time(
+        &self,
+        now_ms: Millis,
+        fingerprint: RequestFingerprint,
+        time: RequestTime,
+    ) -> Admission {
+        let suspect = self.suspects.get(&fingerprint);
+        let admit = |suspect| verdict::admit_in_time(with_offset(now_ms), suspect, time);
+        suspect.map_or(Admission::Free, admit)
+    }
+
     /// Records that a request is sent as a trial, which ends at `until_ms` at the latest.
     pub fn begin_trial(&mut self, fingerprint: RequestFingerprint, until_ms: Millis) {
         if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
--- a/crates/dispatch/src/quarantine/suspect.rs
+++ b/crates/dispatch/src/quarantine/suspect.rs
@@ -57,6 +57,12 @@
         &self.crashes
     }
 
+    /// The longest time from its sending to a crash.
+    pub(super) fn longest_to_crash_ms(&self) -> Millis {
+        let took_ms = |crash: &Crash| crash.crashed_ms.since(crash.sent_ms);
+        self.crashes.iter().map(took_ms).max().unwrap_or_default()
+    }
+
     /// When it was last cleared.
     pub(super) fn cleared_ms(&self) -> Option<Millis> {
         self.cleared_ms
--- a/crates/dispatch/src/quarantine/verdict.rs
+++ b/crates/dispatch/src/quarantine/verdict.rs
@@ -28,6 +28,18 @@
 /// Maximum age of the other requests' crashes.
 const DOUBTFUL_AGE_MS: Millis = Millis::from_secs(10);
 
+/// When a caller may retry whose request has too little time left for a trial.
+const LATE_TRIAL_RETRY_MS: Millis = Millis(60);
+
+/// The time of a request, of which a part may have passed while it waited.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RequestTime {
+    /// From its arrival until its response is due.
+    pub total_ms: Millis,
+    /// Of that, what is left.
+    pub left_ms: Millis,
+}
+
 /// Whether and how a request may be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Admission {
@@ -59,6 +71,18 @@
     }
 }
 
+/// The same for a request with this much time. One that has waited for most of its time isn't sent
+/// as a trial if its time might end before the upstream does: nobody would learn of the crash.
+pub(super) fn admit_in_time(now_ms: Millis, suspect: &Suspect, time: RequestTime) -> Admission {
+    let is_mostly_over = time.left_ms.0.saturating_mul(2) < time.total_ms.0;
+    match admit(now_ms, suspect) {
+        Admission::Trial if is_mostly_over && time.left_ms < suspect.longest_to_crash_ms() => {
+            Admission::Held { for_ms: LATE_TRIAL_RETRY_MS }
+        }
+        admission => admission,
+    }
+}
+
 /// The end of the request's hold.
 pub(super) fn held_until_ms(suspect: &Suspect) -> Option<Millis> {
     let crashes = suspect.crashes();
--- a/crates/dispatch/tests/quarantine.rs
+++ b/crates/dispatch/tests/quarantine.rs
@@ -1,7 +1,7 @@
 //! Which crashes count against a request, when it is held, and what clears it.
 #![allow(clippy::unwrap_used)]
 
-use dispatch::quarantine::{Admission, Crash, Quarantine, SuspectUpdate};
+use dispatch::quarantine::{Admission, Crash, Quarantine, RequestTime, SuspectUpdate};
 use domain::{Millis, RequestFingerprint};
 use published::RunStart;
 use rand::SeedableRng;
@@ -143,6 +143,25 @@
     assert_eq!(quarantine.admit(Millis(500), REQUEST), Admission::Free, "it begins anew");
 }
 
+/// Guards against a trial whose time ends before its upstream crashes: nobody learned of the crash,
+/// and the next trial cost another upstream. The longest of the two crashes took 90 ms.
+#[rstest]
+#[case::fresh(1_200, 1_200, Admission::Trial)]
+#[case::has_waited(1_200, 90, Admission::Trial)]
+#[case::has_waited_for_too_long(1_200, 89, Admission::Held { for_ms: Millis(60) })]
+#[case::short_but_fresh(50, 50, Admission::Trial)]
+fn a_trial_has_the_time_to_show_a_crash(
+    #[case] total_ms: u64,
+    #[case] left_ms: u64,
+    #[case] expected: Admission,
+) {
+    let quarantine = after(&[crash("i-1", 0, 40), crash("i-2", 110, 200)]);
+    let time = RequestTime { total_ms: Millis(total_ms), left_ms: Millis(left_ms) };
+    assert_eq!(quarantine.admit_in_time(Millis(500), REQUEST, time), expected);
+    let other = RequestFingerprint(8);
+    assert_eq!(quarantine.admit_in_time(Millis(500), other, time), Admission::Free);
+}
+
 /// Guards against copies of a suspected request waiting until the end of a trial's time, though it
 /// ended long before.
 #[test]
--- a/crates/gateway/src/serve/admission.rs
+++ b/crates/gateway/src/serve/admission.rs
@@ -5,7 +5,7 @@
 use super::{Request, RoutedRequest};
 use crate::quarantine;
 use dispatch::attempts::{self, AttemptResult, Cause, Refusal};
-use dispatch::quarantine::Admission;
+use dispatch::quarantine::{Admission, RequestTime};
 use domain::{Millis, RequestFingerprint};
 
 impl RoutedRequest {
@@ -41,10 +41,15 @@
 
     fn admission(&self) -> Admission {
         let quarantine = self.host.quarantine.borrow();
-        match quarantine.is_empty() {
-            true => Admission::Free,
-            false => quarantine.admit(self.host.now_ms(), self.fingerprint()),
+        if quarantine.is_empty() {
+            return Admission::Free;
         }
+        let now_ms = self.host.now_ms();
+        let time = RequestTime {
+            total_ms: self.end_ms.since(self.request.arrived_ms),
+            left_ms: self.end_ms.since(now_ms),
+        };
+        quarantine.admit_in_time(now_ms, self.fingerprint(), time)
     }
 
     /// Clears the request if an upstream served it. An error response clears nothing: the upstream
