A response that names no request isn't taken for the next request's

What callers saw: on a kept connection an upstream's late or repeated response without the request's id was delivered to the next request, with the seal; a refusal like that said that an order had not run; a repeated response to a probe failed the request after it. Cause: is_stray compared the id only where the header was there. So a response without an id, on a connection on which a response named its request, is nobody's for sure: the attempt failed (answer-unnamed). Where only probes were answered, a response with the header of probes is skipped, any other is this request's; such a connection isn't kept. Also: nothing is sent on a connection on which bytes or its end arrived since the last response; the kernel is asked, as the runtime learns of it only when it next waits for events. Such an attempt provably did not run, where before it may have.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -2,12 +2,17 @@
 //!
 //! A connection serves one exchange at a time. A failed exchange tells whether any byte of the
 //! request was sent: only if none was, or if the upstream says so, did the request certainly not run.
+//!
+//! A response on a kept connection may belong to an earlier request: upstreams repeat responses, and
+//! send late ones. So nothing is sent on a connection with unread bytes; a response that names another
+//! request is skipped; and one that names none is taken only where no earlier request was answered.
 
 use crate::http1::{BodyProgress, BodyReader, Framing, HeadError, ResponseHead, read_response};
 use clock::Moment;
 use domain::Millis;
 use published::RunStart;
 use std::io::{self, ErrorKind};
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::{TcpSocket, TcpStream};
@@ -44,6 +49,8 @@
     Silent,
     /// The response violates the protocol, or is too large.
     Garbled,
+    /// The response names no request, and might belong to an earlier one.
+    Unnamed,
 }
 
 /// A complete response.
@@ -60,12 +67,32 @@
 pub struct Expected<'a> {
     /// Whether the response may have a body.
     pub has_body: bool,
-    /// Header with the request's id, and the id; responses to other requests are skipped.
-    pub id: Option<(&'a str, &'a str)>,
+    /// How the response names its request; none if responses never do.
+    pub naming: Option<Naming<'a>>,
     /// Read timeouts; none if something else limits the time of the exchange.
     pub read_timeouts: Option<ReadTimeouts>,
 }
 
+/// How responses name their requests.
+#[derive(Debug, Clone, Copy)]
+pub struct Naming<'a> {
+    /// Header with the id of the request.
+    pub header: &'a str,
+    /// What was sent.
+    pub sent: Sent<'a>,
+    /// Header that only responses to probes have.
+    pub probe_header: &'a str,
+}
+
+/// What a response is expected to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Sent<'a> {
+    /// A probe, whose response names no request.
+    Probe,
+    /// A request with this id, which its caller may have left empty.
+    Request(&'a str),
+}
+
 /// Timeouts between bytes received, so that a long response over a slow link isn't cut off.
 #[derive(Debug, Clone, Copy)]
 pub struct ReadTimeouts {
@@ -84,9 +111,20 @@
     idle_limit: Duration,
     is_reusable: bool,
     is_doubtful: bool,
+    answered: Answered,
     run: RunStart,
 }
 
+/// What was answered on a connection so far.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Answered {
+    Nothing,
+    /// Requests without an id.
+    Probes,
+    /// A request, by a response that names it.
+    Named,
+}
+
 impl Connection {
     /// Opens a connection, with a timeout.
     pub async fn open(address: SocketAddr, within: Duration) -> io::Result<Connection> {
@@ -103,6 +141,7 @@
             idle_limit: DEFAULT_IDLE,
             is_reusable: true,
             is_doubtful: false,
+            answered: Answered::Nothing,
             run: RunStart::default(),
         })
     }
@@ -156,8 +195,11 @@
         expected: Expected<'_>,
     ) -> Result<Response, ExchangeError> {
         self.is_reusable = false;
+        if self.answered != Answered::Nothing && !self.is_silent() {
+            return Err(ExchangeError::NotSent);
+        }
         let mut unsent = request;
-        let mut reader = ResponseReader::new(expected);
+        let mut reader = ResponseReader::new(expected, self.answered);
         let mut has_received = false;
         loop {
             while !unsent.is_empty() {
@@ -173,7 +215,7 @@
                 Ok(Some(_)) => {
                     has_received = true;
                     if let Some(response) = reader.read_from(&mut self.buffer)? {
-                        self.finish(&response, unsent.is_empty());
+                        self.finish(&response, &expected, unsent.is_empty());
                         return Ok(response);
                     }
                     continue;
@@ -201,6 +243,14 @@
         }
     }
 
+    /// Whether nothing has arrived, not even the end of the connection, since the last response. Asks
+    /// the kernel: the runtime learns of it only when it next waits for events.
+    fn is_silent(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        let peeked = socket2::SockRef::from(&self.stream).peek(&mut byte);
+        self.buffer.is_empty() && matches!(peeked, Err(e) if e.kind() == ErrorKind::WouldBlock)
+    }
+
     /// Reads what is available; returns the number of bytes, zero at the end of the connection, or
     /// none if nothing is available.
     fn read_some(&mut self) -> io::Result<Option<usize>> {
@@ -227,11 +277,21 @@
     }
 
     /// Prepares the connection for its next exchange. It isn't reused if the response came before the
-    /// whole request was sent: the upstream might take the next request for the rest of this one.
-    fn finish(&mut self, response: &Response, is_all_sent: bool) {
+    /// whole request was sent: the upstream might take the next request for the rest of this one. Nor
+    /// after a response that doesn't name its request: the next one could not be told from a copy.
+    fn finish(&mut self, response: &Response, expected: &Expected<'_>, is_all_sent: bool) {
         self.last_used = Moment::now();
         self.idle_limit = stated_idle(response).unwrap_or(DEFAULT_IDLE);
-        self.is_reusable = response.head.keeps_alive && is_all_sent && self.buffer.is_empty();
+        let request = expected.naming.filter(|naming| naming.sent != Sent::Probe);
+        let is_named =
+            request.is_none_or(|naming| response.head.fields.get(naming.header).is_some());
+        self.answered = match (request, self.answered) {
+            (Some(_), _) => Answered::Named,
+            (None, Answered::Nothing) => Answered::Probes,
+            (None, answered) => answered,
+        };
+        self.is_reusable =
+            response.head.keeps_alive && is_all_sent && is_named && self.buffer.is_empty();
         self.is_doubtful = response.head.status >= 400;
     }
 }
@@ -251,14 +311,16 @@
 #[derive(Debug)]
 struct ResponseReader<'a> {
     expected: Expected<'a>,
+    /// What was answered on the connection before.
+    answered: Answered,
     head: Option<ResponseHead>,
     body: Option<BodyReader>,
     strays: u32,
 }
 
 impl<'a> ResponseReader<'a> {
-    fn new(expected: Expected<'a>) -> ResponseReader<'a> {
-        ResponseReader { expected, head: None, body: None, strays: 0 }
+    fn new(expected: Expected<'a>, answered: Answered) -> ResponseReader<'a> {
+        ResponseReader { expected, answered, head: None, body: None, strays: 0 }
     }
 
     fn read_from(&mut self, buffer: &mut Vec<u8>) -> Result<Option<Response>, ExchangeError> {
@@ -275,17 +337,18 @@
                 BodyProgress::TooLarge => return Err(ExchangeError::Garbled),
                 BodyProgress::Whole => {}
             }
-            match (self.head.take(), self.body.take()) {
-                (Some(head), Some(_)) if self.is_stray(&head) => {
+            let (Some(head), Some(body)) = (self.head.take(), self.body.take()) else {
+                return Ok(None);
+            };
+            match self.owner_of(&head) {
+                Owner::This => return Ok(Some(Response { head, body: body.into_body() })),
+                Owner::Unknown => return Err(ExchangeError::Unnamed),
+                Owner::Other => {
                     self.strays += 1;
                     if self.strays > MAX_STRAYS || !head.keeps_alive {
                         return Err(ExchangeError::Garbled);
                     }
                 }
-                (Some(head), Some(body)) => {
-                    return Ok(Some(Response { head, body: body.into_body() }));
-                }
-                _ => return Ok(None),
             }
         }
     }
@@ -293,19 +356,40 @@
     /// Returns the response that the end of the connection completes, if its body is framed so.
     fn complete_at_close(mut self) -> Option<Response> {
         let (head, body) = (self.head.take()?, self.body.take()?);
-        let is_whole = body.framing() == Framing::UntilClose && !self.is_stray(&head);
+        let is_whole = body.framing() == Framing::UntilClose && self.owner_of(&head) == Owner::This;
         is_whole.then(|| Response { head, body: body.into_body() })
     }
 
-    /// Whether a response names another request.
-    fn is_stray(&self, head: &ResponseHead) -> bool {
-        match self.expected.id {
-            Some((header, id)) => head.fields.get(header).is_some_and(|echo| echo != id),
-            None => false,
+    /// The request that a response belongs to.
+    fn owner_of(&self, head: &ResponseHead) -> Owner {
+        let Some(naming) = self.expected.naming else { return Owner::This };
+        match (head.fields.get(naming.header), naming.sent) {
+            (Some(named), Sent::Request(id)) if named == id => Owner::This,
+            (Some(_), _) => Owner::Other,
+            (None, Sent::Probe | Sent::Request("")) => Owner::This,
+            (None, Sent::Request(_)) => self.owner_of_unnamed(head, naming.probe_header),
+        }
+    }
+
+    /// The same for a response that names no request.
+    fn owner_of_unnamed(&self, head: &ResponseHead, probe_header: &str) -> Owner {
+        match self.answered {
+            Answered::Nothing => Owner::This,
+            _ if head.fields.get(probe_header).is_some() => Owner::Other,
+            Answered::Probes => Owner::This,
+            Answered::Named => Owner::Unknown,
         }
     }
 }
 
+/// The request that a response belongs to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Owner {
+    This,
+    Other,
+    Unknown,
+}
+
 fn malformed(_: HeadError) -> ExchangeError {
     ExchangeError::Garbled
 }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -2,6 +2,7 @@
 //!
 //! The defaults are the product's own names; a program that embeds the product can set others.
 
+use crate::connection::{Naming, Sent};
 use dispatch::LoadReport;
 use domain::Slots;
 
@@ -46,6 +47,11 @@
 }
 
 impl Dialect {
+    /// How the response to what was sent names it.
+    pub fn naming<'a>(&self, sent: Sent<'a>) -> Naming<'a> {
+        Naming { header: self.request_id, sent, probe_header: self.upstream }
+    }
+
     /// Headers that are read from upstreams' responses.
     pub fn response_headers(&self) -> impl Iterator<Item = &'static str> {
         let of_request = [self.request_id, self.seal, self.upstream, self.not_run];
--- a/crates/gateway/src/event_log/event.rs
+++ b/crates/gateway/src/event_log/event.rs
@@ -134,6 +134,9 @@
     },
     /// An upstream's response has a header with a malformed value, which is ignored.
     AnswerUnreadable { upstream: &'a UpstreamId, mark: &'a str, value: &'a str },
+    /// An upstream's response names no request, and might belong to an earlier one on the same
+    /// connection: it is not delivered.
+    AnswerUnnamed { id: &'a str, upstream: &'a UpstreamId },
     /// An upstream stated or lifted a limit on the rate of requests from all hosts, to this host or
     /// to a peer.
     RateLimit {
--- a/crates/gateway/src/probe/health_check.rs
+++ b/crates/gateway/src/probe/health_check.rs
@@ -1,7 +1,7 @@
 //! One probe of one upstream, and recording its result.
 
 use crate::backpressure;
-use crate::connection::{Connection, Expected};
+use crate::connection::{Connection, Expected, Sent};
 use crate::event_log::{LogEvent, ResponseTo};
 use crate::host::Host;
 use crate::http1::HeadFields;
@@ -161,9 +161,8 @@
 ) -> Result<bool, ProbeFailure> {
     host.metrics.probe_sent();
     let request = format!("GET {path} HTTP/1.1\r\nhost: upstream\r\n\r\n");
-    // A probe has no id: a response that echoes one belongs to an earlier request.
-    let id = Some((host.dialect.request_id, ""));
-    let expected = Expected { has_body: true, id, read_timeouts: None };
+    let naming = Some(host.dialect.naming(Sent::Probe));
+    let expected = Expected { has_body: true, naming, read_timeouts: None };
     let response = connection.exchange(request.as_bytes(), expected).await;
     let response = response.map_err(|_| ProbeFailure::Unreachable)?;
     host.log_unread_headers(upstream, &response.head.fields, ResponseTo::HealthCheck);
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -6,7 +6,7 @@
 use super::selection::Selected;
 use super::{Reply, RoutedRequest};
 use crate::backpressure;
-use crate::connection::{Connection, ExchangeError, Expected, Response};
+use crate::connection::{Connection, ExchangeError, Expected, Response, Sent};
 use crate::event_log::{LogEvent, ResponseTo};
 use crate::http1::{HeaderChanges, write_request};
 use crate::probe;
@@ -175,7 +175,7 @@
         let Attempt { selected, mut connection, bytes, guard, sent_ms, trial } = attempt;
         let expected = Expected {
             has_body: self.request.head.method != "HEAD",
-            id: Some((self.host.dialect.request_id, &self.id)),
+            naming: Some(self.host.dialect.naming(Sent::Request(&self.id))),
             read_timeouts: None,
         };
         let result = tokio::select! {
@@ -188,6 +188,10 @@
         let (end, response) = match result {
             Ok(response) => (AttemptResult::Answered(self.summarize(&response)), Some(response)),
             Err(ExchangeError::NotSent) => (AttemptResult::NotSent, None),
+            Err(ExchangeError::Unnamed) => {
+                self.host.log.write(&LogEvent::AnswerUnnamed { id: &self.id, upstream: &upstream });
+                (AttemptResult::Broken, None)
+            }
             Err(ExchangeError::Broken | ExchangeError::Silent | ExchangeError::Garbled) => {
                 (AttemptResult::Broken, None)
             }
--- a/crates/gateway/tests/support/upstream.rs
+++ b/crates/gateway/tests/support/upstream.rs
@@ -15,6 +15,9 @@
 /// Time that it works on a request before it crashes.
 const WORK_BEFORE_CRASH_MS: u64 = 30;
 
+/// A response to a request that nobody sent.
+const UNNAMED: &[u8] = b"HTTP/1.1 200 OK\r\nx-upstream-seal: s\r\ncontent-length: 7\r\n\r\nanother";
+
 /// Time between a crash and the restart.
 const RESTART_MS: u64 = 200;
 
@@ -31,6 +34,12 @@
     UnsealedStatus(u16),
     /// A refusal with the header that says the request was not run.
     NotRun,
+    /// The same, without the request's id.
+    NotRunUnnamed,
+    /// A response without an id that belongs to another request, then a complete response.
+    UnnamedStray,
+    /// A complete response, and once the connection is idle one without an id.
+    UnnamedCopy,
     /// A success without the seal.
     Unsealed,
     /// A response that is shorter than its content length.
@@ -79,6 +88,7 @@
     /// When requests arrived, and their ids.
     arrivals: RefCell<Vec<(Instant, String)>>,
     is_healthy: Cell<bool>,
+    repeats_health: Cell<bool>,
     work_ms: Cell<u64>,
     probes: Cell<u32>,
     connections: Cell<u32>,
@@ -125,6 +135,7 @@
             extra_headers: RefCell::default(),
             arrivals: RefCell::default(),
             is_healthy: Cell::new(true),
+            repeats_health: Cell::new(false),
             work_ms: Cell::new(0),
             probes: Cell::new(0),
             connections: Cell::new(0),
@@ -267,6 +278,11 @@
         self.state.is_healthy.set(is_healthy);
     }
 
+    /// From now on it sends each response to a probe twice.
+    pub fn repeat_health(&self) {
+        self.state.repeats_health.set(true);
+    }
+
     pub fn requests(&self) -> Vec<ReceivedRequest> {
         self.state.requests.borrow().clone()
     }
@@ -317,6 +333,10 @@
                 if stream.write_all(&self.health()).await.is_err() {
                     return;
                 }
+                if self.state.repeats_health.get() {
+                    tokio::time::sleep(Duration::from_millis(1)).await;
+                    let _ = stream.write_all(&self.health()).await;
+                }
                 continue;
             }
             let behaviour = match self.state.crashes_on.borrow().as_ref() {
@@ -354,9 +374,11 @@
             }
             request.body = String::from_utf8_lossy(&body.into_body()).into_owned();
             if is_other {
-                let _ = stream
-                    .write_all(b"HTTP/1.1 421 Misdirected\r\ncontent-length: 0\r\n\r\n")
-                    .await;
+                let misdirected = format!(
+                    "HTTP/1.1 421 Misdirected\r\nx-request-id: {}\r\ncontent-length: 0\r\n\r\n",
+                    request.id
+                );
+                let _ = stream.write_all(misdirected.as_bytes()).await;
                 continue;
             }
             let id = request.id.clone();
@@ -399,11 +421,18 @@
     ) -> bool {
         match behaviour {
             Behaviour::NotRun => {
-                let extra = self.state.extra_headers.borrow().clone();
-                let refusal = format!(
-                    "HTTP/1.1 503 Full\r\nx-not-run: 1\r\n{extra}content-length: 0\r\n\r\n"
-                );
-                stream.write_all(refusal.as_bytes()).await.is_ok()
+                let name = format!("x-request-id: {id}\r\n");
+                stream.write_all(&self.refusal(&name)).await.is_ok()
+            }
+            Behaviour::NotRunUnnamed => stream.write_all(&self.refusal("")).await.is_ok(),
+            Behaviour::UnnamedStray => {
+                let _ = stream.write_all(UNNAMED).await;
+                stream.write_all(&complete).await.is_ok()
+            }
+            Behaviour::UnnamedCopy => {
+                let _ = stream.write_all(&complete).await;
+                tokio::time::sleep(Duration::from_millis(1)).await;
+                stream.write_all(UNNAMED).await.is_ok()
             }
             Behaviour::Unsealed => stream.write_all(&self.response(200, id, false)).await.is_ok(),
             Behaviour::Truncated => {
@@ -446,6 +475,13 @@
         }
     }
 
+    /// A refusal with these header lines.
+    fn refusal(&self, lines: &str) -> Vec<u8> {
+        let extra = self.state.extra_headers.borrow();
+        format!("HTTP/1.1 503 Full\r\nx-not-run: 1\r\n{lines}{extra}content-length: 0\r\n\r\n")
+            .into_bytes()
+    }
+
     fn response(&self, status: u16, id: &str, is_sealed: bool) -> Vec<u8> {
         let seal = if is_sealed { "x-upstream-seal: s\r\n" } else { "" };
         let body = format!("{} ran {id}", self.state.id);
