Test: the request in flight at a leaving upstream is held, not slow

Cause, from the log of a failing run: the first request's response, due after 200 ms, came 282 ms after it was sent and said that the upstream leaves; the second request arrived in that millisecond and was rightly refused. The request in flight was never harmed. (Ruled out: a probe that says so first; the stand-in's probes don't.) Change: the stand-in holds the first response until the second request has its own.

--- a/crates/gateway/tests/backpressure.rs
+++ b/crates/gateway/tests/backpressure.rs
@@ -273,18 +273,22 @@
     });
 }
 
+/// Guards against cutting the requests of an upstream that says that it is leaving. The first one's
+/// response is held until the second has said so.
 #[test]
 fn requests_in_flight_at_a_leaving_upstream_complete() {
     on_one_thread(async {
         let upstream = StandInUpstream::start("i-1").await;
         let (gateway, _published) = ready(&[&upstream]).await;
-        upstream.add_to_script([Behaviour::Slow(200), Behaviour::Respond]);
+        let _logs = LogsOnFailure::of([&gateway]);
+        upstream.add_to_script([Behaviour::Held, Behaviour::Respond]);
         let mut slow = Caller::connect(caller_address(&gateway)).await;
         slow.send(&post("/once/x", "id-1", "{}")).await;
         wait_until("it runs", || upstream.requests().len() == 1).await;
         upstream.set_extra_headers(&["x-upstream-leaving: 1"]);
         let mut other = Caller::connect(caller_address(&gateway)).await;
         assert_eq!(other.exchange(&post("/once/x", "id-2", "{}")).await.status, 200);
+        upstream.release();
         let got = slow.receive().await.unwrap();
         assert_eq!((got.status, got.is_sealed), (200, true));
     });
--- a/crates/gateway/tests/support/upstream.rs
+++ b/crates/gateway/tests/support/upstream.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 use tokio::task::JoinHandle;
 
 /// Time that it works on a request before it crashes.
@@ -28,6 +29,8 @@
     Respond,
     /// A complete response after this time, in milliseconds.
     Slow(u64),
+    /// A complete response once the test releases it.
+    Held,
     /// A response with this status, with the seal.
     Status(u16),
     /// A response with this status, without the seal.
@@ -97,6 +100,7 @@
     /// Number of open connections from which on it resets further ones.
     max_connections: Cell<u32>,
     resets: Cell<u32>,
+    released: Notify,
     abandoned: Cell<u32>,
     crashes: Cell<u32>,
     /// Target of requests that crash it.
@@ -142,6 +146,7 @@
             open: Cell::new(0),
             max_connections: Cell::new(u32::MAX),
             resets: Cell::new(0),
+            released: Notify::new(),
             abandoned: Cell::new(0),
             crashes: Cell::new(0),
             crashes_on: RefCell::default(),
@@ -310,6 +315,11 @@
         self.state.resets.get()
     }
 
+    /// Sends a response that is held.
+    pub fn release(&self) {
+        self.state.released.notify_one();
+    }
+
     /// Number of requests whose connection was closed before the response.
     pub fn abandoned(&self) -> u32 {
         self.state.abandoned.get()
@@ -405,6 +415,10 @@
                     }
                 }
             }
+            Behaviour::Held => {
+                self.state.released.notified().await;
+                self.response(200, id, true)
+            }
             Behaviour::Status(status) => self.response(status, id, true),
             Behaviour::UnsealedStatus(status) => self.response(status, id, false),
             _ => return self.simulate_fault(stream, behaviour, id, complete).await,
