A host that has read the source doesn't hold its next reading for others' earlier failures

Cause: six failed readers after the last success of another host count as an outage; a host did not count its own success. Ruled out: the reading itself, the order of turns (the next in rank read at the age at which it should). Change: failures before the last confirmation of the own state don't count. Test first: published reading, a_host_that_has_read_the_source_reads_on_..., red before.

--- a/crates/gateway/src/source_reader.rs
+++ b/crates/gateway/src/source_reader.rs
@@ -102,8 +102,9 @@
         let had_outage = std::mem::replace(&mut self.had_outage, retry_ms.is_some());
         if let Some(until_ms) = retry_ms.filter(|_| !had_outage) {
             let now_ms = self.host.now_ms();
+            let confirmed_ms = self.host.published_state().confirmed_ms();
             self.host.log.write(&LogEvent::ReadingHeld {
-                failed_readers: self.host.members().failed_readers(now_ms),
+                failed_readers: self.host.members().failed_readers(now_ms, confirmed_ms),
                 for_ms: until_ms.since(now_ms),
                 picture_age_ms: self.host.state_age_ms(),
             });
--- a/crates/published/src/members.rs
+++ b/crates/published/src/members.rs
@@ -250,9 +250,11 @@
         }
     }
 
-    /// Number of hosts that recently failed to read the source, after the last successful read.
-    pub fn failed_readers(&self, now_ms: Millis) -> usize {
+    /// Number of hosts that recently failed to read the source, after the last successful read of
+    /// any host; this one's state was last confirmed at `confirmed_ms`, perhaps by a read of its own.
+    pub fn failed_readers(&self, now_ms: Millis, confirmed_ms: Option<Millis>) -> usize {
         let read_ms = self.others.values().filter_map(|peer| peer.read_ms).max();
+        let read_ms = read_ms.max(confirmed_ms);
         let counts = |at_ms: Millis| {
             now_ms.since(at_ms) < FAILED_READ_MS && read_ms.is_none_or(|read_ms| read_ms < at_ms)
         };
--- a/crates/published/src/reading.rs
+++ b/crates/published/src/reading.rs
@@ -225,7 +225,8 @@
         }
         let confirmed_ms = state.confirmed_ms();
         self.outage_retry = self.outage_retry.filter(|retry| retry.confirmed_ms == confirmed_ms);
-        if self.outage_retry.is_none() && members.failed_readers(now_ms) >= OUTAGE_FAILED_READERS {
+        let failed_readers = members.failed_readers(now_ms, confirmed_ms);
+        if self.outage_retry.is_none() && failed_readers >= OUTAGE_FAILED_READERS {
             let longest_ms = OUTAGE_READ_INTERVAL_MS.0 * u64::from(members.count());
             let until_ms = now_ms + Millis(self.rng.random_range(0..=longest_ms));
             self.outage_retry = Some(OutageRetry { until_ms, confirmed_ms });
--- a/crates/published/tests/members.rs
+++ b/crates/published/tests/members.rs
@@ -179,13 +179,13 @@
     for host in &hosts[..6] {
         members.record_failed_read(Millis(1_000), host);
     }
-    assert_eq!(members.failed_readers(Millis(1_100)), 6);
+    assert_eq!(members.failed_readers(Millis(1_100), None), 6);
     // Another host could read, so the source is available.
     members.record_read(Millis(1_200), &hosts[7]);
-    assert_eq!(members.failed_readers(Millis(1_300)), 0);
+    assert_eq!(members.failed_readers(Millis(1_300), None), 0);
     members.record_failed_read(Millis(1_400), &hosts[0]);
-    assert_eq!(members.failed_readers(Millis(1_500)), 1);
-    assert_eq!(members.failed_readers(Millis(3_500)), 0, "too long ago");
+    assert_eq!(members.failed_readers(Millis(1_500), None), 1);
+    assert_eq!(members.failed_readers(Millis(3_500), None), 0, "too long ago");
 }
 
 /// It serves on for some seconds, and would read the source itself without updates.
--- a/crates/published/tests/reading.rs
+++ b/crates/published/tests/reading.rs
@@ -404,6 +404,23 @@
     assert_eq!(host.step(until_ms), ReadStep::Snapshot);
 }
 
+/// Guards against a host that reads the source again after an outage, and then waits for its turn in
+/// the outage, since its peers had failed before: nobody read on, and changes were late.
+#[test]
+fn a_host_that_has_read_the_source_reads_on_though_others_had_failed() {
+    let mut fleet = Fleet::of(113);
+    fleet.run(Millis::ZERO, Millis(3_000), &[]);
+    let at = fleet.readers()[0];
+    let reader = &mut fleet.hosts[at];
+    let others: Vec<HostId> = reader.members.others().map(|other| other.host.clone()).collect();
+    others.iter().for_each(|other| reader.members.record_failed_read(Millis(3_050), other));
+    reader.read(Millis(3_100));
+    assert!(matches!(reader.step(Millis(3_100)), ReadStep::Changes(_)));
+    // Failures after that count again.
+    others.iter().for_each(|other| reader.members.record_failed_read(Millis(3_200), other));
+    assert!(matches!(reader.step(Millis(3_200)), ReadStep::Wait(_)));
+}
+
 #[test]
 fn a_snapshot_from_a_peer_is_not_read_again() {
     let mut host = Host::new(
