A host that fetches a change reads the source last

What operators saw: after a large change hosts read the source while they waited in line for the change at a peer; 9 to 14 calls of nine hosts in 1.5 s where 8 are the most. Cause: a state that isn't confirmed for a second makes a host read at its turn, whether or not it is fetching the change that a peer announced.

--- a/crates/gateway/src/source_reader.rs
+++ b/crates/gateway/src/source_reader.rs
@@ -5,7 +5,7 @@
 use crate::peers::Peers;
 use crate::source::{Changes, Page, ReadResult, Source, SourceError, UnreadableValue};
 use domain::Millis;
-use published::{ReadStep, Reader, Revision, Snapshot};
+use published::{ReadStep, Reader, Revision, Snapshot, Waiting};
 use rand::RngExt;
 use std::rc::Rc;
 
@@ -57,12 +57,15 @@
             }
             let step = {
                 let gossip = self.host.gossip.borrow();
-                let is_wanted = self.host.is_routing_awaited.get();
+                let waiting = Waiting {
+                    for_routing: self.host.is_routing_awaited.get(),
+                    for_fetch: gossip.is_fetching(),
+                };
                 self.reader.step(
                     self.host.now_ms(),
                     gossip.members(),
                     gossip.published_state(),
-                    is_wanted,
+                    waiting,
                 )
             };
             self.log_role_change();
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -7,13 +7,14 @@
 use gateway::run::Gateway;
 use gateway::source::SourceError;
 use rstest::rstest;
+use std::cell::RefCell;
 use std::time::Duration;
 use support::caller::{Caller, get};
 use support::source::Published;
 use support::upstream::StandInUpstream;
 use support::{
-    caller_address, fleet, knows, on_one_thread, published, routing, service, settings, start,
-    wait_until,
+    LogsOnFailure, caller_address, fleet, knows, on_one_thread, published, routing, service,
+    settings, start, wait_until,
 };
 
 fn version(gateway: &Gateway) -> Option<Version> {
@@ -67,6 +68,7 @@
     on_one_thread(async move {
         let published = published(&[]);
         let hosts = fleet_of_two_zones([("kariakoo", 4), ("temeke", 5)], &published).await;
+        let _logs = LogsOnFailure::of(&hosts);
         tokio::time::sleep(Duration::from_millis(1_500)).await;
         let before = published.calls();
         published.write_routing(large_routing(2, routes));
@@ -139,9 +141,14 @@
         published.write_routing(routing(2));
         published.fail(None);
         wait_until("it is in force", || hosts.iter().all(|h| version(h) == Some(Version(2)))).await;
-        let log: String = hosts.iter().map(|h| h.host().log.take_buffered()).collect();
-        assert!(log.contains("\"event\":\"source-lost\""), "{log}");
-        assert!(log.contains("\"event\":\"source-regained\""), "{log}");
+        // A host that was reading when a peer told it says so once its own read ends.
+        let log = RefCell::new(String::new());
+        let has_logged = |event: &str| {
+            log.borrow_mut().extend(hosts.iter().map(|h| h.host().log.take_buffered()));
+            log.borrow().contains(&format!("\"event\":\"{event}\""))
+        };
+        wait_until("the loss is logged", || has_logged("source-lost")).await;
+        wait_until("the recovery is logged", || has_logged("source-regained")).await;
     });
 }
 
--- a/crates/published/src/gossip.rs
+++ b/crates/published/src/gossip.rs
@@ -74,6 +74,11 @@
         &self.state
     }
 
+    /// Whether a fetch of what is missing is under way.
+    pub fn is_fetching(&self) -> bool {
+        self.is_fetching
+    }
+
     /// Whether a peer has promised the first snapshot, and it may still arrive.
     pub fn is_bootstrap_pending(&self, now_ms: Millis) -> bool {
         now_ms < self.wait_until_ms && self.state.confirmed_ms().is_none()
--- a/crates/published/src/lib.rs
+++ b/crates/published/src/lib.rs
@@ -33,7 +33,7 @@
 pub use patch::RoutingPatch;
 pub use preference::{PreferredCounts, preferred_upstreams};
 pub use reading::{
-    ACTIVE_READERS, LONG_POLL_MS, ReadStep, Reader, StartConditions, covers_services,
+    ACTIVE_READERS, LONG_POLL_MS, ReadStep, Reader, StartConditions, Waiting, covers_services,
 };
 pub use routing::{
     CallerLimits, Destination, Idempotency, MatchedRoute, Route, RouteTable, Routing,
--- a/crates/published/src/reading.rs
+++ b/crates/published/src/reading.rs
@@ -69,6 +69,15 @@
     Changes(Millis),
 }
 
+/// What a host waits for, which decides about reading, too.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Waiting {
+    /// Requests wait for a routing.
+    pub for_routing: bool,
+    /// A fetch of changes that a peer has announced is under way.
+    pub for_fetch: bool,
+}
+
 /// A host's decisions about reading.
 #[derive(Debug)]
 pub struct Reader {
@@ -122,18 +131,18 @@
         self.outage_retry.map(|retry| retry.until_ms)
     }
 
-    /// Decides what to do now. `is_wanted` is true while requests wait for a routing here.
+    /// Decides what to do now.
     pub fn step(
         &mut self,
         now_ms: Millis,
         members: &Members,
         state: &PublishedState,
-        is_wanted: bool,
+        waiting: Waiting,
     ) -> ReadStep {
-        let wants_sample = is_wanted && self.may_sample && !self.has_first_page;
+        let wants_sample = waiting.for_routing && self.may_sample && !self.has_first_page;
         let due_ms = match state.confirmed_ms() {
             None if wants_sample => self.started_ms + SAMPLE_WAIT_MS,
-            _ => self.due_ms(now_ms, members, state),
+            _ => self.due_ms(now_ms, members, state, waiting.for_fetch),
         };
         let due_ms = due_ms.max(self.not_before_ms).max(self.outage_due_ms(now_ms, members, state));
         if due_ms > now_ms {
@@ -192,7 +201,13 @@
         self.needs_snapshot = true;
     }
 
-    fn due_ms(&mut self, now_ms: Millis, members: &Members, state: &PublishedState) -> Millis {
+    fn due_ms(
+        &mut self,
+        now_ms: Millis,
+        members: &Members,
+        state: &PublishedState,
+        is_fetching: bool,
+    ) -> Millis {
         let Some(confirmed_ms) = state.confirmed_ms() else {
             let rest_ms = if self.has_first_page { self.rest_wait_ms } else { Millis::ZERO };
             return self.started_ms + self.start_wait_ms + rest_ms;
@@ -204,9 +219,11 @@
         }
         let learned_ms = self.started_ms + LEARNING_MS;
         let is_reader = self.is_reading || rank < ACTIVE_READERS && now_ms >= learned_ms;
+        // Hosts that wait in line for a large change would all ask the source for the same.
+        let turn_ms = if is_fetching { LAST_TURN_MS } else { turn_ms(rank) };
         match !has_better && (is_reader || self.needs_snapshot) {
             true => now_ms,
-            false => (confirmed_ms + MAX_AGE_MS).max(learned_ms) + turn_ms(rank),
+            false => (confirmed_ms + MAX_AGE_MS).max(learned_ms) + turn_ms,
         }
     }
 
--- a/crates/published/tests/reading.rs
+++ b/crates/published/tests/reading.rs
@@ -4,7 +4,7 @@
 use domain::{HostId, Incarnation, Millis};
 use published::{
     Capacity, Member, Members, PublishedState, ReadStep, Reader, Revision, Snapshot,
-    StartConditions,
+    StartConditions, Waiting,
 };
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -39,6 +39,7 @@
     reader: Reader,
     /// Whether requests wait for a routing.
     is_wanted: bool,
+    is_fetching: bool,
 }
 
 impl Host {
@@ -53,11 +54,13 @@
         }
         let rng = Pcg64Mcg::seed_from_u64(number);
         let reader = Reader::new(rng, Millis::ZERO, start);
-        Host { members, state: PublishedState::default(), reader, is_wanted: false }
+        let state = PublishedState::default();
+        Host { members, state, reader, is_wanted: false, is_fetching: false }
     }
 
     fn step(&mut self, now_ms: Millis) -> ReadStep {
-        self.reader.step(now_ms, &self.members, &self.state, self.is_wanted)
+        let waiting = Waiting { for_routing: self.is_wanted, for_fetch: self.is_fetching };
+        self.reader.step(now_ms, &self.members, &self.state, waiting)
     }
 
     fn read(&mut self, now_ms: Millis) {
@@ -404,6 +407,24 @@
     assert_eq!(host.step(until_ms), ReadStep::Snapshot);
 }
 
+/// Guards against hosts that read a change from the source while a peer is about to send it, as each
+/// peer sends a large one to few hosts at a time. They still read in time if it doesn't come.
+#[test]
+fn a_host_that_fetches_a_change_reads_last() {
+    let mut fleet = Fleet::new();
+    fleet.run(Millis::ZERO, Millis(5_000), &[]);
+    let reader = fleet.readers()[0];
+    let host = &mut fleet.hosts[if reader == 0 { 1 } else { 0 }];
+    let confirmed_ms = host.state.confirmed_ms().unwrap();
+    let turn = host.step(confirmed_ms + Millis(500));
+    host.is_fetching = true;
+    let last_turn = ReadStep::Wait(confirmed_ms + BOUND_MS - Millis(200));
+    assert_eq!(host.step(confirmed_ms + Millis(500)), last_turn);
+    assert!(matches!(host.step(confirmed_ms + BOUND_MS - Millis(200)), ReadStep::Changes(_)));
+    host.is_fetching = false;
+    assert_ne!(turn, last_turn);
+}
+
 /// Guards against a host that reads the source again after an outage, and then waits for its turn in
 /// the outage, since its peers had failed before: nobody read on, and changes were late.
 #[test]
--- a/crates/published/tests/support/site.rs
+++ b/crates/published/tests/support/site.rs
@@ -7,7 +7,7 @@
 use domain::{Incarnation, Millis};
 use published::{
     Capacity, Change, Effect, Entry, Fetch, FetchReply, Gossip, Item, Member, Message,
-    PublishedState, ReadStep, Reader, Revision, Snapshot, StartConditions,
+    PublishedState, ReadStep, Reader, Revision, Snapshot, StartConditions, Waiting,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -430,8 +430,9 @@
         if is_waiting || host.gossip.is_bootstrap_pending(now_ms) {
             return;
         }
-        let step =
-            host.reader.step(now_ms, host.gossip.members(), host.gossip.published_state(), false);
+        let waiting = Waiting { for_routing: false, for_fetch: host.gossip.is_fetching() };
+        let (members, state) = (host.gossip.members(), host.gossip.published_state());
+        let step = host.reader.step(now_ms, members, state, waiting);
         let is_takeover_disabled = self.disabled == Disabled::Takeover
             && host.gossip.members().reader_rank() > 0
             && host.gossip.published_state().confirmed_ms().is_some();
--- a/crates/published/tests/support/starting.rs
+++ b/crates/published/tests/support/starting.rs
@@ -8,7 +8,7 @@
 use domain::{Incarnation, Millis};
 use published::{
     Bootstrap, Capacity, Change, Effect, Entry, Fetch, FetchReply, Gossip, Item, Member, Message,
-    ReadStep, Reader, Revision, Snapshot, StartConditions,
+    ReadStep, Reader, Revision, Snapshot, StartConditions, Waiting,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -385,7 +385,8 @@
             return self.push(self.now_us + 25_000, at, Event::ReadStep);
         }
         let (gossip, is_wanted) = (&host.gossip, self.scenario.has_waiting_requests);
-        let step = host.reader.step(now_ms, gossip.members(), gossip.published_state(), is_wanted);
+        let waiting = Waiting { for_routing: is_wanted, for_fetch: gossip.is_fetching() };
+        let step = host.reader.step(now_ms, gossip.members(), gossip.published_state(), waiting);
         let bytes = PAGE_VALUES.min(self.items.len()) as u64 * VALUE_BYTES;
         let page_us = SOURCE_US + bytes * 8 / host.link_mbps;
         let source_us = bytes * 8 / SOURCE_MBPS;
