Retry-After of limited upstreams goes by what this host may send

What callers saw: refused with upstreams-limited they were asked to return when the fleet might send its next request, and were refused again: at 472 hosts after 0.1 s in place of 47. Cause: UpstreamSet::next_request_in sums the rates of the whole fleet, of which a host without a scheduler has a share and a bucket of its own; and it was rounded down. Change: the host's rate limiter says when it may send; a share that is lent counts as the fleet's.

--- a/crates/dispatch/src/fleet_rate/budget.rs
+++ b/crates/dispatch/src/fleet_rate/budget.rs
@@ -12,6 +12,9 @@
 /// the rate, as callers wait.
 const MAX_DEDUCTED_S: f64 = 3.0;
 
+/// Largest error of a sum of tokens.
+const ROUNDING_ERROR: f64 = 1e-6;
+
 /// The rate that the whole fleet may send to an upstream.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct FleetRate {
@@ -52,7 +55,7 @@
         limit: FleetRate,
         share: f64,
     ) -> bool {
-        self.tokens(now_ms, id, limit, share) >= 1.0
+        self.tokens(now_ms, id, limit, share) >= 1.0 - ROUNDING_ERROR
     }
 
     /// Time until a sender that has this share of the rate may send its next request.
@@ -66,7 +69,7 @@
         let missing = 1.0 - self.tokens(now_ms, id, limit, share);
         let rate_per_ms = limit.rate.0 * share / 1_000.0;
         match missing > 0.0 {
-            true => Millis((missing / rate_per_ms.max(1e-9)) as u64),
+            true => Millis((missing / rate_per_ms.max(1e-9)).ceil() as u64),
             false => Millis::ZERO,
         }
     }
--- a/crates/dispatch/src/fleet_rate/sharing.rs
+++ b/crates/dispatch/src/fleet_rate/sharing.rs
@@ -97,6 +97,34 @@
         upstreams.of_service(service).iter().filter(is_blocked).cloned().collect()
     }
 
+    /// Time until one of `hosts` hosts may send its next request to a service, if every eligible
+    /// upstream has a rate limit or asked this host to back off; none if one of them did neither, or
+    /// if there is no eligible upstream.
+    ///
+    /// A host may send its own share of a rate only. While that is lent to a scheduler, which sends
+    /// for all, the next request of the fleet counts.
+    pub fn next_request_in(
+        &self,
+        now_ms: Millis,
+        upstreams: &UpstreamSet,
+        service: &ServiceName,
+        hosts: u32,
+    ) -> Option<Millis> {
+        let of_fleet_ms = upstreams.next_request_in(now_ms, service)?;
+        let own_ms = |id: &UpstreamId| {
+            let backoff_ms = upstreams.remaining_backoff(now_ms, id);
+            let limit = upstreams.fleet_rate(now_ms, id).map(with_most_deducted);
+            let share = self.share(now_ms, upstreams, id, hosts);
+            let permit_ms = limit.map(|limit| match share > 0.0 {
+                true => self.budget.next_request_in(now_ms, id, limit, share),
+                false => of_fleet_ms,
+            });
+            backoff_ms.max(permit_ms)
+        };
+        let eligible = upstreams.of_service(service).iter();
+        eligible.filter(|id| upstreams.accepts_requests(id)).filter_map(own_ms).min()
+    }
+
     /// Deducts a request that is sent.
     pub fn record_sent(
         &mut self,
--- a/crates/dispatch/src/upstream_set/limits.rs
+++ b/crates/dispatch/src/upstream_set/limits.rs
@@ -57,7 +57,7 @@
         !self.backpressure.is_empty() || service.is_some_and(|service| service.cold_rate.is_some())
     }
 
-    /// Estimated time until a service accepts another request, if every eligible upstream has a
+    /// Estimated time until a service accepts another request of the fleet, if every eligible upstream has a
     /// rate limit or asked this host to back off; none if one of them did neither, or if there is
     /// no eligible upstream.
     pub fn next_request_in(&self, now_ms: Millis, service: &ServiceName) -> Option<Millis> {
--- a/crates/dispatch/tests/rate_limit.rs
+++ b/crates/dispatch/tests/rate_limit.rs
@@ -3,9 +3,10 @@
 
 mod support;
 
-use dispatch::UpstreamSet;
 use dispatch::backpressure::{Backpressure, LimitChange, ResponseKind};
-use domain::{Millis, PerSecond};
+use dispatch::scheduler::Cell;
+use dispatch::{LocalRateLimiter, UpstreamSet};
+use domain::{Millis, PerSecond, ServiceName};
 use published::{Evacuations, RunStart};
 use rstest::rstest;
 use support::{entry, id, of_run, set};
@@ -140,6 +141,48 @@
     assert_eq!(set.next_request_in(NOW, &parts), Some(Millis(200)));
 }
 
+/// Guards against asking callers to return when the fleet may send its next request, of which a host
+/// has a small share: they were refused again.
+#[rstest]
+fn a_caller_is_asked_to_return_when_the_host_may_send(
+    #[values(1, 13, 111, 472)] hosts: u32,
+    #[values(2.0, 5.0, 40.0)] rate: f64,
+) {
+    let mut set = set(&[entry("i-1", "kariakoo"), entry("i-2", "temeke")]);
+    let parts = "parts".parse().unwrap();
+    let mut limiter = LocalRateLimiter::new("front-1".parse().unwrap());
+    for name in ["i-1", "i-2"] {
+        set.record_backpressure(NOW, (&id(name), RUN), SERVED, stating(Some(rate)));
+    }
+    let may_send = |limiter: &LocalRateLimiter, at_ms| {
+        let names = ["i-1", "i-2"].map(id);
+        names.into_iter().find(|name| limiter.may_send(at_ms, &set, name, hosts))
+    };
+    let mut now_ms = NOW;
+    for _ in 0..5 {
+        let wait_ms = limiter.next_request_in(now_ms, &set, &parts, hosts).unwrap();
+        let earlier_ms = now_ms + Millis(wait_ms.0.saturating_sub(2));
+        if wait_ms > Millis(2) {
+            assert_eq!(may_send(&limiter, earlier_ms), None, "asked to wait for {wait_ms}");
+        }
+        now_ms = now_ms + wait_ms;
+        let name = may_send(&limiter, now_ms).expect("it may send");
+        limiter.record_sent(now_ms, &set, &name, hosts);
+    }
+}
+
+/// While the host's share is lent to a scheduler, the fleet's next request counts.
+#[test]
+fn a_lent_share_is_the_fleets() {
+    let mut set = set(&[entry("i-1", "kariakoo")]);
+    let parts: ServiceName = "parts".parse().unwrap();
+    set.record_backpressure(NOW, (&id("i-1"), RUN), SERVED, stating(Some(4.0)));
+    let mut limiter = LocalRateLimiter::new("front-1".parse().unwrap());
+    let cell = Cell { service: parts.clone(), zone: None };
+    assert!(limiter.lend(NOW, &cell, &"front-2".parse().unwrap()));
+    assert_eq!(limiter.next_request_in(NOW, &set, &parts, 472), Some(Millis(250)));
+}
+
 /// A message holds a limited number of updates: the latest of those that concern peers.
 #[test]
 fn the_latest_updates_are_sent_if_one_message_cannot_hold_all() {
--- a/crates/gateway/src/host/rate_limits.rs
+++ b/crates/gateway/src/host/rate_limits.rs
@@ -3,7 +3,7 @@
 
 use super::Host;
 use dispatch::{FleetSize, UpstreamSet, assumed_fleet};
-use domain::{ServiceName, UpstreamId};
+use domain::{Millis, ServiceName, UpstreamId};
 
 impl Host {
     /// Whether the rate limit and the backoff of an upstream, if it stated any, allow this host to
@@ -31,6 +31,17 @@
         )
     }
 
+    /// Time until this host may send its next unscheduled request to a service, if all its upstreams
+    /// limit or delay what they accept.
+    pub fn next_request_in(&self, service: &ServiceName) -> Option<Millis> {
+        self.rate_limiter.borrow().next_request_in(
+            self.now_ms(),
+            &self.upstreams.borrow(),
+            service,
+            self.fleet_sharing_rates().hosts,
+        )
+    }
+
     /// Counts an unscheduled request against the upstream's rate limit, if it stated one.
     pub fn record_rated_send(&self, id: &UpstreamId) {
         let (now_ms, hosts) = (self.now_ms(), self.fleet_sharing_rates().hosts);
--- a/crates/gateway/src/serve/selection.rs
+++ b/crates/gateway/src/serve/selection.rs
@@ -105,8 +105,8 @@
     }
 
     fn no_upstream_refusal(&self, counts: &AttemptCounts) -> Refusal {
+        let free_in_ms = self.host.next_request_in(&self.service);
         let upstreams = self.host.upstreams.borrow();
-        let free_in_ms = upstreams.next_request_in(self.host.now_ms(), &self.service);
         match (counts.may_have_run() > 0, free_in_ms) {
             (true, _) => Refusal::may_have_run(Cause::UpstreamFailed),
             (false, Some(free_in_ms)) => Refusal::rate_limited(free_in_ms),
