An upstream that accepts connections has to answer before it counts as alive

What callers saw: a request that most send held back for 4 hours while the one that crashes upstreams ran on, where a port outlives its connections. Evidence: crash-checked with a stand-in whose port accepts for 5 to 500 ms after a crash: accepts in each. Cause: one opened connection counted as proof that the process lives. Change: it has to answer a probe, from the probes' budget; where nothing answers it is looked at again for 0.7 s in the background, and a crash seen then is broadcast at once. Another upstream's answer is a crash. Test first: gateway broken_connections, an_upstream_has_crashed_though_its_port_is_open_for_a_while, 4 of 4 red before.

--- a/crates/gateway/src/event_log/event.rs
+++ b/crates/gateway/src/event_log/event.rs
@@ -239,8 +239,12 @@
     Refused,
     /// Its port refuses connections, but another connection is open: it is full.
     OnlyFull,
-    /// Its port accepts connections.
+    /// It accepts connections and answers, or may not be probed now.
     Accepts,
+    /// Another upstream answers at its address.
+    Replaced,
+    /// Its port accepts connections, and nothing answers.
+    Silent,
     /// It drains, has announced that it leaves, or is no longer published: its end is no crash.
     Leaves,
     /// It can't be reached.
@@ -252,7 +256,7 @@
 impl CrashEvidence {
     /// Whether it proves a crash.
     pub fn is_crash(self) -> bool {
-        matches!(self, CrashEvidence::Restarted | CrashEvidence::Refused)
+        matches!(self, CrashEvidence::Restarted | CrashEvidence::Refused | CrashEvidence::Replaced)
     }
 }
 
--- a/crates/gateway/src/probe/health_check.rs
+++ b/crates/gateway/src/probe/health_check.rs
@@ -8,7 +8,7 @@
 use dispatch::backpressure::ResponseKind;
 use dispatch::{LoadReport, ProbeFailure};
 use domain::{Millis, ServiceName, UpstreamId};
-use published::RunStart;
+use published::{RunStart, Upstream};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,6 +19,9 @@
 /// Longest wait for the response to a probe; after it the upstream counts as unresponsive.
 const PROBE_LIMIT: Duration = Duration::from_millis(400);
 
+/// The same for one that may be gone: half of the time of a look at it.
+const NEW_PROBE_LIMIT: Duration = Duration::from_millis(30);
+
 /// The budget that a probe is taken from.
 #[derive(Debug, Clone, Copy)]
 pub(super) enum ProbeBudgetKind {
@@ -108,6 +111,30 @@
     }
 }
 
+/// Probes an upstream on a new connection. Returns whether it is the published one, as it is assumed
+/// to be if the probe budget is spent; none if nothing answers.
+pub async fn probe_new(
+    host: &Rc<Host>,
+    entry: &Upstream,
+    mut connection: Connection,
+) -> Option<bool> {
+    let is_same = match take_probe(host, &entry.service, &entry.id, ProbeBudgetKind::Fleet) {
+        false => true,
+        true => {
+            let path = health_path(host, &entry.service);
+            let at = (&entry.id, entry.run);
+            let probing = exchange(host, &mut connection, at, &path);
+            match clock::timeout(NEW_PROBE_LIMIT, probing).await {
+                Ok(Ok(_)) => true,
+                Ok(Err(ProbeFailure::OtherUpstream)) => return Some(false),
+                Ok(Err(_)) | Err(_) => return None,
+            }
+        }
+    };
+    host.pool.borrow_mut().put(&entry.id, connection);
+    Some(is_same)
+}
+
 struct ProbeResponse {
     connection: Connection,
     is_healthy: bool,
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -3,13 +3,17 @@
 //! [`dispatch::quarantine`] decides what follows from a crash. A broken connection alone is no
 //! crash: upstreams send malformed responses, some reset connections when they are full, and links
 //! break. After a crash the port refuses connections, which one round trip shows, and no other
-//! connection to the upstream is open. A crash that takes the machine off the network isn't detected.
+//! connection to the upstream is open. A port may outlive its process for a moment, so one that
+//! accepts has to answer a probe; while it doesn't, it is looked at again. A crash that takes the
+//! machine off the network isn't detected.
 
 use crate::connection::Connection;
 use crate::event_log::{CrashEvidence, LogEvent};
 use crate::fleet_message;
 use crate::host::Host;
 use crate::peers::codec::Datagram;
+use crate::probe::probe_new;
+use clock::Moment;
 use dispatch::quarantine::{Crash, QuarantineMessage, SuspectChange};
 use domain::{Millis, RequestFingerprint, UpstreamId};
 use published::{Eligibility, RunStart, Upstream};
@@ -20,10 +24,16 @@
 use std::time::Duration;
 use tokio::task::JoinHandle;
 
-/// Longest check of an upstream that broke a connection: some round trips between availability
+/// Longest look at an upstream that broke a connection: some round trips between availability
 /// zones. The request waits for it, so that its next attempt takes a crash into account.
 const CHECK_LIMIT: Duration = Duration::from_millis(60);
 
+/// For how long an upstream that accepts connections and doesn't answer is looked at again.
+const RECHECK_LIMIT: Duration = Duration::from_millis(700);
+
+/// Time between two looks.
+const RECHECK_PAUSE: Duration = Duration::from_millis(50);
+
 /// An attempt whose connection broke after the request was sent.
 #[derive(Debug)]
 pub struct BrokenAttempt {
@@ -37,15 +47,19 @@
     pub broke_ms: Millis,
 }
 
-/// Checks whether the upstream crashed, and records it; true if it did. The check completes even if
-/// its result isn't awaited.
-pub fn examine(host: &Rc<Host>, broken: BrokenAttempt) -> JoinHandle<bool> {
+/// Checks whether the upstream crashed, and records it; true if one look shows it. The check goes on
+/// until it completes.
+pub async fn examine(host: &Rc<Host>, broken: BrokenAttempt) -> bool {
+    let checking = check(host, broken);
+    // A failed task is a fault in this process, not evidence of a crash.
+    matches!(clock::timeout(CHECK_LIMIT, checking).await, Ok(Ok(true)))
+}
+
+fn check(host: &Rc<Host>, broken: BrokenAttempt) -> JoinHandle<bool> {
     let host = Rc::clone(host);
     tokio::task::spawn_local(async move {
-        let begun_ms = host.now_ms();
-        let checking = find_evidence(&host, &broken.upstream);
-        let evidence = clock::timeout(CHECK_LIMIT, checking).await;
-        let evidence = evidence.unwrap_or(CrashEvidence::TooLate);
+        let (begun_ms, begun) = (host.now_ms(), Moment::now());
+        let evidence = find_evidence(&host, &broken.upstream).await;
         let has_crashed = evidence.is_crash();
         host.metrics.upstream_broke_off(has_crashed);
         host.log.write(&LogEvent::CrashChecked {
@@ -56,7 +70,12 @@
             took_ms: host.now_ms().since(begun_ms),
         });
         if has_crashed {
+            let fingerprint = broken.fingerprint;
             record_crash(&host, broken);
+            if begun.elapsed() >= CHECK_LIMIT {
+                // The request didn't wait for this.
+                record_final_response(&host, fingerprint);
+            }
         }
         has_crashed
     })
@@ -64,6 +83,17 @@
 
 /// Finds out whether the process behind an entry is gone without having announced that it leaves.
 async fn find_evidence(host: &Rc<Host>, entry: &Upstream) -> CrashEvidence {
+    let until = Moment::now() + RECHECK_LIMIT;
+    loop {
+        let look = clock::timeout(CHECK_LIMIT, look_at(host, entry)).await;
+        match look.unwrap_or(CrashEvidence::TooLate) {
+            CrashEvidence::Silent if Moment::now() < until => clock::sleep(RECHECK_PAUSE).await,
+            evidence => return evidence,
+        }
+    }
+}
+
+async fn look_at(host: &Rc<Host>, entry: &Upstream) -> CrashEvidence {
     match state_of(host, &entry.id, entry.run) {
         EntryState::Restarted => return CrashEvidence::Restarted,
         EntryState::Leaving => return CrashEvidence::Leaves,
@@ -71,10 +101,11 @@
     }
     host.metrics.connection_opened();
     match Connection::open(entry.address, CHECK_LIMIT).await {
-        Ok(connection) => {
-            host.pool.borrow_mut().put(&entry.id, connection.with_run(entry.run));
-            CrashEvidence::Accepts
-        }
+        Ok(connection) => match probe_new(host, entry, connection.with_run(entry.run)).await {
+            Some(true) => CrashEvidence::Accepts,
+            Some(false) => CrashEvidence::Replaced,
+            None => CrashEvidence::Silent,
+        },
         Err(e) => match e.kind() {
             ErrorKind::ConnectionRefused if is_connected(host, entry) => CrashEvidence::OnlyFull,
             ErrorKind::ConnectionRefused => CrashEvidence::Refused,
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -219,8 +219,7 @@
             Some(upstream) if end == AttemptResult::Broken => {
                 let fingerprint = self.fingerprint();
                 let broken = BrokenAttempt { fingerprint, upstream, sent_ms, broke_ms };
-                // A failed task is a fault in this process, not evidence of a crash.
-                quarantine::examine(&self.host, broken).await.unwrap_or(false)
+                quarantine::examine(&self.host, broken).await
             }
             _ => false,
         };
--- a/crates/gateway/tests/broken_connections.rs
+++ b/crates/gateway/tests/broken_connections.rs
@@ -33,6 +33,22 @@
     });
 }
 
+/// Guards against taking a port that outlives its process for a process that lives: the request that
+/// crashed it ran on, and others that were beside it were suspected.
+#[rstest]
+fn an_upstream_has_crashed_though_its_port_is_open_for_a_while(
+    #[values(5, 50, 200, 500)] port_ms: u64,
+) {
+    on_one_thread(async move {
+        let upstream = StandInUpstream::start("i-1").await;
+        let (gateway, _published) = ready(&[&upstream]).await;
+        upstream.add_to_script([Behaviour::CrashBehindOpenPort(port_ms)]);
+        Caller::connect(caller_address(&gateway)).await.exchange(&get("/any/x", "id-1")).await;
+        let counted = "gateway_broken_off_total{has_crashed=\"true\"";
+        wait_until("it was checked", || gateway.host().metrics.render().contains(counted)).await;
+    });
+}
+
 /// Idle connections in the pool end with the process, and don't count as open.
 #[test]
 fn an_upstream_has_crashed_also_if_the_pool_has_connections_to_it() {
--- a/crates/gateway/tests/support/upstream.rs
+++ b/crates/gateway/tests/support/upstream.rs
@@ -61,6 +61,8 @@
     EarlyResponse,
     /// A crash of its process this time, in milliseconds, after it started to run the request.
     Crash(u64),
+    /// A crash after which its port accepts connections for this time, in milliseconds.
+    CrashBehindOpenPort(u64),
 }
 
 /// A request that it ran or refused.
@@ -91,6 +93,8 @@
     /// When requests arrived, and their ids.
     arrivals: RefCell<Vec<(Instant, String)>>,
     is_healthy: Cell<bool>,
+    /// Its process is gone, though its port isn't.
+    is_silent: Cell<bool>,
     repeats_health: Cell<bool>,
     work_ms: Cell<u64>,
     probes: Cell<u32>,
@@ -139,6 +143,7 @@
             extra_headers: RefCell::default(),
             arrivals: RefCell::default(),
             is_healthy: Cell::new(true),
+            is_silent: Cell::new(false),
             repeats_health: Cell::new(false),
             work_ms: Cell::new(0),
             probes: Cell::new(0),
@@ -160,8 +165,13 @@
     fn accept(&self, listener: TcpListener) {
         let upstream = self.clone();
         let task = tokio::task::spawn_local(async move {
+            let mut unanswered = Vec::new();
             while let Ok((stream, _)) = listener.accept().await {
                 upstream.state.connections.update(|count| count + 1);
+                if upstream.state.is_silent.get() {
+                    unanswered.push(stream);
+                    continue;
+                }
                 if upstream.state.open.get() >= upstream.state.max_connections.get() {
                     upstream.state.resets.update(|count| count + 1);
                     stream.set_zero_linger().unwrap();
@@ -176,7 +186,7 @@
                 upstream.state.tasks.borrow_mut().push(serving);
             }
         });
-        self.state.tasks.borrow_mut().push(task);
+        self.state.tasks.borrow_mut().insert(0, task);
     }
 
     /// Simulates a crash: its connections break, its port refuses new ones, and it restarts after
@@ -192,6 +202,23 @@
         self.state.tasks.borrow_mut().drain(..).for_each(|task| task.abort());
     }
 
+    /// The same, but its port accepts connections for `port_ms`, as one that a supervisor or a proxy
+    /// holds does. Nothing answers on them.
+    pub fn crash_behind_open_port(&self, port_ms: u64) {
+        self.state.crashes.update(|count| count + 1);
+        self.state.is_silent.set(true);
+        let upstream = self.clone();
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(Duration::from_millis(port_ms)).await;
+            upstream.state.tasks.borrow_mut().drain(..).for_each(|task| task.abort());
+            tokio::time::sleep(Duration::from_millis(RESTART_MS)).await;
+            upstream.state.is_silent.set(false);
+            upstream.accept(TcpListener::bind(upstream.state.address).await.unwrap());
+        });
+        // All but the task that accepts connections, which is the first.
+        self.state.tasks.borrow_mut().drain(1..).for_each(|task| task.abort());
+    }
+
     /// From now on it crashes, and restarts, whenever it runs a request for this target.
     pub fn crashes_on(&self, target: &str) {
         *self.state.crashes_on.borrow_mut() = Some(target.to_owned());
@@ -485,6 +512,10 @@
                 // The crash aborts this task here, which closes the connection.
                 std::future::pending().await
             }
+            Behaviour::CrashBehindOpenPort(port_ms) => {
+                self.crash_behind_open_port(port_ms);
+                std::future::pending().await
+            }
             _ => false,
         }
     }
