All suspects are broadcast, in as many messages as it takes

What callers saw: where more than 24 requests crash upstreams at once, hosts sent requests that others held. Cause: take_pending forgot what exceeded one message, and export gave the same 24 to whoever asked. Change: the rest stays pending for the next message, the most crashes first; export gives all.

--- a/crates/dispatch/src/quarantine.rs
+++ b/crates/dispatch/src/quarantine.rs
@@ -24,6 +24,7 @@
 pub use message::{QuarantineMessage, SuspectUpdate};
 pub use report::{CrashDump, SuspectChange, SuspectDump, SuspectStatus};
 pub use suspect::Crash;
+pub use sync::MAX_SUSPECTS_PER_MESSAGE;
 pub use verdict::{Admission, MIN_CRASHES_FOR_HOLD, MIN_CRASHES_FOR_TRIAL, RequestTime};
 
 use domain::{FastMap, Millis, RequestFingerprint};
--- a/crates/dispatch/src/quarantine/sync.rs
+++ b/crates/dispatch/src/quarantine/sync.rs
@@ -8,7 +8,7 @@
 use std::cmp::Reverse;
 
 /// Maximum number of suspects in one message: four kilobytes.
-const MAX_SUSPECTS_PER_MESSAGE: usize = 24;
+pub const MAX_SUSPECTS_PER_MESSAGE: usize = 24;
 
 /// Time after the latest change until all hosts know it, except those that were cut off.
 const SPREAD_MS: Millis = Millis::from_secs(10);
@@ -20,12 +20,18 @@
 const SETTLED_DIGEST_INTERVAL_MS: Millis = Millis::from_secs(10);
 
 impl Quarantine {
-    /// Takes the suspects to broadcast; none if there are none.
+    /// Takes the suspects of the next message to broadcast, those with the most crashes first; none
+    /// if there are none left.
     pub fn take_pending(&mut self, now_ms: Millis) -> Option<Vec<SuspectUpdate>> {
         let now_ms = with_offset(now_ms);
         let mut pending = std::mem::take(&mut self.pending);
         pending.sort_unstable();
         pending.dedup();
+        let of_suspect = |fingerprint: &RequestFingerprint| {
+            Reverse(self.suspects.get(fingerprint).map(importance))
+        };
+        pending.sort_by_key(of_suspect);
+        self.pending = pending.split_off(pending.len().min(MAX_SUSPECTS_PER_MESSAGE));
         let to_update = |fingerprint: RequestFingerprint| {
             let suspect = self.suspects.get_mut(&fingerprint)?;
             let update = SuspectUpdate::of(now_ms, fingerprint, suspect);
@@ -34,21 +40,18 @@
                 false => update,
             })
         };
-        // The digest reveals to peers what exceeds one message.
-        let updates: Vec<_> =
-            pending.into_iter().filter_map(to_update).take(MAX_SUSPECTS_PER_MESSAGE).collect();
+        let updates: Vec<_> = pending.into_iter().filter_map(to_update).collect();
         Some(updates).filter(|updates| !updates.is_empty())
     }
 
-    /// All suspects for a peer with a different digest, those with the most crashes first.
+    /// All suspects for a peer with a different digest, those with the most crashes first. They take
+    /// several messages of [`MAX_SUSPECTS_PER_MESSAGE`].
     pub fn export(&self, now_ms: Millis) -> Vec<SuspectUpdate> {
         let now_ms = with_offset(now_ms);
         let mut all: Vec<_> = self.suspects.iter().filter(|(_, s)| s.is_broadcast()).collect();
         all.sort_by_key(|(_, suspect)| Reverse(importance(suspect)));
-        let updates = all.into_iter().take(MAX_SUSPECTS_PER_MESSAGE);
-        updates
-            .map(|(&fingerprint, suspect)| SuspectUpdate::of(now_ms, fingerprint, suspect))
-            .collect()
+        let update = |(&fingerprint, suspect)| SuspectUpdate::of(now_ms, fingerprint, suspect);
+        all.into_iter().map(update).collect()
     }
 
     /// Digest of the suspects: equal for hosts that have the same.
--- a/crates/dispatch/tests/quarantine.rs
+++ b/crates/dispatch/tests/quarantine.rs
@@ -1,7 +1,9 @@
 //! Which crashes count against a request, when it is held, and what clears it.
 #![allow(clippy::unwrap_used)]
 
-use dispatch::quarantine::{Admission, Crash, Quarantine, RequestTime, SuspectUpdate};
+use dispatch::quarantine::{
+    Admission, Crash, MAX_SUSPECTS_PER_MESSAGE, Quarantine, RequestTime, SuspectUpdate,
+};
 use domain::{Millis, RequestFingerprint};
 use published::RunStart;
 use rand::SeedableRng;
@@ -302,6 +304,32 @@
     assert_eq!(quarantine.take_pending(Millis(110)).unwrap().len(), 1);
 }
 
+/// Guards against suspects that no peer learns of, since one message doesn't hold them all.
+#[test]
+fn all_suspects_reach_all_hosts() {
+    let mut hosts: Vec<Quarantine> = (0..3).map(|_| Quarantine::default()).collect();
+    for number in 0..100 {
+        for crash in &three_crashes()[..2] {
+            hosts[0].record_crash(RequestFingerprint(1_000 + number), crash.clone());
+        }
+    }
+    while let Some(updates) = hosts[0].take_pending(Millis(500)) {
+        assert!(updates.len() <= MAX_SUSPECTS_PER_MESSAGE);
+        hosts[1].merge(Millis(501), updates);
+    }
+    let missed = hosts[1].export(Millis(600));
+    for message in missed.chunks(MAX_SUSPECTS_PER_MESSAGE) {
+        hosts[2].merge(Millis(601), message.to_vec());
+    }
+    for number in 0..100 {
+        let request = RequestFingerprint(1_000 + number);
+        let admissions = hosts.iter().map(|host| host.admit(Millis(700), request));
+        assert!(admissions.eq([Admission::Trial; 3]), "{number}");
+    }
+    let digests: Vec<u64> = hosts.iter().map(Quarantine::digest).collect();
+    assert!(digests.iter().all(|digest| *digest == digests[0]), "{digests:?}");
+}
+
 /// A first crash that was not broadcast counts, and is broadcast, once a peer reports the same
 /// request.
 #[test]
--- a/crates/dispatch/tests/support/crash_simulation.rs
+++ b/crates/dispatch/tests/support/crash_simulation.rs
@@ -314,10 +314,10 @@
     }
 
     fn broadcast(&mut self, from: usize) {
-        let pending = self.hosts[from].take_pending(Millis(self.now));
-        let Some(suspects) = pending else { return };
-        for to in (0..self.hosts.len()).filter(|&to| to != from) {
-            self.send_suspects(to, suspects.clone());
+        while let Some(suspects) = self.hosts[from].take_pending(Millis(self.now)) {
+            for to in (0..self.hosts.len()).filter(|&to| to != from) {
+                self.send_suspects(to, suspects.clone());
+            }
         }
     }
 
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -14,7 +14,7 @@
 use crate::peers::codec::Datagram;
 use crate::probe::probe_new;
 use clock::Moment;
-use dispatch::quarantine::{Crash, QuarantineMessage, SuspectChange};
+use dispatch::quarantine::{Crash, MAX_SUSPECTS_PER_MESSAGE, QuarantineMessage, SuspectChange};
 use domain::{Millis, RequestFingerprint, UpstreamId};
 use published::{Eligibility, RunStart, Upstream};
 use std::io::ErrorKind;
@@ -256,7 +256,10 @@
         }
         QuarantineMessage::Request { digest } if digest != own_digest => {
             let suspects = host.quarantine.borrow().export(now_ms);
-            send(host, QuarantineMessage::Suspects { suspects, should_relay: false }, from);
+            for suspects in suspects.chunks(MAX_SUSPECTS_PER_MESSAGE) {
+                let suspects = suspects.to_vec();
+                send(host, QuarantineMessage::Suspects { suspects, should_relay: false }, from);
+            }
         }
         QuarantineMessage::Digest { .. } | QuarantineMessage::Request { .. } => {}
     }
@@ -265,12 +268,13 @@
 
 /// Sends pending changes to all hosts.
 fn send_to_fleet(host: &Host) {
-    let pending = host.quarantine.borrow_mut().take_pending(host.now_ms());
-    let Some(suspects) = pending else { return };
-    fleet_message::broadcast(host, |should_relay| {
-        let suspects = suspects.clone();
-        Datagram::Quarantine(QuarantineMessage::Suspects { suspects, should_relay })
-    });
+    let take_pending = || host.quarantine.borrow_mut().take_pending(host.now_ms());
+    while let Some(suspects) = take_pending() {
+        fleet_message::broadcast(host, |should_relay| {
+            let suspects = suspects.clone();
+            Datagram::Quarantine(QuarantineMessage::Suspects { suspects, should_relay })
+        });
+    }
 }
 
 fn send(host: &Host, message: QuarantineMessage, to: SocketAddr) {
