Hosts past the sixteenth take turns to read in growing numbers

What operators saw: whole zones read the source within a millisecond, with a state of exactly 1.8 s. Cause: turns are 25 ms apart and end at 0.8 s; all hosts past the 32nd had the last one. Change: the first 16 keep turns of their own; the others share 0.4 to 0.8 s such that in equal times as many again have their turn. The bound of 2 s for the last one is as it was. Test first, in virtual time, the first hosts in order lost: 40 and 300 of 600, 200 of 3,000: 561, 301 and 2,801 calls before, 4, 15 and 16 after; bound a tenth of the hosts.

--- a/crates/published/src/reading.rs
+++ b/crates/published/src/reading.rs
@@ -31,6 +31,11 @@
 /// Time between the turns of hosts that all miss the reader, enough for one to inform the next.
 const TURN_MS: Millis = Millis(25);
 
+/// Hosts that have a turn of their own. The others share the rest of the time up to
+/// [`LAST_TURN_MS`], in which ever more hosts have their turn: as many again in equal times, so few
+/// read at once unless most of the fleet is gone.
+const OWN_TURNS: usize = 16;
+
 /// Latest turn, so that the last host still reads in time.
 const LAST_TURN_MS: Millis = Millis(800);
 
@@ -220,7 +225,10 @@
         let learned_ms = self.started_ms + LEARNING_MS;
         let is_reader = self.is_reading || rank < ACTIVE_READERS && now_ms >= learned_ms;
         // Hosts that wait in line for a large change would all ask the source for the same.
-        let turn_ms = if is_fetching { LAST_TURN_MS } else { turn_ms(rank) };
+        let turn_ms = match is_fetching {
+            true => LAST_TURN_MS,
+            false => turn_ms(rank, members.count()),
+        };
         match !has_better && (is_reader || self.needs_snapshot) {
             true => now_ms,
             false => (confirmed_ms + MAX_AGE_MS).max(learned_ms) + turn_ms,
@@ -252,6 +260,13 @@
     }
 }
 
-fn turn_ms(rank: usize) -> Millis {
-    Millis(TURN_MS.0.saturating_mul(rank as u64)).min(LAST_TURN_MS)
+/// The turn of a host, from that of the first, in a fleet of `hosts`.
+fn turn_ms(rank: usize, hosts: u32) -> Millis {
+    if rank <= OWN_TURNS {
+        return Millis(TURN_MS.0 * rank as u64);
+    }
+    let own_turns_ms = TURN_MS.0 * OWN_TURNS as u64;
+    let of_own = |rank: f64| (rank / OWN_TURNS as f64).ln();
+    let passed = of_own(rank as f64) / of_own(f64::from(hosts).max(rank as f64));
+    Millis(own_turns_ms + (passed * (LAST_TURN_MS.0 - own_turns_ms) as f64) as u64)
 }
--- a/crates/published/tests/reading.rs
+++ b/crates/published/tests/reading.rs
@@ -234,6 +234,25 @@
     assert_eq!(fleet.readers(), first);
 }
 
+/// Guards against a fleet that reads the source at the same moment when its first readers are gone:
+/// each call counts, and the source answers 2,000 a second of all readers.
+#[rstest]
+#[case::a_zone(600, 40)]
+#[case::half(600, 300)]
+#[case::a_zone_of_many(3_000, 200)]
+fn if_many_readers_are_lost_few_others_read_at_once(#[case] hosts: u64, #[case] lost: usize) {
+    let mut fleet = Fleet::of(hosts);
+    fleet.run(Millis::ZERO, Millis(3_000), &[]);
+    let mut by_rank: Vec<usize> = (0..fleet.hosts.len()).collect();
+    by_rank.sort_by_key(|&at| fleet.hosts[at].members.reader_rank());
+    let calls = fleet.run(Millis(3_000), Millis(5_200), &by_rank[..lost]);
+    let now_ms = Millis(5_200);
+    let served = by_rank[lost..].iter().map(|&at| &fleet.hosts[at]);
+    let oldest_ms = served.map(|host| now_ms.since(host.state.confirmed_ms().unwrap())).max();
+    assert!(oldest_ms < Some(BOUND_MS), "{oldest_ms:?}");
+    assert!(calls <= hosts as usize / 10, "{calls} calls of {hosts} hosts");
+}
+
 /// In an outage of 8 s, the number of calls hardly depends on the size of the fleet.
 #[rstest]
 #[case::small(17, 80)]
