The number of a body's trailers is bounded

What callers saw: a chunked body whose trailers never end kept a connection and a task for good. Cause: trailers were bounded in length, not in number. Change: 64 at most.

--- a/crates/gateway/src/http1/body.rs
+++ b/crates/gateway/src/http1/body.rs
@@ -5,6 +5,9 @@
 /// Longest line of a chunk's size or of a trailer.
 const MAX_LINE_BYTES: usize = 4_096;
 
+/// Most trailers of a body; none is forwarded.
+const MAX_TRAILERS: usize = 64;
+
 /// How a body is framed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Framing {
@@ -42,7 +45,8 @@
     Size,
     Data(usize),
     DataEnd,
-    Trailers,
+    /// The number of trailers so far.
+    Trailers(usize),
 }
 
 impl BodyReader {
@@ -56,6 +60,11 @@
         self.body
     }
 
+    /// Number of bytes that were read of the body.
+    pub fn received_bytes(&self) -> usize {
+        self.body.len()
+    }
+
     /// How the body is framed.
     pub fn framing(&self) -> Framing {
         self.framing
@@ -89,7 +98,7 @@
                 ChunkPart::Size => match take_line(buffer)? {
                     None => return Ok(BodyProgress::Partial),
                     Some(line) => match chunk_size(&line)? {
-                        0 => self.chunk = ChunkPart::Trailers,
+                        0 => self.chunk = ChunkPart::Trailers(0),
                         size if size > self.max_bytes.saturating_sub(self.body.len()) => {
                             return Ok(BodyProgress::TooLarge);
                         }
@@ -110,10 +119,11 @@
                     Some(line) if line.is_empty() => self.chunk = ChunkPart::Size,
                     Some(_) => return Err(HeadError::BadEncoding),
                 },
-                ChunkPart::Trailers => match take_line(buffer)? {
+                ChunkPart::Trailers(count) => match take_line(buffer)? {
                     None => return Ok(BodyProgress::Partial),
                     Some(line) if line.is_empty() => return Ok(BodyProgress::Whole),
-                    Some(_) => {}
+                    Some(_) if count == MAX_TRAILERS => return Err(HeadError::BadEncoding),
+                    Some(_) => self.chunk = ChunkPart::Trailers(count + 1),
                 },
             }
         }
--- a/crates/gateway/tests/http1.rs
+++ b/crates/gateway/tests/http1.rs
@@ -178,6 +178,19 @@
     assert!(read_response(&mut text.as_bytes().to_vec(), true).is_err());
 }
 
+/// Guards against trailers without end, which a caller may send for as long as it likes.
+#[rstest]
+#[case::some(64, Ok(BodyProgress::Whole))]
+#[case::too_many(65, Err(HeadError::BadEncoding))]
+fn the_number_of_trailers_is_bounded(
+    #[case] trailers: usize,
+    #[case] expected: Result<BodyProgress, HeadError>,
+) {
+    let text = format!("2\r\nab\r\n0\r\n{}\r\n", "x-a: b\r\n".repeat(trailers));
+    let mut body = BodyReader::new(Framing::Chunked, 100);
+    assert_eq!(body.read_from(&mut text.into_bytes()), expected);
+}
+
 #[test]
 fn a_request_is_forwarded_without_its_hop_by_hop_headers() {
     let text = "POST /a?b HTTP/1.1\r\nHost: x\r\nConnection: keep-alive, X-Own\r\nX-Own: 1\r\n\
