The wait for the first routing ends with the caller's deadline

What callers saw: one that waits 40 ms was refused after 120, by a host that had no routing yet. Cause: the wait ignored the caller's deadline. Change: the shorter of the two. Test first: gateway fleet, a_request_waits_for_the_first_routing_until_its_deadline.

--- a/crates/gateway/src/serve/routing.rs
+++ b/crates/gateway/src/serve/routing.rs
@@ -22,9 +22,10 @@
     if !host.is_routing_awaited.replace(true) {
         host.state_updated.notify_waiters();
     }
-    let stated_ms = request.header_ms(host.dialect.deadline_ms).unwrap_or_default();
-    let share_ms = Millis((stated_ms.as_f64() * ROUTING_WAIT_SHARE) as u64);
-    let until_ms = request.arrived_ms + ROUTING_WAIT_MS.max(share_ms);
+    let stated_ms = request.header_ms(host.dialect.deadline_ms);
+    let share_ms = Millis((stated_ms.unwrap_or_default().as_f64() * ROUTING_WAIT_SHARE) as u64);
+    let wait_ms = ROUTING_WAIT_MS.max(share_ms).min(stated_ms.unwrap_or(Millis::MAX));
+    let until_ms = request.arrived_ms + wait_ms;
     while host.table.borrow().is_none() && host.now_ms() < until_ms {
         tokio::select! {
             () = host.state_updated.notified() => {}
--- a/crates/gateway/tests/fleet.rs
+++ b/crates/gateway/tests/fleet.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 use support::caller::{Caller, get};
 use support::source::Published;
+use support::thread_time::ThreadTime;
 use support::upstream::StandInUpstream;
 use support::{
     LogsOnFailure, caller_address, fleet, knows, on_one_thread, published, routing, service,
@@ -169,6 +170,22 @@
     });
 }
 
+/// Guards against holding a request for the first routing until after its caller's deadline.
+#[test]
+fn a_request_waits_for_the_first_routing_until_its_deadline() {
+    on_one_thread(async {
+        let published = Published::default();
+        published.fail(Some(SourceError::Unreachable("cut".to_owned())));
+        let gateway = start(settings(&[]), &published).await;
+        let mut caller = Caller::connect(caller_address(&gateway)).await;
+        let hasty = get("/any/x", "id-1").replace("X-Deadline-Ms: 1200", "X-Deadline-Ms: 40");
+        let time = ThreadTime::start();
+        let got = caller.exchange(&hasty).await;
+        assert_eq!((got.status, got.cause.as_str()), (503, "not-configured"));
+        assert!(time.elapsed() < Duration::from_millis(90), "{:?}", time.elapsed());
+    });
+}
+
 #[test]
 fn a_request_waits_for_the_first_routing() {
     on_one_thread(async {
