A body that comes too slowly is refused

Cause: each read counted as activity, and the whole had no bound. Change: a body has the idle timeout, and a second more for each kilobyte that has come; then 408. Test first: gateway closing, a_body_that_comes_too_slowly_is_refused.

--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -47,6 +47,10 @@
 /// time but delayed on a busy link doesn't meet a closed connection. Longer than callers wait.
 const IDLE_SLACK: Duration = Duration::from_secs(5);
 
+/// Lowest rate at which a body must arrive, beyond the idle timeout: otherwise a caller could hold a
+/// connection and its memory with a byte now and then.
+const MIN_BODY_BYTES_PER_S: f64 = 1_024.0;
+
 /// Longest time to write a response to a caller.
 const WRITE_LIMIT: Duration = Duration::from_secs(5);
 
@@ -80,9 +84,18 @@
     head: RequestHead,
     body: BodyReader,
     arrived_ms: Millis,
+    begun: Moment,
     sent_continue: bool,
 }
 
+impl PartialRequest {
+    /// When the body has arrived too slowly.
+    fn times_out_at(&self, idle_timeout: Duration) -> Moment {
+        let earned_s = self.body.received_bytes() as f64 / MIN_BODY_BYTES_PER_S;
+        self.begun + idle_timeout + Duration::from_secs_f64(earned_s)
+    }
+}
+
 /// The state of one caller's connection.
 struct Session {
     host: Rc<Host>,
@@ -265,7 +278,12 @@
             _ if self.is_idle() => {
                 self.last_active + to_duration(limits.idle_timeout_ms) + IDLE_SLACK
             }
-            _ => self.last_active + to_duration(limits.idle_timeout_ms),
+            _ => {
+                let idle_timeout = to_duration(limits.idle_timeout_ms);
+                let inactive = self.last_active + idle_timeout;
+                let partial = self.partial.as_ref();
+                partial.map_or(inactive, |it| it.times_out_at(idle_timeout).min(inactive))
+            }
         }
     }
 
@@ -337,7 +355,8 @@
         let max_body = usize::try_from(limits.body_bytes.0).unwrap_or(usize::MAX);
         let body = BodyReader::new(head.framing, max_body);
         let arrived_ms = self.host.now_ms();
-        self.partial = Some(PartialRequest { head, body, arrived_ms, sent_continue: false });
+        let begun = Moment::now();
+        self.partial = Some(PartialRequest { head, body, arrived_ms, begun, sent_continue: false });
         true
     }
 
--- a/crates/gateway/tests/closing.rs
+++ b/crates/gateway/tests/closing.rs
@@ -3,12 +3,13 @@
 
 mod support;
 
+use domain::Millis;
 use gateway::run::Gateway;
 use rstest::rstest;
 use std::time::Duration;
 use support::caller::{Caller, get, post};
 use support::upstream::StandInUpstream;
-use support::{caller_address, on_one_thread, ready, wait_until};
+use support::{caller_address, on_one_thread, ready, routing, wait_until};
 
 /// Begins the part of a stop in which idle connections are closed.
 fn close_idle(gateway: &Gateway) {
@@ -51,6 +52,35 @@
     });
 }
 
+/// Guards against a body that comes a byte at a time, for as long as its caller likes. Callers may
+/// be idle for 100 ms here.
+#[test]
+fn a_body_that_comes_too_slowly_is_refused() {
+    on_one_thread(async {
+        let upstream = StandInUpstream::start("i-1").await;
+        let (gateway, published) = ready(&[&upstream]).await;
+        let mut routing = routing(2);
+        routing.limits.idle_timeout_ms = Millis(100);
+        published.write_routing(routing);
+        let limits = || gateway.host().table.borrow().as_ref().map(|it| it.routing().limits);
+        let is_in_force = || limits().is_some_and(|limits| limits.idle_timeout_ms == Millis(100));
+        wait_until("it is in force", is_in_force).await;
+        let mut caller = Caller::connect(caller_address(&gateway)).await;
+        let request = post("/once/x", "id-1", &"x".repeat(200));
+        let (head, body) = request.split_at(request.len() - 200);
+        caller.send(head).await;
+        for byte in body.split_inclusive('x') {
+            if caller.stream.try_write(byte.as_bytes()).is_err() {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        let got = caller.receive().await.expect("a refusal");
+        assert_eq!((got.status, got.cause.as_str()), (408, "slow-request"));
+        assert!(upstream.requests().is_empty());
+    });
+}
+
 /// Guards against a stop that drops a request which arrives in the same moment.
 #[test]
 fn a_request_that_arrives_with_the_stop_is_served() {
