--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -7,20 +7,19 @@
 //! send late ones. So nothing is sent on a connection with unread bytes; a response that names another
 //! request is skipped; and one that names none is taken only where no earlier request was answered.
 
-use crate::http1::{BodyProgress, BodyReader, Framing, HeadError, ResponseHead, read_response};
+mod response_reader;
+
+use crate::http1::ResponseHead;
 use clock::Moment;
 use domain::Millis;
 use published::RunStart;
+use response_reader::ResponseReader;
 use std::io::{self, ErrorKind};
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::net::{TcpSocket, TcpStream};
 
-/// Largest body of a response. Responses are buffered until complete, so that a truncated one is
-/// never delivered.
-const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
-
 /// Size of one read.
 const READ_BYTES: usize = 16 * 1024;
 
@@ -35,9 +34,6 @@
 /// probed first, so an early close costs no request.
 const IDLE_SHARE: f64 = 0.9;
 
-/// Responses to earlier requests that are skipped before the exchange fails.
-const MAX_STRAYS: u32 = 4;
-
 /// Why an exchange brought no complete response. The variants are logged under these names.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ExchangeError {
@@ -306,90 +302,3 @@
     let seconds: f64 = seconds.trim().parse().ok()?;
     (0.0..1e6).contains(&seconds).then(|| Duration::from_secs_f64(seconds * IDLE_SHARE))
 }
-
-/// Reads the expected response from the received bytes, and skips responses to other requests.
-#[derive(Debug)]
-struct ResponseReader<'a> {
-    expected: Expected<'a>,
-    /// What was answered on the connection before.
-    answered: Answered,
-    head: Option<ResponseHead>,
-    body: Option<BodyReader>,
-    strays: u32,
-}
-
-impl<'a> ResponseReader<'a> {
-    fn new(expected: Expected<'a>, answered: Answered) -> ResponseReader<'a> {
-        ResponseReader { expected, answered, head: None, body: None, strays: 0 }
-    }
-
-    fn read_from(&mut self, buffer: &mut Vec<u8>) -> Result<Option<Response>, ExchangeError> {
-        loop {
-            if self.head.is_none() {
-                let head = read_response(buffer, self.expected.has_body).map_err(malformed)?;
-                let Some(head) = head else { return Ok(None) };
-                self.body = Some(BodyReader::new(head.framing, MAX_BODY_BYTES));
-                self.head = Some(head);
-            }
-            let Some(body) = &mut self.body else { return Ok(None) };
-            match body.read_from(buffer).map_err(malformed)? {
-                BodyProgress::Partial => return Ok(None),
-                BodyProgress::TooLarge => return Err(ExchangeError::Garbled),
-                BodyProgress::Whole => {}
-            }
-            let (Some(head), Some(body)) = (self.head.take(), self.body.take()) else {
-                return Ok(None);
-            };
-            match self.owner_of(&head) {
-                Owner::This => return Ok(Some(Response { head, body: body.into_body() })),
-                Owner::Unknown => return Err(ExchangeError::Unnamed),
-                Owner::Other => {
-                    self.strays += 1;
-                    if self.strays > MAX_STRAYS || !head.keeps_alive {
-                        return Err(ExchangeError::Garbled);
-                    }
-                }
-            }
-        }
-    }
-
-    /// Returns the response that the end of the connection completes, if its body is framed so.
-    fn complete_at_close(mut self) -> Option<Response> {
-        let (head, body) = (self.head.take()?, self.body.take()?);
-        let is_whole = body.framing() == Framing::UntilClose && self.owner_of(&head) == Owner::This;
-        is_whole.then(|| Response { head, body: body.into_body() })
-    }
-
-    /// The request that a response belongs to.
-    fn owner_of(&self, head: &ResponseHead) -> Owner {
-        let Some(naming) = self.expected.naming else { return Owner::This };
-        match (head.fields.get(naming.header), naming.sent) {
-            (Some(named), Sent::Request(id)) if named == id => Owner::This,
-            (Some(_), _) => Owner::Other,
-            (None, Sent::Probe | Sent::Request("")) => Owner::This,
-            (None, Sent::Request(_)) => self.owner_of_unnamed(head, naming.probe_header),
-        }
-    }
-
-    /// The same for a response that names no request.
-    fn owner_of_unnamed(&self, head: &ResponseHead, probe_header: &str) -> Owner {
-        match self.answered {
-            Answered::Nothing => Owner::This,
-            _ if head.fields.get(probe_header).is_some() => Owner::Other,
-            Answered::Probes => Owner::This,
-            Answered::Named => Owner::Unknown,
-        }
-    }
-}
-
-/// The request that a response belongs to.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Owner {
-    This,
-    Other,
-    Unknown,
-}
-
-fn malformed(_: HeadError) -> ExchangeError {
-    ExchangeError::Garbled
-}
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -6,8 +6,10 @@
 //! dropped. `log` and `env_logger` block and write unstructured text, so only the tools use them.
 
 mod event;
+mod values;
 
-pub use event::{ChosenBy, CrashEvidence, LogEvent, ResponseTo, SessionEnd};
+pub use event::LogEvent;
+pub use values::{ChosenBy, CrashEvidence, ResponseTo, SessionEnd};
 
 use domain::HostId;
 use event::Priority;
--- a/crates/gateway/src/event_log/event.rs
+++ b/crates/gateway/src/event_log/event.rs
@@ -2,10 +2,11 @@
 //!
 //! Operators' tools match the names of events, fields and values, so these keep their spelling.
 
+use super::values::{ChosenBy, CrashEvidence, ResponseTo, SessionEnd};
 use dispatch::attempts::Refusal;
 use dispatch::backpressure::LimitChange;
 use dispatch::quarantine::SuspectStatus;
-use dispatch::scheduler::{Cell, Ticket};
+use dispatch::scheduler::Cell;
 use dispatch::{AttemptFailure, ProbeFailure, Verdict, Warmth};
 use domain::{
     HostId, Incarnation, Millis, OrganisationName, PerSecond, RequestFingerprint, ServiceName,
@@ -211,87 +212,6 @@
     CallerClosed { end: SessionEnd, idle_ms: Millis, unanswered: usize, dropped_bytes: usize },
 }
 
-/// How a caller's connection ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum SessionEnd {
-    /// No request arrived within the idle timeout.
-    Idle,
-    /// It was idle when the host stopped.
-    Stopping,
-    /// The last response announced the end.
-    LastResponse,
-    /// A request was refused before it was read completely.
-    Refused,
-    /// A response could not be written, or not in time.
-    Unwritable,
-    /// The caller disconnected.
-    CallerGone,
-}
-
-/// What tells a crash of an upstream from a connection that only broke.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum CrashEvidence {
-    /// A later run of it is published.
-    Restarted,
-    /// Its port refuses connections, and no other connection to it is open.
-    Refused,
-    /// Its port refuses connections, but another connection is open: it is full.
-    OnlyFull,
-    /// It accepts connections and answers, or may not be probed now.
-    Accepts,
-    /// Another upstream answers at its address.
-    Replaced,
-    /// Its port accepts connections, and nothing answers.
-    Silent,
-    /// It drains, has announced that it leaves, or is no longer published: its end is no crash.
-    Leaves,
-    /// It can't be reached.
-    Unreachable,
-    /// The check took too long.
-    TooLate,
-}
-
-impl CrashEvidence {
-    /// Whether it proves a crash.
-    pub fn is_crash(self) -> bool {
-        matches!(self, CrashEvidence::Restarted | CrashEvidence::Refused | CrashEvidence::Replaced)
-    }
-}
-
-/// What an upstream responded to.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum ResponseTo {
-    /// A request.
-    Request,
-    /// A health check.
-    HealthCheck,
-}
-
-/// Who chose an upstream.
-#[derive(Debug, Clone, Serialize)]
-#[serde(rename_all = "kebab-case", rename_all_fields = "snake_case", tag = "by")]
-pub enum ChosenBy {
-    /// The scheduler of the service.
-    Scheduler {
-        /// The host that runs it.
-        scheduler: HostId,
-        /// The scheduler's id of the request.
-        ticket: Ticket,
-        /// Number of requests that were queued before it.
-        ahead: usize,
-    },
-    /// This host, by probing upstreams.
-    Asking {
-        /// Number of upstreams probed.
-        asked: usize,
-        /// Number of upstreams that responded.
-        answered: usize,
-    },
-}
-
 impl LogEvent<'_> {
     pub(super) fn priority(&self) -> Priority {
         match self {
