--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -91,8 +91,8 @@
 impl PartialRequest {
     /// When the body has arrived too slowly.
     fn times_out_at(&self, idle_timeout: Duration) -> Moment {
-        let earned_s = self.body.received_bytes() as f64 / MIN_BODY_BYTES_PER_S;
-        self.begun + idle_timeout + Duration::from_secs_f64(earned_s)
+        let longest_s = self.body.received_bytes() as f64 / MIN_BODY_BYTES_PER_S;
+        self.begun + idle_timeout + Duration::from_secs_f64(longest_s)
     }
 }
 
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -10,7 +10,7 @@
 mod health_check;
 
 pub use connect::{connect, is_trusted};
-pub use health_check::{probe_new, read_load, record_report, refresh};
+pub use health_check::{Responder, find_responder, read_load, record_report, refresh};
 
 use crate::connection::Connection;
 use crate::host::Host;
--- a/crates/gateway/src/probe/health_check.rs
+++ b/crates/gateway/src/probe/health_check.rs
@@ -111,28 +111,34 @@
     }
 }
 
-/// Probes an upstream on a new connection. Returns whether it is the published one, as it is assumed
-/// to be if the probe budget is spent; none if nothing answers.
-pub async fn probe_new(
+/// Who answers at an upstream's address.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Responder {
+    /// The upstream; assumed where the probe budget is spent.
+    Published,
+    /// Another upstream.
+    Other,
+    /// Nobody, in time.
+    Nobody,
+}
+
+/// Finds out by a probe who answers on a new connection to an upstream.
+pub async fn find_responder(
     host: &Rc<Host>,
     entry: &Upstream,
     mut connection: Connection,
-) -> Option<bool> {
-    let is_same = match take_probe(host, &entry.service, &entry.id, ProbeBudgetKind::Fleet) {
-        false => true,
-        true => {
-            let path = health_path(host, &entry.service);
-            let at = (&entry.id, entry.run);
-            let probing = exchange(host, &mut connection, at, &path);
-            match clock::timeout(NEW_PROBE_LIMIT, probing).await {
-                Ok(Ok(_)) => true,
-                Ok(Err(ProbeFailure::OtherUpstream)) => return Some(false),
-                Ok(Err(_)) | Err(_) => return None,
-            }
+) -> Responder {
+    if take_probe(host, &entry.service, &entry.id, ProbeBudgetKind::Fleet) {
+        let path = health_path(host, &entry.service);
+        let probing = exchange(host, &mut connection, (&entry.id, entry.run), &path);
+        match clock::timeout(NEW_PROBE_LIMIT, probing).await {
+            Ok(Ok(_)) => {}
+            Ok(Err(ProbeFailure::OtherUpstream)) => return Responder::Other,
+            Ok(Err(_)) | Err(_) => return Responder::Nobody,
         }
-    };
+    }
     host.pool.borrow_mut().put(&entry.id, connection);
-    Some(is_same)
+    Responder::Published
 }
 
 struct ProbeResponse {
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -12,7 +12,7 @@
 use crate::fleet_message;
 use crate::host::Host;
 use crate::peers::codec::Datagram;
-use crate::probe::probe_new;
+use crate::probe::{Responder, find_responder};
 use clock::Moment;
 use dispatch::quarantine::{Crash, MAX_SUSPECTS_PER_MESSAGE, QuarantineMessage, SuspectChange};
 use domain::{Millis, RequestFingerprint, UpstreamId};
@@ -101,10 +101,10 @@
     }
     host.metrics.connection_opened();
     match Connection::open(entry.address, CHECK_LIMIT).await {
-        Ok(connection) => match probe_new(host, entry, connection.with_run(entry.run)).await {
-            Some(true) => CrashEvidence::Accepts,
-            Some(false) => CrashEvidence::Replaced,
-            None => CrashEvidence::Silent,
+        Ok(connection) => match find_responder(host, entry, connection.with_run(entry.run)).await {
+            Responder::Published => CrashEvidence::Accepts,
+            Responder::Other => CrashEvidence::Replaced,
+            Responder::Nobody => CrashEvidence::Silent,
         },
         Err(e) => match e.kind() {
             ErrorKind::ConnectionRefused if is_connected(host, entry) => CrashEvidence::OnlyFull,
