A delayed message, a late look and a hasty retry each cost a fourth upstream

Evidence, from logs of failing runs: (1) a host learned of the second crash 12 ms late; by its clock the third request was sent before that crash, so the third did not count there, it waited for the trial's time and sent a fourth. (2) crash-checked too-late after 60 ms on a host that was held up. (3) a look that took 132 ms, with the request's own second attempt gone out after 60. Change: of copies of a report the times of the one that was delayed less are kept; a look that takes too long is repeated for 0.7 s, as one without an answer is; a trial waits for the end of the check, other requests for one look. Test first: dispatch quarantine, a_delayed_message_does_not_hide_the_next_crash.

--- a/crates/dispatch/src/quarantine/suspect.rs
+++ b/crates/dispatch/src/quarantine/suspect.rs
@@ -103,9 +103,7 @@
         let mut known = self.crashes.clone();
         for crash in crashes {
             match known.iter().position(|known| known.may_be_copy_of(&crash)) {
-                Some(at) => {
-                    known.remove(at);
-                }
+                Some(at) => self.correct_times(&known.remove(at), crash),
                 None => {
                     self.add_crash(crash);
                 }
@@ -113,6 +111,16 @@
         }
     }
 
+    /// Takes the times of the copy that was delayed less: a crash that seems to be later than it was
+    /// would overlap the next one.
+    fn correct_times(&mut self, known: &Crash, copy: Crash) {
+        let stored = self.crashes.iter_mut().find(|stored| *stored == known);
+        match stored {
+            Some(stored) if copy.crashed_ms < stored.crashed_ms => *stored = copy,
+            _ => {}
+        }
+    }
+
     /// Adds a crash that this host saw, or whose report is no copy of one that it has; true if more
     /// crashes count against the request now.
     ///
--- a/crates/dispatch/tests/quarantine.rs
+++ b/crates/dispatch/tests/quarantine.rs
@@ -125,6 +125,21 @@
     }
 }
 
+/// Guards against missing a crash, as the message about the one before was delayed: by its times the
+/// second request was sent before the first crash.
+#[test]
+fn a_delayed_message_does_not_hide_the_next_crash() {
+    let (mut sender, mut receiver) = (after(&[of("front-1", 0, 100)]), Quarantine::default());
+    sender.record_final_answer(REQUEST);
+    receiver.merge(Millis(112), sender.take_pending(Millis(100)).unwrap());
+    sender.record_crash(
+        REQUEST,
+        Crash { upstream: "i-2".parse().unwrap(), ..of("front-1", 101, 150) },
+    );
+    receiver.merge(Millis(151), sender.take_pending(Millis(150)).unwrap());
+    assert_eq!(receiver.admit(Millis(160), REQUEST), Admission::Trial);
+}
+
 /// A crash of an upstream without a start time.
 fn of(host: &str, sent_ms: u64, crashed_ms: u64) -> Crash {
     let run = RunStart::default();
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -28,7 +28,8 @@
 /// zones. The request waits for it, so that its next attempt takes a crash into account.
 const CHECK_LIMIT: Duration = Duration::from_millis(60);
 
-/// For how long an upstream that accepts connections and doesn't answer is looked at again.
+/// For how long an upstream is looked at again that accepts connections and doesn't answer, or at
+/// which a look took too long, as on a host that is held up.
 const RECHECK_LIMIT: Duration = Duration::from_millis(700);
 
 /// Time between two looks.
@@ -47,12 +48,13 @@
     pub broke_ms: Millis,
 }
 
-/// Checks whether the upstream crashed, and records it; true if one look shows it. The check goes on
-/// until it completes.
-pub async fn examine(host: &Rc<Host>, broken: BrokenAttempt) -> bool {
+/// Checks whether the upstream crashed, and records it; true if it did. The check goes on until it
+/// completes: a trial waits for that, any other request for one look, as it is mostly a bystander.
+pub async fn examine(host: &Rc<Host>, broken: BrokenAttempt, is_trial: bool) -> bool {
     let checking = check(host, broken);
+    let longest = if is_trial { RECHECK_LIMIT + CHECK_LIMIT } else { CHECK_LIMIT };
     // A failed task is a fault in this process, not evidence of a crash.
-    matches!(clock::timeout(CHECK_LIMIT, checking).await, Ok(Ok(true)))
+    matches!(clock::timeout(longest, checking).await, Ok(Ok(true)))
 }
 
 fn check(host: &Rc<Host>, broken: BrokenAttempt) -> JoinHandle<bool> {
@@ -87,7 +89,9 @@
     loop {
         let look = clock::timeout(CHECK_LIMIT, look_at(host, entry)).await;
         match look.unwrap_or(CrashEvidence::TooLate) {
-            CrashEvidence::Silent if Moment::now() < until => clock::sleep(RECHECK_PAUSE).await,
+            CrashEvidence::Silent | CrashEvidence::TooLate if Moment::now() < until => {
+                clock::sleep(RECHECK_PAUSE).await;
+            }
             evidence => return evidence,
         }
     }
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -219,7 +219,7 @@
             Some(upstream) if end == AttemptResult::Broken => {
                 let fingerprint = self.fingerprint();
                 let broken = BrokenAttempt { fingerprint, upstream, sent_ms, broke_ms };
-                quarantine::examine(&self.host, broken).await
+                quarantine::examine(&self.host, broken, trial.is_some()).await
             }
             _ => false,
         };
