A reset while a connection is opened doesn't end the check for a crash

Callers: a crash that wasn't recorded; the request that crashed an upstream ran on at the next one. Cause: a port that closes resets connections that nobody accepted, and any error but a refusal or a timeout ended the check as 'unreachable', not a crash.

--- a/crates/gateway/src/event_log/values.rs
+++ b/crates/gateway/src/event_log/values.rs
@@ -40,6 +40,8 @@
     Silent,
     /// It drains, has announced that it leaves, or is no longer published: its end is no crash.
     Leaves,
+    /// It reset a connection while it was opened, as a port does that is full or just closes.
+    Reset,
     /// It can't be reached.
     Unreachable,
     /// The check took too long.
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -28,8 +28,8 @@
 /// zones. The request waits for it, so that its next attempt takes a crash into account.
 const CHECK_LIMIT: Duration = Duration::from_millis(60);
 
-/// For how long an upstream is looked at again that accepts connections and doesn't answer, or at
-/// which a look took too long, as on a host that is held up.
+/// For how long an upstream is looked at again that accepts connections and doesn't answer, that
+/// resets a connection, or at which a look took too long, as on a host that is held up.
 const RECHECK_LIMIT: Duration = Duration::from_millis(700);
 
 /// Time between two looks.
@@ -89,7 +89,9 @@
     loop {
         let look = clock::timeout(CHECK_LIMIT, look_at(host, entry)).await;
         match look.unwrap_or(CrashEvidence::TooLate) {
-            CrashEvidence::Silent | CrashEvidence::TooLate if Moment::now() < until => {
+            CrashEvidence::Silent | CrashEvidence::Reset | CrashEvidence::TooLate
+                if Moment::now() < until =>
+            {
                 clock::sleep(RECHECK_PAUSE).await;
             }
             evidence => return evidence,
@@ -114,6 +116,8 @@
             ErrorKind::ConnectionRefused if is_connected(host, entry) => CrashEvidence::OnlyFull,
             ErrorKind::ConnectionRefused => CrashEvidence::Refused,
             ErrorKind::TimedOut => CrashEvidence::TooLate,
+            // A port that closes resets the connections that nobody accepted.
+            ErrorKind::ConnectionReset => CrashEvidence::Reset,
             _ => CrashEvidence::Unreachable,
         },
     }
