--- a/crates/dispatch/src/cost.rs
+++ b/crates/dispatch/src/cost.rs
@@ -1,4 +1,4 @@
-//! Estimates the cost of a request at an upstream, in multiples of the service's baseline time.
+//! Estimates the cost of a request at an upstream, in multiples of its route's service time.
 //!
 //! The expected work consists of slowness, queueing and warm-up; recent failures and crossing
 //! availability zones add to the cost by which upstreams are compared.
@@ -27,7 +27,7 @@
 pub struct Candidate {
     /// Upstream.
     pub upstream: UpstreamId,
-    /// Expected duration of the request, in multiples of the baseline.
+    /// Expected duration of the request, in multiples of its route's service time.
     pub work: f64,
     /// What upstreams are compared by; the lowest is best.
     pub cost: f64,
@@ -44,6 +44,9 @@
     pub now_ms: Millis,
     /// Whether the request comes from another availability zone.
     pub is_other_zone: bool,
+    /// Service time of the service's mean request, in multiples of the route's: the requests that
+    /// it queues behind are of any route.
+    pub mean_by_route: f64,
 }
 
 /// Estimates the cost of sending a request to an upstream now.
@@ -56,7 +59,7 @@
         Warmth::Cold | Warmth::Unknown => COLD_SLOWNESS,
     };
     let slowness = state.slowness(inputs.now_ms, inputs.load).max(MIN_SLOWNESS) * cold_factor;
-    let work = slowness * (1.0 / inputs.curve.speed(running) + wait);
+    let work = slowness * (1.0 / inputs.curve.speed(running) + wait * inputs.mean_by_route);
     let occupancy_cost = slowness * OCCUPANCY_WEIGHT * (running / slots).min(1.0);
     let failure_factor = 1.0 + FAILURE_WEIGHT * state.failure_rate(inputs.now_ms);
     let zone_cost = if inputs.is_other_zone { OTHER_ZONE_COST } else { 0.0 };
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -21,6 +21,7 @@
 mod probing;
 pub mod quarantine;
 pub mod quota;
+mod route_times;
 pub mod scheduler;
 mod service;
 mod service_load;
@@ -39,6 +40,7 @@
 pub use probing::{
     GOOD_ENOUGH_COST, IMMEDIATE_COST, PROBE_ROUNDS, PROBES_PER_ROUND, UNHEALTHY_COST,
 };
+pub use route_times::{MAX_ROUTES, RouteKey, RouteTime};
 pub use service::ServiceTimeSample;
 pub use service_load::ServiceLoad;
 pub use split::SplitTable;
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -166,7 +166,7 @@
         reports_load: bool,
         upstreams: &mut UpstreamSet,
     ) {
-        upstreams.record_overrun(&self.cell.service, outcome.took_ms, placed.work);
+        upstreams.record_overrun(&self.cell.service, placed.route, outcome.took_ms, placed.work);
         let after = outcome.report.map(|report| report.slowness());
         let slowness = match (placed.slowness, after) {
             // A change of the machine's other load meanwhile would distort the speed curve.
@@ -179,7 +179,7 @@
         };
         upstreams.record_service_time(
             &placed.upstream,
-            &ServiceTimeSample { occupancy: placed.occupancy, slowness },
+            &ServiceTimeSample { route: placed.route, occupancy: placed.occupancy, slowness },
         );
     }
 
@@ -206,6 +206,7 @@
             if request.is_expired(now_ms) {
                 continue;
             }
+            request.service_time_ms = upstreams.expected_ms(&self.cell.service, request.route, 1.0);
             let budget = &rates.budget;
             let inputs =
                 DecisionInputs { now_ms, upstreams, forecast: &forecast, budget, lent, ahead };
--- a/crates/dispatch/src/scheduler/decision.rs
+++ b/crates/dispatch/src/scheduler/decision.rs
@@ -100,8 +100,7 @@
         if is_probe_pending && !stale.is_empty() {
             return Decision::Wait;
         }
-        let done_ms =
-            |option: &PlacementOption| now_ms + self.expected_ms(&option.candidate, inputs);
+        let done_ms = |option: &PlacementOption| now_ms + self.expected_ms(request, option, inputs);
         let may_wait = !request.is_retry() && !forecast.is_hopeless(now_ms, request, inputs.ahead);
         match (best, options.iter().find(|option| option.may_place)) {
             (Some(best), _) if done_ms(best) <= request.due_ms => {
@@ -119,9 +118,14 @@
     }
 
     /// Expected duration there; zero before any duration was learned.
-    fn expected_ms(&self, candidate: &Candidate, inputs: DecisionInputs<'_>) -> Millis {
-        let expected_ms = inputs.upstreams.expected_ms(&self.cell.service, candidate.work);
-        expected_ms.unwrap_or_default()
+    fn expected_ms(
+        &self,
+        request: &QueuedRequest,
+        option: &PlacementOption,
+        inputs: DecisionInputs<'_>,
+    ) -> Millis {
+        let work = option.candidate.work;
+        inputs.upstreams.expected_ms(&self.cell.service, request.route, work).unwrap_or_default()
     }
 
     fn without_recent_probe(&self, now_ms: Millis, upstreams: Vec<UpstreamId>) -> Vec<UpstreamId> {
@@ -195,7 +199,8 @@
             return None;
         }
         let may_place = allows_request(confirmed_share(state, now_ms, inputs.lent));
-        let candidate = upstreams.estimate_cost_from(now_ms, id, &request.zone)?;
+        let candidate =
+            upstreams.estimate_cost_from(now_ms, id, &request.zone, Some(request.route))?;
         let is_fresh = fresh_report(state, now_ms).is_some();
         // Other hosts' requests limit a placement by slots only, not by the best concurrency. Half
         // a request of tolerance, as their number is an estimate that decays.
--- a/crates/dispatch/src/scheduler/forecast.rs
+++ b/crates/dispatch/src/scheduler/forecast.rs
@@ -9,7 +9,7 @@
 use crate::upstream_set::UpstreamSet;
 use domain::{Millis, UpstreamId};
 
-/// A request has to be placed this many baseline service times before its objective ends: a
+/// A request has to be placed this many service times of its route before its objective ends: a
 /// response takes 1.3 times the baseline in one case of six, and longer when other load arrives
 /// meanwhile.
 const START_MARGIN: f64 = 2.0;
@@ -41,6 +41,7 @@
     throughput_per_ms: f64,
     /// If all of them are rate-limited: when the first one accepts its next request.
     next_permit_in_ms: Option<Millis>,
+    /// Mean service time of the service's requests.
     baseline_ms: Option<Millis>,
 }
 
@@ -52,7 +53,7 @@
         (budget, lent): (&RateBudget, LentShares),
     ) -> Forecast {
         let usable = usable_upstreams(now_ms, cell, upstreams);
-        let baseline_ms = upstreams.expected_ms(&cell.service, 1.0);
+        let baseline_ms = upstreams.mean_service_time_ms(&cell.service);
         let load = upstreams.load(&cell.service);
         let throughput_per_ms = |id: &UpstreamId| {
             let (state, curve) = (upstreams.get(id)?, upstreams.curve(id)?);
@@ -89,7 +90,7 @@
             true => Millis::ZERO,
             false => self.wait_ms(ahead),
         };
-        now_ms + wait_ms + self.start_margin(request) > request.due_ms
+        now_ms + wait_ms + Self::start_margin(request) > request.due_ms
     }
 
     /// Time until a request with as much time left could be placed early enough.
@@ -99,7 +100,7 @@
         request: &QueuedRequest,
         ahead: usize,
     ) -> Millis {
-        let slack_ms = request.due_ms.since(now_ms + self.start_margin(request));
+        let slack_ms = request.due_ms.since(now_ms + Self::start_margin(request));
         let excess_ms = self.wait_ms(ahead) - slack_ms;
         let longest_ms = match self.next_permit_in_ms {
             Some(_) => LONGEST_BACKOFF_MS,
@@ -120,10 +121,10 @@
         self.baseline_ms.map_or(Millis::ZERO, |_| Millis(wait_ms))
     }
 
-    fn start_margin(&self, request: &QueuedRequest) -> Millis {
+    fn start_margin(request: &QueuedRequest) -> Millis {
         let unknown_ms = request.objective_ms.as_f64() * DEFAULT_BASELINE_SHARE;
-        let baseline_ms = self.baseline_ms.map_or(unknown_ms, Millis::as_f64);
-        Millis((baseline_ms * START_MARGIN) as u64)
+        let service_time_ms = request.service_time_ms.map_or(unknown_ms, Millis::as_f64);
+        Millis((service_time_ms * START_MARGIN) as u64)
     }
 }
 
--- a/crates/dispatch/src/scheduler/message.rs
+++ b/crates/dispatch/src/scheduler/message.rs
@@ -64,7 +64,7 @@
 pub struct Placement {
     /// The upstream to send it to.
     pub upstream: UpstreamId,
-    /// Expected duration, in multiples of the baseline.
+    /// Expected duration, in multiples of its route's service time.
     pub work: f32,
     /// Estimated cost, by which upstreams are compared.
     pub cost: f32,
--- a/crates/dispatch/src/scheduler/placed.rs
+++ b/crates/dispatch/src/scheduler/placed.rs
@@ -5,6 +5,7 @@
 use crate::cold::Warmth;
 use crate::cost::Candidate;
 use crate::curve::Occupancy;
+use crate::route_times::RouteKey;
 use crate::upstream::UpstreamState;
 use domain::{FastMap, Millis, UpstreamId};
 use published::RunStart;
@@ -23,6 +24,7 @@
     pub(super) upstream: UpstreamId,
     /// The upstream's run at placement.
     pub(super) run: RunStart,
+    pub(super) route: RouteKey,
     pub(super) work: f64,
     /// Slowness at placement, if a fresh report stated it.
     pub(super) slowness: Option<f64>,
@@ -60,6 +62,7 @@
         let placed = Placed {
             upstream: candidate.upstream.clone(),
             run: state.entry.run,
+            route: request.route,
             work: candidate.work,
             // The time on a cold upstream says nothing about the baseline.
             slowness: fresh_report(state, now_ms)
--- a/crates/dispatch/src/scheduler/request.rs
+++ b/crates/dispatch/src/scheduler/request.rs
@@ -4,6 +4,7 @@
 use super::decision::PROBE_INTERVAL_MS;
 use super::message::{Effect, Placement, PlacementMessage, RefusalCause, Requester};
 use crate::deadline::MAX_LATENESS;
+use crate::route_times::{RouteKey, RouteTime};
 use domain::{Millis, UpstreamId, ZoneName};
 use serde::{Deserialize, Serialize};
 
@@ -31,6 +32,10 @@
     pub cell: Cell,
     /// Availability zone of its host.
     pub zone: ZoneName,
+    /// Its route.
+    pub route: RouteKey,
+    /// What its host learned of the route's service time.
+    pub route_time: Option<RouteTime>,
     /// Priority of its route; 0 is the highest.
     pub priority: u32,
     /// Time from its arrival within which a response is of full use.
@@ -52,6 +57,9 @@
 pub(super) struct QueuedRequest {
     pub(super) key: Key,
     pub(super) zone: ZoneName,
+    pub(super) route: RouteKey,
+    /// Service time of its route, once anything was learned.
+    pub(super) service_time_ms: Option<Millis>,
     pub(super) tried: Vec<UpstreamId>,
     backing_off: Vec<UpstreamId>,
     /// Until when a response is of full use.
@@ -77,6 +85,8 @@
         QueuedRequest {
             key: Key { requester, ticket: submission.ticket },
             zone: submission.zone,
+            route: submission.route,
+            service_time_ms: None,
             tried: submission.tried,
             backing_off: submission.backing_off,
             due_ms: end_ms.min(arrived_ms + submission.objective_ms),
--- a/crates/dispatch/src/scheduler/set.rs
+++ b/crates/dispatch/src/scheduler/set.rs
@@ -75,6 +75,9 @@
                 if submission.lends_rate_share {
                     self.rates.record_lent_share(now_ms, cell, requester);
                 }
+                if let Some(time) = submission.route_time {
+                    upstreams.adopt_route_time(&cell.service, submission.route, time);
+                }
                 let request = QueuedRequest::new(now_ms, submission, requester);
                 if !scheduler.contains(request.key) {
                     effects.extend(scheduler.submit(request));
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -3,6 +3,7 @@
 use crate::LoadReport;
 use crate::curve::{Occupancy, SpeedCurve};
 use crate::load::MIN_SLOWNESS;
+use crate::route_times::{Baseline, RouteKey, RouteTime, RouteTimes};
 use crate::service_load::ServiceLoad;
 use crate::subset::Subset;
 use domain::{Millis, PerSecond, Slots, UpstreamId};
@@ -28,6 +29,8 @@
 /// Service time of a request on an upstream whose slowness did not change meanwhile.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ServiceTimeSample {
+    /// The request's route.
+    pub route: RouteKey,
     /// For how long it ran at which concurrency.
     pub occupancy: Occupancy,
     /// Slowness of the upstream, in multiples of the baseline.
@@ -44,6 +47,7 @@
     /// One per number of slots among its upstreams.
     curves: Vec<SpeedCurve>,
     baseline: Baseline,
+    routes: RouteTimes,
     /// Moving average of the ratio of actual to expected duration, for busy or slow upstreams.
     overrun: f64,
 }
@@ -57,6 +61,7 @@
             cold_rate: None,
             curves: Vec::new(),
             baseline: Baseline::default(),
+            routes: RouteTimes::default(),
             overrun: 1.0,
         }
     }
@@ -80,17 +85,22 @@
     }
 
     /// Records the duration of a response where only the expected work is known.
-    pub(crate) fn record_duration(&mut self, took_ms: Millis, work: f64) {
+    pub(crate) fn record_duration(&mut self, route: RouteKey, took_ms: Millis, work: f64) {
         match work > MAX_BASELINE_WORK {
-            true => self.record_overrun(took_ms, work),
-            false => self.baseline.record(took_ms.as_f64() / work.max(1.0), DURATION_WEIGHT),
+            true => self.record_overrun(route, took_ms, work),
+            false => self.record_baseline(route, took_ms.as_f64() / work.max(1.0), DURATION_WEIGHT),
         }
     }
 
+    fn record_baseline(&mut self, route: RouteKey, sample_ms: f64, weight: f64) {
+        self.baseline.record(sample_ms, weight);
+        self.routes.record(route, sample_ms, weight);
+    }
+
     /// Updates the overrun by a response whose expected work shows that the upstream was busy or
     /// slow; ignores any other.
-    pub(crate) fn record_overrun(&mut self, took_ms: Millis, work: f64) {
-        let Some(baseline_ms) = self.baseline.mean_ms.filter(|_| work > MAX_BASELINE_WORK) else {
+    pub(crate) fn record_overrun(&mut self, route: RouteKey, took_ms: Millis, work: f64) {
+        let Some(baseline_ms) = self.baseline_ms(route).filter(|_| work > MAX_BASELINE_WORK) else {
             return;
         };
         let ratio = took_ms.as_f64() / (baseline_ms * work).max(1.0);
@@ -102,44 +112,64 @@
     ///
     /// The baseline is learned from requests that started at low concurrency, and the curve from
     /// all others: learned from the same responses, each would compensate for errors of the other.
+    ///
+    /// The curve is learned by comparison with the route's own baseline: by the service's, requests
+    /// of a route that takes longer would seem to be slowed down by others.
     pub(crate) fn record_service_time(&mut self, slots: Slots, sample: &ServiceTimeSample) {
+        let reference = self.routes.get(sample.route).unwrap_or(self.baseline);
         let Some(curve) = self.curves.iter_mut().find(|curve| curve.slots() == slots) else {
             return;
         };
         let slowness = sample.slowness.max(MIN_SLOWNESS);
-        match (self.baseline.mean_ms, curve.is_baseline(&sample.occupancy)) {
+        match (reference.mean_ms, curve.is_baseline(&sample.occupancy)) {
             (_, true) => {
                 let sample_ms = curve.baseline_ms(&sample.occupancy) / slowness;
-                self.baseline.record(sample_ms, SAMPLE_WEIGHT);
+                self.record_baseline(sample.route, sample_ms, SAMPLE_WEIGHT);
             }
-            (Some(baseline_ms), false) if self.baseline.samples >= MIN_SAMPLES => {
+            (Some(baseline_ms), false) if reference.samples >= MIN_SAMPLES => {
                 curve.learn(&sample.occupancy, baseline_ms * slowness);
             }
             (_, false) => {}
         }
     }
 
-    /// Expected duration of this much work; `None` before anything was learned.
-    pub(crate) fn expected_ms(&self, work: f64) -> Option<Millis> {
+    /// Expected duration of this much work of a route; `None` before anything was learned.
+    pub(crate) fn expected_ms(&self, route: RouteKey, work: f64) -> Option<Millis> {
         let overrun = if work > MAX_BASELINE_WORK { self.overrun } else { 1.0 };
-        self.baseline.mean_ms.map(|baseline_ms| Millis((baseline_ms * work * overrun) as u64))
+        self.baseline_ms(route).map(|baseline_ms| Millis((baseline_ms * work * overrun) as u64))
     }
-}
 
-/// Service time at low concurrency and slowness 1.
-#[derive(Debug, Default)]
-struct Baseline {
-    mean_ms: Option<f64>,
-    samples: u32,
-}
+    /// Mean service time of its routes, as they are requested.
+    pub(crate) fn mean_ms(&self) -> Option<Millis> {
+        self.baseline.mean_ms.map(|mean_ms| Millis(mean_ms as u64))
+    }
+
+    /// Service time of the mean request, in multiples of a route's.
+    pub(crate) fn mean_by_route(&self, route: RouteKey) -> f64 {
+        match (self.baseline.mean_ms, self.baseline_ms(route)) {
+            (Some(mean_ms), Some(route_ms)) if route_ms > 0.0 => mean_ms / route_ms,
+            _ => 1.0,
+        }
+    }
+
+    /// What this host learned of a route, for another host; `None` as long as the service is known
+    /// to have one route only.
+    pub(crate) fn route_time(&self, route: RouteKey) -> Option<RouteTime> {
+        let Baseline { mean_ms, samples } = self.routes.get(route)?;
+        Some(RouteTime { mean_ms: Millis(mean_ms?.round() as u64), samples })
+    }
+
+    /// Takes over what another host learned of a route.
+    pub(crate) fn adopt_route_time(&mut self, route: RouteKey, learned: RouteTime) {
+        self.routes.adopt(route, learned);
+    }
+
+    /// Drops the service times of routes that no longer exist.
+    pub(crate) fn retain_routes(&mut self, is_known: impl Fn(RouteKey) -> bool) {
+        self.routes.retain(is_known);
+    }
 
-impl Baseline {
-    /// The first samples count equally, so that a single outlier at the start has no lasting
-    /// weight.
-    fn record(&mut self, sample_ms: f64, weight: f64) {
-        self.samples = self.samples.saturating_add(1);
-        let weight = weight.max(1.0 / f64::from(self.samples));
-        let mean_ms = self.mean_ms.get_or_insert(sample_ms);
-        *mean_ms += (sample_ms - *mean_ms) * weight;
+    fn baseline_ms(&self, route: RouteKey) -> Option<f64> {
+        self.routes.expected_ms(route, self.baseline.mean_ms)
     }
 }
--- a/crates/dispatch/src/upstream_set.rs
+++ b/crates/dispatch/src/upstream_set.rs
@@ -13,6 +13,7 @@
 use crate::cold::Warmth;
 use crate::cost::{Candidate, CostInputs, estimate_cost};
 use crate::curve::SpeedCurve;
+use crate::route_times::{RouteKey, RouteTime};
 use crate::service::{Service, ServiceTimeSample};
 use crate::service_load::ServiceLoad;
 use crate::subset::{FleetSize, Subset};
@@ -208,22 +209,31 @@
     }
 
     /// The estimated cost of a request of this host at an upstream.
-    pub fn estimate_cost(&self, now_ms: Millis, id: &UpstreamId) -> Option<Candidate> {
-        self.estimate_cost_from(now_ms, id, &self.zone)
+    pub fn estimate_cost(
+        &self,
+        now_ms: Millis,
+        id: &UpstreamId,
+        route: RouteKey,
+    ) -> Option<Candidate> {
+        self.estimate_cost_from(now_ms, id, &self.zone, Some(route))
     }
 
-    /// The estimated cost of a request of a host in availability zone `zone` at an upstream.
+    /// The estimated cost of a request of a host in availability zone `zone` at an upstream. Without
+    /// a route, it is that of the service's mean request.
     pub fn estimate_cost_from(
         &self,
         now_ms: Millis,
         id: &UpstreamId,
         zone: &ZoneName,
+        route: Option<RouteKey>,
     ) -> Option<Candidate> {
         let state = self.states.get(id)?;
         let service = self.services.get(&state.entry.service)?;
         let is_other_zone = state.entry.availability_zone != *zone;
         let (load, curve) = (service.load, service.curve(state.entry.slots)?);
-        Some(estimate_cost(state, CostInputs { load, curve, now_ms, is_other_zone }))
+        let mean_by_route = route.map_or(1.0, |route| service.mean_by_route(route));
+        let inputs = CostInputs { load, curve, now_ms, is_other_zone, mean_by_route };
+        Some(estimate_cost(state, inputs))
     }
 
     /// How an upstream slows down as its slots fill.
@@ -253,10 +263,17 @@
         self.services.get(service).map_or_else(ServiceLoad::default, |service| service.load)
     }
 
-    /// Records that a response took `took_ms`, where `work` baseline service times were expected.
-    pub fn record_duration(&mut self, service: &ServiceName, took_ms: Millis, work: f64) {
+    /// Records that a response took `took_ms`, where `work` service times of its route were
+    /// expected.
+    pub fn record_duration(
+        &mut self,
+        service: &ServiceName,
+        route: RouteKey,
+        took_ms: Millis,
+        work: f64,
+    ) {
         if let Some(service) = self.services.get_mut(service) {
-            service.record_duration(took_ms, work);
+            service.record_duration(route, took_ms, work);
         }
     }
 
@@ -268,16 +285,47 @@
         }
     }
 
-    /// Records that a response took `took_ms`, where `work` baseline service times were expected.
-    /// Ignored unless `work` shows that the upstream was busy or slow.
-    pub fn record_overrun(&mut self, service: &ServiceName, took_ms: Millis, work: f64) {
+    /// Records that a response took `took_ms`, where `work` service times of its route were
+    /// expected. Ignored unless `work` shows that the upstream was busy or slow.
+    pub fn record_overrun(
+        &mut self,
+        service: &ServiceName,
+        route: RouteKey,
+        took_ms: Millis,
+        work: f64,
+    ) {
+        if let Some(service) = self.services.get_mut(service) {
+            service.record_overrun(route, took_ms, work);
+        }
+    }
+
+    /// The expected duration of `work` service times of a route; none before anything was recorded.
+    pub fn expected_ms(&self, service: &ServiceName, route: RouteKey, work: f64) -> Option<Millis> {
+        self.services.get(service).and_then(|service| service.expected_ms(route, work))
+    }
+
+    /// The mean service time of a service's requests; none before anything was recorded.
+    pub(crate) fn mean_service_time_ms(&self, service: &ServiceName) -> Option<Millis> {
+        self.services.get(service).and_then(Service::mean_ms)
+    }
+
+    /// What this host learned of a route's service time, for a scheduler. None as long as the
+    /// service is known to have one route only.
+    pub fn route_time(&self, service: &ServiceName, route: RouteKey) -> Option<RouteTime> {
+        self.services.get(service).and_then(|service| service.route_time(route))
+    }
+
+    /// Takes over a route's service time from a host that learned more of it.
+    pub fn adopt_route_time(&mut self, service: &ServiceName, route: RouteKey, time: RouteTime) {
         if let Some(service) = self.services.get_mut(service) {
-            service.record_overrun(took_ms, work);
+            service.adopt_route_time(route, time);
         }
     }
 
-    /// The expected duration of `work` baseline service times; none before anything was recorded.
-    pub fn expected_ms(&self, service: &ServiceName, work: f64) -> Option<Millis> {
-        self.services.get(service).and_then(|service| service.expected_ms(work))
+    /// Drops the service times of routes that no longer exist.
+    pub fn retain_routes(&mut self, is_known: impl Fn(RouteKey) -> bool) {
+        for service in self.services.values_mut() {
+            service.retain_routes(&is_known);
+        }
     }
 }
--- a/crates/dispatch/src/upstream_set/probe_targets.rs
+++ b/crates/dispatch/src/upstream_set/probe_targets.rs
@@ -101,7 +101,7 @@
     ) -> Option<f64> {
         let state = self.states.get(id)?;
         // [`Group`] handles the zone here, so it doesn't add to the cost.
-        let cost = self.estimate_cost_from(now_ms, id, &state.entry.availability_zone)?.cost;
+        let cost = self.estimate_cost_from(now_ms, id, &state.entry.availability_zone, None)?.cost;
         let is_preferred = is_connected || self.is_new_upstream(now_ms, state);
         let connecting = if is_preferred { 0.0 } else { CONNECT_COST };
         Some(cost * (1.0 + COST_JITTER * rng.random::<f64>()) + connecting)
--- a/crates/dispatch/tests/choice.rs
+++ b/crates/dispatch/tests/choice.rs
@@ -4,8 +4,8 @@
 mod support;
 
 use dispatch::{
-    AttemptFailure, Candidate, CostInputs, ProbeFailure, ServiceLoad, SpeedCurve, UpstreamState,
-    ZoneScope,
+    AttemptFailure, Candidate, CostInputs, ProbeFailure, RouteKey, ServiceLoad, SpeedCurve,
+    UpstreamState, ZoneScope,
 };
 use domain::{Millis, Slots, UpstreamId};
 use published::{Evacuations, RunStart, UpstreamMode};
@@ -38,7 +38,8 @@
 
 fn estimate_cost(state: &UpstreamState, load: ServiceLoad, is_other_zone: bool) -> Candidate {
     let curve = SpeedCurve::new(Slots(support::SLOTS));
-    dispatch::estimate_cost(state, CostInputs { load, curve: &curve, now_ms: NOW, is_other_zone })
+    let inputs = CostInputs { load, curve: &curve, now_ms: NOW, is_other_zone, mean_by_route: 1.0 };
+    dispatch::estimate_cost(state, inputs)
 }
 
 #[rstest]
@@ -203,24 +204,24 @@
 fn the_baseline_is_learned_from_responses_with_little_expected_work() {
     let mut set = set(&[entry("i-1", "kariakoo")]);
     let service = "parts".parse().unwrap();
-    assert_eq!(set.expected_ms(&service, 1.0), None);
-    set.record_duration(&service, Millis(9_000), 5.0);
-    assert_eq!(set.expected_ms(&service, 1.0), None);
-    set.record_duration(&service, Millis(100), 1.0);
-    assert_eq!(set.expected_ms(&service, 2.0), Some(Millis(200)));
+    assert_eq!(set.expected_ms(&service, RouteKey::ONLY, 1.0), None);
+    set.record_duration(&service, RouteKey::ONLY, Millis(9_000), 5.0);
+    assert_eq!(set.expected_ms(&service, RouteKey::ONLY, 1.0), None);
+    set.record_duration(&service, RouteKey::ONLY, Millis(100), 1.0);
+    assert_eq!(set.expected_ms(&service, RouteKey::ONLY, 2.0), Some(Millis(200)));
 }
 
 #[test]
 fn durations_of_busy_upstreams_are_corrected_by_experience() {
     let mut set = set(&[entry("i-1", "kariakoo")]);
     let service = "parts".parse().unwrap();
-    set.record_duration(&service, Millis(100), 1.0);
+    set.record_duration(&service, RouteKey::ONLY, Millis(100), 1.0);
     for _ in 0..200 {
-        set.record_duration(&service, Millis(600), 3.0);
+        set.record_duration(&service, RouteKey::ONLY, Millis(600), 3.0);
     }
-    let busy_ms = set.expected_ms(&service, 3.0).unwrap();
+    let busy_ms = set.expected_ms(&service, RouteKey::ONLY, 3.0).unwrap();
     assert!(busy_ms > Millis(580) && busy_ms <= Millis(600), "{busy_ms}");
-    assert_eq!(set.expected_ms(&service, 1.0), Some(Millis(100)));
+    assert_eq!(set.expected_ms(&service, RouteKey::ONLY, 1.0), Some(Millis(100)));
 }
 
 /// Among equals the connected upstream is probed, but not if it is known to be slow.
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -4,7 +4,7 @@
 pub mod rate_simulation;
 
 use dispatch::scheduler::{Cell, Submission, Ticket};
-use dispatch::{LoadReport, UpstreamSet, UpstreamState};
+use dispatch::{LoadReport, RouteKey, UpstreamSet, UpstreamState};
 use domain::{Millis, Slots, UpstreamId};
 use published::{Entry, Evacuations, Revision, RunStart, Upstream, UpstreamMode};
 use std::sync::Arc;
@@ -61,6 +61,8 @@
         ticket: Ticket(ticket),
         cell: Cell { service: "parts".parse().unwrap(), zone: None },
         zone: "kariakoo".parse().unwrap(),
+        route: RouteKey::ONLY,
+        route_time: None,
         priority: 0,
         objective_ms: Millis(400),
         age_ms: Millis::ZERO,
--- a/crates/emulator/src/simulation/scheduled.rs
+++ b/crates/emulator/src/simulation/scheduled.rs
@@ -7,7 +7,7 @@
     Cell, Effect, Outcome, PlacementMessage, RefusalCause, Requester, SchedulerSet, Submission,
     Ticket, Withdrawal,
 };
-use dispatch::{AttemptFailure, LoadReport, UpstreamSet};
+use dispatch::{AttemptFailure, LoadReport, RouteKey, UpstreamSet};
 use domain::{Millis, Slots, UpstreamId, ZoneName};
 use published::{Entry, Evacuations, Revision, RunStart, Upstream, UpstreamMode};
 use rand::{RngExt, SeedableRng};
@@ -88,6 +88,8 @@
             ticket: Ticket(request as u64),
             cell: self.scheduler.cell.clone(),
             zone: zone_name(self.site, submitted.host),
+            route: RouteKey::ONLY,
+            route_time: None,
             priority: 0,
             objective_ms: Millis(self.site.objective_ms as u64),
             age_ms: now_ms.since(Millis(submitted.started_ms as u64)),
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -17,10 +17,10 @@
 use dispatch::budget::{LOCAL_ZONE_PROBE_SHARE, ProbeBudget, RetryBudget, SCHEDULER_PROBE_SHARE};
 use dispatch::quarantine::Quarantine;
 use dispatch::{
-    FleetSize, LocalRateLimiter, MAX_IDLE_CONNECTIONS, SplitTable, UpstreamSet,
+    FleetSize, LocalRateLimiter, MAX_IDLE_CONNECTIONS, RouteKey, SplitTable, UpstreamSet,
     idle_connections_per_host,
 };
-use domain::{Millis, PerSecond, ServiceName, UpstreamId};
+use domain::{FastSet, Millis, PerSecond, ServiceName, UpstreamId};
 use published::{Gossip, Member, Members, PublishedState, RouteTable, StateChange};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -302,6 +302,11 @@
         *table = Some(Rc::new(RouteTable::new(std::sync::Arc::clone(&entry.value))));
         let has_route = |name: &str| entry.value.routes.iter().any(|route| route.name == name);
         self.split_table.borrow_mut().retain(has_route);
+        let routes: FastSet<RouteKey> =
+            entry.value.routes.iter().map(|route| RouteKey::of(&route.name)).collect();
+        self.upstreams
+            .borrow_mut()
+            .retain_routes(|route| route == RouteKey::ONLY || routes.contains(&route));
     }
 }
 
--- a/crates/gateway/src/peers/codec.rs
+++ b/crates/gateway/src/peers/codec.rs
@@ -14,7 +14,7 @@
 use std::fmt;
 
 /// Version of the protocol; increases with each change of a message.
-const PROTOCOL: u8 = 7;
+const PROTOCOL: u8 = 8;
 
 /// The content of a datagram.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -16,8 +16,8 @@
 use crate::host::Host;
 use clock::Moment;
 use dispatch::{
-    Candidate, GOOD_ENOUGH_COST, IMMEDIATE_COST, PROBE_ROUNDS, PROBES_PER_ROUND, UNHEALTHY_COST,
-    ZoneScope,
+    Candidate, GOOD_ENOUGH_COST, IMMEDIATE_COST, PROBE_ROUNDS, PROBES_PER_ROUND, RouteKey,
+    UNHEALTHY_COST, ZoneScope,
 };
 use domain::{ServiceName, UpstreamId};
 use health_check::{ProbeBudgetKind, probe_within_limit, take_probe};
@@ -66,23 +66,32 @@
     Failure,
 }
 
+/// What upstreams are probed for: a request of a route to a service.
+#[derive(Debug, Clone, Copy)]
+pub struct Target<'a> {
+    /// Service.
+    pub service: &'a ServiceName,
+    /// Route.
+    pub route: RouteKey,
+}
+
 /// Probes candidates of a service in rounds, and chooses the one with the lowest cost.
 pub async fn choose(
     host: &Rc<Host>,
-    service: &ServiceName,
+    target: Target<'_>,
     excluded: &[UpstreamId],
 ) -> Option<Chosen> {
     let mut excluded = excluded.to_vec();
     let mut best: Option<Chosen> = None;
     let (mut probe_count, mut response_count) = (0, 0);
     for round in PROBE_ROUNDS {
-        let candidates = next_candidates(host, service, &mut excluded, round);
+        let candidates = next_candidates(host, target.service, &mut excluded, round);
         if candidates.is_empty() {
             break;
         }
         probe_count += candidates.len();
         let (chosen, responses) =
-            probe_round(host, service, candidates, ProbeBudgetKind::Fleet).await;
+            probe_round(host, target, candidates, ProbeBudgetKind::Fleet).await;
         response_count += responses;
         best = better(host, best, chosen);
         if best.as_ref().is_some_and(|best| best.cost <= GOOD_ENOUGH_COST) {
@@ -102,7 +111,8 @@
 }
 
 /// Probes upstreams of the local availability zone, and returns one that is idle and not slow.
-pub async fn choose_idle_local(host: &Rc<Host>, service: &ServiceName) -> Option<Chosen> {
+pub async fn choose_idle_local(host: &Rc<Host>, target: Target<'_>) -> Option<Chosen> {
+    let service = target.service;
     let candidates: Vec<UpstreamId> = {
         let upstreams = host.upstreams.borrow();
         let mut rng = host.rng.borrow_mut();
@@ -126,7 +136,7 @@
     }
     let probe_count = candidates.len();
     let (chosen, response_count) =
-        probe_round(host, service, candidates, ProbeBudgetKind::LocalZone).await;
+        probe_round(host, target, candidates, ProbeBudgetKind::LocalZone).await;
     let chosen = chosen?;
     if chosen.connection.is_some() && chosen.cost <= IMMEDIATE_COST {
         return Some(Chosen { probe_count, response_count, ..chosen });
@@ -182,14 +192,14 @@
 
 async fn probe_round(
     host: &Rc<Host>,
-    service: &ServiceName,
+    target: Target<'_>,
     candidates: Vec<UpstreamId>,
     budget: ProbeBudgetKind,
 ) -> (Option<Chosen>, usize) {
     let (sender, mut results) = mpsc::unbounded_channel();
     let mut outstanding = candidates.len();
     for upstream in candidates {
-        let (host, service) = (Rc::clone(host), service.clone());
+        let (host, service) = (Rc::clone(host), target.service.clone());
         let sender = sender.clone();
         tokio::task::spawn_local(async move {
             let probed = probe(&host, &service, upstream, budget).await;
@@ -206,7 +216,7 @@
         let Ok(Some(probed)) = clock::timeout_at(until, results.recv()).await else { break };
         outstanding -= 1;
         response_count += usize::from(matches!(probed.result, ProbeResult::Response { .. }));
-        best = better(host, best, evaluate(host, probed));
+        best = better(host, best, evaluate(host, target.route, probed));
         if best.as_ref().is_some_and(|best| best.cost <= IMMEDIATE_COST) {
             break;
         }
@@ -227,7 +237,7 @@
     }
 }
 
-fn evaluate(host: &Host, probed: Probed) -> Option<Chosen> {
+fn evaluate(host: &Host, route: RouteKey, probed: Probed) -> Option<Chosen> {
     let (connection, is_healthy) = match probed.result {
         ProbeResult::Response { connection, is_healthy } => (Some(connection), is_healthy),
         ProbeResult::NotProbed => (None, true),
@@ -243,7 +253,7 @@
         return None;
     }
     let Candidate { upstream, work, cost } =
-        upstreams.estimate_cost(host.now_ms(), &probed.upstream)?;
+        upstreams.estimate_cost(host.now_ms(), &probed.upstream, route)?;
     let cost = if is_healthy { cost } else { cost + UNHEALTHY_COST };
     Some(Chosen { upstream, connection, work, cost, probe_count: 0, response_count: 0 })
 }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -18,6 +18,7 @@
 use crate::ingress::Caller;
 use crate::quota;
 use authentication::authenticate;
+use dispatch::RouteKey;
 use dispatch::attempts::{Cause, Refusal};
 use domain::{Millis, RequestFingerprint, ServiceName};
 use published::{MatchedRoute, Organisation, RouteTable};
@@ -76,6 +77,7 @@
     /// The routing that identified the caller.
     table: Rc<RouteTable>,
     service: ServiceName,
+    route_key: RouteKey,
     end_ms: Millis,
     fingerprint: OnceCell<RequestFingerprint>,
 }
@@ -230,6 +232,10 @@
         left_ms: end_ms.since(now_ms),
         picture_age_ms: host.state_age_ms(),
     });
+    let route_key = match table.is_shared(&service) {
+        true => RouteKey::of(&matched.route.name),
+        false => RouteKey::ONLY,
+    };
     Ok(RoutedRequest {
         host: Rc::clone(host),
         caller: Rc::clone(caller),
@@ -240,6 +246,7 @@
         organisation,
         table,
         service,
+        route_key,
         end_ms,
         fingerprint: OnceCell::new(),
     })
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -214,7 +214,8 @@
         let took_ms = broke_ms.since(sent_ms);
         let failure = failure_of(end);
         let entry = guard.entry();
-        guard.end(&self.service, work, Outcome { failure, took_ms, report, backpressure });
+        let target = (&self.service, self.route_key);
+        guard.end(target, work, Outcome { failure, took_ms, report, backpressure });
         let has_crashed = match entry {
             Some(upstream) if end == AttemptResult::Broken => {
                 let fingerprint = self.fingerprint();
--- a/crates/gateway/src/serve/attempt_guard.rs
+++ b/crates/gateway/src/serve/attempt_guard.rs
@@ -4,9 +4,9 @@
 use crate::host::Host;
 use crate::placement::PlacementGuard;
 use crate::probe;
-use dispatch::AttemptFailure;
 use dispatch::backpressure::Backpressure;
 use dispatch::scheduler::Outcome;
+use dispatch::{AttemptFailure, RouteKey};
 use domain::{Millis, ServiceName, UpstreamId};
 use published::{RunStart, Upstream};
 use std::rc::Rc;
@@ -74,7 +74,12 @@
     }
 
     /// Records that the attempt ended.
-    pub(super) fn end(mut self, service: &ServiceName, work: f64, outcome: Outcome) {
+    pub(super) fn end(
+        mut self,
+        (service, route): (&ServiceName, RouteKey),
+        work: f64,
+        outcome: Outcome,
+    ) {
         self.is_ended = true;
         // Before the outcome goes to a scheduler on this host, which reads what is recorded here.
         let (at, kind) = ((&self.upstream, self.run), outcome.response_kind());
@@ -83,7 +88,7 @@
             self.record_end(outcome);
             if outcome.failure.is_none() {
                 let mut upstreams = self.host.upstreams.borrow_mut();
-                upstreams.record_duration(service, outcome.took_ms, work);
+                upstreams.record_duration(service, route, outcome.took_ms, work);
             }
         }
         if let Some(placement) = self.placement.take() {
--- a/crates/gateway/src/serve/selection.rs
+++ b/crates/gateway/src/serve/selection.rs
@@ -146,7 +146,7 @@
         if counts.sent > 0 || self.host.placement.is_busy(&self.service, begun_ms) {
             return None;
         }
-        let chosen = probe::choose_idle_local(&self.host, &self.service).await?;
+        let chosen = probe::choose_idle_local(&self.host, self.target()).await?;
         Some(self.selected_by_probe(chosen, begun_ms))
     }
 
@@ -174,6 +174,11 @@
         }
     }
 
+    /// What upstreams are probed for.
+    fn target(&self) -> probe::Target<'_> {
+        probe::Target { service: &self.service, route: self.route_key }
+    }
+
     fn other_zone(&self, zone: &ZoneName) -> Option<ZoneName> {
         let (upstreams, mut rng) = (self.host.upstreams.borrow(), self.host.rng.borrow_mut());
         upstreams.draw_other_zone(&self.service, zone, &mut rng)
@@ -191,11 +196,16 @@
         let age_ms = now_ms.since(self.request.arrived_ms);
         let left_ms = self.end_ms.since(now_ms);
         let (zone, tried) = (zone.clone(), counts.tried.clone());
-        let backing_off = self.host.upstreams.borrow().upstreams_in_backoff(now_ms, &self.service);
+        let upstreams = self.host.upstreams.borrow();
+        let backing_off = upstreams.upstreams_in_backoff(now_ms, &self.service);
+        let route = self.route_key;
+        let route_time = upstreams.route_time(&self.service, route);
         move |ticket, cell| Submission {
             ticket,
             cell,
             zone,
+            route,
+            route_time,
             priority,
             objective_ms,
             age_ms,
@@ -243,7 +253,7 @@
         counts: &AttemptCounts,
     ) -> Result<Option<Selected>, Refusal> {
         loop {
-            let chosen = probe::choose(&self.host, &self.service, &counts.tried).await;
+            let chosen = probe::choose(&self.host, self.target(), &counts.tried).await;
             let now_ms = self.host.now_ms();
             self.check_time(now_ms, counts)?;
             let Some(chosen) = chosen else { return Ok(None) };
@@ -286,7 +296,8 @@
             objective_ms: self.route().objective_ms,
             end_ms: self.end_ms,
         };
-        let expected_ms = self.host.upstreams.borrow().expected_ms(&self.service, chosen.work);
+        let expected_ms =
+            self.host.upstreams.borrow().expected_ms(&self.service, self.route_key, chosen.work);
         let verdict = check.check(now_ms, LatencyEstimate { expected_ms });
         if verdict != Verdict::Send {
             self.host.log.write(&LogEvent::Declined {
--- a/crates/gateway/tests/codec.rs
+++ b/crates/gateway/tests/codec.rs
@@ -1,6 +1,7 @@
 //! Messages between hosts round-trip, are small, and are rejected if malformed.
 #![allow(clippy::unwrap_used)]
 
+use dispatch::RouteKey;
 use dispatch::quarantine::{Crash, Quarantine, QuarantineMessage};
 use dispatch::scheduler::{Cell, PlacementMessage, Submission, Ticket};
 use domain::{Incarnation, Millis, RequestFingerprint};
@@ -50,6 +51,8 @@
         ticket: Ticket(9_000_000),
         cell: Cell { service: "parts".parse().unwrap(), zone: None },
         zone: "kariakoo".parse().unwrap(),
+        route: RouteKey::ONLY,
+        route_time: None,
         priority: 1,
         objective_ms: Millis(400),
         age_ms: Millis(3),
--- a/crates/gateway/tests/datagram_bytes.rs
+++ b/crates/gateway/tests/datagram_bytes.rs
@@ -8,7 +8,7 @@
 use dispatch::scheduler::{
     Cell, Outcome, Placement, PlacementMessage, RefusalCause, Submission, Ticket, Withdrawal,
 };
-use dispatch::{AttemptFailure, LoadReport};
+use dispatch::{AttemptFailure, LoadReport, RouteKey, RouteTime};
 use domain::{
     ByteCount, Connections, Incarnation, Millis, PerSecond, RequestFingerprint, Slots, UpstreamId,
     Version,
@@ -223,64 +223,64 @@
 #[rstest]
 #[case::join(
     Message::Join { from: member_1(), is_redirected: false },
-    "0700000766726f6e742d31e907086b617269616b6f6f000a000001d93614820100"
+    "0800000766726f6e742d31e907086b617269616b6f6f000a000001d93614820100"
 )]
 #[case::redirected_join(
     Message::Join { from: member_2(), is_redirected: true },
-    "0700000766726f6e742d32c29a0c0962616e657368776f720120010db8000000000000000000000002da36e807\
+    "0800000766726f6e742d32c29a0c0962616e657368776f720120010db8000000000000000000000002da36e807\
      2d01"
 )]
 #[case::not_yet(
     join_reply(Bootstrap::NotReady { is_reading: true }),
-    "0700010766726f6e742d31e907086b617269616b6f6f000a000001d9361482017c0001"
+    "0800010766726f6e742d31e907086b617269616b6f6f000a000001d9361482017c0001"
 )]
 #[case::redirect(
     join_reply(Bootstrap::Redirect { to: "10.0.0.7:7007".parse().unwrap() }),
-    "0700010766726f6e742d31e907086b617269616b6f6f000a000001d9361482017c01000a000007df36"
+    "0800010766726f6e742d31e907086b617269616b6f6f000a000001d9361482017c01000a000007df36"
 )]
 #[case::whole(
     join_reply(Bootstrap::Complete(bootstrap_snapshot(true))),
-    "0700010766726f6e742d31e907086b617269616b6f6f000a000001d9361482017c0223aa1f02a21f0103692d31\
+    "0800010766726f6e742d31e907086b617269616b6f6f000a000001d9361482017c0223aa1f02a21f0103692d31\
      057061727473000a000101c13e08636861626168696c0600dc0b0181d095ffbc31a41f02076974616861726901"
 )]
 #[case::partial(
     join_reply(partial()),
-    "0700010766726f6e742d31e907086b617269616b6f6f000a000001d9361482017c0323aa1f02a21f0103692d31\
+    "0800010766726f6e742d31e907086b617269616b6f6f000a000001d9361482017c0323aa1f02a21f0103692d31\
      057061727473000a000101c13e08636861626168696c0600dc0b0181d095ffbc31a41f02076974616861726900\
      02000a000008e0360120010db8000000000000000000000009e1369601"
 )]
 #[case::asking(
     hello(HelloKind::Request),
-    "0700020766726f6e742d31e907086b617269616b6f6f000a000001d93614820100feffffffffffffffff01"
+    "0800020766726f6e742d31e907086b617269616b6f6f000a000001d93614820100feffffffffffffffff01"
 )]
 #[case::answering(
     hello(HelloKind::Reply),
-    "0700020766726f6e742d31e907086b617269616b6f6f000a000001d93614820101feffffffffffffffff01"
+    "0800020766726f6e742d31e907086b617269616b6f6f000a000001d93614820101feffffffffffffffff01"
 )]
 #[case::present(
     hello(HelloKind::Alive),
-    "0700020766726f6e742d31e907086b617269616b6f6f000a000001d93614820102feffffffffffffffff01"
+    "0800020766726f6e742d31e907086b617269616b6f6f000a000001d93614820102feffffffffffffffff01"
 )]
 #[case::known(
     Message::Members { members: vec![member_1(), member_2()], should_relay: true },
-    "070003020766726f6e742d31e907086b617269616b6f6f000a000001d9361482010766726f6e742d32c29a0c09\
+    "080003020766726f6e742d31e907086b617269616b6f6f000a000001d9361482010766726f6e742d32c29a0c09\
      62616e657368776f720120010db8000000000000000000000002da36e8072d01"
 )]
 #[case::unread(
     Message::ReadFailed { reader: member_1(), should_relay: true },
-    "0700050766726f6e742d31e907086b617269616b6f6f000a000001d93614820101"
+    "0800050766726f6e742d31e907086b617269616b6f6f000a000001d93614820101"
 )]
 #[case::bye(
     Message::Leave { host: "front-3".parse().unwrap(), incarnation: Incarnation(1_003) },
-    "0700060766726f6e742d33eb07"
+    "0800060766726f6e742d33eb07"
 )]
 #[case::offered_news(
     news(None),
-    "0700040766726f6e742d31e907086b617269616b6f6f000a000001d936148201b41f19eaadc0e524a01f0001"
+    "0800040766726f6e742d31e907086b617269616b6f6f000a000001d936148201b41f19eaadc0e524a01f0001"
 )]
 #[case::routing(
     news(Some(vec![Change::Written(routing_entry())])),
-    "0700040766726f6e742d31e907086b617269616b6f6f000a000001d936148201b41f19eaadc0e524a01f010100\
+    "0800040766726f6e742d31e907086b617269616b6f6f000a000001d936148201b41f19eaadc0e524a01f010100\
      a11f000c808001808040904ee0d40302067365617263680c73686f702e6578616d706c65082f7365617263682f\
      009003c413030100020666696e6465725a0b66696e6465722d6e6578740a066f72646572730b7061792e657861\
      6d706c65082f6f72646572732f01a006882702000001066f72646572736402057061727473082f6865616c7468\
@@ -288,23 +288,23 @@
 )]
 #[case::ready_upstream(
     news(Some(vec![Change::Written(upstream_entry(4_002, ready_upstream()))])),
-    "0700040766726f6e742d31e907086b617269616b6f6f000a000001d936148201b41f19eaadc0e524a01f010100\
+    "0800040766726f6e742d31e907086b617269616b6f6f000a000001d936148201b41f19eaadc0e524a01f010100\
      a21f0103692d31057061727473000a000101c13e08636861626168696c0600dc0b0181d095ffbc3101"
 )]
 #[case::draining_upstream(
     news(Some(vec![Change::Written(upstream_entry(4_003, draining_upstream()))])),
-    "0700040766726f6e742d31e907086b617269616b6f6f000a000001d936148201b41f19eaadc0e524a01f010100\
+    "0800040766726f6e742d31e907086b617269616b6f6f000a000001d936148201b41f19eaadc0e524a01f010100\
      a31f0103692d32067072696365730120010db8000000000000000000000102c23e0664686172616eac0201bc05\
      0001"
 )]
 #[case::evacuation(
     news(Some(vec![Change::Written(evacuation_entry())])),
-    "0700040766726f6e742d31e907086b617269616b6f6f000a000001d936148201b41f19eaadc0e524a01f010100\
+    "0800040766726f6e742d31e907086b617269616b6f6f000a000001d936148201b41f19eaadc0e524a01f010100\
      a41f02076974616861726901"
 )]
 #[case::patched_routing(
     news(Some(vec![Change::Patched(patch_entry())])),
-    "0700040766726f6e742d31e907086b617269616b6f6f000a000001d936148201b41f19eaadc0e524a01f010101\
+    "0800040766726f6e742d31e907086b617269616b6f6f000a000001d936148201b41f19eaadc0e524a01f010101\
      a61fa51f0e808001808040904ee0d40302057061727473082f6865616c74687a40010000000000002940067072\
      69636573072f737461747573800200010b7061792e6578616d706c65066f726465727301067365617263680c73\
      686f702e6578616d706c65082f7365617263682f009003c413030100020666696e6465725a0b66696e6465722d\
@@ -312,17 +312,17 @@
 )]
 #[case::deleted(
     news(Some(vec![Change::Removed(deleted())])),
-    "0700040766726f6e742d31e907086b617269616b6f6f000a000001d936148201b41f19eaadc0e524a01f010102\
+    "0800040766726f6e742d31e907086b617269616b6f6f000a000001d936148201b41f19eaadc0e524a01f010102\
      03692d33a71f0001"
 )]
 #[case::overwritten(
     news(Some(vec![Change::Removed(overwritten())])),
-    "0700040766726f6e742d31e907086b617269616b6f6f000a000001d936148201b41f19eaadc0e524a01f010102\
+    "0800040766726f6e742d31e907086b617269616b6f6f000a000001d936148201b41f19eaadc0e524a01f010102\
      03692d34a81f0101"
 )]
 #[case::evacuation_end(
     news(Some(vec![Change::EvacuationEnded(evacuation_end())])),
-    "0700040766726f6e742d31e907086b617269616b6f6f000a000001d936148201b41f19eaadc0e524a01f010103\
+    "0800040766726f6e742d31e907086b617269616b6f6f000a000001d936148201b41f19eaadc0e524a01f010103\
      086a616e616b707572a91f01"
 )]
 fn gossip_keeps_its_bytes(#[case] message: Message, #[case] hex: &str) {
@@ -338,8 +338,8 @@
 }
 
 #[rstest]
-#[case::with_routing(fetch_request(Some(Revision(4_012))), "07ab1f01ac1fad1febadc0e524")]
-#[case::without_routing(fetch_request(None), "07ab1f00ad1febadc0e524")]
+#[case::with_routing(fetch_request(Some(Revision(4_012))), "08ab1f01ac1fad1febadc0e524")]
+#[case::without_routing(fetch_request(None), "08ab1f00ad1febadc0e524")]
 fn a_fetch_request_keeps_its_bytes(#[case] request: FetchRequest, #[case] hex: &str) {
     check(&request, hex);
 }
@@ -367,13 +367,13 @@
 #[rstest]
 #[case::changes(
     fetch_reply(changes()),
-    "073700ae1faf1f020203692d33a71f0003086a616e616b707572a91f020766726f6e742d31e907086b61726961\
+    "083700ae1faf1f020203692d33a71f0003086a616e616b707572a91f020766726f6e742d31e907086b61726961\
      6b6f6f000a000001d9361482010766726f6e742d32c29a0c0962616e657368776f720120010db8000000000000\
      000000000002da36e8072d"
 )]
 #[case::whole(
     fetch_reply(whole()),
-    "073701b01f02a11f000c808001808040904ee0d40302067365617263680c73686f702e6578616d706c65082f73\
+    "083701b01f02a11f000c808001808040904ee0d40302067365617263680c73686f702e6578616d706c65082f73\
      65617263682f009003c413030100020666696e6465725a0b66696e6465722d6e6578740a066f72646572730b70\
      61792e6578616d706c65082f6f72646572732f01a006882702000001066f72646572736402057061727473082f\
      6865616c74687a4001000000000000294006707269636573072f73746174757380020000a41f02076974616861\
@@ -395,6 +395,8 @@
             zone: zone.map(|zone| zone.parse().unwrap()),
         },
         zone: "kariakoo".parse().unwrap(),
+        route: RouteKey::of("orders"),
+        route_time: Some(RouteTime { mean_ms: Millis(48), samples: 300 }),
         priority: 2,
         objective_ms: Millis(400),
         age_ms: Millis(3),
@@ -453,32 +455,33 @@
 #[rstest]
 #[case::submit(
     submission(None, true),
-    "070100c0a8a50405706172747300086b617269616b6f6f02900303b0090203692d3103692d320103692d3301"
+    "080100c0a8a50405706172747300086b617269616b6f6fecadfa92030130ac0202900303b0090203692d310369\
+     2d320103692d3301"
 )]
 #[case::submit_to_zone(
     submission(Some("baneshwor"), false),
-    "070100c0a8a504057061727473010962616e657368776f72086b617269616b6f6f02900303b0090203692d3103\
-     692d320103692d3300"
+    "080100c0a8a504057061727473010962616e657368776f72086b617269616b6f6fecadfa92030130ac02029003\
+     03b0090203692d3103692d320103692d3300"
 )]
-#[case::queued(PlacementMessage::Queued { ticket: TICKET }, "070101c0a8a504")]
-#[case::placed(placed(Some(Millis(75))), "070102c0a8a50403692d310000a03f00002040014bac02")]
-#[case::placed_without_report(placed(None), "070102c0a8a50403692d310000a03f0000204000ac02")]
+#[case::queued(PlacementMessage::Queued { ticket: TICKET }, "080101c0a8a504")]
+#[case::placed(placed(Some(Millis(75))), "080102c0a8a50403692d310000a03f00002040014bac02")]
+#[case::placed_without_report(placed(None), "080102c0a8a50403692d310000a03f0000204000ac02")]
 #[case::no_room(
     refused(RefusalCause::NoRoom { retry_after_ms: Millis(60), ahead: 301 }),
-    "070103c0a8a504003cad02"
+    "080103c0a8a504003cad02"
 )]
-#[case::no_upstream(refused(RefusalCause::NoUpstream), "070103c0a8a50401")]
-#[case::served(ended(served()), "070104c0a8a50400b4010105c801068c01010000000000001e4001d00f01")]
+#[case::no_upstream(refused(RefusalCause::NoUpstream), "080103c0a8a50401")]
+#[case::served(ended(served()), "080104c0a8a50400b4010105c801068c01010000000000001e4001d00f01")]
 #[case::error_answer(
     ended(failed(AttemptFailure::ErrorResponse)),
-    "070104c0a8a5040100b40100000000"
-)]
-#[case::shed(ended(failed(AttemptFailure::Shed)), "070104c0a8a5040101b40100000000")]
-#[case::broken(ended(failed(AttemptFailure::Disconnected)), "070104c0a8a5040102b40100000000")]
-#[case::silent(ended(failed(AttemptFailure::TimedOut)), "070104c0a8a5040103b40100000000")]
-#[case::not_sent(withdrawn(Withdrawal::NotSent), "070105c0a8a50400")]
-#[case::unreachable(withdrawn(Withdrawal::Unreachable), "070105c0a8a50401")]
-#[case::sent(withdrawn(Withdrawal::Sent), "070105c0a8a50402")]
+    "080104c0a8a5040100b40100000000"
+)]
+#[case::shed(ended(failed(AttemptFailure::Shed)), "080104c0a8a5040101b40100000000")]
+#[case::broken(ended(failed(AttemptFailure::Disconnected)), "080104c0a8a5040102b40100000000")]
+#[case::silent(ended(failed(AttemptFailure::TimedOut)), "080104c0a8a5040103b40100000000")]
+#[case::not_sent(withdrawn(Withdrawal::NotSent), "080105c0a8a50400")]
+#[case::unreachable(withdrawn(Withdrawal::Unreachable), "080105c0a8a50401")]
+#[case::sent(withdrawn(Withdrawal::Sent), "080105c0a8a50402")]
 fn placement_keeps_its_bytes(#[case] message: PlacementMessage, #[case] hex: &str) {
     check(&Datagram::Placement(message), hex);
 }
@@ -528,20 +531,20 @@
 #[rstest]
 #[case::crashed(
     suspects(crashed(), true),
-    "070200012030303030303030303030303030303030303132333435363738396162636465660203692d310181d0\
+    "080200012030303030303030303030303030303030303132333435363738396162636465660203692d310181d0\
      95ffbc310766726f6e742d31b817fc1603692d32000766726f6e742d32d00f940f000001"
 )]
 #[case::cleared(
     suspects(cleared(), false),
-    "070200012030303030303030303030303030303030303132333435363738396162636465660001f4030000"
+    "080200012030303030303030303030303030303030303132333435363738396162636465660001f4030000"
 )]
 #[case::on_trial_again(
     suspects(on_trial_again(), true),
-    "070200012030303030303030303030303030303030303132333435363738396162636465660203692d34000766\
+    "080200012030303030303030303030303030303030303132333435363738396162636465660203692d34000766\
      726f6e742d34b817fc1603692d350185d095ffbc310766726f6e742d35d00f940f01ac1b01fa0101"
 )]
-#[case::offer(QuarantineMessage::Digest { digest: 9_876_543_212 }, "070201ecadc0e524")]
-#[case::ask(QuarantineMessage::Request { digest: 9_876_543_213 }, "070202edadc0e524")]
+#[case::offer(QuarantineMessage::Digest { digest: 9_876_543_212 }, "080201ecadc0e524")]
+#[case::ask(QuarantineMessage::Request { digest: 9_876_543_213 }, "080202edadc0e524")]
 fn quarantine_keeps_its_bytes(#[case] message: QuarantineMessage, #[case] hex: &str) {
     check(&Datagram::Quarantine(message), hex);
 }
@@ -569,14 +572,14 @@
 #[rstest]
 #[case::limited(
     BackpressureMessage::Update { updates: vec![limited()], should_relay: true },
-    "0703000103692d310181d095ffbc31010000000000001e40005501"
+    "0803000103692d310181d095ffbc31010000000000001e40005501"
 )]
 #[case::leaving(
     BackpressureMessage::Update { updates: vec![leaving()], should_relay: false },
-    "0703000103692d32000001b60700"
+    "0803000103692d32000001b60700"
 )]
-#[case::offer(BackpressureMessage::Digest { digest: 9_876_543_214 }, "070301eeadc0e524")]
-#[case::ask(BackpressureMessage::Request { digest: 9_876_543_215 }, "070302efadc0e524")]
+#[case::offer(BackpressureMessage::Digest { digest: 9_876_543_214 }, "080301eeadc0e524")]
+#[case::ask(BackpressureMessage::Request { digest: 9_876_543_215 }, "080302efadc0e524")]
 fn backpressure_keeps_its_bytes(#[case] message: BackpressureMessage, #[case] hex: &str) {
     check(&Datagram::Backpressure(message), hex);
 }
@@ -613,14 +616,14 @@
 #[rstest]
 #[case::written(
     entry_with_organisations(),
-    "0700040766726f6e742d31e907086b617269616b6f6f000a000001d936148201b41f19eaadc0e524a01f010100\
+    "0800040766726f6e742d31e907086b617269616b6f6f000a000001d936148201b41f19eaadc0e524a01f010100\
      b51f000f808001808040904ee0d4030002057061727473082f6865616c74687a40010000000000002940067072\
      69636573072f73746174757380020001020461636d6502b415dd679707f6b9d353fcf2a578196a3abeba84dce2\
      847a1eaf006f461422d80103010000000000001e40ac0207696e697465636800000001"
 )]
 #[case::patched(
     patched_organisations(),
-    "0700040766726f6e742d31e907086b617269616b6f6f000a000001d936148201b41f19eaadc0e524a01f010101\
+    "0800040766726f6e742d31e907086b617269616b6f6f000a000001d936148201b41f19eaadc0e524a01f010101\
      b71fb61f11808001808040904ee0d40302057061727473082f6865616c74687a40010000000000002940067072\
      69636573072f7374617475738002000000010107696e6974656368010461636d6502b415dd679707f6b9d353fc\
      f2a578196a3abeba84dce2847a1eaf006f461422d80103010000000000001e40ac0201"
@@ -638,13 +641,13 @@
 }
 
 #[rstest]
-#[case::ask(question(false), "070400c0a8a5040461636d6500")]
-#[case::relayed(question(true), "070400c0a8a5040461636d6501")]
-#[case::granted(verdict(Verdict::Granted), "070401c0a8a50400")]
-#[case::refused(verdict(Verdict::Refused { next_in_ms: Millis(850) }), "070401c0a8a50401d206")]
-#[case::unknown(verdict(Verdict::Unknown), "070401c0a8a50402")]
-#[case::ping(QuotaMessage::Ping { number: 300 }, "070402ac02")]
-#[case::pong(QuotaMessage::Pong { number: 301 }, "070403ad02")]
+#[case::ask(question(false), "080400c0a8a5040461636d6500")]
+#[case::relayed(question(true), "080400c0a8a5040461636d6501")]
+#[case::granted(verdict(Verdict::Granted), "080401c0a8a50400")]
+#[case::refused(verdict(Verdict::Refused { next_in_ms: Millis(850) }), "080401c0a8a50401d206")]
+#[case::unknown(verdict(Verdict::Unknown), "080401c0a8a50402")]
+#[case::ping(QuotaMessage::Ping { number: 300 }, "080402ac02")]
+#[case::pong(QuotaMessage::Pong { number: 301 }, "080403ad02")]
 fn quota_keeps_its_bytes(#[case] message: QuotaMessage, #[case] hex: &str) {
     check(&Datagram::Quota(message), hex);
 }
--- a/crates/published/src/routing.rs
+++ b/crates/published/src/routing.rs
@@ -2,7 +2,8 @@
 
 use crate::organisation::{KeyTable, Organisation};
 use domain::{
-    ByteCount, Connections, FastMap, Millis, OrganisationName, PerSecond, ServiceName, Version,
+    ByteCount, Connections, FastMap, FastSet, Millis, OrganisationName, PerSecond, ServiceName,
+    Version,
 };
 use serde::{Deserialize, Serialize};
 use std::sync::Arc;
@@ -107,6 +108,8 @@
     routing: Arc<Routing>,
     hosts: FastMap<String, Vec<Arc<Route>>>,
     services: FastMap<ServiceName, ServiceSettings>,
+    /// Services that more than one route sends requests to.
+    shared_services: FastSet<ServiceName>,
     keys: Option<KeyTable>,
 }
 
@@ -124,7 +127,8 @@
         let by_name = |service: &ServiceSettings| (service.name.clone(), service.clone());
         let services = routing.services.iter().map(by_name).collect();
         let keys = routing.organisations.as_deref().map(KeyTable::new);
-        RouteTable { routing, hosts, services, keys }
+        let shared_services = shared_services(&routing.routes);
+        RouteTable { routing, hosts, services, shared_services, keys }
     }
 
     /// Finds the route of a request; the longest prefix wins.
@@ -155,6 +159,11 @@
         self.keys.as_ref()?.find(key)
     }
 
+    /// Whether more than one route sends requests to a service.
+    pub fn is_shared(&self, service: &ServiceName) -> bool {
+        self.shared_services.contains(service)
+    }
+
     /// The settings of a service.
     pub fn service(&self, name: &ServiceName) -> Option<&ServiceSettings> {
         self.services.get(name)
@@ -166,6 +175,16 @@
     }
 }
 
+fn shared_services(routes: &[Route]) -> FastSet<ServiceName> {
+    let (mut seen, mut shared) = (FastSet::default(), FastSet::default());
+    for destination in routes.iter().flat_map(|route| &route.split) {
+        if !seen.insert(&destination.service) {
+            shared.insert(destination.service.clone());
+        }
+    }
+    shared
+}
+
 fn without_port(host: &str) -> &str {
     match host.rsplit_once(':') {
         Some((name, port)) if port.bytes().all(|byte| byte.is_ascii_digit()) => name,
