Rejections: callers return by the load that rejecting upstreams report

Cause: a request that upstreams rejected was refused with 60 to 120 ms, whatever the reason. Callers of a service that rejects with free slots returned too late for an objective of 200 ms, those of a full one too soon. Change: each host keeps the rejections of the last second with the reported load. With room, callers return within an eighth of what the objective leaves after the route's service time; if upstreams are full, from the time in which these free a slot on to twice that. The time is drawn once, so the host extends it no further. Without a report Retry-After stays as it was, as do cause, status and "not run" of each refusal. Not measured.

--- a/crates/dispatch/src/attempts.rs
+++ b/crates/dispatch/src/attempts.rs
@@ -4,6 +4,7 @@
 //! declaration proves it, or that no byte of the request was sent. A response whose status promises
 //! "not run" without that proof is never delivered.
 
+use crate::rejections::RejectionState;
 use domain::Millis;
 use published::Idempotency;
 use serde::Serialize;
@@ -15,7 +16,7 @@
 const EXTRA_ATTEMPTS_IF_NOT_RUN: u32 = 2;
 
 /// `Retry-After` where nothing better is known; the caller of this crate adds jitter.
-const DEFAULT_RETRY_AFTER_MS: Millis = Millis(60);
+pub(crate) const DEFAULT_RETRY_AFTER_MS: Millis = Millis(60);
 
 /// How an attempt ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
@@ -79,6 +80,10 @@
     pub is_not_run: bool,
     /// When the caller may retry, for a request that did not run.
     pub retry_after_ms: Option<Millis>,
+    /// State of the service by which `retry_after_ms` was drawn at random; none if the host is to
+    /// add the jitter.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub rejection_state: Option<RejectionState>,
 }
 
 /// Why a request was refused.
@@ -175,25 +180,35 @@
     /// For a request that provably did not run.
     pub fn not_run(cause: Cause) -> Refusal {
         let retry_after_ms = (cause.status() == 503).then_some(DEFAULT_RETRY_AFTER_MS);
-        Refusal { cause, is_not_run: true, retry_after_ms }
+        Refusal { cause, is_not_run: true, retry_after_ms, rejection_state: None }
     }
 
     /// For lack of capacity, which is expected again after `retry_after_ms`.
     pub fn overloaded(retry_after_ms: Millis) -> Refusal {
         let retry_after_ms = Some(retry_after_ms);
-        Refusal { cause: Cause::Overloaded, is_not_run: true, retry_after_ms }
+        Refusal {
+            cause: Cause::Overloaded,
+            is_not_run: true,
+            retry_after_ms,
+            rejection_state: None,
+        }
     }
 
     /// For exhausted rate limits, until upstreams accept the next request.
     pub fn rate_limited(next_request_in_ms: Millis) -> Refusal {
         let retry_after_ms = Some(next_request_in_ms.max(DEFAULT_RETRY_AFTER_MS));
-        Refusal { cause: Cause::UpstreamsLimited, is_not_run: true, retry_after_ms }
+        Refusal {
+            cause: Cause::UpstreamsLimited,
+            is_not_run: true,
+            retry_after_ms,
+            rejection_state: None,
+        }
     }
 
     /// For an organisation's quota that is used up, until it allows the next request.
     pub fn over_quota(next_request_in_ms: Millis) -> Refusal {
         let retry_after_ms = Some(next_request_in_ms);
-        Refusal { cause: Cause::OverQuota, is_not_run: true, retry_after_ms }
+        Refusal { cause: Cause::OverQuota, is_not_run: true, retry_after_ms, rejection_state: None }
     }
 
     /// For a quarantined request, until it may be tried again.
@@ -202,12 +217,13 @@
             cause: Cause::CrashesUpstreams,
             is_not_run: true,
             retry_after_ms: Some(remaining_ms),
+            rejection_state: None,
         }
     }
 
     /// For a request that may have run.
     pub fn may_have_run(cause: Cause) -> Refusal {
-        Refusal { cause, is_not_run: false, retry_after_ms: None }
+        Refusal { cause, is_not_run: false, retry_after_ms: None, rejection_state: None }
     }
 }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,7 +4,7 @@
 //! generator. [`UpstreamSet`] holds the state of all upstreams; [`scheduler`] places the requests
 //! of many hosts from one queue; [`quarantine`] holds back requests that crash upstreams;
 //! [`backpressure`] tracks what upstreams state about their load; [`attempts`] has the rules of
-//! retrying; [`quota`] keeps organisations within their quotas;
+//! retrying; [`rejections`] when callers may retry what upstreams rejected; [`quota`] keeps organisations within their quotas;
 //! [`budget`] limits this host's part of what the fleet may spend on retries and probes.
 
 pub mod attempts;
@@ -21,6 +21,7 @@
 mod probing;
 pub mod quarantine;
 pub mod quota;
+pub mod rejections;
 mod route_times;
 pub mod scheduler;
 mod service;
--- a/crates/dispatch/src/upstream_set.rs
+++ b/crates/dispatch/src/upstream_set.rs
@@ -305,7 +305,7 @@
     }
 
     /// The mean service time of a service's requests; none before anything was recorded.
-    pub(crate) fn mean_service_time_ms(&self, service: &ServiceName) -> Option<Millis> {
+    pub fn mean_service_time_ms(&self, service: &ServiceName) -> Option<Millis> {
         self.services.get(service).and_then(Service::mean_ms)
     }
 
--- a/crates/gateway/src/backpressure.rs
+++ b/crates/gateway/src/backpressure.rs
@@ -29,7 +29,7 @@
 const SEND_AFTER_MS: [Millis; 3] = [Millis::ZERO, Millis(100), Millis(300)];
 
 /// Status of a response by another upstream that has taken over the address.
-const MISDIRECTED: u16 = 421;
+pub(crate) const MISDIRECTED: u16 = 421;
 
 /// HTTP header with the seconds for which a refused host is to back off.
 const RETRY_AFTER: &str = "retry-after";
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -16,6 +16,7 @@
 use clock::Clock;
 use dispatch::budget::{LOCAL_ZONE_PROBE_SHARE, ProbeBudget, RetryBudget, SCHEDULER_PROBE_SHARE};
 use dispatch::quarantine::Quarantine;
+use dispatch::rejections::Rejections;
 use dispatch::{
     FleetSize, LocalRateLimiter, MAX_IDLE_CONNECTIONS, RouteKey, SplitTable, UpstreamSet,
     idle_connections_per_host,
@@ -54,6 +55,8 @@
     pub upstreams: RefCell<UpstreamSet>,
     /// Limits the retries that this host sends.
     pub retry_budget: RefCell<RetryBudget>,
+    /// What upstreams rejected lately, which decides when callers may retry.
+    pub rejections: RefCell<Rejections>,
     /// Limits the probes for requests that no scheduler places.
     pub probe_budget: RefCell<ProbeBudget>,
     /// Limits the probes for requests that go to an idle upstream in the local availability zone.
@@ -130,6 +133,7 @@
                 settings.availability_zone.clone(),
             )),
             retry_budget: RefCell::new(RetryBudget::new(settings.limits.retries, now_ms)),
+            rejections: RefCell::default(),
             probe_budget: RefCell::new(ProbeBudget::new(unscheduled_probes(&settings))),
             zone_probe_budget: RefCell::new(ProbeBudget::new(local_zone_probes(&settings))),
             rate_limiter: RefCell::new(LocalRateLimiter::new(settings.host.clone())),
--- a/crates/gateway/src/ingress/render.rs
+++ b/crates/gateway/src/ingress/render.rs
@@ -46,7 +46,11 @@
         writer = writer.field("www-authenticate", host.dialect.key_scheme.as_bytes());
     }
     if let Some(after_ms) = refusal.retry_after_ms {
-        let jitter = 1.0 + RETRY_JITTER * host.rng.borrow_mut().random::<f64>();
+        let jitter = match refusal.rejection_state {
+            // Drawn at random already, within the time that the caller has left.
+            Some(_) => 1.0,
+            None => 1.0 + RETRY_JITTER * host.rng.borrow_mut().random::<f64>(),
+        };
         let seconds = format!("{:.3}", after_ms.as_f64() * jitter / 1000.0);
         writer = writer.field("retry-after", seconds.as_bytes());
     }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of the process, in the format of Prometheus.
 
 use dispatch::attempts::Cause;
+use dispatch::rejections::RejectionState;
 use error_stack::{Report, ResultExt};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
@@ -31,6 +32,7 @@
     _provider: SdkMeterProvider,
     responses: Counter<u64>,
     refusals: Counter<u64>,
+    refusals_after_rejections: Counter<u64>,
     latency: Histogram<f64>,
     attempts: Counter<u64>,
     retries: Counter<u64>,
@@ -80,6 +82,10 @@
                 "Upstreams' answers passed on, by route and class",
             ),
             refusals: counter("gateway_refusals", "Final answers of the host, by route and cause"),
+            refusals_after_rejections: counter(
+                "gateway_refusals_after_rejections",
+                "Refusals whose retry was timed by what upstreams rejected, by state",
+            ),
             latency,
             attempts: counter("gateway_sendings", "Sendings to upstreams"),
             retries: counter("gateway_repeats", "Sendings beyond a request's first"),
@@ -142,6 +148,11 @@
         self.refusals.add(1, &[KeyValue::new("route", route.to_owned()), cause]);
     }
 
+    /// Counts a refusal whose retry was timed by what upstreams rejected.
+    pub fn refused_after_rejections(&self, state: RejectionState) {
+        self.refusals_after_rejections.add(1, &[KeyValue::new("state", state.as_str())]);
+    }
+
     /// Counts an attempt that was sent to an upstream.
     pub fn attempt_sent(&self, is_retry: bool) {
         self.attempts.add(1, &[]);
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -122,6 +122,7 @@
         Some(next_in_ms) => Refusal::over_quota(next_in_ms),
         None => Refusal {
             retry_after_ms: Some(UNCONFIRMED_RETRY_MS),
+            rejection_state: None,
             ..Refusal::not_run(Cause::QuotaUnconfirmed)
         },
     })
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -6,6 +6,7 @@
 mod attempt_guard;
 mod authentication;
 mod fingerprint;
+mod rejection;
 mod routing;
 mod selection;
 
@@ -157,6 +158,9 @@
     progress: &RequestProgress,
 ) {
     host.metrics.request_refused(route, refusal.cause);
+    if let Some(state) = refusal.rejection_state {
+        host.metrics.refused_after_rejections(state);
+    }
     host.log.write(&LogEvent::Refused {
         id,
         status: refusal.cause.status(),
--- a/crates/gateway/src/serve/attempt_end.rs
+++ b/crates/gateway/src/serve/attempt_end.rs
@@ -47,6 +47,7 @@
             counts.arrived -= 1;
         }
         self.log_failure(&ended, now_ms);
+        self.record_rejection(&ended, now_ms);
         let uses_retry_budget = counts.arrived > 0;
         let state = AttemptState {
             idempotency: self.route().idempotency,
@@ -73,7 +74,7 @@
                 }
                 None
             }
-            (NextStep::Refuse(refusal), _) => Some(Err(refusal)),
+            (NextStep::Refuse(refusal), _) => Some(Err(self.time_retry(refusal))),
         }
     }
 
--- a/crates/gateway/src/serve/selection.rs
+++ b/crates/gateway/src/serve/selection.rs
@@ -263,7 +263,9 @@
                     chosen.put_back(&self.host);
                     clock::sleep(to_duration(pause_ms)).await;
                 }
-                Verdict::Refuse => return Err(Refusal::not_run(Cause::Overloaded)),
+                Verdict::Refuse => {
+                    return Err(self.time_retry(Refusal::not_run(Cause::Overloaded)));
+                }
             }
         }
     }
--- a/crates/gateway/tests/docs.rs
+++ b/crates/gateway/tests/docs.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::unwrap_used)]
 
 use dispatch::attempts::Cause;
+use dispatch::rejections::RejectionState;
 use gateway::metrics::{Metrics, StateFigures};
 use rstest::rstest;
 use std::path::Path;
@@ -47,6 +48,15 @@
     }
 }
 
+/// Guards against a metric that operators can't look up.
+#[test]
+fn page_names_the_metric_of_rejections() {
+    let metrics = Metrics::new().unwrap();
+    metrics.refused_after_rejections(RejectionState::Full);
+    let name = "gateway_refusals_after_rejections_total";
+    assert!(metrics.render().contains(name) && page().contains(name));
+}
+
 #[rstest]
 fn page_states_every_cause_with_its_status(
     #[values(
