Let a long response go on by pieces if no memory is freed

A response that waits for memory could wait for one that is pipelined behind it. The memory of written responses is counted by their rendered bytes.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -295,14 +295,14 @@
                         self.finish(end, unsent.is_empty());
                         return Ok(Received::Whole(response));
                     }
+                    if let Some(Streaming { held, .. }) = streaming {
+                        held.set(self.buffer.len() + reader.held_bytes());
+                    }
                     if let Some((head, body)) = reader.take_long() {
                         let end = ExchangeEnd::new(&head, &expected, self.answered);
                         let unsent = unsent.to_vec();
                         return Ok(Received::Long(LongResponse { head, body, unsent, end }));
                     }
-                    if let Some(Streaming { held, .. }) = streaming {
-                        held.set(self.buffer.len() + reader.held_bytes());
-                    }
                     continue;
                 }
                 Ok(None) => {}
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -19,6 +19,7 @@
 use crate::event_log::{BreakCause, LogEvent, SessionEnd};
 use crate::host::{ACCEPT_PAUSE, Host, to_duration};
 use crate::http1::{BodyProgress, BodyReader, Framing, RequestError, RequestHead, read_request};
+use crate::response_memory::HeldBytes;
 use crate::serve::{Reply, Request, RequestProgress, ResponseStream, UpstreamResponse, serve};
 use caller::linger;
 use clock::Moment;
@@ -96,6 +97,13 @@
     }
 }
 
+/// Drops a response that was rendered, and accounts for its bytes.
+fn hold_rendered(reply: Reply, bytes: usize) -> Option<HeldBytes> {
+    let Reply::Response(UpstreamResponse { held, .. }) = reply else { return None };
+    held.set(bytes);
+    Some(held)
+}
+
 /// A request whose head was read, but not its whole body.
 struct PartialRequest {
     head: RequestHead,
@@ -447,6 +455,7 @@
             reply => reply,
         };
         let bytes = render(&self.host, &pending.request, &reply, should_close);
+        let _held = hold_rendered(reply, bytes.len());
         let written = clock::timeout(WRITE_LIMIT, self.caller.write(&bytes)).await;
         self.last_active = Moment::now();
         match written {
--- a/crates/gateway/src/ingress/streaming.rs
+++ b/crates/gateway/src/ingress/streaming.rs
@@ -13,6 +13,9 @@
 use std::collections::VecDeque;
 use std::io::ErrorKind;
 
+/// Most bytes by which one read makes a response grow: a piece, and the framing of a last chunk.
+const MAX_GROWTH_BYTES: usize = LongBody::READ_BYTES + 32;
+
 /// How the response to a request is framed for its caller, if its upstream frames it so. Callers of
 /// HTTP/1.0 don't know chunks.
 pub(super) fn framing_for(request: &RequestHead, upstream: Framing) -> Framing {
@@ -33,6 +36,8 @@
     out: VecDeque<u8>,
     held: HeldBytes,
     written_bytes: u64,
+    /// Nothing is held, and no memory was freed for [`STALL_LIMIT`]: one more piece is read.
+    is_starved: bool,
     last_read: Moment,
     last_written: Moment,
 }
@@ -54,6 +59,7 @@
             out: head.into(),
             held,
             written_bytes: 0,
+            is_starved: false,
             last_read: now,
             last_written: now,
         };
@@ -115,6 +121,7 @@
             BodyPart::Pending => {}
             BodyPart::Bytes(bytes) => {
                 self.last_read = Moment::now();
+                self.is_starved = false;
                 self.push(&bytes);
             }
             BodyPart::Last(bytes) => {
@@ -130,7 +137,9 @@
 
     /// Whether the upstream may be read once more.
     fn may_read(&self) -> bool {
-        self.rest.is_some() && self.held.may_grow(LongBody::READ_BYTES)
+        let may_grow =
+            self.held.may_grow(MAX_GROWTH_BYTES) || self.is_starved && self.out.is_empty();
+        self.rest.is_some() && may_grow
     }
 
     /// Waits until there may be something to write or to read.
@@ -168,8 +177,12 @@
                 Err(BreakCause::CallerStalled)
             }
             Err(_) if may_read => Err(BreakCause::UpstreamStalled),
-            // The response only waits for memory.
-            Err(_) => Ok(()),
+            // The response only waits for memory. What holds it may wait for this response in turn, as
+            // one does that is pipelined behind it.
+            Err(_) => {
+                self.is_starved = true;
+                Ok(())
+            }
         }
     }
 
--- a/crates/gateway/tests/long_responses.rs
+++ b/crates/gateway/tests/long_responses.rs
@@ -311,3 +311,19 @@
         assert_eq!(caller.exchange(&get("/any/x", "id-6")).await.status, 200);
     });
 }
+
+/// Guards against responses that wait for each other's memory forever.
+#[test]
+fn a_response_that_finds_no_memory_goes_on_by_pieces() {
+    on_one_thread(async {
+        let upstream = StandInUpstream::start("i-1").await;
+        let mut settings = support::settings(&[]);
+        settings.memory_bytes = Some(ByteCount(4));
+        let gateway = support::start(settings, &published(&[&upstream])).await;
+        wait_until("it is ready", || gateway.host().is_ready()).await;
+        // One piece is left beyond what is collected.
+        upstream.add_to_script([long(85_000, Framing::Chunked, BodyEnd::Whole)]);
+        let (_, body, is_whole) = request(&gateway, &get("/any/x", "id-1")).await;
+        assert!(is_whole && body == long_body(85_000));
+    });
+}
