--- a/crates/gateway/tests/long_responses.rs
+++ b/crates/gateway/tests/long_responses.rs
@@ -5,10 +5,11 @@
 
 use domain::ByteCount;
 use gateway::http1::{BodyProgress, BodyReader, Framing, ResponseHead, read_response};
-use gateway::response_memory::MAX_HELD_BYTES;
+use gateway::response_memory::{HeldBytes, MAX_HELD_BYTES, ResponseMemory};
 use gateway::run::Gateway;
 use rstest::rstest;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 use support::caller::{Caller, get, post};
 use support::upstream::{Behaviour, BodyEnd, LongBody, StandInUpstream, long_body};
@@ -158,16 +159,22 @@
     });
 }
 
-/// Guards against an upstream that goes on to send to nobody, and against one that is counted as
-/// failed when its caller leaves.
-#[test]
-fn the_upstream_is_disconnected_when_the_caller_leaves_midway() {
+/// Guards against an upstream that goes on to send to nobody, or that nobody disconnects as there is
+/// nothing to write to the caller.
+#[rstest]
+#[case::in_the_middle(LONG, BodyEnd::Whole, 1_000)]
+#[case::while_the_upstream_is_silent(200_000, BodyEnd::Stalled, 100_000)]
+fn the_upstream_is_disconnected_when_the_caller_leaves_midway(
+    #[case] bytes: usize,
+    #[case] end: BodyEnd,
+    #[case] read: usize,
+) {
     on_one_thread(async {
         let upstream = StandInUpstream::start("i-1").await;
         let (gateway, _) = ready(&[&upstream]).await;
-        upstream.add_to_script([whole(LONG)]);
+        upstream.add_to_script([long(bytes, Framing::Length(bytes as u64), end)]);
         let mut caller = slow_caller(caller_address(&gateway), &get("/any/x", "id-1")).await;
-        caller.read_exact(&mut [0; 1_000]).await.unwrap();
+        caller.read_exact(&mut vec![0; read]).await.unwrap();
         drop(caller);
         let begun = Instant::now();
         wait_until("it is disconnected", || upstream.abandoned() == 1).await;
@@ -327,3 +334,18 @@
         assert!(is_whole && body == long_body(85_000));
     });
 }
+
+/// Guards against a response that waits for memory though some was freed.
+#[test]
+fn freed_memory_is_announced() {
+    on_one_thread(async {
+        let memory = ResponseMemory::new(None);
+        let held = HeldBytes::none(&memory);
+        held.set(2);
+        let waiting = Rc::clone(&memory);
+        let freed = tokio::task::spawn_local(async move { waiting.freed().await });
+        tokio::task::yield_now().await;
+        drop(held);
+        wait_until("it is announced", || freed.is_finished()).await;
+    });
+}
