--- a/crates/gateway/src/http1/body.rs
+++ b/crates/gateway/src/http1/body.rs
@@ -96,7 +96,8 @@
             return BodyProgress::TooLarge;
         }
         let wanted = (length - self.received_bytes()).min(buffer.len());
-        self.body.extend(buffer.drain(..wanted));
+        self.body.extend_from_slice(&buffer[..wanted]);
+        buffer.drain(..wanted);
         if self.received_bytes() == length { BodyProgress::Whole } else { BodyProgress::Partial }
     }
 
@@ -115,7 +116,8 @@
                 },
                 ChunkPart::Data(left) => {
                     let taken = left.min(buffer.len());
-                    self.body.extend(buffer.drain(..taken));
+                    self.body.extend_from_slice(&buffer[..taken]);
+                    buffer.drain(..taken);
                     if taken < left {
                         self.chunk = ChunkPart::Data(left - taken);
                         return Ok(BodyProgress::Partial);
--- a/crates/gateway/src/ingress/streaming.rs
+++ b/crates/gateway/src/ingress/streaming.rs
@@ -16,6 +16,9 @@
 /// Most bytes by which one read makes a response grow: a piece, and the framing of a last chunk.
 const MAX_GROWTH_BYTES: usize = LongBody::READ_BYTES + 32;
 
+/// Pieces that are passed on before other tasks get a turn.
+const PIECES_PER_TURN: u32 = 4;
+
 /// How the response to a request is framed for its caller, if its upstream frames it so. Callers of
 /// HTTP/1.0 don't know chunks.
 pub(super) fn framing_for(request: &RequestHead, upstream: Framing) -> Framing {
@@ -71,8 +74,13 @@
     pub(super) async fn run(
         mut self,
     ) -> Result<(), (BreakCause, Option<Box<ResponseStream>>, u64)> {
+        let mut steps = 0;
         let ended = loop {
-            tokio::task::consume_budget().await;
+            steps += 1;
+            if steps == PIECES_PER_TURN {
+                steps = 0;
+                tokio::task::yield_now().await;
+            }
             if let Err(cause) = self.step() {
                 break Err(cause);
             }
