--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -178,7 +178,7 @@
     }
 
     async fn send(&self, attempt: Attempt) -> EndedAttempt {
-        let Attempt { selected, mut connection, bytes, mut guard, sent_ms, trial } = attempt;
+        let Attempt { selected, mut connection, bytes, mut guard, sent_ms, mut trial } = attempt;
         let expected = Expected {
             has_body: self.request.head.method != "HEAD",
             naming: Some(self.host.dialect.naming(Sent::Request(&self.id))),
@@ -244,8 +244,12 @@
                     route: self.route_key,
                     work,
                     outcome,
+                    sent_ms,
                     head_ms: broke_ms,
                     guard: Some(guard),
+                    request: Rc::clone(&self.request),
+                    entry: entry.clone(),
+                    trial: trial.take(),
                 };
                 let head = response.head.clone();
                 let (body, first) = LongBody::new(connection, response);
--- a/crates/gateway/src/serve/attempt_end.rs
+++ b/crates/gateway/src/serve/attempt_end.rs
@@ -35,7 +35,10 @@
         error_response: &mut Option<ErrorResponse>,
     ) -> Option<Result<Reply, Refusal>> {
         let now_ms = self.host.now_ms();
-        self.update_quarantine(ended.result);
+        // A streamed response clears the request once it has ended.
+        if ended.response.as_ref().is_none_or(|response| response.rest.is_none()) {
+            self.update_quarantine(ended.result);
+        }
         // After the result is recorded, so that peers learn of both at once.
         drop(ended.trial.take());
         counts.crashes += u32::from(ended.has_crashed);
--- a/crates/gateway/src/serve/response_stream.rs
+++ b/crates/gateway/src/serve/response_stream.rs
@@ -5,16 +5,20 @@
 //! fast the caller reads.
 
 use super::attempt_guard::AttemptGuard;
+use super::{Request, fingerprint};
 use crate::connection::{BodyPart, LongBody};
 use crate::event_log::{BreakCause, LogEvent};
 use crate::host::Host;
 use crate::http1::ResponseHead;
+use crate::quarantine::{self, BrokenAttempt, Trial};
 use crate::response_memory::HeldBytes;
 use dispatch::scheduler::Outcome;
 use dispatch::{AttemptFailure, RouteKey};
-use domain::{Millis, ServiceName, UpstreamId};
+use domain::{Millis, RequestFingerprint, ServiceName, UpstreamId};
+use published::Upstream;
 use std::fmt;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// A response, or the caller of one, that makes no progress for this time is broken off.
@@ -58,8 +62,14 @@
     pub(super) route: RouteKey,
     pub(super) work: f64,
     pub(super) outcome: Outcome,
+    pub(super) sent_ms: Millis,
     pub(super) head_ms: Millis,
     pub(super) guard: Option<AttemptGuard>,
+    pub(super) request: Rc<Request>,
+    /// The upstream's published entry when the attempt began.
+    pub(super) entry: Option<Arc<Upstream>>,
+    /// Set if the attempt is a trial, which ends with the body.
+    pub(super) trial: Option<Trial>,
 }
 
 impl StreamedAttempt {
@@ -71,6 +81,32 @@
         let outcome = Outcome { failure, report, ..self.outcome };
         guard.end((&self.service, self.route), self.work, outcome);
     }
+
+    /// Clears the request from the quarantine: the upstream served it without a crash.
+    fn record_served(&self) {
+        if self.outcome.failure.is_none() && !self.host.quarantine.borrow().is_empty() {
+            quarantine::record_served(&self.host, self.fingerprint());
+        }
+    }
+
+    /// Checks whether the upstream crashed. The trial goes on until that is known.
+    fn examine_break(&mut self) {
+        let Some(upstream) = self.entry.take() else { return };
+        let (host, trial) = (Rc::clone(&self.host), self.trial.take());
+        let fingerprint = self.fingerprint();
+        let broke_ms = host.now_ms();
+        let broken = BrokenAttempt { fingerprint, upstream, sent_ms: self.sent_ms, broke_ms };
+        tokio::task::spawn_local(async move {
+            if quarantine::examine(&host, broken, trial.is_some()).await {
+                quarantine::record_final_response(&host, fingerprint);
+            }
+        });
+    }
+
+    fn fingerprint(&self) -> RequestFingerprint {
+        let Request { head, body, .. } = &*self.request;
+        fingerprint(head, body, self.host.dialect.caller)
+    }
 }
 
 impl Drop for StreamedAttempt {
@@ -104,12 +140,16 @@
         let ResponseStream { body, mut attempt } = self;
         attempt.host.pool.borrow_mut().put(&attempt.upstream, body.into_connection());
         attempt.end(None);
+        attempt.record_served();
     }
 
     /// Ends the attempt before the last byte, and closes the connection.
     pub fn break_off(mut self, cause: BreakCause, passed_on_bytes: u64) {
         let StreamedAttempt { host, id, upstream, .. } = &self.attempt;
         host.log.write(&LogEvent::AnswerBrokenOff { id, upstream, cause, passed_on_bytes });
+        if cause == BreakCause::UpstreamBroke {
+            self.attempt.examine_break();
+        }
         self.attempt.end(match cause {
             BreakCause::UpstreamBroke => Some(AttemptFailure::Disconnected),
             BreakCause::UpstreamStalled => Some(AttemptFailure::TimedOut),
--- a/crates/gateway/tests/long_responses.rs
+++ b/crates/gateway/tests/long_responses.rs
@@ -349,3 +349,24 @@
         wait_until("it is announced", || freed.is_finished()).await;
     });
 }
+
+/// Guards against a request that crashes upstreams midway in their responses, and is cleared by each
+/// response that begins.
+#[test]
+fn crashes_midway_are_held_against_the_request() {
+    on_one_thread(async {
+        let upstream = StandInUpstream::start("i-1").await;
+        let (gateway, _) = ready(&[&upstream]).await;
+        let _logs = support::LogsOnFailure::of([&gateway]);
+        let framing = Framing::Length(MEDIUM as u64);
+        upstream.add_to_script(vec![long(MEDIUM, framing, BodyEnd::Crashed); 3]);
+        for crash in 1..=3 {
+            let (_, _, is_whole) = request(&gateway, &get("/any/x", "id-1")).await;
+            assert!(!is_whole);
+            wait_until("it is back", || upstream.crashes() == crash && upstream.is_running()).await;
+            tokio::time::sleep(Duration::from_millis(400)).await;
+        }
+        let (head, _, _) = request(&gateway, &get("/any/x", "id-2")).await;
+        assert_eq!(head.fields.get("x-refusal-cause"), Some("crashes-upstreams"));
+    });
+}
--- a/crates/gateway/tests/support/upstream.rs
+++ b/crates/gateway/tests/support/upstream.rs
@@ -88,6 +88,8 @@
     Malformed,
     /// Nothing more is sent after half of it.
     Stalled,
+    /// Its process crashes after half of it.
+    Crashed,
 }
 
 /// The body of a long response: no part of it is like another. Made of numbered blocks, since it is
@@ -611,6 +613,11 @@
                 let _ = socket2::SockRef::from(&*stream).set_linger(Some(Duration::ZERO));
                 false
             }
+            BodyEnd::Crashed => {
+                self.crash();
+                // The crash aborts this task here, which closes the connection.
+                std::future::pending().await
+            }
             BodyEnd::Stalled => {
                 let _ = stream.read(&mut [0]).await;
                 self.state.abandoned.update(|count| count + 1);
