Admission by the work ahead, not by the number of requests ahead

Cause: the wait of a request was taken as the number of requests ahead of it times the service's mean, so a request behind short ones was refused too early, and one behind long ones waited in vain. Change: forecasts add up the service times of the requests ahead, in multiples of the mean, so with one route the figures stay exactly as they were. The logged number of requests ahead stays a count.

--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -37,7 +37,7 @@
 use crate::upstream_set::UpstreamSet;
 use decision::{Decision, DecisionInputs};
 use domain::{FastMap, Millis, UpstreamId};
-use forecast::Forecast;
+use forecast::{Forecast, Work};
 use placed::{Placed, PlacedSet};
 use placement_rates::PlacementRates;
 use published::RunStart;
@@ -201,15 +201,22 @@
         let lent = rates.lent_shares(now_ms, &self.cell, self.is_primary == Some(true));
         let forecast = Forecast::new(now_ms, &self.cell, upstreams, (&rates.budget, lent));
         let mut is_full = false;
-        let mut ahead = 0;
+        let (mut ahead, mut work_ahead) = (0, Work::default());
         for mut request in std::mem::take(&mut self.waiting) {
             if request.is_expired(now_ms) {
                 continue;
             }
             request.service_time_ms = upstreams.expected_ms(&self.cell.service, request.route, 1.0);
             let budget = &rates.budget;
-            let inputs =
-                DecisionInputs { now_ms, upstreams, forecast: &forecast, budget, lent, ahead };
+            let inputs = DecisionInputs {
+                now_ms,
+                upstreams,
+                forecast: &forecast,
+                budget,
+                lent,
+                ahead,
+                work_ahead,
+            };
             let options = match is_full && !request.is_retry() {
                 true => Vec::new(),
                 false => self.options(&request, inputs, rng),
@@ -235,6 +242,7 @@
                 Decision::Wait => {}
             }
             ahead += 1;
+            work_ahead.0 += forecast.work(&request).0;
             effects.extend(request.queued_notice(now_ms));
             self.waiting.push(request);
         }
--- a/crates/dispatch/src/scheduler/decision.rs
+++ b/crates/dispatch/src/scheduler/decision.rs
@@ -5,7 +5,7 @@
 //! would make much of a burst late.
 
 use super::Scheduler;
-use super::forecast::Forecast;
+use super::forecast::{Forecast, Work};
 use super::fresh_report::fresh_report;
 use super::message::RefusalCause;
 use super::placement_rates::{confirmed_share, optimistic_share};
@@ -56,6 +56,8 @@
     pub(super) lent: LentShares,
     /// Number of requests that wait before this one.
     pub(super) ahead: usize,
+    /// Their work.
+    pub(super) work_ahead: Work,
 }
 
 /// An upstream on which the request might be placed.
@@ -80,7 +82,7 @@
         options: &[PlacementOption],
         inputs: DecisionInputs<'_>,
     ) -> Decision {
-        let DecisionInputs { now_ms, forecast, .. } = inputs;
+        let DecisionInputs { now_ms, forecast, work_ahead, .. } = inputs;
         if request.backs_off_from(&forecast.upstreams) {
             return Decision::Refuse(RefusalCause::NoUpstream);
         }
@@ -101,7 +103,7 @@
             return Decision::Wait;
         }
         let done_ms = |option: &PlacementOption| now_ms + self.expected_ms(request, option, inputs);
-        let may_wait = !request.is_retry() && !forecast.is_hopeless(now_ms, request, inputs.ahead);
+        let may_wait = !request.is_retry() && !forecast.is_hopeless(now_ms, request, work_ahead);
         match (best, options.iter().find(|option| option.may_place)) {
             (Some(best), _) if done_ms(best) <= request.due_ms => {
                 Decision::Place(best.candidate.clone())
@@ -111,7 +113,7 @@
                 Decision::Place(any.candidate.clone())
             }
             _ => Decision::Refuse(RefusalCause::NoRoom {
-                retry_after_ms: forecast.retry_after_ms(now_ms, request, inputs.ahead),
+                retry_after_ms: forecast.retry_after_ms(now_ms, request, work_ahead),
                 ahead: inputs.ahead,
             }),
         }
--- a/crates/dispatch/src/scheduler/forecast.rs
+++ b/crates/dispatch/src/scheduler/forecast.rs
@@ -14,9 +14,9 @@
 /// meanwhile.
 const START_MARGIN: f64 = 2.0;
 
-/// A queue shorter than this share of the number of upstreams doesn't predict the wait: the load of
-/// upstreams changes within it. Requests were refused by it in calm times while some upstreams were
-/// down.
+/// A queue with less work than this share of one mean request for each upstream doesn't predict the
+/// wait: the load of upstreams changes within it. Requests were refused by it in calm times while
+/// some upstreams were down.
 const SHORT_QUEUE_SHARE: f64 = 0.3;
 
 /// Baseline service time assumed before one is learned, as a share of the objective.
@@ -32,12 +32,16 @@
 /// since it fails fast it looks idle, and would attract all waiting requests.
 const MAX_EXCESS_FAILURE_RATE: f64 = 0.4;
 
+/// Sum of the service times of requests in milliseconds.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub(super) struct Work(pub(super) u64);
+
 /// State of a cell at one moment.
 #[derive(Debug)]
 pub(super) struct Forecast {
     /// Upstreams on which requests may be placed.
     pub(super) upstreams: Vec<UpstreamId>,
-    /// Requests that all of them complete per millisecond under full load.
+    /// Requests of the mean service time that all of them complete per millisecond under full load.
     throughput_per_ms: f64,
     /// If all of them are rate-limited: when the first one accepts its next request.
     next_permit_in_ms: Option<Millis>,
@@ -78,14 +82,15 @@
         Forecast { upstreams: usable, throughput_per_ms, next_permit_in_ms, baseline_ms }
     }
 
-    /// Whether a request with this many ahead of it can't be placed early enough.
-    pub(super) fn is_hopeless(
-        &self,
-        now_ms: Millis,
-        request: &QueuedRequest,
-        ahead: usize,
-    ) -> bool {
-        let is_short = (ahead as f64) < SHORT_QUEUE_SHARE * self.upstreams.len() as f64;
+    /// The work of a waiting request. One unit per request before a mean service time is learned.
+    pub(super) fn work(&self, request: &QueuedRequest) -> Work {
+        let Some(baseline_ms) = self.baseline_ms else { return Work(1) };
+        Work(request.service_time_ms.unwrap_or(baseline_ms).0.max(1))
+    }
+
+    /// Whether a request with this work ahead of it can't be placed early enough.
+    pub(super) fn is_hopeless(&self, now_ms: Millis, request: &QueuedRequest, ahead: Work) -> bool {
+        let is_short = self.mean_requests(ahead) < SHORT_QUEUE_SHARE * self.upstreams.len() as f64;
         let wait_ms = match is_short && self.next_permit_in_ms.is_none() {
             true => Millis::ZERO,
             false => self.wait_ms(ahead),
@@ -98,7 +103,7 @@
         &self,
         now_ms: Millis,
         request: &QueuedRequest,
-        ahead: usize,
+        ahead: Work,
     ) -> Millis {
         let slack_ms = request.due_ms.since(now_ms + Self::start_margin(request));
         let excess_ms = self.wait_ms(ahead) - slack_ms;
@@ -109,18 +114,24 @@
         excess_ms.clamp(MIN_RETRY_AFTER_MS, longest_ms)
     }
 
-    /// Expected wait behind `ahead` requests. Zero before a service time is learned, unless rate
-    /// limits determine it.
-    fn wait_ms(&self, ahead: usize) -> Millis {
+    /// Expected wait behind this work, until one more request of the mean service time has ended.
+    /// Zero before a service time is learned, unless rate limits determine it.
+    fn wait_ms(&self, ahead: Work) -> Millis {
+        let ahead = self.mean_requests(ahead);
         if let Some(next_permit_in_ms) = self.next_permit_in_ms {
-            let queue_ms = (ahead as f64 / self.throughput_per_ms.max(1e-6)).min(1e9) as u64;
+            let queue_ms = (ahead / self.throughput_per_ms.max(1e-6)).min(1e9) as u64;
             return next_permit_in_ms + Millis(queue_ms);
         }
-        let ahead = ahead as f64 + 1.0;
-        let wait_ms = (ahead / self.throughput_per_ms.max(1e-6)).min(1e9) as u64;
+        let wait_ms = ((ahead + 1.0) / self.throughput_per_ms.max(1e-6)).min(1e9) as u64;
         self.baseline_ms.map_or(Millis::ZERO, |_| Millis(wait_ms))
     }
 
+    /// The number of requests of the mean service time with this work. With one route it is exactly
+    /// the number of requests.
+    fn mean_requests(&self, work: Work) -> f64 {
+        work.0 as f64 / self.baseline_ms.map_or(1.0, |mean_ms| mean_ms.as_f64().max(1.0))
+    }
+
     fn start_margin(request: &QueuedRequest) -> Millis {
         let unknown_ms = request.objective_ms.as_f64() * DEFAULT_BASELINE_SHARE;
         let service_time_ms = request.service_time_ms.map_or(unknown_ms, Millis::as_f64);
