Queue order: a request that can no longer be in time comes last in its priority

Cause: by the earliest objective alone, a request that has lost its objective while it waited for probes took the slot of one that could still be in time. Change: among requests of equal priority those whose service time no longer fits their objective come last. On the only route of a service the order stays as it was.

--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -202,11 +202,8 @@
         let forecast = Forecast::new(now_ms, &self.cell, upstreams, (&rates.budget, lent));
         let mut is_full = false;
         let (mut ahead, mut work_ahead) = (0, Work::default());
+        self.sort_waiting(now_ms, upstreams);
         for mut request in std::mem::take(&mut self.waiting) {
-            if request.is_expired(now_ms) {
-                continue;
-            }
-            request.service_time_ms = upstreams.expected_ms(&self.cell.service, request.route, 1.0);
             let budget = &rates.budget;
             let inputs = DecisionInputs {
                 now_ms,
@@ -248,6 +245,16 @@
         }
     }
 
+    /// Drops requests that have expired, and orders the others by what is known now.
+    fn sort_waiting(&mut self, now_ms: Millis, upstreams: &UpstreamSet) {
+        self.waiting.retain(|request| !request.is_expired(now_ms));
+        for request in &mut self.waiting {
+            let service_time_ms = upstreams.expected_ms(&self.cell.service, request.route, 1.0);
+            request.refresh(now_ms, service_time_ms);
+        }
+        self.waiting.sort_by_key(QueuedRequest::queue_order);
+    }
+
     fn place(
         &mut self,
         now_ms: Millis,
--- a/crates/dispatch/src/scheduler/request.rs
+++ b/crates/dispatch/src/scheduler/request.rs
@@ -69,7 +69,9 @@
     /// When upstreams were last probed for it.
     pub(super) probed_ms: Option<Millis>,
     pub(super) objective_ms: Millis,
-    priority: u32,
+    pub(super) priority: u32,
+    /// Whether it can no longer meet its objective; always false on the only route of a service.
+    is_late: bool,
     submitted_ms: Millis,
     notified_ms: Millis,
 }
@@ -94,14 +96,24 @@
             probed_ms: None,
             objective_ms: submission.objective_ms,
             priority: submission.priority,
+            is_late: false,
             submitted_ms: now_ms,
             notified_ms: now_ms,
         }
     }
 
-    /// Sort key of the queue: urgent routes first, then the earliest objective.
-    pub(super) fn queue_order(&self) -> (u32, Millis) {
-        (self.priority, self.due_ms)
+    /// Sort key of the queue: urgent routes first, then the earliest objective. Among requests of
+    /// equal priority, those that can no longer meet their objective come last.
+    pub(super) fn queue_order(&self) -> (u32, bool, Millis) {
+        (self.priority, self.is_late, self.due_ms)
+    }
+
+    /// Updates what the order depends on besides the submission. On the only route of a service the
+    /// order is by objective alone.
+    pub(super) fn refresh(&mut self, now_ms: Millis, service_time_ms: Option<Millis>) {
+        self.service_time_ms = service_time_ms;
+        let done_ms = now_ms + service_time_ms.unwrap_or_default();
+        self.is_late = self.route != RouteKey::ONLY && done_ms > self.due_ms;
     }
 
     /// Whether neither the request nor its host excludes this upstream.
