A reserve for urgent requests, and a least share for less urgent ones

Cause: a long request that takes the last slot holds it for longer than an urgent short one can wait; and urgent requests that exceed the upstreams by themselves left less urgent ones nothing. Change: before a less urgent request is placed, as many slots stay free as the urgent arrivals of the last second need within their slack beyond those that become free, at most half of those that they can use. If less urgent requests were still served more often, the most arrivals within one slack decide. A priority of which less than a twentieth of a more urgent one's share is placed goes first. A service with one priority has neither. A host's further attempts are exempt from the reserve. Tests in virtual time: each fails without the rule that it is about (checked by undoing it).

--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -21,6 +21,8 @@
 mod placed;
 mod placement_rates;
 mod request;
+mod reserve;
+mod served_shares;
 mod set;
 
 pub use cell::Cell;
@@ -35,7 +37,7 @@
 use crate::service::ServiceTimeSample;
 use crate::upstream::ProbeFailure;
 use crate::upstream_set::UpstreamSet;
-use decision::{Decision, DecisionInputs};
+use decision::{Decision, DecisionInputs, PlacementOption};
 use domain::{FastMap, Millis, UpstreamId};
 use forecast::{Forecast, Work};
 use placed::{Placed, PlacedSet};
@@ -43,6 +45,8 @@
 use published::RunStart;
 use rand_pcg::Pcg64Mcg;
 use request::{Key, QueuedRequest};
+use reserve::{Arrivals, Reserve};
+use served_shares::ServedShares;
 
 /// How long after a request a host is assumed to still have a connection to its upstream; most
 /// upstreams close idle connections after about ten seconds.
@@ -64,6 +68,8 @@
     /// Sorted by [`QueuedRequest::queue_order`].
     waiting: Vec<QueuedRequest>,
     placed: PlacedSet,
+    arrivals: Arrivals,
+    shares: ServedShares,
     /// When each upstream was last probed.
     probed_ms: FastMap<UpstreamId, Millis>,
     /// The last request that each host sent to each upstream.
@@ -76,6 +82,9 @@
     is_primary: Option<bool>,
 }
 
+/// What is kept free by priority, as it was at the first request of that priority.
+type Reserves = FastMap<u32, Reserve>;
+
 #[derive(Debug, Clone, Copy)]
 struct LastSent {
     at_ms: Millis,
@@ -88,6 +97,8 @@
             cell,
             waiting: Vec::new(),
             placed: PlacedSet::default(),
+            arrivals: Arrivals::default(),
+            shares: ServedShares::default(),
             probed_ms: FastMap::default(),
             last_sent: FastMap::default(),
             waited_since_trial: 0,
@@ -104,7 +115,8 @@
         self.waiting.is_empty() && self.placed.is_empty() && self.last_sent.is_empty()
     }
 
-    fn submit(&mut self, request: QueuedRequest) -> Option<Effect> {
+    fn submit(&mut self, now_ms: Millis, request: QueuedRequest) -> Option<Effect> {
+        self.arrivals.record(now_ms, &request);
         if self.waiting.len() >= MAX_WAITING {
             let cause = RefusalCause::NoRoom {
                 retry_after_ms: forecast::MAX_RETRY_AFTER_MS,
@@ -201,6 +213,7 @@
         let lent = rates.lent_shares(now_ms, &self.cell, self.is_primary == Some(true));
         let forecast = Forecast::new(now_ms, &self.cell, upstreams, (&rates.budget, lent));
         let mut is_full = false;
+        let mut reserves = Reserves::default();
         let (mut ahead, mut work_ahead) = (0, Work::default());
         self.sort_waiting(now_ms, upstreams);
         for mut request in std::mem::take(&mut self.waiting) {
@@ -214,19 +227,24 @@
                 ahead,
                 work_ahead,
             };
-            let options = match is_full && !request.is_retry() {
+            let mut options = match is_full && !request.is_retry() {
                 true => Vec::new(),
                 false => self.options(&request, inputs, rng),
             };
             is_full |= options.is_empty() && !request.is_retry();
+            if !options.is_empty() && !request.is_retry() && !request.is_starved {
+                self.leave_reserve(&request, &mut options, &mut reserves, inputs);
+            }
             match self.decide(&mut request, &options, inputs) {
                 Decision::Place(candidate) => {
                     rates.spend(now_ms, &candidate.upstream, lent, upstreams);
+                    self.shares.record(now_ms, &request, true);
                     let placed = self.place(now_ms, &request, candidate, ahead, upstreams);
                     effects.extend(placed);
                     continue;
                 }
                 Decision::Refuse(cause) => {
+                    self.shares.record(now_ms, &request, false);
                     effects.push(request.refused(cause));
                     continue;
                 }
@@ -245,12 +263,29 @@
         }
     }
 
+    /// Takes the slots that are kept for more urgent requests out of the options.
+    fn leave_reserve(
+        &self,
+        request: &QueuedRequest,
+        options: &mut Vec<PlacementOption>,
+        reserves: &mut Reserves,
+        inputs: DecisionInputs<'_>,
+    ) {
+        let DecisionInputs { now_ms, upstreams, forecast, .. } = inputs;
+        let new = || self.reserve(now_ms, request.priority, upstreams, forecast);
+        let reserve = reserves.entry(request.priority).or_insert_with(new);
+        if reserve.slots > 0 && self.free_slots(now_ms, reserve, upstreams) <= reserve.slots {
+            options.retain(|option| !reserve.includes(option.upstream()));
+        }
+    }
+
     /// Drops requests that have expired, and orders the others by what is known now.
     fn sort_waiting(&mut self, now_ms: Millis, upstreams: &UpstreamSet) {
         self.waiting.retain(|request| !request.is_expired(now_ms));
         for request in &mut self.waiting {
             let service_time_ms = upstreams.expected_ms(&self.cell.service, request.route, 1.0);
-            request.refresh(now_ms, service_time_ms);
+            let is_starved = self.shares.is_starved(now_ms, request.priority);
+            request.refresh(now_ms, service_time_ms, is_starved);
         }
         self.waiting.sort_by_key(QueuedRequest::queue_order);
     }
@@ -264,6 +299,7 @@
         upstreams: &mut UpstreamSet,
     ) -> Option<Effect> {
         let best = upstreams.curve(&candidate.upstream)?.best_concurrency();
+        let expected_ms = upstreams.expected_ms(&self.cell.service, request.route, candidate.work);
         let state = upstreams.get_mut(&candidate.upstream)?;
         state.record_sent(now_ms);
         match state.in_flight() > best {
@@ -273,7 +309,7 @@
             }
             false => {}
         }
-        self.placed.add(now_ms, request, &candidate, state);
+        self.placed.add(now_ms, request, (&candidate, expected_ms), state);
         let last_sent = self.last_sent.entry(request.key.requester).or_default();
         last_sent
             .insert(candidate.upstream.clone(), LastSent { at_ms: now_ms, run: state.entry.run });
@@ -285,6 +321,8 @@
 
     fn expire(&mut self, now_ms: Millis, upstreams: &mut UpstreamSet) {
         self.last_expiry_ms = now_ms;
+        self.arrivals.expire(now_ms);
+        self.shares.expire(now_ms);
         for key in self.placed.expired(now_ms) {
             self.withdraw(now_ms, key, Withdrawal::Sent, upstreams);
         }
--- a/crates/dispatch/src/scheduler/decision.rs
+++ b/crates/dispatch/src/scheduler/decision.rs
@@ -75,6 +75,12 @@
     has_room: bool,
 }
 
+impl PlacementOption {
+    pub(super) fn upstream(&self) -> &UpstreamId {
+        &self.candidate.upstream
+    }
+}
+
 impl Scheduler {
     pub(super) fn decide(
         &self,
--- a/crates/dispatch/src/scheduler/placed.rs
+++ b/crates/dispatch/src/scheduler/placed.rs
@@ -13,6 +13,9 @@
 /// How long after its caller's deadline a placed request without a reported end is dropped.
 const EXPIRE_AFTER_MS: Millis = Millis(100);
 
+/// Part of the expected duration by which the actual one mostly differs.
+const DURATION_SPREAD: f64 = 1.0 / 3.0;
+
 #[derive(Debug, Default)]
 pub(super) struct PlacedSet {
     placed: FastMap<Key, Placed>,
@@ -32,9 +35,28 @@
     /// Until when time is included in `occupancy`.
     occupancy_until_ms: Millis,
     expires_ms: Millis,
+    placed_ms: Millis,
+    /// Expected duration, if one was learned.
+    expected_ms: Option<Millis>,
 }
 
 impl Placed {
+    /// Probability that it ends within this time, 0 to 1. One that takes far longer than expected is
+    /// stuck, and may never end.
+    pub(super) fn end_probability(&self, now_ms: Millis, span_ms: Millis) -> f64 {
+        let Some(expected_ms) = self.expected_ms.map(Millis::as_f64) else { return 0.0 };
+        let (shortest_ms, longest_ms) =
+            (expected_ms * (1.0 - DURATION_SPREAD), expected_ms * (1.0 + DURATION_SPREAD));
+        let elapsed_ms = now_ms.since(self.placed_ms).as_f64();
+        let from_ms = elapsed_ms.max(shortest_ms);
+        match from_ms < longest_ms {
+            true => {
+                ((elapsed_ms + span_ms.as_f64() - from_ms) / (longest_ms - from_ms)).clamp(0.0, 1.0)
+            }
+            false => 0.0,
+        }
+    }
+
     fn is_at(&self, upstream: &UpstreamId, run: RunStart) -> bool {
         self.upstream == *upstream && self.run.is_same(run)
     }
@@ -49,12 +71,16 @@
         self.placed.is_empty()
     }
 
+    pub(super) fn iter(&self) -> impl Iterator<Item = &Placed> {
+        self.placed.values()
+    }
+
     /// Adds a request that the upstream already counts as in flight.
     pub(super) fn add(
         &mut self,
         now_ms: Millis,
         request: &QueuedRequest,
-        candidate: &Candidate,
+        (candidate, expected_ms): (&Candidate, Option<Millis>),
         state: &UpstreamState,
     ) {
         let at = (&candidate.upstream, state.entry.run);
@@ -71,6 +97,8 @@
             occupancy: Occupancy::new(state.in_flight()),
             occupancy_until_ms: now_ms,
             expires_ms: request.end_ms + EXPIRE_AFTER_MS,
+            placed_ms: now_ms,
+            expected_ms,
         };
         self.placed.insert(request.key, placed);
     }
--- a/crates/dispatch/src/scheduler/request.rs
+++ b/crates/dispatch/src/scheduler/request.rs
@@ -70,6 +70,8 @@
     pub(super) probed_ms: Option<Millis>,
     pub(super) objective_ms: Millis,
     pub(super) priority: u32,
+    /// Whether too few of its priority are placed, so that it goes first.
+    pub(super) is_starved: bool,
     /// Whether it can no longer meet its objective; always false on the only route of a service.
     is_late: bool,
     submitted_ms: Millis,
@@ -96,21 +98,29 @@
             probed_ms: None,
             objective_ms: submission.objective_ms,
             priority: submission.priority,
+            is_starved: false,
             is_late: false,
             submitted_ms: now_ms,
             notified_ms: now_ms,
         }
     }
 
-    /// Sort key of the queue: urgent routes first, then the earliest objective. Among requests of
+    /// Sort key of the queue: urgent routes first unless a less urgent one is starved, then the
+    /// earliest objective. Among requests of
     /// equal priority, those that can no longer meet their objective come last.
-    pub(super) fn queue_order(&self) -> (u32, bool, Millis) {
-        (self.priority, self.is_late, self.due_ms)
+    pub(super) fn queue_order(&self) -> (bool, u32, bool, Millis) {
+        (!self.is_starved, self.priority, self.is_late, self.due_ms)
     }
 
     /// Updates what the order depends on besides the submission. On the only route of a service the
     /// order is by objective alone.
-    pub(super) fn refresh(&mut self, now_ms: Millis, service_time_ms: Option<Millis>) {
+    pub(super) fn refresh(
+        &mut self,
+        now_ms: Millis,
+        service_time_ms: Option<Millis>,
+        is_starved: bool,
+    ) {
+        self.is_starved = is_starved;
         self.service_time_ms = service_time_ms;
         let done_ms = now_ms + service_time_ms.unwrap_or_default();
         self.is_late = self.route != RouteKey::ONLY && done_ms > self.due_ms;
--- a/crates/dispatch/src/scheduler/set.rs
+++ b/crates/dispatch/src/scheduler/set.rs
@@ -80,7 +80,7 @@
                 }
                 let request = QueuedRequest::new(now_ms, submission, requester);
                 if !scheduler.contains(request.key) {
-                    effects.extend(scheduler.submit(request));
+                    effects.extend(scheduler.submit(now_ms, request));
                 }
                 Some(scheduler)
             }
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -1,6 +1,7 @@
 //! Upstreams and submissions for the tests.
 #![allow(clippy::unwrap_used, dead_code)]
 
+pub mod queue_simulation;
 pub mod rate_simulation;
 
 use dispatch::scheduler::{Cell, Submission, Ticket};
