--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -61,6 +61,15 @@
 /// that refuses what can't be placed in time.
 const MAX_WAITING: usize = 2_000;
 
+/// What waits in the cells of a host, for its metrics.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct QueueFigures {
+    /// Sum of the service times of the waiting requests; before one is learned, their number.
+    pub work_ms: Millis,
+    /// Slots that are kept free for urgent requests while less urgent ones wait.
+    pub reserved_slots: u32,
+}
+
 /// Scheduler of one cell.
 #[derive(Debug)]
 struct Scheduler {
@@ -70,6 +79,8 @@
     placed: PlacedSet,
     arrivals: Arrivals,
     shares: ServedShares,
+    /// Work of the waiting requests, and the largest reserve, when they were last evaluated.
+    queue: QueueFigures,
     /// When each upstream was last probed.
     probed_ms: FastMap<UpstreamId, Millis>,
     /// The last request that each host sent to each upstream.
@@ -99,6 +110,7 @@
             placed: PlacedSet::default(),
             arrivals: Arrivals::default(),
             shares: ServedShares::default(),
+            queue: QueueFigures::default(),
             probed_ms: FastMap::default(),
             last_sent: FastMap::default(),
             waited_since_trial: 0,
@@ -207,6 +219,7 @@
         if now_ms.since(self.last_expiry_ms) >= EXPIRY_INTERVAL_MS {
             self.expire(now_ms, upstreams);
         }
+        self.queue = QueueFigures::default();
         if self.waiting.is_empty() {
             return;
         }
@@ -261,6 +274,8 @@
             effects.extend(request.queued_notice(now_ms));
             self.waiting.push(request);
         }
+        let reserved_slots = reserves.values().map(|reserve| reserve.slots).max().unwrap_or(0);
+        self.queue = QueueFigures { work_ms: Millis(work_ahead.0), reserved_slots };
     }
 
     /// Takes the slots that are kept for more urgent requests out of the options.
--- a/crates/dispatch/src/scheduler/set.rs
+++ b/crates/dispatch/src/scheduler/set.rs
@@ -3,7 +3,7 @@
 use super::message::{Effect, PlacementMessage, RefusalCause, Requester, Withdrawal};
 use super::placement_rates::PlacementRates;
 use super::request::{Key, QueuedRequest};
-use super::{Cell, Scheduler};
+use super::{Cell, QueueFigures, Scheduler};
 use crate::subset::FleetSize;
 use crate::upstream_set::UpstreamSet;
 use domain::{FastMap, HostId, Millis};
@@ -135,6 +135,15 @@
         self.schedulers.values().any(has_waiting).then_some(now_ms + SCHEDULE_INTERVAL_MS)
     }
 
+    /// What waits in all cells, as last evaluated.
+    pub fn queue_figures(&self) -> QueueFigures {
+        let sum = |sum: QueueFigures, scheduler: &Scheduler| QueueFigures {
+            work_ms: sum.work_ms + scheduler.queue.work_ms,
+            reserved_slots: sum.reserved_slots + scheduler.queue.reserved_slots,
+        };
+        self.schedulers.values().fold(QueueFigures::default(), sum)
+    }
+
     /// Number of waiting requests.
     pub fn waiting_count(&self) -> usize {
         self.schedulers.values().map(|scheduler| scheduler.waiting.len()).sum()
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Metrics of the process, in the format of Prometheus.
 
 use dispatch::attempts::Cause;
+use dispatch::scheduler::QueueFigures;
 use error_stack::{Report, ResultExt};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
@@ -49,6 +50,8 @@
     limited_upstreams: Gauge<u64>,
     backing_off: Gauge<u64>,
     leaving_upstreams: Gauge<u64>,
+    queued_work_ms: Gauge<u64>,
+    reserved_slots: Gauge<u64>,
     unread_headers: Gauge<u64>,
 }
 
@@ -119,6 +122,14 @@
                 "gateway_leaving_upstreams",
                 "Upstreams that said in their answers that they are leaving",
             ),
+            queued_work_ms: gauge(
+                "gateway_queued_work_ms",
+                "Sum of the service times of the requests that wait at this host's schedulers",
+            ),
+            reserved_slots: gauge(
+                "gateway_reserved_slots",
+                "Slots that this host's schedulers keep free for urgent requests",
+            ),
             unread_headers: gauge(
                 "gateway_unread_marks",
                 "Names of marks on upstreams' answers that nothing reads",
@@ -186,6 +197,8 @@
         self.limited_upstreams.record(state.limited_upstreams, &[]);
         self.backing_off.record(state.backing_off, &[]);
         self.leaving_upstreams.record(state.leaving_upstreams, &[]);
+        self.queued_work_ms.record(state.queue.work_ms.0, &[]);
+        self.reserved_slots.record(u64::from(state.queue.reserved_slots), &[]);
         self.unread_headers.record(state.unread_headers, &[]);
         if let Some(age) = state.state_age {
             self.state_age.record(age.as_secs_f64(), &[]);
@@ -220,6 +233,8 @@
     pub backing_off: u64,
     /// Upstreams that state that they are leaving.
     pub leaving_upstreams: u64,
+    /// What waits at this host's schedulers.
+    pub queue: QueueFigures,
     /// Names of headers of upstreams' responses that nothing reads.
     pub unread_headers: u64,
     /// Age of the published state, as this host knows it.
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -242,6 +242,7 @@
             .upstreams_in_backoff(host.now_ms())
             .count() as u64,
         leaving_upstreams: host.upstreams.borrow().backpressure().count_leaving() as u64,
+        queue: host.placement.schedulers.borrow().queue_figures(),
         unread_headers: host.unread_headers.borrow().count_names() as u64,
         state_age: host.state_age_ms().map(crate::host::to_duration),
     });
--- a/crates/gateway/tests/docs.rs
+++ b/crates/gateway/tests/docs.rs
@@ -2,6 +2,7 @@
 #![allow(clippy::unwrap_used)]
 
 use dispatch::attempts::Cause;
+use dispatch::scheduler::QueueFigures;
 use gateway::metrics::{Metrics, StateFigures};
 use rstest::rstest;
 use std::path::Path;
@@ -34,6 +35,7 @@
         limited_upstreams: 0,
         backing_off: 0,
         leaving_upstreams: 0,
+        queue: QueueFigures::default(),
         unread_headers: 0,
         state_age,
     };
@@ -41,7 +43,7 @@
     let (page, text) = (page(), metrics.render());
     let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
     let names: Vec<&str> = types.filter_map(|line| line.split(' ').next()).collect();
-    assert_eq!(names.len(), 21, "{names:?}");
+    assert_eq!(names.len(), 23, "{names:?}");
     for name in names {
         assert!(page.contains(&format!("`{name}`")), "{name}");
     }
