--- a/crates/dispatch/tests/admission.rs
+++ b/crates/dispatch/tests/admission.rs
@@ -62,6 +62,18 @@
     assert!(urgent >= IN_TIME && long >= IN_TIME, "{urgent} {long}");
 }
 
+/// Guards against two schedulers whose less urgent requests take the slots that the other one keeps
+/// free.
+#[rstest]
+fn urgent_requests_go_first_with_two_schedulers(
+    #[values(0.1, 0.3, 0.6)] urgent_share: f64,
+    #[values(1.5, 3.0)] load: f64,
+) {
+    let conditions = Conditions { schedulers: 2, ..Conditions::default() };
+    let (urgent, long) = shares(conditions, &routes(urgent_share, load));
+    assert!(urgent >= long, "{urgent} {long}");
+}
+
 /// Guards against long requests that hold all slots for longer than an urgent one can wait. Nine in
 /// ten: a slot that is kept is taken while an urgent request runs.
 #[rstest]
