--- a/crates/dispatch/src/scheduler/reserve.rs
+++ b/crates/dispatch/src/scheduler/reserve.rs
@@ -2,9 +2,9 @@
 //!
 //! A slot that a long request takes is lost for longer than an urgent short one can wait. So as many
 //! slots are kept free as the urgent arrivals of the last second need within their slack, less those
-//! that become free by themselves within that slack, and a margin as both vary. With many slots the latter suffice, and nothing
-//! is kept. Slots that no urgent request could use aren't kept either, and at most
-//! [`MAX_RESERVED_SHARE`] of those that they can use.
+//! that become free by themselves within that slack, and a margin as both vary. With many slots
+//! nothing is kept, as enough of them become free. Slots that no urgent request could use aren't
+//! kept either, and at most [`MAX_RESERVED_SHARE`] of those that they can use.
 //!
 //! The mean rate of the last second decides, which is too little for urgent bursts: if less urgent
 //! requests were served more often than urgent ones, the most arrivals within one slack do.
