--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use dispatch::attempts::Cause;
 use dispatch::rejections::RejectionState;
+use dispatch::scheduler::QueueFigures;
 use error_stack::{Report, ResultExt};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
@@ -51,6 +52,8 @@
     limited_upstreams: Gauge<u64>,
     backing_off: Gauge<u64>,
     leaving_upstreams: Gauge<u64>,
+    queued_work_ms: Gauge<u64>,
+    reserved_slots: Gauge<u64>,
     unread_headers: Gauge<u64>,
     response_bytes: Gauge<u64>,
 }
@@ -126,6 +129,14 @@
                 "gateway_leaving_upstreams",
                 "Upstreams that said in their answers that they are leaving",
             ),
+            queued_work_ms: gauge(
+                "gateway_queued_work_ms",
+                "Sum of the service times of the requests that wait at this host's schedulers",
+            ),
+            reserved_slots: gauge(
+                "gateway_reserved_slots",
+                "Slots that this host's schedulers keep free for urgent requests",
+            ),
             unread_headers: gauge(
                 "gateway_unread_marks",
                 "Names of marks on upstreams' answers that nothing reads",
@@ -199,6 +210,8 @@
         self.limited_upstreams.record(state.limited_upstreams, &[]);
         self.backing_off.record(state.backing_off, &[]);
         self.leaving_upstreams.record(state.leaving_upstreams, &[]);
+        self.queued_work_ms.record(state.queue.work_ms.0, &[]);
+        self.reserved_slots.record(u64::from(state.queue.reserved_slots), &[]);
         self.unread_headers.record(state.unread_headers, &[]);
         self.response_bytes.record(state.response_bytes, &[]);
         if let Some(age) = state.state_age {
@@ -234,6 +247,8 @@
     pub backing_off: u64,
     /// Upstreams that state that they are leaving.
     pub leaving_upstreams: u64,
+    /// What waits at this host's schedulers.
+    pub queue: QueueFigures,
     /// Names of headers of upstreams' responses that nothing reads.
     pub unread_headers: u64,
     /// Bytes held for upstreams' responses.
--- a/crates/gateway/tests/docs.rs
+++ b/crates/gateway/tests/docs.rs
@@ -3,6 +3,7 @@
 
 use dispatch::attempts::Cause;
 use dispatch::rejections::RejectionState;
+use dispatch::scheduler::QueueFigures;
 use gateway::metrics::{Metrics, StateFigures};
 use rstest::rstest;
 use std::path::Path;
@@ -35,6 +36,7 @@
         limited_upstreams: 0,
         backing_off: 0,
         leaving_upstreams: 0,
+        queue: QueueFigures::default(),
         unread_headers: 0,
         response_bytes: 0,
         state_age,
@@ -43,7 +45,7 @@
     let (page, text) = (page(), metrics.render());
     let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
     let names: Vec<&str> = types.filter_map(|line| line.split(' ').next()).collect();
-    assert_eq!(names.len(), 22, "{names:?}");
+    assert_eq!(names.len(), 24, "{names:?}");
     for name in names {
         assert!(page.contains(&format!("`{name}`")), "{name}");
     }
