Select among the cells of a split service by what they refused

A host remembers until when a cell has no room, by the last refusal of its scheduler, and submits requests that it covers to another zone with room. If no zone has room, a request is refused without a submission, but for one in 20 ms. A request is now submitted to up to three zones before it is refused, as with two it was refused while the third had room.

--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -13,6 +13,7 @@
 //! submits to the next host in order, or probes upstreams by itself.
 
 mod cell;
+mod cell_selector;
 mod decision;
 mod directory;
 mod forecast;
@@ -24,6 +25,7 @@
 mod set;
 
 pub use cell::Cell;
+pub use cell_selector::{CellChoice, CellReason, CellRequest, CellSelector, RefusedSubmissions};
 pub use directory::Directory;
 pub use message::{
     Effect, Outcome, Placement, PlacementMessage, RefusalCause, Requester, Withdrawal,
