--- a/crates/dispatch/src/scheduler/cell_selector.rs
+++ b/crates/dispatch/src/scheduler/cell_selector.rs
@@ -284,16 +284,6 @@
         }
         full.refusals.push(refusal);
     }
-
-    /// Number of cells that are kept.
-    pub fn len(&self) -> usize {
-        self.full.len()
-    }
-
-    /// Whether no cell is known to have no room.
-    pub fn is_empty(&self) -> bool {
-        self.full.is_empty()
-    }
 }
 
 impl NoRoom {
