Don't record refusals that only say that no upstream is idle

A request that can't wait is refused with an empty queue when no upstream is idle at that moment. Recorded, it would turn away requests of the next 30 ms. The gateway's test, whose requests were of this kind, now has upstreams that limit their rate, and a request that could wait.

--- a/crates/dispatch/src/scheduler/cell_selector.rs
+++ b/crates/dispatch/src/scheduler/cell_selector.rs
@@ -245,6 +245,9 @@
         }
         match result {
             Ok(()) => self.record_placed(cell, request.priority, submitted_ms),
+            // Without a queue, a request that can't wait is refused for want of an idle upstream at
+            // that moment, which says nothing about the next moment.
+            Err(RefusalCause::NoRoom { ahead: 0, .. }) if request.start_ms(now_ms) == now_ms => {}
             Err(RefusalCause::NoRoom { retry_after_ms, ahead }) => {
                 let retry_after_ms = retry_after_ms.min(MAX_NO_ROOM_MS);
                 let refusal = CellRefusal {
