--- a/crates/dispatch/src/scheduler/cell_selector/selection.rs
+++ b/crates/dispatch/src/scheduler/cell_selector/selection.rs
@@ -10,12 +10,9 @@
 /// corrected. Shorter than the shortest time for which a scheduler expects no room.
 const TRIAL_INTERVAL_MS: Millis = Millis(20);
 
-/// Most cells that one request is submitted to: a platform has three availability zones, and each
-/// submission to another one takes a round trip.
-const MAX_SUBMISSIONS: usize = 3;
-
-/// Most cells for a request that is submitted also where other requests have no room.
-const MAX_SUBMISSIONS_ANYWAY: usize = 2;
+/// Most cells that one request is submitted to: each submission to another zone takes a round trip,
+/// and traffic between zones is paid for.
+const MAX_SUBMISSIONS: usize = 2;
 
 /// What the choice for one request depends on.
 pub(super) struct Selection<'a> {
@@ -98,11 +95,7 @@
 
     /// Whether the request may be submitted to this zone as far as its own submissions matter.
     fn is_untried(&self, zone: &ZoneName) -> bool {
-        let most = match self.is_submitted_anyway() {
-            true => MAX_SUBMISSIONS_ANYWAY,
-            false => MAX_SUBMISSIONS,
-        };
-        self.refused.zones.len() < most && !self.refused.zones.contains(zone)
+        self.refused.zones.len() < MAX_SUBMISSIONS && !self.refused.zones.contains(zone)
     }
 
     fn has_room(&self, zone: &ZoneName) -> bool {
