--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -13,7 +13,6 @@
 //! submits to the next host in order, or probes upstreams by itself.
 
 mod cell;
-mod cell_selector;
 mod decision;
 mod directory;
 mod forecast;
@@ -27,7 +26,6 @@
 mod set;
 
 pub use cell::Cell;
-pub use cell_selector::{CellChoice, CellReason, CellRequest, CellSelector, RefusedSubmissions};
 pub use directory::Directory;
 pub use message::{
     Effect, Outcome, Placement, PlacementMessage, RefusalCause, Requester, Withdrawal,
--- a/crates/dispatch/src/scheduler/cell.rs
+++ b/crates/dispatch/src/scheduler/cell.rs
@@ -29,7 +29,8 @@
         upstreams: &UpstreamSet,
         rng: &mut Pcg64Mcg,
     ) -> Cell {
-        let zone = match Cell::is_split(service, upstreams) {
+        let is_split_by_zone = upstreams.of_service(service).len() > FULL_SUBSET_MAX;
+        let zone = match is_split_by_zone {
             false => None,
             true if upstreams.accepts_requests_in(service, zone) => Some(zone.clone()),
             true => upstreams.draw_other_zone(service, zone, rng),
@@ -37,11 +38,6 @@
         Cell { service: service.clone(), zone }
     }
 
-    /// Whether a service is split by zone.
-    pub(super) fn is_split(service: &ServiceName, upstreams: &UpstreamSet) -> bool {
-        upstreams.of_service(service).len() > FULL_SUBSET_MAX
-    }
-
     /// Whether an upstream belongs to the cell.
     pub fn contains(&self, entry: &Upstream) -> bool {
         let is_in_zone = self.zone.as_ref().is_none_or(|zone| *zone == entry.availability_zone);
--- a/crates/dispatch/src/upstream_set.rs
+++ b/crates/dispatch/src/upstream_set.rs
@@ -185,7 +185,7 @@
     }
 
     /// The availability zone of each eligible upstream of a service.
-    pub(crate) fn eligible_zones(&self, service: &ServiceName) -> impl Iterator<Item = &ZoneName> {
+    fn eligible_zones(&self, service: &ServiceName) -> impl Iterator<Item = &ZoneName> {
         let eligible = self.of_service(service).iter().filter(|id| self.accepts_requests(id));
         eligible.filter_map(|id| self.states.get(id)).map(|state| &state.entry.availability_zone)
     }
@@ -198,20 +198,9 @@
         zone: &ZoneName,
         rng: &mut Pcg64Mcg,
     ) -> Option<ZoneName> {
-        self.draw_zone(service, |other| other != zone, rng)
-    }
-
-    /// Draws one of these availability zones with eligible upstreams of a service, weighted by their
-    /// number; none if there is none.
-    pub fn draw_zone(
-        &self,
-        service: &ServiceName,
-        is_possible: impl Fn(&ZoneName) -> bool,
-        rng: &mut Pcg64Mcg,
-    ) -> Option<ZoneName> {
-        let possible: Vec<&ZoneName> =
-            self.eligible_zones(service).filter(|zone| is_possible(zone)).collect();
-        possible.choose(rng).map(|&zone| zone.clone())
+        let others: Vec<&ZoneName> =
+            self.eligible_zones(service).filter(|other| *other != zone).collect();
+        others.choose(rng).map(|&other| other.clone())
     }
 
     /// Number of eligible upstreams of a service.
--- a/crates/gateway/src/event_log/event.rs
+++ b/crates/gateway/src/event_log/event.rs
@@ -6,7 +6,7 @@
 use dispatch::attempts::Refusal;
 use dispatch::backpressure::LimitChange;
 use dispatch::quarantine::SuspectStatus;
-use dispatch::scheduler::{Cell, CellReason};
+use dispatch::scheduler::Cell;
 use dispatch::{AttemptFailure, ProbeFailure, Verdict, Warmth};
 use domain::{
     HostId, Incarnation, Millis, OrganisationName, PerSecond, RequestFingerprint, ServiceName,
@@ -121,12 +121,6 @@
     },
     /// The scheduler found no upstream in time; `ahead` requests were queued before this one.
     Unplaced { id: &'a str, ahead: usize, retry_after_ms: Millis },
-    /// A request of a service with a scheduler in each zone is submitted to that of another zone,
-    /// or to one that is expected to have no room.
-    ZoneChosen { id: &'a str, cell: &'a Cell, reason: CellReason },
-    /// A request is submitted to no scheduler: those of all zones stated that they have no room, the
-    /// one that has room first `known_for_ms` ago.
-    NotSubmitted { id: &'a str, known_for_ms: Millis },
     /// A scheduler did not reply in time. `is_passed_over` if it is temporarily excluded for that.
     SchedulerSilent { scheduler: &'a HostId, cell: &'a Cell, is_passed_over: bool },
     /// The best upstream of a round of probes was declined.
@@ -233,7 +227,6 @@
             LogEvent::Routed { .. } | LogEvent::Chosen { .. } | LogEvent::Sent { .. } => {
                 Priority::Routine
             }
-            LogEvent::ZoneChosen { .. } => Priority::Routine,
             LogEvent::Declined { verdict: Verdict::ProbeAgain(_), .. } => Priority::Routine,
             LogEvent::CallerClosed { unanswered: 0, .. } => Priority::Routine,
             LogEvent::Delivered { status, after_ms, objective_ms, .. }
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -39,7 +39,6 @@
     retries: Counter<u64>,
     probes: Counter<u64>,
     connections: Counter<u64>,
-    zone_choices: Counter<u64>,
     source_calls: Gauge<u64>,
     peer_bytes: Counter<u64>,
     callers_hung_up: Counter<u64>,
@@ -96,10 +95,6 @@
             retries: counter("gateway_repeats", "Sendings beyond a request's first"),
             probes: counter("gateway_health_checks", "Health checks sent to upstreams"),
             connections: counter("gateway_connections_opened", "Connections opened to upstreams"),
-            zone_choices: counter(
-                "gateway_zone_choices",
-                "Schedulers selected for requests of services with one in each zone, by reason",
-            ),
             source_calls: gauge("gateway_source_calls", "Calls to the source of what is published"),
             peer_bytes: counter("gateway_peer_bytes", "Bytes sent to peers"),
             callers_hung_up: counter("gateway_callers_gone", "Requests whose caller hung up"),
@@ -189,11 +184,6 @@
         self.connections.add(1, &[]);
     }
 
-    /// Counts a choice among the schedulers of a service's zones.
-    pub fn zone_chosen(&self, reason: &'static str) {
-        self.zone_choices.add(1, &[KeyValue::new("reason", reason)]);
-    }
-
     /// Counts bytes that were sent to peers.
     pub fn peer_bytes_sent(&self, bytes: usize) {
         self.peer_bytes.add(bytes as u64, &[]);
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -18,8 +18,8 @@
 use crate::ticket_counter::TicketCounter;
 use dispatch::budget::ProbeBudget;
 use dispatch::scheduler::{
-    Cell, CellSelector, Directory, Placement, PlacementMessage, RefusalCause, Requester,
-    SchedulerSet, Submission, Ticket,
+    Cell, Directory, Placement, PlacementMessage, RefusalCause, Requester, SchedulerSet,
+    Submission, Ticket,
 };
 use domain::{FastMap, HostId, Millis, ServiceName};
 use published::Member;
@@ -48,8 +48,6 @@
     pub schedulers: RefCell<SchedulerSet>,
     /// Probes that its schedulers may send.
     pub probe_budget: RefCell<ProbeBudget>,
-    /// The cells that this host's requests are submitted to.
-    pub cell_selector: RefCell<CellSelector>,
     directory: RefCell<Directory>,
     pending: RefCell<FastMap<Ticket, mpsc::UnboundedSender<SchedulerReply>>>,
     tickets: TicketCounter,
@@ -90,7 +88,6 @@
             socket,
             schedulers: RefCell::new(SchedulerSet::new(host)),
             probe_budget: RefCell::new(probe_budget),
-            cell_selector: RefCell::default(),
             directory: RefCell::default(),
             pending: RefCell::default(),
             tickets: TicketCounter::new(seed),
--- a/crates/gateway/src/serve/selection.rs
+++ b/crates/gateway/src/serve/selection.rs
@@ -8,14 +8,11 @@
 use super::attempt::AttemptCounts;
 use crate::connection::Connection;
 use crate::event_log::{ChosenBy, LogEvent};
-use crate::host::{Host, to_duration};
+use crate::host::to_duration;
 use crate::placement::{self, PlacementGuard, PlacementResult};
 use crate::probe::{self, Chosen};
 use dispatch::attempts::{Cause, Refusal};
-use dispatch::scheduler::{
-    Cell, CellChoice, CellReason, CellRequest, Placement, RefusalCause, RefusedSubmissions,
-    Submission, Ticket,
-};
+use dispatch::scheduler::{Cell, Placement, RefusalCause, Submission, Ticket};
 use dispatch::{DeadlineCheck, LatencyEstimate, Verdict};
 use domain::{Millis, UpstreamId, ZoneName};
 use published::Organisation;
@@ -154,82 +151,26 @@
     }
 
     /// Has the scheduler of the local availability zone place the request, or that of another
-    /// zone if the local one has no capacity. Refuses at once if no zone is expected to have any.
+    /// zone if the local one has no capacity.
     async fn place(&self, counts: &AttemptCounts) -> PlacementResult {
         if self.host.is_partial() {
             return PlacementResult::Unanswered;
         }
         let zone = self.host.settings.borrow().availability_zone.clone();
-        let request = self.cell_request(&zone, counts);
-        let mut refused = RefusedSubmissions::default();
-        loop {
-            let submitted_ms = self.host.now_ms();
-            let cell = match self.choose_cell(submitted_ms, &request, &refused) {
-                CellChoice::Submit(cell, _) => cell,
-                CellChoice::Refuse { cause, .. } => return PlacementResult::Refused(cause),
-            };
-            let submission = self.submission(&zone, counts);
-            let result = placement::place(&self.host, cell.clone(), submission).await;
-            let decision = match &result {
-                PlacementResult::Placed(..) => Ok(()),
-                PlacementResult::Refused(cause) => Err(*cause),
-                PlacementResult::Unanswered => return result,
-            };
-            let mut selector = self.host.placement.cell_selector.borrow_mut();
-            selector.record(self.host.now_ms(), &cell, (&request, submitted_ms), decision);
-            match decision {
-                Ok(()) => return result,
-                Err(cause) => refused.push(cell, cause),
-            }
-        }
-    }
-
-    /// Selects the cell that the request is submitted to next. Logs and counts the choice if the
-    /// service has several.
-    fn choose_cell(
-        &self,
-        now_ms: Millis,
-        request: &CellRequest<'_>,
-        refused: &RefusedSubmissions,
-    ) -> CellChoice {
-        let Host { upstreams, rng, placement, log, metrics, .. } = &*self.host;
-        let choice = placement.cell_selector.borrow_mut().choose(
-            now_ms,
-            request,
-            refused,
-            &upstreams.borrow(),
-            &mut rng.borrow_mut(),
-        );
-        match &choice {
-            CellChoice::Submit(_, CellReason::WholeService) => {}
-            CellChoice::Submit(_, reason @ CellReason::LocalZone) => {
-                metrics.zone_chosen(reason.as_str());
-            }
-            CellChoice::Submit(cell, reason) => {
-                metrics.zone_chosen(reason.as_str());
-                log.write(&LogEvent::ZoneChosen { id: &self.id, cell, reason: *reason });
-            }
-            CellChoice::Refuse { known_for_ms: Some(known_for_ms), .. } => {
-                metrics.zone_chosen("not-submitted");
-                let known_for_ms = *known_for_ms;
-                log.write(&LogEvent::NotSubmitted { id: &self.id, known_for_ms });
+        let cell = {
+            let (upstreams, mut rng) = (self.host.upstreams.borrow(), self.host.rng.borrow_mut());
+            Cell::for_request(&self.service, &zone, &upstreams, &mut rng)
+        };
+        let first_zone = cell.zone.clone();
+        let result = placement::place(&self.host, cell, self.submission(&zone, counts)).await;
+        // The zone has no capacity, or no upstream that can be reached.
+        let is_refused = matches!(result, PlacementResult::Refused(_));
+        match first_zone.and_then(|first| self.other_zone(&first)) {
+            Some(other) if is_refused => {
+                let cell = Cell { service: self.service.clone(), zone: Some(other) };
+                placement::place(&self.host, cell, self.submission(&zone, counts)).await
             }
-            CellChoice::Refuse { known_for_ms: None, .. } => {}
-        }
-        choice
-    }
-
-    fn cell_request<'r>(&'r self, zone: &'r ZoneName, counts: &AttemptCounts) -> CellRequest<'r> {
-        let route = self.route();
-        let service_time_ms =
-            self.host.upstreams.borrow().expected_ms(&self.service, self.route_key, 1.0);
-        CellRequest {
-            service: &self.service,
-            zone,
-            priority: Organisation::priority_of(self.organisation.as_deref(), route.priority),
-            due_ms: self.end_ms.min(self.request.arrived_ms + route.objective_ms),
-            service_time_ms: service_time_ms.unwrap_or_default(),
-            is_retry: !counts.tried.is_empty(),
+            _ => result,
         }
     }
 
@@ -238,6 +179,11 @@
         probe::Target { service: &self.service, route: self.route_key }
     }
 
+    fn other_zone(&self, zone: &ZoneName) -> Option<ZoneName> {
+        let (upstreams, mut rng) = (self.host.upstreams.borrow(), self.host.rng.borrow_mut());
+        upstreams.draw_other_zone(&self.service, zone, &mut rng)
+    }
+
     fn submission(
         &self,
         zone: &ZoneName,
