Hosts share their retries through the scheduler of a service

A host lends the requests that it counted to the scheduler that answers it, and asks that scheduler for a retry once its own are spent.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -5,7 +5,8 @@
 //! of many hosts from one queue; [`quarantine`] holds back requests that crash upstreams;
 //! [`backpressure`] tracks what upstreams state about their load; [`attempts`] has the rules of
 //! retrying; [`quota`] keeps organisations within their quotas;
-//! [`budget`] limits this host's part of what the fleet may spend on retries and probes.
+//! [`budget`] limits this host's part of what the fleet may spend on retries and probes;
+//! [`retry_pool`] has the retries that hosts share.
 
 pub mod attempts;
 pub mod backpressure;
@@ -21,6 +22,7 @@
 mod probing;
 pub mod quarantine;
 pub mod quota;
+pub mod retry_pool;
 mod route_times;
 pub mod scheduler;
 mod service;
--- a/crates/dispatch/src/scheduler/message.rs
+++ b/crates/dispatch/src/scheduler/message.rs
@@ -86,6 +86,11 @@
     },
     /// The scheduler knows no upstream that accepts requests, or no longer schedules.
     NoUpstream,
+    /// It is a retry, and none of those that hosts share is left for it.
+    NoRetryLeft {
+        /// Retries left for more urgent requests.
+        left: u32,
+    },
 }
 
 /// How an attempt ended at an upstream.
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -17,6 +17,7 @@
 use crate::peers::codec::Datagram;
 use crate::ticket_counter::TicketCounter;
 use dispatch::budget::ProbeBudget;
+use dispatch::retry_pool::Lender;
 use dispatch::scheduler::{
     Cell, Directory, Placement, PlacementMessage, RefusalCause, Requester, SchedulerSet,
     Submission, Ticket,
@@ -53,6 +54,8 @@
     tickets: TicketCounter,
     /// Services whose requests had to wait, until when they count as busy.
     busy_until: RefCell<FastMap<ServiceName, Millis>>,
+    /// Lends counted requests to schedulers.
+    lender: RefCell<Lender>,
     /// Notified when requests wait for a placement.
     requests_waiting: Notify,
 }
@@ -92,6 +95,7 @@
             pending: RefCell::default(),
             tickets: TicketCounter::new(seed),
             busy_until: RefCell::default(),
+            lender: RefCell::default(),
             requests_waiting: Notify::new(),
         }
     }
@@ -106,6 +110,11 @@
         self.busy_until.borrow_mut().insert(service.clone(), now_ms + BUSY_MS);
     }
 
+    /// Whether a scheduler of a service answers, so that it can be asked for a retry.
+    pub fn has_scheduler(&self, service: &ServiceName) -> bool {
+        self.lender.borrow().has_scheduler(service)
+    }
+
     /// Records that a peer is up in a new run, so that it is used as a scheduler again.
     pub fn mark_responsive(&self, peer: &HostId) {
         self.directory.borrow_mut().record_response(peer);
@@ -141,13 +150,17 @@
     let guard = PlacementGuard::new(host, ticket, &scheduler);
     let lends_rate_share =
         host.rate_limiter.borrow_mut().lend(host.now_ms(), &cell, &scheduler.host);
-    let submission = Submission { lends_rate_share, ..submission(ticket, cell.clone()) };
+    let lent_requests = lend_requests(host, &cell, &scheduler);
+    let submission =
+        Submission { lends_rate_share, lent_requests, ..submission(ticket, cell.clone()) };
     guard.send(PlacementMessage::Submit(submission));
     let mut longest = FIRST_REPLY;
     loop {
         match clock::timeout(longest, received.recv()).await {
             Ok(Some(reply)) => {
                 host.placement.directory.borrow_mut().record_response(&scheduler.host);
+                let schedules = !matches!(reply, SchedulerReply::Refused(RefusalCause::NoUpstream));
+                host.placement.lender.borrow_mut().record_answer(&cell, &scheduler, schedules);
                 match reply {
                     SchedulerReply::Queued => {
                         host.placement.record_wait(&cell.service, host.now_ms());
@@ -164,7 +177,7 @@
                 }
             }
             Ok(None) | Err(_) => {
-                record_unresponsive(host, &scheduler.host, &cell);
+                record_unresponsive(host, &scheduler, &cell);
                 return PlacementResult::Unanswered;
             }
         }
@@ -178,9 +191,22 @@
     directory.choose(host.now_ms(), cell, all).cloned()
 }
 
-fn record_unresponsive(host: &Host, scheduler: &HostId, cell: &Cell) {
-    let now_ms = host.now_ms();
+fn lend_requests(host: &Host, cell: &Cell, scheduler: &Member) -> u32 {
+    let mut budget = host.retry_budget.borrow_mut();
+    let mut lender = host.placement.lender.borrow_mut();
+    let lent = lender.lend(host.now_ms(), cell, scheduler, &mut budget);
+    host.metrics.requests_lent(lent);
+    lent
+}
+
+fn record_unresponsive(host: &Host, member: &Member, cell: &Cell) {
+    let (now_ms, scheduler) = (host.now_ms(), &member.host);
     let is_passed_over = host.placement.directory.borrow_mut().record_timeout(now_ms, scheduler);
+    let mut lender = host.placement.lender.borrow_mut();
+    match is_passed_over {
+        true => lender.record_lost(cell, member, &mut host.retry_budget.borrow_mut()),
+        false => lender.record_answer(cell, member, false),
+    }
     host.log.write(&LogEvent::SchedulerSilent { scheduler, cell, is_passed_over });
 }
 
