A host that restarts as scheduler lends itself nothing in its first window

Its last run may have granted retries to itself that nobody remembers: with three hosts, that took the fleet above its retries. Tests of fleets whose hosts are killed and added, and of a request without a grant.

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -117,6 +117,11 @@
         lent
     }
 
+    /// Whether the host's last run may have sent retries within the window.
+    pub fn is_in_first_window(&self, now_ms: Millis) -> bool {
+        now_ms.since(self.started_ms) < self.allowed.window_ms
+    }
+
     /// Records a retry that a scheduler granted.
     pub fn record_grant(&mut self, now_ms: Millis, service: &ServiceName) {
         let window_ms = self.allowed.window_ms;
--- a/crates/dispatch/src/retry_pool/lender.rs
+++ b/crates/dispatch/src/retry_pool/lender.rs
@@ -9,9 +9,11 @@
 ///
 /// What is lent to a scheduler that doesn't answer is lost, so the first submission to a scheduler
 /// lends nothing. A scheduler that takes over doesn't know what the last one granted, so the host
-/// counts that as its own.
-#[derive(Debug, Default)]
+/// counts that as its own. A host that restarts as scheduler knows neither the pool of its last run
+/// nor what that granted to itself, so its own requests allow no retries in its first window.
+#[derive(Debug)]
 pub struct Lender {
+    own_host: HostId,
     schedulers: FastMap<Cell, LastScheduler>,
 }
 
@@ -31,6 +33,11 @@
 }
 
 impl Lender {
+    /// Lends nothing yet.
+    pub fn new(own_host: HostId) -> Lender {
+        Lender { own_host, schedulers: FastMap::default() }
+    }
+
     /// Lends requests with a submission to a scheduler; returns their number.
     pub fn lend(
         &mut self,
@@ -41,7 +48,9 @@
     ) -> u32 {
         match self.schedulers.get(cell) {
             Some(last) if last.is_run_of(scheduler) && last.is_answering => {
-                return budget.lend(now_ms, &cell.service);
+                let lent = budget.lend(now_ms, &cell.service);
+                let is_lost = scheduler.host == self.own_host && budget.is_in_first_window(now_ms);
+                return if is_lost { 0 } else { lent };
             }
             Some(last) if last.is_run_of(scheduler) => return 0,
             Some(_) => budget.take_over_grants(&cell.service),
--- a/crates/dispatch/src/scheduler/message.rs
+++ b/crates/dispatch/src/scheduler/message.rs
@@ -75,6 +75,7 @@
 }
 
 /// Why a request was not placed.
+#[expect(clippy::enum_variant_names, reason = "each says what is lacking")]
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RefusalCause {
     /// It can't be answered in time.
--- a/crates/dispatch/src/scheduler/set.rs
+++ b/crates/dispatch/src/scheduler/set.rs
@@ -132,7 +132,9 @@
         if let Some(scheduler) = scheduler {
             scheduler.schedule(now_ms, upstreams, &mut self.rates, rng, &mut effects);
         }
-        if let Some((ticket, service)) = granted.filter(|(ticket, _)| refuses(&effects, *ticket)) {
+        if let Some((ticket, service)) =
+            granted.filter(|(ticket, _)| refuses(&effects, requester, *ticket))
+        {
             self.retries.take_back(now_ms, requester, ticket, &service);
         }
         effects
@@ -167,10 +169,10 @@
     }
 }
 
-fn refuses(effects: &[Effect], request: Ticket) -> bool {
+fn refuses(effects: &[Effect], requester: Requester, request: Ticket) -> bool {
     effects.iter().any(|effect| {
-        matches!(effect, Effect::Send { message: PlacementMessage::Refused { ticket, .. }, .. }
-            if *ticket == request)
+        matches!(effect, Effect::Send { to, message: PlacementMessage::Refused { ticket, .. } }
+            if (*to, *ticket) == (requester, request))
     })
 }
 
--- a/crates/dispatch/tests/retry_pool.rs
+++ b/crates/dispatch/tests/retry_pool.rs
@@ -9,7 +9,7 @@
 use dispatch::scheduler::{
     Cell, Effect, PlacementMessage, RefusalCause, Requester, SchedulerSet, Submission, Ticket,
 };
-use domain::{Incarnation, Millis, ServiceName, Share};
+use domain::{HostId, Incarnation, Millis, ServiceName, Share};
 use published::{Capacity, Member};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -31,6 +31,10 @@
     Cell { service: service(), zone: None }
 }
 
+fn host_id(number: usize) -> HostId {
+    format!("front-{number}").parse().unwrap()
+}
+
 fn requester(host: usize) -> Requester {
     Requester::Peer(format!("127.0.0.1:{}", 7_000 + host).parse().unwrap())
 }
@@ -46,6 +50,8 @@
     failing_from_ms: u64,
     /// Interval at which hosts restart.
     restart_interval_ms: Option<u64>,
+    /// Whether a host is up at a time.
+    is_up: fn(u64, usize) -> bool,
     /// The scheduler of a host at a time; none if the host is cut off.
     scheduler: fn(u64, usize) -> Option<usize>,
 }
@@ -57,6 +63,7 @@
     copies: 0.0,
     failing_from_ms: 0,
     restart_interval_ms: None,
+    is_up: |_, _| true,
     scheduler: |_, _| Some(0),
 };
 
@@ -65,16 +72,18 @@
     lender: Lender,
     pools: RetryPools,
     incarnation: u64,
+    is_up: bool,
     misses: u32,
     excluded: Option<usize>,
 }
 
 impl Host {
-    fn start(now_ms: u64, incarnation: u64) -> Host {
+    fn start(number: usize, now_ms: u64, incarnation: u64) -> Host {
         let mut pools = RetryPools::default();
         pools.set_limits(LIMITS);
         let budget = RetryBudget::new(LIMITS, Millis(now_ms));
-        Host { budget, lender: Lender::default(), pools, incarnation, misses: 0, excluded: None }
+        let lender = Lender::new(host_id(number));
+        Host { budget, lender, pools, incarnation, is_up: true, misses: 0, excluded: None }
     }
 }
 
@@ -100,7 +109,7 @@
 impl Fleet {
     fn run(scenario: Scenario) -> Fleet {
         let mut fleet = Fleet {
-            hosts: (0..scenario.hosts).map(|_| Host::start(0, 0)).collect(),
+            hosts: (0..scenario.hosts).map(|host| Host::start(host, 0, 0)).collect(),
             scenario,
             now_ms: 0,
             events: BTreeMap::new(),
@@ -123,10 +132,15 @@
             && now_ms.is_multiple_of(interval_ms)
         {
             let host = 1 + (now_ms / interval_ms) as usize % (self.scenario.hosts - 1);
-            self.hosts[host] = Host::start(now_ms, now_ms);
+            self.hosts[host] = Host::start(host, now_ms, now_ms);
         }
         for host in 0..self.scenario.hosts {
-            if self.rng.random::<f64>() < self.scenario.per_s / 1_000.0 {
+            let is_up = (self.scenario.is_up)(now_ms, host);
+            if is_up && !self.hosts[host].is_up {
+                self.hosts[host] = Host::start(host, now_ms, now_ms);
+            }
+            self.hosts[host].is_up = is_up;
+            if is_up && self.rng.random::<f64>() < self.scenario.per_s / 1_000.0 {
                 self.request(host);
             }
         }
@@ -141,7 +155,8 @@
 
     /// A request of which the first attempt may fail.
     fn request(&mut self, host: usize) {
-        let (now_ms, hosts) = (Millis(self.now_ms), self.scenario.hosts as u32);
+        let now_ms = Millis(self.now_ms);
+        let hosts = self.hosts.iter().filter(|host| host.is_up).count() as u32;
         self.requests[self.now_ms as usize] += 1;
         self.hosts[host].budget.record_request(now_ms, &service(), hosts);
         self.submit(host, false);
@@ -157,7 +172,7 @@
 
     fn member(&self, host: usize) -> Member {
         Member {
-            host: format!("front-{host}").parse().unwrap(),
+            host: host_id(host),
             incarnation: Incarnation(self.hosts[host].incarnation),
             availability_zone: "kariakoo".parse().unwrap(),
             address: "127.0.0.1:7000".parse().unwrap(),
@@ -207,6 +222,12 @@
 
     fn handle(&mut self, event: Event) {
         let now_ms = Millis(self.now_ms);
+        let (Event::Submit { to: at, .. }
+        | Event::Reply { to: at, .. }
+        | Event::Timeout { host: at, .. }) = event;
+        if !self.hosts[at].is_up {
+            return;
+        }
         match event {
             Event::Submit { from, to, submission } => {
                 let ticket = submission.ticket.0;
@@ -302,6 +323,19 @@
     Fleet::run(scenario).check_windows();
 }
 
+/// Guards against a budget that grows as hosts come and go, the scheduler among them.
+#[rstest]
+#[case::scheduler_restarts(|now, host| host > 0 || !(24_000..24_050).contains(&now))]
+#[case::half_killed(|now, host| now < 24_000 || host % 2 == 0)]
+#[case::half_added(|now, host| now >= 24_000 || host % 2 == 0)]
+fn killed_restarted_and_added_hosts_keep_the_fleet_within_its_retries(
+    #[case] is_up: fn(u64, usize) -> bool,
+    #[values((3, 150.0), (48, 30.0), (93, 15.0))] (hosts, per_s): (usize, f64),
+    #[values(0, 22_000)] failing_from_ms: u64,
+) {
+    Fleet::run(Scenario { hosts, per_s, failing_from_ms, is_up, ..CALM }).check_windows();
+}
+
 /// Guards against copies of a submission that count or grant twice, and against restarted hosts
 /// that lend again.
 #[rstest]
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -89,13 +89,13 @@
     ) -> PlacementState {
         PlacementState {
             socket,
-            schedulers: RefCell::new(SchedulerSet::new(host)),
+            schedulers: RefCell::new(SchedulerSet::new(host.clone())),
             probe_budget: RefCell::new(probe_budget),
             directory: RefCell::default(),
             pending: RefCell::default(),
             tickets: TicketCounter::new(seed),
             busy_until: RefCell::default(),
-            lender: RefCell::default(),
+            lender: RefCell::new(Lender::new(host)),
             requests_waiting: Notify::new(),
         }
     }
