--- a/crates/dispatch/tests/retry_pool.rs
+++ b/crates/dispatch/tests/retry_pool.rs
@@ -74,7 +74,7 @@
     incarnation: u64,
     is_up: bool,
     misses: u32,
-    excluded: Option<usize>,
+    excluded: Option<Member>,
 }
 
 impl Host {
@@ -90,7 +90,7 @@
 enum Event {
     Submit { from: usize, to: usize, submission: Submission },
     Reply { to: usize, scheduler: usize, ticket: u64, decision: RetryDecision },
-    Timeout { host: usize, scheduler: usize, ticket: u64 },
+    Timeout { host: usize, scheduler: Member, ticket: u64 },
 }
 
 struct Fleet {
@@ -184,10 +184,10 @@
         let scheduler = (self.scenario.scheduler)(self.now_ms, from);
         // A host that is cut off goes on with the scheduler it had, until it excludes it.
         let to = scheduler.unwrap_or(0);
-        if self.hosts[from].excluded == Some(to) {
+        let member = self.member(to);
+        if self.hosts[from].excluded.as_ref() == Some(&member) {
             return;
         }
-        let member = self.member(to);
         let host = &mut self.hosts[from];
         let lent_requests =
             host.lender.lend(Millis(self.now_ms), &cell(), &member, &mut host.budget);
@@ -199,7 +199,7 @@
             let sent = || Event::Submit { from, to, submission: submission.clone() };
             self.send(sent);
         }
-        self.schedule(TIMEOUT_MS, Event::Timeout { host: from, scheduler: to, ticket });
+        self.schedule(TIMEOUT_MS, Event::Timeout { host: from, scheduler: member, ticket });
     }
 
     /// Delivers a message once, never, or several times.
@@ -250,13 +250,12 @@
                 if self.open.remove(&ticket).is_none() {
                     return;
                 }
-                let member = self.member(scheduler);
                 let host = &mut self.hosts[host];
                 host.misses += 1;
-                host.lender.record_answer(&cell(), &member, false);
+                host.lender.record_answer(&cell(), &scheduler, false);
                 if host.misses == 2 {
+                    host.lender.record_lost(&cell(), &scheduler, &mut host.budget);
                     host.excluded = Some(scheduler);
-                    host.lender.record_lost(&cell(), &member, &mut host.budget);
                 }
             }
         }
