--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -8,6 +8,7 @@
 //! While a scheduler answers, a host lends it the requests that it counted ([`crate::retry_pool`]):
 //! these no longer allow retries of its own.
 
+use crate::retry_pool::RATIO_USED as LENT_RATIO_USED;
 use domain::{FastMap, Millis, PerSecond, ServiceName, Share, SuspensionDetector, UpstreamId};
 use std::collections::VecDeque;
 
@@ -60,8 +61,12 @@
     /// Requests of these that were lent to a scheduler.
     lent: u32,
     retries: u32,
-    /// Retries that a scheduler granted.
+    /// Retries that the current scheduler granted.
     granted: u32,
+    /// Requests that were lent to a scheduler that was lost.
+    lost: u32,
+    /// Retries that it granted.
+    owed: u32,
 }
 
 impl RetryBudget {
@@ -128,23 +133,36 @@
         self.window(service).count(now_ms, window_ms).granted += 1;
     }
 
-    /// Counts the retries that a scheduler granted as the host's own, when another scheduler takes
-    /// over: that one doesn't know them.
+    /// Takes over the retries that a scheduler granted, when another one takes its place: that one
+    /// doesn't know them.
     pub fn take_over_grants(&mut self, service: &ServiceName) {
         let Some(window) = self.services.get_mut(service) else { return };
         for count in &mut window.counts {
-            count.retries += std::mem::take(&mut count.granted);
+            count.owed += std::mem::take(&mut count.granted);
+            count.lost = count.lent;
         }
     }
 
-    /// Requests not lent and own retries in the last window.
+    /// Requests not lent, and retries spent or taken over, in the last window.
     fn totals(&self, now_ms: Millis, service: &ServiceName) -> (u32, u32) {
         let since = now_ms.since(self.allowed.window_ms).0 / COUNT_MS.0;
         let counts = self.services.get(service).map(|window| &window.counts);
-        let recent = counts.into_iter().flatten().filter(|count| count.second >= since);
-        recent.fold((0, 0), |(unlent, retries), count| {
+        let recent = || counts.into_iter().flatten().filter(|count| count.second >= since);
+        let (unlent, retries) = recent().fold((0, 0), |(unlent, retries), count| {
             (unlent + count.requests - count.lent, retries + count.retries)
-        })
+        });
+        (unlent, retries + self.owed(recent().rev()))
+    }
+
+    /// Retries taken over that the requests lent to the same scheduler don't allow. Each window to
+    /// come contains only the latest of both, so the most that any number of counts leaves is owed.
+    fn owed<'c>(&self, latest_first: impl Iterator<Item = &'c Count>) -> u32 {
+        let lent_ratio = self.allowed.ratio.0 * LENT_RATIO_USED;
+        let (_, owed) = latest_first.fold((0.0_f64, 0.0_f64), |(sum, owed), count| {
+            let sum = sum + f64::from(count.owed) - lent_ratio * f64::from(count.lost);
+            (sum, owed.max(sum))
+        });
+        owed.ceil() as u32
     }
 
     /// This host's part of the fixed number.
@@ -166,7 +184,15 @@
             self.counts.pop_front();
         }
         if self.counts.back().is_none_or(|count| count.second != second) {
-            self.counts.push_back(Count { second, requests: 0, lent: 0, retries: 0, granted: 0 });
+            self.counts.push_back(Count {
+                second,
+                requests: 0,
+                lent: 0,
+                retries: 0,
+                granted: 0,
+                lost: 0,
+                owed: 0,
+            });
         }
         let last = self.counts.len() - 1;
         &mut self.counts[last]
--- a/crates/dispatch/src/retry_pool.rs
+++ b/crates/dispatch/src/retry_pool.rs
@@ -21,7 +21,7 @@
 
 /// Part of the share that is used. Requests are lent up to a second after they were counted, which
 /// is a tenth of the usual window.
-const RATIO_USED: f64 = 0.9;
+pub(crate) const RATIO_USED: f64 = 0.9;
 
 /// Width of one count within a window.
 const COUNT_MS: Millis = Millis(100);
--- a/crates/dispatch/tests/retry_pool.rs
+++ b/crates/dispatch/tests/retry_pool.rs
@@ -305,6 +305,20 @@
     assert!(used >= 0.9, "{used}");
 }
 
+/// Guards against a new scheduler that grants less than what hosts would spend by themselves, 0.8 of
+/// the share, since hosts hold back for what the last one granted.
+#[rstest]
+#[case::three_hosts(3, 100.0)]
+#[case::deployment_2(48, 20.0)]
+#[case::deployment_1(93, 12.0)]
+fn the_share_is_used_after_the_scheduler_is_lost(#[case] hosts: usize, #[case] per_s: f64) {
+    let scheduler = |now, _| Some(usize::from(now >= 24_000));
+    let fleet = Fleet::run(Scenario { hosts, per_s, scheduler, ..CALM });
+    fleet.check_windows();
+    let used = fleet.used_share(24_000, 24_000 + WINDOW_MS);
+    assert!(used >= 0.8, "{used}");
+}
+
 /// Guards against requests that allow retries twice: at two schedulers, or at a scheduler and at
 /// the host. All requests fail shortly before the change, so that nothing saved is left unspent.
 #[rstest]
@@ -387,7 +401,8 @@
     assert_eq!(grants(&mut pools, (800..999).map(|ticket| retry(ticket, 0, 0))), 9);
 }
 
-/// Guards against a copy that is granted again after its first was placed or refused and forgotten.
+/// Guards against a copy that is granted again after its first was placed or refused and forgotten,
+/// and against a retry that stays spent though its request was refused.
 #[test]
 fn a_scheduler_refuses_a_retry_without_a_grant_and_counts_copies_once() {
     let mut upstreams = support::set(&[support::entry("i-1", "kariakoo")]);
@@ -423,5 +438,10 @@
     assert_eq!(submit(20_600, retry(4, 0, 0)), refused(4, 0));
     submit(20_700, Submission { lent_requests: 6, ..submission(5) });
     assert_eq!(submit(20_700, retry(1, 0, 0)), refused(1, 0));
-    assert_ne!(submit(20_700, retry(6, 0, 0)), refused(6, 0));
+    // No upstream is left for this one, so its retry is taken back.
+    let unplaced = Submission { tried: vec![support::id("i-1")], ..retry(6, 0, 0) };
+    assert_ne!(submit(20_700, unplaced.clone()), refused(6, 0));
+    assert_eq!(submit(20_700, unplaced), refused(6, 0));
+    assert_ne!(submit(20_700, retry(7, 0, 0)), refused(7, 0));
+    assert_eq!(submit(20_700, retry(8, 0, 0)), refused(8, 0));
 }
