--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -143,6 +143,23 @@
         }
     }
 
+    /// Retries taken over that are to be stated to the next scheduler.
+    pub fn owed_retries(&self, now_ms: Millis, service: &ServiceName) -> u32 {
+        let since = now_ms.since(self.allowed.window_ms).0 / COUNT_MS.0;
+        let counts = self.services.get(service).map(|window| &window.counts);
+        let recent = counts.into_iter().flatten().filter(|count| count.second >= since);
+        self.owed(recent.rev())
+    }
+
+    /// Leaves the retries taken over to the next scheduler, which knows them now.
+    pub fn hand_over_grants(&mut self, service: &ServiceName) {
+        let Some(window) = self.services.get_mut(service) else { return };
+        for count in &mut window.counts {
+            count.granted += std::mem::take(&mut count.owed);
+            count.lost = 0;
+        }
+    }
+
     /// Requests not lent, and retries spent or taken over, in the last window.
     fn totals(&self, now_ms: Millis, service: &ServiceName) -> (u32, u32) {
         let since = now_ms.since(self.allowed.window_ms).0 / COUNT_MS.0;
--- a/crates/dispatch/src/retry_pool.rs
+++ b/crates/dispatch/src/retry_pool.rs
@@ -12,7 +12,7 @@
 
 mod lender;
 
-pub use lender::Lender;
+pub use lender::{Lender, Loan};
 
 use crate::budget::FleetRetryLimits;
 use crate::scheduler::{Requester, Submission, Ticket};
@@ -109,12 +109,13 @@
             Some(decision) => return decision,
             None => {}
         }
-        if submission.lent_requests == 0 && !submission.needs_retry_grant {
+        let Submission { lent_requests: lent, owed_retries: owed, .. } = *submission;
+        if lent == 0 && owed == 0 && !submission.needs_retry_grant {
             return RetryDecision::NotNeeded;
         }
         let limits = self.limits;
         let pool = self.pools.entry(submission.cell.service.clone()).or_default();
-        pool.add_lent(now_ms, limits.window_ms, submission.lent_requests);
+        pool.add(now_ms, limits.window_ms, lent, owed);
         let decision = match submission.needs_retry_grant {
             false => RetryDecision::NotNeeded,
             true => pool.decide(now_ms, limits, submission, service_time_ms.unwrap_or_default()),
@@ -148,9 +149,10 @@
 }
 
 impl RetryPool {
-    fn add_lent(&mut self, now_ms: Millis, window_ms: Millis, lent: u32) {
+    fn add(&mut self, now_ms: Millis, window_ms: Millis, lent: u32, granted: u32) {
         let count = self.count(now_ms, window_ms);
         count.lent = count.lent.saturating_add(lent);
+        count.granted = count.granted.saturating_add(granted);
     }
 
     fn decide(
--- a/crates/dispatch/tests/retry_pool.rs
+++ b/crates/dispatch/tests/retry_pool.rs
@@ -5,7 +5,7 @@
 mod support;
 
 use dispatch::budget::{FleetRetryLimits, RetryBudget};
-use dispatch::retry_pool::{Lender, RetryDecision, RetryPools};
+use dispatch::retry_pool::{Lender, Loan, RetryDecision, RetryPools};
 use dispatch::scheduler::{
     Cell, Effect, PlacementMessage, RefusalCause, Requester, SchedulerSet, Submission, Ticket,
 };
@@ -48,6 +48,8 @@
     copies: f64,
     /// The time from which all requests fail.
     failing_from_ms: u64,
+    /// The hosts whose requests fail.
+    is_failing: fn(usize) -> bool,
     /// Interval at which hosts restart.
     restart_interval_ms: Option<u64>,
     /// Whether a host is up at a time.
@@ -62,6 +64,7 @@
     loss: 0.0,
     copies: 0.0,
     failing_from_ms: 0,
+    is_failing: |_| true,
     restart_interval_ms: None,
     is_up: |_, _| true,
     scheduler: |_, _| Some(0),
@@ -160,7 +163,7 @@
         self.requests[self.now_ms as usize] += 1;
         self.hosts[host].budget.record_request(now_ms, &service(), hosts);
         self.submit(host, false);
-        if self.now_ms < self.scenario.failing_from_ms {
+        if self.now_ms < self.scenario.failing_from_ms || !(self.scenario.is_failing)(host) {
             return;
         }
         if self.hosts[host].budget.try_spend(now_ms, &service()) {
@@ -189,11 +192,12 @@
             return;
         }
         let host = &mut self.hosts[from];
-        let lent_requests =
-            host.lender.lend(Millis(self.now_ms), &cell(), &member, &mut host.budget);
+        let loan = host.lender.lend(Millis(self.now_ms), &cell(), &member, &mut host.budget);
+        let Loan { requests: lent_requests, owed_retries } = loan;
         self.drawn += 1;
         let ticket = self.drawn;
-        let submission = Submission { lent_requests, needs_retry_grant, ..submission(ticket) };
+        let submission =
+            Submission { lent_requests, owed_retries, needs_retry_grant, ..submission(ticket) };
         self.open.insert(ticket, needs_retry_grant);
         if scheduler.is_some() {
             let sent = || Event::Submit { from, to, submission: submission.clone() };
@@ -239,7 +243,7 @@
                 let Some(asks) = self.open.remove(&ticket) else { return };
                 let member = self.member(scheduler);
                 let host = &mut self.hosts[to];
-                host.lender.record_answer(&cell(), &member, true);
+                host.lender.record_answer(&cell(), &member, &mut host.budget);
                 host.misses = 0;
                 if asks && !matches!(decision, RetryDecision::Refused { .. }) {
                     host.budget.record_grant(now_ms, &service());
@@ -252,7 +256,7 @@
                 }
                 let host = &mut self.hosts[host];
                 host.misses += 1;
-                host.lender.record_answer(&cell(), &scheduler, false);
+                host.lender.record_no_answer(&cell(), &scheduler);
                 if host.misses == 2 {
                     host.lender.record_lost(&cell(), &scheduler, &mut host.budget);
                     host.excluded = Some(scheduler);
@@ -336,6 +340,20 @@
     Fleet::run(scenario).check_windows();
 }
 
+/// Guards against a new scheduler that grants again what the last one granted to a few hosts alone.
+#[rstest]
+#[case::lost(|now, _| Some(usize::from(now >= 24_000)), |_, _| true)]
+#[case::restarted(|_, _| Some(0), |now, host| host > 0 || !(24_000..24_050).contains(&now))]
+fn grants_to_a_few_hosts_count_at_the_next_scheduler(
+    #[case] scheduler: fn(u64, usize) -> Option<usize>,
+    #[case] is_up: fn(u64, usize) -> bool,
+    #[values((3, 150.0), (48, 30.0), (93, 15.0))] (hosts, per_s): (usize, f64),
+) {
+    let is_failing = |host| host % 3 == 1;
+    let scenario = Scenario { failing_from_ms: 18_400, is_failing, scheduler, is_up, ..CALM };
+    Fleet::run(Scenario { hosts, per_s, ..scenario }).check_windows();
+}
+
 /// Guards against a budget that grows as hosts come and go, the scheduler among them.
 #[rstest]
 #[case::scheduler_restarts(|now, host| host > 0 || !(24_000..24_050).contains(&now))]
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -71,6 +71,7 @@
         backing_off: Vec::new(),
         lends_rate_share: true,
         lent_requests: 0,
+        owed_retries: 0,
         needs_retry_grant: false,
     }
 }
--- a/crates/emulator/src/simulation/scheduled.rs
+++ b/crates/emulator/src/simulation/scheduled.rs
@@ -98,6 +98,7 @@
             backing_off: Vec::new(),
             lends_rate_share: true,
             lent_requests: 0,
+            owed_retries: 0,
             needs_retry_grant: false,
         };
         let host = submitted.host;
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -17,7 +17,7 @@
 use crate::peers::codec::Datagram;
 use crate::ticket_counter::TicketCounter;
 use dispatch::budget::ProbeBudget;
-use dispatch::retry_pool::Lender;
+use dispatch::retry_pool::{Lender, Loan};
 use dispatch::scheduler::{
     Cell, Directory, Placement, PlacementMessage, RefusalCause, Requester, SchedulerSet,
     Submission, Ticket,
@@ -150,17 +150,20 @@
     let guard = PlacementGuard::new(host, ticket, &scheduler);
     let lends_rate_share =
         host.rate_limiter.borrow_mut().lend(host.now_ms(), &cell, &scheduler.host);
-    let lent_requests = lend_requests(host, &cell, &scheduler);
-    let submission =
-        Submission { lends_rate_share, lent_requests, ..submission(ticket, cell.clone()) };
+    let Loan { requests: lent_requests, owed_retries } = lend(host, &cell, &scheduler);
+    let submission = Submission {
+        lends_rate_share,
+        lent_requests,
+        owed_retries,
+        ..submission(ticket, cell.clone())
+    };
     guard.send(PlacementMessage::Submit(submission));
     let mut longest = FIRST_REPLY;
     loop {
         match clock::timeout(longest, received.recv()).await {
             Ok(Some(reply)) => {
                 host.placement.directory.borrow_mut().record_response(&scheduler.host);
-                let schedules = !matches!(reply, SchedulerReply::Refused(RefusalCause::NoUpstream));
-                host.placement.lender.borrow_mut().record_answer(&cell, &scheduler, schedules);
+                record_answer(host, &scheduler, &cell, &reply);
                 match reply {
                     SchedulerReply::Queued => {
                         host.placement.record_wait(&cell.service, host.now_ms());
@@ -191,12 +194,22 @@
     directory.choose(host.now_ms(), cell, all).cloned()
 }
 
-fn lend_requests(host: &Host, cell: &Cell, scheduler: &Member) -> u32 {
+fn lend(host: &Host, cell: &Cell, scheduler: &Member) -> Loan {
     let mut budget = host.retry_budget.borrow_mut();
     let mut lender = host.placement.lender.borrow_mut();
-    let lent = lender.lend(host.now_ms(), cell, scheduler, &mut budget);
-    host.metrics.requests_lent(lent);
-    lent
+    let loan = lender.lend(host.now_ms(), cell, scheduler, &mut budget);
+    host.metrics.requests_lent(loan.requests);
+    loan
+}
+
+fn record_answer(host: &Host, scheduler: &Member, cell: &Cell, reply: &SchedulerReply) {
+    let mut lender = host.placement.lender.borrow_mut();
+    match reply {
+        SchedulerReply::Refused(RefusalCause::NoUpstream) => {
+            lender.record_no_answer(cell, scheduler)
+        }
+        _ => lender.record_answer(cell, scheduler, &mut host.retry_budget.borrow_mut()),
+    }
 }
 
 fn record_unresponsive(host: &Host, member: &Member, cell: &Cell) {
@@ -205,7 +218,7 @@
     let mut lender = host.placement.lender.borrow_mut();
     match is_passed_over {
         true => lender.record_lost(cell, member, &mut host.retry_budget.borrow_mut()),
-        false => lender.record_answer(cell, member, false),
+        false => lender.record_no_answer(cell, member),
     }
     host.log.write(&LogEvent::SchedulerSilent { scheduler, cell, is_passed_over });
 }
--- a/crates/gateway/src/serve/selection.rs
+++ b/crates/gateway/src/serve/selection.rs
@@ -240,6 +240,7 @@
             backing_off,
             lends_rate_share: false,
             lent_requests: 0,
+            owed_retries: 0,
             needs_retry_grant,
         }
     }
--- a/crates/gateway/tests/datagram_bytes.rs
+++ b/crates/gateway/tests/datagram_bytes.rs
@@ -405,6 +405,7 @@
         backing_off: ids(&["i-3"]),
         lends_rate_share,
         lent_requests: 130,
+        owed_retries: 7,
         needs_retry_grant: !lends_rate_share,
     })
 }
@@ -458,12 +459,12 @@
 #[case::submit(
     submission(None, true),
     "080100c0a8a50405706172747300086b617269616b6f6fecadfa92030130ac0202900303b0090203692d310369\
-     2d320103692d3301820100"
+     2d320103692d330182010700"
 )]
 #[case::submit_to_zone(
     submission(Some("baneshwor"), false),
     "080100c0a8a504057061727473010962616e657368776f72086b617269616b6f6fecadfa92030130ac02029003\
-     03b0090203692d3103692d320103692d3300820101"
+     03b0090203692d3103692d320103692d330082010701"
 )]
 #[case::queued(PlacementMessage::Queued { ticket: TICKET }, "080101c0a8a504")]
 #[case::placed(placed(Some(Millis(75))), "080102c0a8a50403692d310000a03f00002040014bac02")]
