--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -4,11 +4,7 @@
 //! more. Each host counts the share against its own requests, so it needs no count of hosts, and
 //! divides the fixed number by the number of known hosts. Both have a margin, since hosts forget
 //! what they spent when they restart, and learn of each other late.
-//!
-//! While a scheduler answers, a host lends it the requests that it counted ([`crate::retry_pool`]):
-//! these no longer allow retries of its own.
 
-use crate::retry_pool::RATIO_USED as LENT_RATIO_USED;
 use domain::{FastMap, Millis, PerSecond, ServiceName, Share, SuspensionDetector, UpstreamId};
 use std::collections::VecDeque;
 
@@ -58,15 +54,7 @@
 struct Count {
     second: u64,
     requests: u32,
-    /// Requests of these that were lent to a scheduler.
-    lent: u32,
     retries: u32,
-    /// Retries that the current scheduler granted.
-    granted: u32,
-    /// Requests that were lent to a scheduler that was lost.
-    lost: u32,
-    /// Retries that it granted.
-    owed: u32,
 }
 
 impl RetryBudget {
@@ -100,91 +88,15 @@
 
     /// Retries left for a service.
     pub fn remaining(&self, now_ms: Millis, service: &ServiceName) -> f64 {
-        let (unlent, retries) = self.totals(now_ms, service);
-        let share = self.allowed.ratio.0 * RATIO_USED * f64::from(unlent);
-        share + self.slack() - f64::from(retries)
-    }
-
-    /// Lends requests to a scheduler; returns their number. Only requests of the current second, so
-    /// that the scheduler counts them at about the time they came, and none that allowed a retry
-    /// that was spent already.
-    pub fn lend(&mut self, now_ms: Millis, service: &ServiceName) -> u32 {
-        let (unlent, retries) = self.totals(now_ms, service);
-        let of_share = f64::from(retries) - self.slack();
-        let kept = match of_share > 0.0 {
-            true => (of_share / (self.allowed.ratio.0 * RATIO_USED)).ceil() as u32,
-            false => 0,
-        };
-        let window_ms = self.allowed.window_ms;
-        let count = self.window(service).count(now_ms, window_ms);
-        let lent = (count.requests - count.lent).min(unlent.saturating_sub(kept));
-        count.lent += lent;
-        lent
-    }
-
-    /// Whether the host's last run may have sent retries within the window.
-    pub fn is_in_first_window(&self, now_ms: Millis) -> bool {
-        now_ms.since(self.started_ms) < self.allowed.window_ms
-    }
-
-    /// Records a retry that a scheduler granted.
-    pub fn record_grant(&mut self, now_ms: Millis, service: &ServiceName) {
-        let window_ms = self.allowed.window_ms;
-        self.window(service).count(now_ms, window_ms).granted += 1;
-    }
-
-    /// Takes over the retries that a scheduler granted, when another one takes its place: that one
-    /// doesn't know them.
-    pub fn take_over_grants(&mut self, service: &ServiceName) {
-        let Some(window) = self.services.get_mut(service) else { return };
-        for count in &mut window.counts {
-            count.owed += std::mem::take(&mut count.granted);
-            count.lost = count.lent;
-        }
-    }
-
-    /// Retries taken over that are to be stated to the next scheduler.
-    pub fn owed_retries(&self, now_ms: Millis, service: &ServiceName) -> u32 {
         let since = now_ms.since(self.allowed.window_ms).0 / COUNT_MS.0;
         let counts = self.services.get(service).map(|window| &window.counts);
         let recent = counts.into_iter().flatten().filter(|count| count.second >= since);
-        self.owed(recent.rev())
-    }
-
-    /// Leaves the retries taken over to the next scheduler, which knows them now.
-    pub fn hand_over_grants(&mut self, service: &ServiceName) {
-        let Some(window) = self.services.get_mut(service) else { return };
-        for count in &mut window.counts {
-            count.granted += std::mem::take(&mut count.owed);
-            count.lost = 0;
-        }
-    }
-
-    /// Requests not lent, and retries spent or taken over, in the last window.
-    fn totals(&self, now_ms: Millis, service: &ServiceName) -> (u32, u32) {
-        let since = now_ms.since(self.allowed.window_ms).0 / COUNT_MS.0;
-        let counts = self.services.get(service).map(|window| &window.counts);
-        let recent = || counts.into_iter().flatten().filter(|count| count.second >= since);
-        let (unlent, retries) = recent().fold((0, 0), |(unlent, retries), count| {
-            (unlent + count.requests - count.lent, retries + count.retries)
-        });
-        (unlent, retries + self.owed(recent().rev()))
-    }
-
-    /// Retries taken over that the requests lent to the same scheduler don't allow. Each window to
-    /// come contains only the latest of both, so the most that any number of counts leaves is owed.
-    fn owed<'c>(&self, latest_first: impl Iterator<Item = &'c Count>) -> u32 {
-        let lent_ratio = self.allowed.ratio.0 * LENT_RATIO_USED;
-        let (_, owed) = latest_first.fold((0.0_f64, 0.0_f64), |(sum, owed), count| {
-            let sum = sum + f64::from(count.owed) - lent_ratio * f64::from(count.lost);
-            (sum, owed.max(sum))
+        let (requests, retries) = recent.fold((0, 0), |(requests, retries), count| {
+            (requests + count.requests, retries + count.retries)
         });
-        owed.ceil() as u32
-    }
-
-    /// This host's part of the fixed number.
-    fn slack(&self) -> f64 {
-        (self.allowed.slack * SLACK_USED / f64::from(self.hosts.max(1))).max(1.0)
+        let share = self.allowed.ratio.0 * RATIO_USED * f64::from(requests);
+        let slack = self.allowed.slack * SLACK_USED / f64::from(self.hosts.max(1));
+        share + slack.max(1.0) - f64::from(retries)
     }
 
     fn window(&mut self, service: &ServiceName) -> &mut Window {
@@ -201,15 +113,7 @@
             self.counts.pop_front();
         }
         if self.counts.back().is_none_or(|count| count.second != second) {
-            self.counts.push_back(Count {
-                second,
-                requests: 0,
-                lent: 0,
-                retries: 0,
-                granted: 0,
-                lost: 0,
-                owed: 0,
-            });
+            self.counts.push_back(Count { second, requests: 0, retries: 0 });
         }
         let last = self.counts.len() - 1;
         &mut self.counts[last]
--- a/crates/dispatch/src/scheduler/message.rs
+++ b/crates/dispatch/src/scheduler/message.rs
@@ -75,7 +75,6 @@
 }
 
 /// Why a request was not placed.
-#[expect(clippy::enum_variant_names, reason = "each says what is lacking")]
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RefusalCause {
     /// It can't be answered in time.
@@ -87,11 +86,6 @@
     },
     /// The scheduler knows no upstream that accepts requests, or no longer schedules.
     NoUpstream,
-    /// It is a retry, and none of those that hosts share is left for it.
-    NoRetryLeft {
-        /// Retries left for more urgent requests.
-        left: u32,
-    },
 }
 
 /// How an attempt ended at an upstream.
--- a/crates/dispatch/src/scheduler/request.rs
+++ b/crates/dispatch/src/scheduler/request.rs
@@ -50,12 +50,6 @@
     pub backing_off: Vec<UpstreamId>,
     /// Whether its host lends the scheduler its share of fleet-wide rate limits.
     pub lends_rate_share: bool,
-    /// Requests that its host counted and lends to the retry pool.
-    pub lent_requests: u32,
-    /// Retries that the last scheduler granted its host, and that this one doesn't know.
-    pub owed_retries: u32,
-    /// Whether it is a retry that its host can't make from its own budget.
-    pub needs_retry_grant: bool,
 }
 
 /// A request that waits for placement.
--- a/crates/dispatch/src/scheduler/set.rs
+++ b/crates/dispatch/src/scheduler/set.rs
@@ -2,10 +2,8 @@
 
 use super::message::{Effect, PlacementMessage, RefusalCause, Requester, Withdrawal};
 use super::placement_rates::PlacementRates;
-use super::request::{Key, QueuedRequest, Ticket};
+use super::request::{Key, QueuedRequest};
 use super::{Cell, QueueFigures, Scheduler};
-use crate::budget::FleetRetryLimits;
-use crate::retry_pool::{RetryDecision, RetryPools};
 use crate::subset::FleetSize;
 use crate::upstream_set::UpstreamSet;
 use domain::{FastMap, HostId, Millis};
@@ -19,7 +17,6 @@
 pub struct SchedulerSet {
     schedulers: FastMap<Cell, Scheduler>,
     rates: PlacementRates,
-    retries: RetryPools,
     is_closed: bool,
 }
 
@@ -29,7 +26,6 @@
         SchedulerSet {
             schedulers: FastMap::default(),
             rates: PlacementRates::new(host),
-            retries: RetryPools::default(),
             is_closed: false,
         }
     }
@@ -39,11 +35,6 @@
         self.rates.set_fleet(fleet);
     }
 
-    /// Sets the retries that the whole fleet may send for each service.
-    pub fn set_retry_limits(&mut self, limits: FleetRetryLimits) {
-        self.retries.set_limits(limits);
-    }
-
     /// Sets for which cells this host is the primary scheduler.
     pub fn set_primary(&mut self, is_primary: impl Fn(&Cell) -> bool) {
         for (cell, scheduler) in &mut self.schedulers {
@@ -71,7 +62,6 @@
         rng: &mut Pcg64Mcg,
     ) -> Vec<Effect> {
         let mut effects = Vec::new();
-        let mut granted = None;
         let scheduler = match message {
             PlacementMessage::Submit(submission) if self.is_closed => {
                 let (ticket, cause) = (submission.ticket, RefusalCause::NoUpstream);
@@ -80,18 +70,6 @@
             }
             PlacementMessage::Submit(submission) => {
                 let cell = &submission.cell;
-                let service_time_ms = upstreams.expected_ms(&cell.service, submission.route, 1.0);
-                let (retries, ticket) = (&mut self.retries, submission.ticket);
-                let decision =
-                    retries.handle_submission(now_ms, requester, &submission, service_time_ms);
-                if let RetryDecision::Refused { left } = decision {
-                    let cause = RefusalCause::NoRetryLeft { left };
-                    let message = PlacementMessage::Refused { ticket, cause };
-                    return vec![Effect::Send { to: requester, message }];
-                }
-                if decision == RetryDecision::Granted {
-                    granted = Some((ticket, cell.service.clone()));
-                }
                 let new = || Scheduler::new(cell.clone());
                 let scheduler = self.schedulers.entry(cell.clone()).or_insert_with(new);
                 if submission.lends_rate_share {
@@ -132,11 +110,6 @@
         if let Some(scheduler) = scheduler {
             scheduler.schedule(now_ms, upstreams, &mut self.rates, rng, &mut effects);
         }
-        if let Some((ticket, service)) =
-            granted.filter(|(ticket, _)| refuses(&effects, requester, *ticket))
-        {
-            self.retries.take_back(now_ms, requester, ticket, &service);
-        }
         effects
     }
 
@@ -152,7 +125,6 @@
             scheduler.schedule(now_ms, upstreams, &mut self.rates, rng, &mut effects);
         }
         self.rates.expire(now_ms, upstreams);
-        self.retries.expire(now_ms);
         self.schedulers.retain(|_, scheduler| !scheduler.is_idle());
         effects
     }
@@ -178,13 +150,6 @@
     }
 }
 
-fn refuses(effects: &[Effect], requester: Requester, request: Ticket) -> bool {
-    effects.iter().any(|effect| {
-        matches!(effect, Effect::Send { to, message: PlacementMessage::Refused { ticket, .. } }
-            if (*to, *ticket) == (requester, request))
-    })
-}
-
 fn scheduler_of(schedulers: &mut FastMap<Cell, Scheduler>, key: Key) -> Option<&mut Scheduler> {
     schedulers.values_mut().find(|scheduler| scheduler.contains(key))
 }
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -71,8 +71,5 @@
         tried: Vec::new(),
         backing_off: Vec::new(),
         lends_rate_share: true,
-        lent_requests: 0,
-        owed_retries: 0,
-        needs_retry_grant: false,
     }
 }
--- a/crates/emulator/src/simulation/scheduled.rs
+++ b/crates/emulator/src/simulation/scheduled.rs
@@ -97,9 +97,6 @@
             tried: Vec::new(),
             backing_off: Vec::new(),
             lends_rate_share: true,
-            lent_requests: 0,
-            owed_retries: 0,
-            needs_retry_grant: false,
         };
         let host = submitted.host;
         self.timeline.add(self.now_ms + SCHEDULER_TIMEOUT_MS, Event::SchedulerTimeout { request });
@@ -193,9 +190,7 @@
             PlacementMessage::Refused { cause, .. } if is_pending => {
                 let delay_ms = match cause {
                     RefusalCause::NoRoom { retry_after_ms, .. } => retry_after_ms.as_f64(),
-                    RefusalCause::NoUpstream | RefusalCause::NoRetryLeft { .. } => {
-                        super::DEFAULT_RETRY_DELAY_MS
-                    }
+                    RefusalCause::NoUpstream => super::DEFAULT_RETRY_DELAY_MS,
                 };
                 self.refuse(request, delay_ms);
             }
--- a/crates/gateway/src/event_log/event.rs
+++ b/crates/gateway/src/event_log/event.rs
@@ -168,8 +168,6 @@
         fingerprint: RequestFingerprint,
         has_crashed: bool,
     },
-    /// A retry got no grant: how many were left for others, if a scheduler answered.
-    RetryRefused { id: &'a str, left: Option<u32> },
     /// An upstream broke a connection during a request: whether its process crashed, by what
     /// evidence, and how long the check took.
     CrashChecked {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -37,8 +37,6 @@
     latency: Histogram<f64>,
     attempts: Counter<u64>,
     retries: Counter<u64>,
-    lent_requests: Counter<u64>,
-    asked_retries: Counter<u64>,
     probes: Counter<u64>,
     connections: Counter<u64>,
     source_calls: Gauge<u64>,
@@ -95,14 +93,6 @@
             latency,
             attempts: counter("gateway_sendings", "Sendings to upstreams"),
             retries: counter("gateway_repeats", "Sendings beyond a request's first"),
-            lent_requests: counter(
-                "gateway_lent_requests",
-                "Requests whose retries were left to schedulers",
-            ),
-            asked_retries: counter(
-                "gateway_asked_repeats",
-                "Retries that schedulers were asked for, by whether they were granted",
-            ),
             probes: counter("gateway_health_checks", "Health checks sent to upstreams"),
             connections: counter("gateway_connections_opened", "Connections opened to upstreams"),
             source_calls: gauge("gateway_source_calls", "Calls to the source of what is published"),
@@ -184,16 +174,6 @@
         }
     }
 
-    /// Counts requests that were lent to a scheduler.
-    pub fn requests_lent(&self, lent: u32) {
-        self.lent_requests.add(u64::from(lent), &[]);
-    }
-
-    /// Counts a retry that a scheduler was asked for.
-    pub fn retry_asked(&self, is_granted: bool) {
-        self.asked_retries.add(1, &[KeyValue::new("is_granted", is_granted)]);
-    }
-
     /// Counts a probe that was sent to an upstream.
     pub fn probe_sent(&self) {
         self.probes.add(1, &[]);
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -17,7 +17,6 @@
 use crate::peers::codec::Datagram;
 use crate::ticket_counter::TicketCounter;
 use dispatch::budget::ProbeBudget;
-use dispatch::retry_pool::{Lender, Loan};
 use dispatch::scheduler::{
     Cell, Directory, Placement, PlacementMessage, RefusalCause, Requester, SchedulerSet,
     Submission, Ticket,
@@ -54,8 +53,6 @@
     tickets: TicketCounter,
     /// Services whose requests had to wait, until when they count as busy.
     busy_until: RefCell<FastMap<ServiceName, Millis>>,
-    /// Lends counted requests to schedulers.
-    lender: RefCell<Lender>,
     /// Notified when requests wait for a placement.
     requests_waiting: Notify,
 }
@@ -89,13 +86,12 @@
     ) -> PlacementState {
         PlacementState {
             socket,
-            schedulers: RefCell::new(SchedulerSet::new(host.clone())),
+            schedulers: RefCell::new(SchedulerSet::new(host)),
             probe_budget: RefCell::new(probe_budget),
             directory: RefCell::default(),
             pending: RefCell::default(),
             tickets: TicketCounter::new(seed),
             busy_until: RefCell::default(),
-            lender: RefCell::new(Lender::new(host)),
             requests_waiting: Notify::new(),
         }
     }
@@ -110,11 +106,6 @@
         self.busy_until.borrow_mut().insert(service.clone(), now_ms + BUSY_MS);
     }
 
-    /// Whether a scheduler of a service answers, so that it can be asked for a retry.
-    pub fn has_scheduler(&self, service: &ServiceName) -> bool {
-        self.lender.borrow().has_scheduler(service)
-    }
-
     /// Records that a peer is up in a new run, so that it is used as a scheduler again.
     pub fn mark_responsive(&self, peer: &HostId) {
         self.directory.borrow_mut().record_response(peer);
@@ -150,20 +141,13 @@
     let guard = PlacementGuard::new(host, ticket, &scheduler);
     let lends_rate_share =
         host.rate_limiter.borrow_mut().lend(host.now_ms(), &cell, &scheduler.host);
-    let Loan { requests: lent_requests, owed_retries } = lend(host, &cell, &scheduler);
-    let submission = Submission {
-        lends_rate_share,
-        lent_requests,
-        owed_retries,
-        ..submission(ticket, cell.clone())
-    };
+    let submission = Submission { lends_rate_share, ..submission(ticket, cell.clone()) };
     guard.send(PlacementMessage::Submit(submission));
     let mut longest = FIRST_REPLY;
     loop {
         match clock::timeout(longest, received.recv()).await {
             Ok(Some(reply)) => {
                 host.placement.directory.borrow_mut().record_response(&scheduler.host);
-                record_answer(host, &scheduler, &cell, &reply);
                 match reply {
                     SchedulerReply::Queued => {
                         host.placement.record_wait(&cell.service, host.now_ms());
@@ -180,7 +164,7 @@
                 }
             }
             Ok(None) | Err(_) => {
-                record_unresponsive(host, &scheduler, &cell);
+                record_unresponsive(host, &scheduler.host, &cell);
                 return PlacementResult::Unanswered;
             }
         }
@@ -194,32 +178,9 @@
     directory.choose(host.now_ms(), cell, all).cloned()
 }
 
-fn lend(host: &Host, cell: &Cell, scheduler: &Member) -> Loan {
-    let mut budget = host.retry_budget.borrow_mut();
-    let mut lender = host.placement.lender.borrow_mut();
-    let loan = lender.lend(host.now_ms(), cell, scheduler, &mut budget);
-    host.metrics.requests_lent(loan.requests);
-    loan
-}
-
-fn record_answer(host: &Host, scheduler: &Member, cell: &Cell, reply: &SchedulerReply) {
-    let mut lender = host.placement.lender.borrow_mut();
-    match reply {
-        SchedulerReply::Refused(RefusalCause::NoUpstream) => {
-            lender.record_no_answer(cell, scheduler)
-        }
-        _ => lender.record_answer(cell, scheduler, &mut host.retry_budget.borrow_mut()),
-    }
-}
-
-fn record_unresponsive(host: &Host, member: &Member, cell: &Cell) {
-    let (now_ms, scheduler) = (host.now_ms(), &member.host);
+fn record_unresponsive(host: &Host, scheduler: &HostId, cell: &Cell) {
+    let now_ms = host.now_ms();
     let is_passed_over = host.placement.directory.borrow_mut().record_timeout(now_ms, scheduler);
-    let mut lender = host.placement.lender.borrow_mut();
-    match is_passed_over {
-        true => lender.record_lost(cell, member, &mut host.retry_budget.borrow_mut()),
-        false => lender.record_no_answer(cell, member),
-    }
     host.log.write(&LogEvent::SchedulerSilent { scheduler, cell, is_passed_over });
 }
 
--- a/crates/gateway/src/placement/scheduling.rs
+++ b/crates/gateway/src/placement/scheduling.rs
@@ -37,8 +37,6 @@
     decide: impl FnOnce(&mut SchedulerSet, Millis, &mut UpstreamSet, &mut Pcg64Mcg) -> Vec<Effect>,
 ) {
     host.placement.schedulers.borrow_mut().set_fleet(host.fleet_sharing_rates());
-    let retries = host.settings.borrow().limits.retries;
-    host.placement.schedulers.borrow_mut().set_retry_limits(retries);
     let effects = decide(
         &mut host.placement.schedulers.borrow_mut(),
         host.now_ms(),
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -47,8 +47,6 @@
     pub(super) not_run: u32,
     /// Attempts during which the upstream crashed.
     pub(super) crashes: u32,
-    /// Set while a retry needs a grant of the scheduler: how the request ends without it.
-    pub(super) ungranted: Option<Refusal>,
 }
 
 impl AttemptCounts {
--- a/crates/gateway/src/serve/attempt_end.rs
+++ b/crates/gateway/src/serve/attempt_end.rs
@@ -51,16 +51,15 @@
         self.log_failure(&ended, now_ms);
         self.record_rejection(&ended, now_ms);
         let uses_retry_budget = counts.arrived > 0;
-        let is_own_budget_spent = uses_retry_budget
-            && self.host.retry_budget.borrow().remaining(now_ms, &self.service) < 1.0;
-        let needs_grant = is_own_budget_spent && self.host.placement.has_scheduler(&self.service);
         let state = AttemptState {
             idempotency: self.route().idempotency,
             may_have_run: counts.may_have_run(),
             attempts_made: counts.sent,
             max_attempts: self.route().attempts,
             left_ms: self.end_ms.since(now_ms),
-            is_budget_spent: is_own_budget_spent && !needs_grant,
+            is_budget_spent: uses_retry_budget
+                && self.host.retry_budget.borrow().remaining(self.host.now_ms(), &self.service)
+                    < 1.0,
         };
         match (attempts::next_step(state, ended.result), ended.response) {
             (NextStep::Deliver, Some(response)) => {
@@ -69,9 +68,7 @@
             // Unreachable: only an attempt with a response is delivered.
             (NextStep::Deliver, None) => Some(Err(Refusal::may_have_run(Cause::UpstreamFailed))),
             (NextStep::Retry, response) => {
-                if needs_grant {
-                    counts.ungranted = Some(refusal_without_retry(state, ended.result));
-                } else if uses_retry_budget {
+                if uses_retry_budget {
                     self.host.retry_budget.borrow_mut().try_spend(now_ms, &self.service);
                 }
                 if let (Some(response), true) = (response, is_upstream_failure(ended.result)) {
@@ -126,15 +123,6 @@
     }
 }
 
-/// How the request ends if it isn't retried. An upstream's error response is kept until then, and
-/// delivered in place of a refusal that promises nothing.
-fn refusal_without_retry(state: AttemptState, end: AttemptResult) -> Refusal {
-    match attempts::next_step(AttemptState { is_budget_spent: true, ..state }, end) {
-        NextStep::Refuse(refusal) => refusal,
-        NextStep::Deliver | NextStep::Retry => Refusal::may_have_run(Cause::UpstreamFailed),
-    }
-}
-
 fn is_upstream_failure(end: AttemptResult) -> bool {
     matches!(end, AttemptResult::Answered(response) if attempts::is_upstream_failure(response))
 }
--- a/crates/gateway/src/serve/selection.rs
+++ b/crates/gateway/src/serve/selection.rs
@@ -50,25 +50,9 @@
         counts: &mut AttemptCounts,
     ) -> Result<(Selected, Connection), Refusal> {
         let left = self.host.clock.time_until(self.end_ms);
-        let selected = match clock::timeout(left, self.select(counts)).await {
+        match clock::timeout(left, self.select(counts)).await {
             Ok(selected) => selected,
             Err(_) => Err(deadline_refusal(counts)),
-        };
-        // Without a grant, the request ends as if this host had asked for none.
-        selected.map_err(|refusal| self.take_ungranted(counts).unwrap_or(refusal))
-    }
-
-    /// How a request ends whose retry got no grant; none if it needs no grant.
-    fn take_ungranted(&self, counts: &mut AttemptCounts) -> Option<Refusal> {
-        let refusal = counts.ungranted.take()?;
-        self.host.metrics.retry_asked(false);
-        Some(self.time_retry(refusal))
-    }
-
-    fn record_grant(&self, counts: &mut AttemptCounts) {
-        if counts.ungranted.take().is_some() {
-            self.host.metrics.retry_asked(true);
-            self.host.retry_budget.borrow_mut().record_grant(self.host.now_ms(), &self.service);
         }
     }
 
@@ -138,27 +122,18 @@
     async fn select_upstream(
         &self,
         begun_ms: Millis,
-        counts: &mut AttemptCounts,
+        counts: &AttemptCounts,
     ) -> Result<Option<Selected>, Refusal> {
         if let Some(local) = self.find_idle_local(begun_ms, counts).await {
             return Ok(Some(local));
         }
         match self.place(counts).await {
             PlacementResult::Placed(guard, placement) => {
-                self.record_grant(counts);
                 Ok(Some(self.selected_by_scheduler(guard, placement, begun_ms)))
             }
             PlacementResult::Refused(RefusalCause::NoRoom { retry_after_ms, ahead }) => {
                 Err(self.no_capacity_refusal(retry_after_ms, ahead, counts))
             }
-            PlacementResult::Refused(RefusalCause::NoRetryLeft { left }) => {
-                self.host.log.write(&LogEvent::RetryRefused { id: &self.id, left: Some(left) });
-                Err(self.no_upstream_refusal(counts))
-            }
-            _ if counts.ungranted.is_some() => {
-                self.host.log.write(&LogEvent::RetryRefused { id: &self.id, left: None });
-                Err(self.no_upstream_refusal(counts))
-            }
             PlacementResult::Refused(RefusalCause::NoUpstream) | PlacementResult::Unanswered => {
                 self.probe(begun_ms, counts).await
             }
@@ -223,7 +198,6 @@
         let (zone, tried) = (zone.clone(), counts.tried.clone());
         let upstreams = self.host.upstreams.borrow();
         let backing_off = upstreams.upstreams_in_backoff(now_ms, &self.service);
-        let needs_retry_grant = counts.ungranted.is_some();
         let route = self.route_key;
         let route_time = upstreams.route_time(&self.service, route);
         move |ticket, cell| Submission {
@@ -239,9 +213,6 @@
             tried,
             backing_off,
             lends_rate_share: false,
-            lent_requests: 0,
-            owed_retries: 0,
-            needs_retry_grant,
         }
     }
 
--- a/crates/gateway/tests/codec.rs
+++ b/crates/gateway/tests/codec.rs
@@ -60,9 +60,6 @@
         tried: Vec::new(),
         backing_off: Vec::new(),
         lends_rate_share: true,
-        lent_requests: 0,
-        owed_retries: 0,
-        needs_retry_grant: false,
     };
     let datagram = Datagram::Placement(PlacementMessage::Submit(submission));
     let bytes = encode(&datagram).unwrap();
--- a/crates/gateway/tests/datagram_bytes.rs
+++ b/crates/gateway/tests/datagram_bytes.rs
@@ -404,9 +404,6 @@
         tried: ids(&["i-1", "i-2"]),
         backing_off: ids(&["i-3"]),
         lends_rate_share,
-        lent_requests: 130,
-        owed_retries: 7,
-        needs_retry_grant: !lends_rate_share,
     })
 }
 
@@ -459,12 +456,12 @@
 #[case::submit(
     submission(None, true),
     "080100c0a8a50405706172747300086b617269616b6f6fecadfa92030130ac0202900303b0090203692d310369\
-     2d320103692d330182010700"
+     2d320103692d3301"
 )]
 #[case::submit_to_zone(
     submission(Some("baneshwor"), false),
     "080100c0a8a504057061727473010962616e657368776f72086b617269616b6f6fecadfa92030130ac02029003\
-     03b0090203692d3103692d320103692d330082010701"
+     03b0090203692d3103692d320103692d3300"
 )]
 #[case::queued(PlacementMessage::Queued { ticket: TICKET }, "080101c0a8a504")]
 #[case::placed(placed(Some(Millis(75))), "080102c0a8a50403692d310000a03f00002040014bac02")]
@@ -474,7 +471,6 @@
     "080103c0a8a504003cad02"
 )]
 #[case::no_upstream(refused(RefusalCause::NoUpstream), "080103c0a8a50401")]
-#[case::no_retry_left(refused(RefusalCause::NoRetryLeft { left: 12 }), "080103c0a8a504020c")]
 #[case::served(ended(served()), "080104c0a8a50400b4010105c801068c01010000000000001e4001d00f01")]
 #[case::error_answer(
     ended(failed(AttemptFailure::ErrorResponse)),
--- a/crates/gateway/tests/docs.rs
+++ b/crates/gateway/tests/docs.rs
@@ -20,8 +20,6 @@
     metrics.response_forwarded("r", 200, Duration::from_millis(3));
     metrics.request_refused("r", Cause::NoRoute);
     metrics.attempt_sent(true);
-    metrics.requests_lent(1);
-    metrics.retry_asked(true);
     metrics.probe_sent();
     metrics.connection_opened();
     metrics.peer_bytes_sent(3);
@@ -47,7 +45,7 @@
     let (page, text) = (page(), metrics.render());
     let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
     let names: Vec<&str> = types.filter_map(|line| line.split(' ').next()).collect();
-    assert_eq!(names.len(), 26, "{names:?}");
+    assert_eq!(names.len(), 24, "{names:?}");
     for name in names {
         assert!(page.contains(&format!("`{name}`")), "{name}");
     }
