--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,8 +4,9 @@
 //! generator. [`UpstreamSet`] holds the state of all upstreams; [`scheduler`] places the requests
 //! of many hosts from one queue; [`quarantine`] holds back requests that crash upstreams;
 //! [`backpressure`] tracks what upstreams state about their load; [`attempts`] has the rules of
-//! retrying; [`rejections`] when callers may retry what upstreams rejected; [`quota`] keeps organisations within their quotas;
-//! [`budget`] limits this host's part of what the fleet may spend on retries and probes.
+//! retrying; [`rejections`] when callers may retry what upstreams rejected; [`quota`] keeps
+//! organisations within their quotas; [`budget`] limits this host's part of what the fleet may spend
+//! on retries and probes.
 
 pub mod attempts;
 pub mod backpressure;
