Log: what a request without a placement was expected to take

Operators asked from a request's id why it was refused: the unplaced line now has the route's service time as the host knows it, and from how many responses.

--- a/crates/gateway/src/event_log/event.rs
+++ b/crates/gateway/src/event_log/event.rs
@@ -119,8 +119,16 @@
         is_other_zone: bool,
         warmth: Option<Warmth>,
     },
-    /// The scheduler found no upstream in time; `ahead` requests were queued before this one.
-    Unplaced { id: &'a str, ahead: usize, retry_after_ms: Millis },
+    /// The scheduler found no upstream in time; `ahead` requests were queued before this one. The
+    /// service time of its route as this host knows it, and the number of responses that it was
+    /// learned from, if the route isn't the only one of its service.
+    Unplaced {
+        id: &'a str,
+        ahead: usize,
+        retry_after_ms: Millis,
+        service_time_ms: Option<Millis>,
+        samples: Option<u32>,
+    },
     /// A scheduler did not reply in time. `is_passed_over` if it is temporarily excluded for that.
     SchedulerSilent { scheduler: &'a HostId, cell: &'a Cell, is_passed_over: bool },
     /// The best upstream of a round of probes was declined.
--- a/crates/gateway/src/serve/selection.rs
+++ b/crates/gateway/src/serve/selection.rs
@@ -239,7 +239,15 @@
         ahead: usize,
         counts: &AttemptCounts,
     ) -> Refusal {
-        self.host.log.write(&LogEvent::Unplaced { id: &self.id, ahead, retry_after_ms });
+        let upstreams = self.host.upstreams.borrow();
+        let route_time = upstreams.route_time(&self.service, self.route_key);
+        self.host.log.write(&LogEvent::Unplaced {
+            id: &self.id,
+            ahead,
+            retry_after_ms,
+            service_time_ms: upstreams.expected_ms(&self.service, self.route_key, 1.0),
+            samples: route_time.map(|time| time.samples),
+        });
         match counts.may_have_run() > 0 {
             true => Refusal::may_have_run(Cause::UpstreamFailed),
             false => Refusal::overloaded(retry_after_ms),
