--- /dev/null
+++ b/crates/gateway/src/connection/exchange.rs
@@ -0,0 +1,119 @@
+//! What is expected of an exchange, and what it brings.
+
+use super::ExchangeEnd;
+use crate::http1::{BodyReader, ResponseHead};
+use crate::response_memory::HeldBytes;
+use std::time::Duration;
+
+/// Why an exchange brought no complete response. The variants are logged under these names.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ExchangeError {
+    /// No byte of the request was sent.
+    NotSent,
+    /// The connection broke after a byte of the request was sent.
+    Broken,
+    /// A read timed out after a byte of the request was sent.
+    Silent,
+    /// The response violates the protocol, or is too large.
+    Garbled,
+    /// The response names no request, and might belong to an earlier one.
+    Unnamed,
+}
+
+/// A complete response.
+#[derive(Debug)]
+pub struct Response {
+    /// Status line and headers.
+    pub head: ResponseHead,
+    /// Body, without its framing.
+    pub body: Vec<u8>,
+}
+
+/// The result of an exchange whose response may be long.
+#[derive(Debug)]
+pub enum Received {
+    /// The complete response.
+    Whole(Response),
+    /// The head and the beginning of a long response.
+    Long(LongResponse),
+}
+
+/// A long response, whose body is still to be read.
+#[derive(Debug)]
+pub struct LongResponse {
+    /// Status line and headers.
+    pub head: ResponseHead,
+    pub(super) body: BodyReader,
+    /// The rest of the request, which some upstreams read while they respond.
+    pub(super) unsent: Vec<u8>,
+    pub(super) end: ExchangeEnd,
+}
+
+impl Received {
+    /// Status line and headers.
+    pub fn head(&self) -> &ResponseHead {
+        match self {
+            Received::Whole(response) => &response.head,
+            Received::Long(response) => &response.head,
+        }
+    }
+
+    /// Whether the body is longer than this.
+    pub fn is_longer(&self, bytes: usize) -> bool {
+        match self {
+            Received::Whole(response) => response.body.len() > bytes,
+            Received::Long(_) => true,
+        }
+    }
+}
+
+/// Which responses are passed on before they are complete.
+#[derive(Clone, Copy)]
+pub struct Streaming<'a> {
+    /// Longest body that is collected whole.
+    pub max_whole_bytes: usize,
+    /// Whether a response with this head may be passed on in pieces.
+    pub may_stream: &'a dyn Fn(&ResponseHead) -> bool,
+    /// Accounts for what is held of the response.
+    pub held: &'a HeldBytes,
+}
+
+/// What is expected of a response.
+#[derive(Debug, Clone, Copy)]
+pub struct Expected<'a> {
+    /// Whether the response may have a body.
+    pub has_body: bool,
+    /// How the response names its request; none if responses never do.
+    pub naming: Option<Naming<'a>>,
+    /// Read timeouts; none if something else limits the time of the exchange.
+    pub read_timeouts: Option<ReadTimeouts>,
+}
+
+/// How responses name their requests.
+#[derive(Debug, Clone, Copy)]
+pub struct Naming<'a> {
+    /// Header with the id of the request.
+    pub header: &'a str,
+    /// What was sent.
+    pub sent: Sent<'a>,
+    /// Header that only responses to probes have.
+    pub probe_header: &'a str,
+}
+
+/// What a response is expected to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Sent<'a> {
+    /// A probe, whose response names no request.
+    Probe,
+    /// A request with this id, which its caller may have left empty.
+    Request(&'a str),
+}
+
+/// Timeouts between bytes received, so that a long response over a slow link isn't cut off.
+#[derive(Debug, Clone, Copy)]
+pub struct ReadTimeouts {
+    /// Before the first byte of the response.
+    pub first_byte: Duration,
+    /// Between two bytes.
+    pub between_bytes: Duration,
+}
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -12,26 +12,24 @@
 
 mod caller;
 mod render;
+mod responding;
 mod streaming;
 
 pub use caller::Caller;
 
-use crate::event_log::{BreakCause, LogEvent, SessionEnd};
+use crate::event_log::{LogEvent, SessionEnd};
 use crate::host::{ACCEPT_PAUSE, Host, to_duration};
-use crate::http1::{BodyProgress, BodyReader, Framing, RequestError, RequestHead, read_request};
-use crate::response_memory::HeldBytes;
-use crate::serve::{Reply, Request, RequestProgress, ResponseStream, UpstreamResponse, serve};
+use crate::http1::{BodyProgress, BodyReader, RequestError, RequestHead, read_request};
+use crate::serve::{Reply, Request, RequestProgress, serve};
 use caller::linger;
 use clock::Moment;
 use dispatch::attempts::{Cause, Refusal};
 use domain::{ByteCount, Millis};
 use published::{CallerLimits, Idempotency};
-use render::{render, render_refusal, render_streamed_head};
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
-use streaming::{Transfer, framing_for};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
 
@@ -54,9 +52,6 @@
 /// connection and its memory with a byte now and then.
 const MIN_BODY_BYTES_PER_S: f64 = 1_024.0;
 
-/// Longest time to write a response to a caller.
-const WRITE_LIMIT: Duration = Duration::from_secs(5);
-
 /// A request whose response is still to be written.
 struct PendingRequest {
     request: Rc<Request>,
@@ -82,28 +77,6 @@
     }
 }
 
-impl PendingRequest {
-    /// Ends the rest of a response that was broken off. If the caller of a request that runs at most
-    /// once disconnected, the rest is read and dropped.
-    fn break_off(&self, cause: BreakCause, rest: Option<Box<ResponseStream>>, written_bytes: u64) {
-        let runs_on = self.progress.continues_without_caller.get();
-        match rest {
-            Some(rest) if cause == BreakCause::CallerGone && runs_on => {
-                tokio::task::spawn_local(rest.discard());
-            }
-            Some(rest) => rest.break_off(cause, written_bytes),
-            None => {}
-        }
-    }
-}
-
-/// Drops a response that was rendered, and accounts for its bytes.
-fn hold_rendered(reply: Reply, bytes: usize) -> Option<HeldBytes> {
-    let Reply::Response(UpstreamResponse { held, .. }) = reply else { return None };
-    held.set(bytes);
-    Some(held)
-}
-
 /// A request whose head was read, but not its whole body.
 struct PartialRequest {
     head: RequestHead,
@@ -428,62 +401,4 @@
         self.pending.push_back(PendingRequest { request, progress, task, idempotency });
         true
     }
-
-    /// Writes the response to the first pending request; returns how the connection ends, if it
-    /// does.
-    async fn write_response(&mut self, reply: Reply) -> Option<SessionEnd> {
-        let pending = self.pending.pop_front()?;
-        let should_close = self.pending.is_empty()
-            && self.refused.is_none()
-            && (self.is_last || self.host.is_stopping());
-        let reply = match reply {
-            Reply::Response(UpstreamResponse { head, body, held, rest: Some(rest) }) => {
-                let framing = framing_for(&pending.request.head, head.framing);
-                let should_close = should_close || framing == Framing::UntilClose;
-                let head = render_streamed_head(&head, framing, should_close);
-                let transfer = Transfer::new(&self.caller, (head, framing), body, rest, held);
-                let ended = transfer.run().await;
-                self.last_active = Moment::now();
-                return match ended {
-                    Ok(()) => should_close.then_some(SessionEnd::LastResponse),
-                    Err((cause, rest, written_bytes)) => {
-                        pending.break_off(cause, rest, written_bytes);
-                        Some(self.end_after_break(cause, framing))
-                    }
-                };
-            }
-            reply => reply,
-        };
-        let bytes = render(&self.host, &pending.request, &reply, should_close);
-        let _held = hold_rendered(reply, bytes.len());
-        let written = clock::timeout(WRITE_LIMIT, self.caller.write(&bytes)).await;
-        self.last_active = Moment::now();
-        match written {
-            Ok(Ok(())) => should_close.then_some(SessionEnd::LastResponse),
-            Ok(Err(_)) | Err(_) => Some(SessionEnd::Unwritable),
-        }
-    }
-
-    /// Returns how the connection ends after a response was broken off. One that ends with its
-    /// connection would look complete if the connection weren't reset.
-    fn end_after_break(&self, cause: BreakCause, framing: Framing) -> SessionEnd {
-        match (cause, framing) {
-            (BreakCause::CallerGone, _) => SessionEnd::CallerGone,
-            (_, Framing::Length(_) | Framing::Chunked) => SessionEnd::BrokenOff,
-            (_, Framing::UntilClose) => {
-                // If it fails, the socket is gone already.
-                let _ =
-                    socket2::SockRef::from(&self.caller.stream).set_linger(Some(Duration::ZERO));
-                SessionEnd::Reset
-            }
-        }
-    }
-
-    /// Writes the refusal of a malformed or slow request, which ends the connection.
-    async fn write_refusal(&self, refusal: Refusal) {
-        self.host.metrics.request_refused("", refusal.cause);
-        let bytes = render_refusal(&self.host, None, refusal, true);
-        // The connection ends here either way.
-        let _ = clock::timeout(WRITE_LIMIT, self.caller.write(&bytes)).await;
-    }
 }
