--- a/crates/dispatch/src/cost.rs
+++ b/crates/dispatch/src/cost.rs
@@ -44,9 +44,9 @@
     pub now_ms: Millis,
     /// Whether the request comes from another availability zone.
     pub is_other_zone: bool,
-    /// Service time of the service's mean request, in multiples of the route's: the requests that
-    /// it queues behind are of any route.
-    pub mean_by_route: f64,
+    /// Mean service time of the service in multiples of the route's: a request queues behind
+    /// requests of all routes.
+    pub mean_to_route_ratio: f64,
 }
 
 /// Estimates the cost of sending a request to an upstream now.
@@ -59,7 +59,7 @@
         Warmth::Cold | Warmth::Unknown => COLD_SLOWNESS,
     };
     let slowness = state.slowness(inputs.now_ms, inputs.load).max(MIN_SLOWNESS) * cold_factor;
-    let work = slowness * (1.0 / inputs.curve.speed(running) + wait * inputs.mean_by_route);
+    let work = slowness * (1.0 / inputs.curve.speed(running) + wait * inputs.mean_to_route_ratio);
     let occupancy_cost = slowness * OCCUPANCY_WEIGHT * (running / slots).min(1.0);
     let failure_factor = 1.0 + FAILURE_WEIGHT * state.failure_rate(inputs.now_ms);
     let zone_cost = if inputs.is_other_zone { OTHER_ZONE_COST } else { 0.0 };
--- a/crates/dispatch/src/rejections.rs
+++ b/crates/dispatch/src/rejections.rs
@@ -3,8 +3,8 @@
 //! Some upstreams reject requests for reasons other than load. Waiting gains nothing there, and a
 //! caller that waits as long as for a full upstream returns too late for its objective. So each
 //! host keeps, for each service, the rejections of the last second with the load that the rejecting
-//! upstreams reported. Only the time of the retry depends on them: whether a request is refused, and
-//! with which status, is decided elsewhere.
+//! upstreams reported. Only the time of the retry depends on them: whether a request is refused,
+//! and with which status, is decided elsewhere.
 
 use crate::LoadReport;
 use crate::attempts::{Cause, DEFAULT_RETRY_AFTER_MS, Refusal};
@@ -26,18 +26,18 @@
 /// trip anyway.
 const MIN_WAIT_WITH_ROOM_MS: Millis = Millis(5);
 
-/// Longest wait where upstreams have room, as a part of the time left after the expected service
-/// time: a caller that is rejected twice still has three quarters of it.
-const WAIT_PART_WITH_ROOM: u64 = 8;
+/// The longest wait where upstreams have room is the time left after the expected service time,
+/// divided by this: a caller that is rejected twice still has three quarters of that time.
+const MAX_WAIT_DIVISOR_WITH_ROOM: u64 = 8;
 
 /// Shortest wait where upstreams are full; less would bring no relief.
 const MIN_WAIT_IF_FULL_MS: Millis = Millis(30);
 
-/// Longest minimum wait where upstreams are full; load changes within a second.
+/// Upper bound of the shortest wait where upstreams are full; load changes within a second.
 const MAX_WAIT_IF_FULL_MS: Millis = Millis(1_000);
 
-/// Service time assumed before one is learned, as a part of the objective.
-const UNKNOWN_SERVICE_TIME_PART: u64 = 3;
+/// Before a service time is learned, what is left of the objective divided by this is assumed.
+const UNKNOWN_SERVICE_TIME_DIVISOR: u64 = 3;
 
 /// What recent rejections show about a service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize)]
@@ -81,26 +81,28 @@
     pub mean_time_ms: Option<Millis>,
 }
 
-/// Recent rejections, by service.
+/// RecentRejections rejections, by service.
 #[derive(Debug, Default)]
 pub struct Rejections {
-    services: FastMap<ServiceName, Recent>,
+    services: FastMap<ServiceName, RecentRejections>,
     /// When services without recent rejections were last dropped.
     pruned_ms: Millis,
 }
 
-/// Recent rejections of one service, the oldest first.
+/// RecentRejections rejections of one service, the oldest first.
 #[derive(Debug, Default)]
-struct Recent {
-    rejections: VecDeque<(Millis, Shown)>,
+struct RecentRejections {
+    rejections: VecDeque<(Millis, Evidence)>,
 }
 
 /// What one rejection shows.
 #[derive(Debug, Clone, Copy, PartialEq)]
-enum Shown {
+enum Evidence {
+    /// The upstream reported a free slot.
     Room,
     /// The upstream frees a slot after this many service times.
     Full(f64),
+    /// The upstream stated a rate limit or asked this host to back off.
     Limit,
 }
 
@@ -115,7 +117,7 @@
         if rejections.len() >= MAX_KEPT {
             rejections.pop_front();
         }
-        rejections.push_back((now_ms, Shown::by(upstream)));
+        rejections.push_back((now_ms, Evidence::of(upstream)));
     }
 
     /// Number of services with rejections that are kept.
@@ -123,11 +125,12 @@
         self.services.len()
     }
 
-    /// Adapts the time of the retry to recent rejections, and draws it at random.
+    /// Adapts the time after which the caller may retry to recent rejections, and draws it at
+    /// random.
     ///
-    /// An overloaded service is asked no sooner because some upstreams reject with room: the request
-    /// was refused since none was expected to respond in time.
-    pub fn time_retry(
+    /// An overloaded service is asked no sooner because some upstreams reject with room: the
+    /// request was refused since none was expected to respond in time.
+    pub fn adapt_retry_after(
         &self,
         now_ms: Millis,
         refusal: Refusal,
@@ -149,11 +152,12 @@
     }
 }
 
-impl Recent {
-    fn within_window(&self, now_ms: Millis) -> impl Iterator<Item = Shown> {
+impl RecentRejections {
+    /// What the rejections within the window show, the latest first.
+    fn within_window(&self, now_ms: Millis) -> impl Iterator<Item = Evidence> {
         let is_recent =
-            move |&&(at_ms, _): &&(Millis, Shown)| now_ms.since(at_ms) < REJECTION_WINDOW_MS;
-        self.rejections.iter().rev().take_while(is_recent).map(|&(_, shown)| shown)
+            move |&&(at_ms, _): &&(Millis, Evidence)| now_ms.since(at_ms) < REJECTION_WINDOW_MS;
+        self.rejections.iter().rev().take_while(is_recent).map(|&(_, evidence)| evidence)
     }
 
     /// What most of the rejections show; none if most upstreams are limited or nothing is known.
@@ -162,11 +166,11 @@
     /// too soon does more harm than a longer wait.
     fn state(&self, now_ms: Millis) -> Option<RejectionState> {
         let (mut room, mut full, mut limited) = (0, 0, 0);
-        for shown in self.within_window(now_ms) {
-            match shown {
-                Shown::Room => room += 1,
-                Shown::Full(_) => full += 1,
-                Shown::Limit => limited += 1,
+        for evidence in self.within_window(now_ms) {
+            match evidence {
+                Evidence::Room => room += 1,
+                Evidence::Full(_) => full += 1,
+                Evidence::Limit => limited += 1,
             }
         }
         match room > full {
@@ -176,7 +180,8 @@
         }
     }
 
-    /// The wait until the rejecting upstreams free a slot; none before a service time is learned.
+    /// Range of the wait, in milliseconds, until the rejecting upstreams free a slot on average;
+    /// none before a service time is learned.
     fn wait_if_full(
         &self,
         now_ms: Millis,
@@ -184,8 +189,8 @@
     ) -> Option<RangeInclusive<u64>> {
         let mean_time_ms = request.mean_time_ms?.as_f64();
         let (mut sum, mut count) = (0.0, 0.0);
-        for shown in self.within_window(now_ms) {
-            if let Shown::Full(service_times) = shown {
+        for evidence in self.within_window(now_ms) {
+            if let Evidence::Full(service_times) = evidence {
                 (sum, count) = (sum + service_times, count + 1.0);
             }
         }
@@ -194,34 +199,36 @@
     }
 }
 
-impl Shown {
-    fn by(upstream: RejectingUpstream) -> Shown {
-        let RejectingUpstream::Reported(report) = upstream else { return Shown::Limit };
+impl Evidence {
+    fn of(upstream: RejectingUpstream) -> Evidence {
+        let RejectingUpstream::Reported(report) = upstream else { return Evidence::Limit };
         let requests = report.running.saturating_add(report.waiting);
         match requests.checked_sub(report.slots.0) {
-            None => Shown::Room,
+            None => Evidence::Room,
             // The request that returns needs a slot as well.
             Some(queued) => {
                 let slots = f64::from(report.slots.0.max(1));
                 let slowness = report.slowness().max(MIN_SLOWNESS);
-                Shown::Full((f64::from(queued) + 1.0) / slots * slowness)
+                Evidence::Full((f64::from(queued) + 1.0) / slots * slowness)
             }
         }
     }
 }
 
-/// The wait where upstreams have room; none if the objective leaves no time for another attempt.
+/// Range of the wait, in milliseconds, where upstreams have room; none if the objective leaves no
+/// time for another attempt.
 fn wait_with_room(request: RefusedRequest<'_>) -> Option<RangeInclusive<u64>> {
     let left_ms = request.objective_left_ms;
-    let unknown_ms = Millis(left_ms.0 / UNKNOWN_SERVICE_TIME_PART);
+    let unknown_ms = Millis(left_ms.0 / UNKNOWN_SERVICE_TIME_DIVISOR);
     let spare_ms = left_ms.since(request.route_time_ms.unwrap_or(unknown_ms));
     let shortest_ms = MIN_WAIT_WITH_ROOM_MS;
     // Twice the shortest at least, so that callers rejected together don't return together.
-    let longest_ms = Millis(spare_ms.0 / WAIT_PART_WITH_ROOM).max(shortest_ms + shortest_ms);
+    let longest_ms = Millis(spare_ms.0 / MAX_WAIT_DIVISOR_WITH_ROOM).max(shortest_ms + shortest_ms);
     (spare_ms >= shortest_ms).then(|| shortest_ms.0..=longest_ms.min(spare_ms).0)
 }
 
-/// From a time to twice that time, as the host extends the times of other refusals.
+/// Range in milliseconds from a time to twice that time, as the host extends the times of other
+/// refusals.
 fn spread(shortest_ms: Millis) -> RangeInclusive<u64> {
     shortest_ms.0..=(shortest_ms + shortest_ms).0
 }
--- a/crates/dispatch/src/route_times.rs
+++ b/crates/dispatch/src/route_times.rs
@@ -51,13 +51,14 @@
 /// A moving average of service times at low concurrency and slowness 1.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Baseline {
+    /// None before the first sample.
     pub(crate) mean_ms: Option<f64>,
     pub(crate) samples: u32,
 }
 
 impl Baseline {
-    /// The first samples count equally, so that a single outlier at the start has no lasting
-    /// weight.
+    /// Adds a sample, which counts with `weight` (0 to 1). The first samples count equally, so that
+    /// a single outlier at the start has no lasting weight.
     pub(crate) fn record(&mut self, sample_ms: f64, weight: f64) {
         self.samples = self.samples.saturating_add(1);
         let weight = weight.max(1.0 / f64::from(self.samples));
@@ -66,7 +67,7 @@
     }
 }
 
-/// Learned service times by route.
+/// Learned service times of one service's routes.
 #[derive(Debug, Default)]
 pub(crate) struct RouteTimes {
     entries: FastMap<RouteKey, Entry>,
@@ -77,6 +78,7 @@
 #[derive(Debug, Default)]
 struct Entry {
     baseline: Baseline,
+    /// Value of [`RouteTimes::uses`] at its last use.
     last_use: u64,
 }
 
@@ -96,8 +98,8 @@
         }
     }
 
-    /// What is known of a route that differs from its service; `None` as long as the service is
-    /// known to have one route only.
+    /// What was learned of a route; `None` if nothing was, or if no other route of the service has an
+    /// entry.
     pub(crate) fn get(&self, route: RouteKey) -> Option<Baseline> {
         let entry = self.entries.get(&route).filter(|_| self.entries.len() > 1)?;
         Some(entry.baseline)
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -93,8 +93,16 @@
     is_primary: Option<bool>,
 }
 
-/// What is kept free by priority, as it was at the first request of that priority.
-type Reserves = FastMap<u32, Reserve>;
+/// What one pass over the queue has found so far.
+#[derive(Debug)]
+struct SchedulingPass {
+    /// Whether no slot is free for a first attempt.
+    is_full: bool,
+    /// From this priority on, only reserved slots are free.
+    reserved_from: u32,
+    /// What is kept free by priority, as it was at the first request of that priority.
+    reserves: FastMap<u32, Reserve>,
+}
 
 #[derive(Debug, Clone, Copy)]
 struct LastSent {
@@ -225,10 +233,11 @@
         }
         let lent = rates.lent_shares(now_ms, &self.cell, self.is_primary == Some(true));
         let forecast = Forecast::new(now_ms, &self.cell, upstreams, (&rates.budget, lent));
-        let mut is_full = false;
-        let mut reserves = Reserves::default();
-        // From this priority on, only reserved slots are free.
-        let mut reserved_from = u32::MAX;
+        let mut pass = SchedulingPass {
+            is_full: false,
+            reserved_from: u32::MAX,
+            reserves: FastMap::default(),
+        };
         let (mut ahead, mut work_ahead) = (0, Work::default());
         self.sort_waiting(now_ms, upstreams);
         for mut request in std::mem::take(&mut self.waiting) {
@@ -242,18 +251,7 @@
                 ahead,
                 work_ahead,
             };
-            let is_reserved = request.leaves_reserve() && request.priority >= reserved_from;
-            let mut options = match (is_full || is_reserved) && !request.is_retry() {
-                true => Vec::new(),
-                false => self.options(&request, inputs, rng),
-            };
-            is_full |= options.is_empty() && !is_reserved && !request.is_retry();
-            if !options.is_empty() && request.leaves_reserve() {
-                self.leave_reserve(&request, &mut options, &mut reserves, inputs);
-                if options.is_empty() {
-                    reserved_from = request.priority;
-                }
-            }
+            let options = self.options_beyond_reserve(&request, &mut pass, inputs, rng);
             match self.decide(&mut request, &options, inputs) {
                 Decision::Place(candidate) => {
                     rates.spend(now_ms, &candidate.upstream, lent, upstreams);
@@ -280,16 +278,39 @@
             effects.extend(request.queued_notice(now_ms));
             self.waiting.push(request);
         }
-        let reserved_slots = reserves.values().map(|reserve| reserve.slots).max().unwrap_or(0);
+        let reserved_slots = pass.reserves.values().map(|reserve| reserve.slots).max().unwrap_or(0);
         self.queue = QueueFigures { work_ms: Millis(work_ahead.0), reserved_slots };
     }
 
+    /// Where the request may be placed, without slots that are kept for more urgent requests.
+    fn options_beyond_reserve(
+        &self,
+        request: &QueuedRequest,
+        pass: &mut SchedulingPass,
+        inputs: DecisionInputs<'_>,
+        rng: &mut Pcg64Mcg,
+    ) -> Vec<PlacementOption> {
+        let is_reserved = request.leaves_reserve() && request.priority >= pass.reserved_from;
+        let mut options = match (pass.is_full || is_reserved) && !request.is_retry() {
+            true => Vec::new(),
+            false => self.options(request, inputs, rng),
+        };
+        pass.is_full |= options.is_empty() && !is_reserved && !request.is_retry();
+        if !options.is_empty() && request.leaves_reserve() {
+            self.leave_reserve(request, &mut options, &mut pass.reserves, inputs);
+            if options.is_empty() {
+                pass.reserved_from = request.priority;
+            }
+        }
+        options
+    }
+
     /// Takes the slots that are kept for more urgent requests out of the options.
     fn leave_reserve(
         &self,
         request: &QueuedRequest,
         options: &mut Vec<PlacementOption>,
-        reserves: &mut Reserves,
+        reserves: &mut FastMap<u32, Reserve>,
         inputs: DecisionInputs<'_>,
     ) {
         let DecisionInputs { now_ms, upstreams, forecast, .. } = inputs;
@@ -330,7 +351,7 @@
             }
             false => {}
         }
-        self.placed.add(now_ms, request, (&candidate, expected_ms), state);
+        self.placed.add(now_ms, request, &candidate, expected_ms, state);
         let last_sent = self.last_sent.entry(request.key.requester).or_default();
         last_sent
             .insert(candidate.upstream.clone(), LastSent { at_ms: now_ms, run: state.entry.run });
--- a/crates/dispatch/src/scheduler/decision.rs
+++ b/crates/dispatch/src/scheduler/decision.rs
@@ -56,7 +56,7 @@
     pub(super) lent: LentShares,
     /// Number of requests that wait before this one.
     pub(super) ahead: usize,
-    /// Their work.
+    /// Work of the requests that wait before this one.
     pub(super) work_ahead: Work,
 }
 
--- a/crates/dispatch/src/scheduler/forecast.rs
+++ b/crates/dispatch/src/scheduler/forecast.rs
@@ -32,7 +32,10 @@
 /// since it fails fast it looks idle, and would attract all waiting requests.
 const MAX_EXCESS_FAILURE_RATE: f64 = 0.4;
 
-/// Sum of the service times of requests in milliseconds.
+/// Sum of the service times of requests in milliseconds; their number before one is learned.
+///
+/// [`Candidate::work`](crate::cost::Candidate::work) is another measure: multiples of a service
+/// time.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub(super) struct Work(pub(super) u64);
 
@@ -82,7 +85,7 @@
         Forecast { upstreams: usable, throughput_per_ms, next_permit_in_ms, baseline_ms }
     }
 
-    /// The work of a waiting request. One unit per request before a mean service time is learned.
+    /// The work of a waiting request.
     pub(super) fn work(&self, request: &QueuedRequest) -> Work {
         let Some(baseline_ms) = self.baseline_ms else { return Work(1) };
         Work(request.service_time_ms.unwrap_or(baseline_ms).0.max(1))
--- a/crates/dispatch/src/scheduler/placed.rs
+++ b/crates/dispatch/src/scheduler/placed.rs
@@ -13,7 +13,7 @@
 /// How long after its caller's deadline a placed request without a reported end is dropped.
 const EXPIRE_AFTER_MS: Millis = Millis(100);
 
-/// Part of the expected duration by which the actual one mostly differs.
+/// Part of the expected duration by which most actual durations differ at most.
 const DURATION_SPREAD: f64 = 1.0 / 3.0;
 
 #[derive(Debug, Default)]
@@ -41,8 +41,8 @@
 }
 
 impl Placed {
-    /// Probability that it ends within this time, 0 to 1. One that takes far longer than expected is
-    /// stuck, and may never end.
+    /// Probability that it ends within this time, 0 to 1, if durations are distributed evenly
+    /// within [`DURATION_SPREAD`] of the expected one. One that takes longer may never end.
     pub(super) fn end_probability(&self, now_ms: Millis, span_ms: Millis) -> f64 {
         let Some(expected_ms) = self.expected_ms.map(Millis::as_f64) else { return 0.0 };
         let (shortest_ms, longest_ms) =
@@ -80,7 +80,8 @@
         &mut self,
         now_ms: Millis,
         request: &QueuedRequest,
-        (candidate, expected_ms): (&Candidate, Option<Millis>),
+        candidate: &Candidate,
+        expected_ms: Option<Millis>,
         state: &UpstreamState,
     ) {
         let at = (&candidate.upstream, state.entry.run);
--- a/crates/dispatch/src/scheduler/request.rs
+++ b/crates/dispatch/src/scheduler/request.rs
@@ -105,9 +105,9 @@
         }
     }
 
-    /// Sort key of the queue: urgent routes first unless a less urgent one is starved, then the
-    /// earliest objective. Among requests of
-    /// equal priority, those that can no longer meet their objective come last.
+    /// Sort key of the queue: starved priorities first, then the most urgent one, then the earliest
+    /// objective. Among requests of equal priority, those that can no longer meet their objective
+    /// come last.
     pub(super) fn queue_order(&self) -> (bool, u32, bool, Millis) {
         (!self.is_starved, self.priority, self.is_late, self.due_ms)
     }
@@ -141,7 +141,7 @@
         !self.tried.is_empty()
     }
 
-    /// Whether it leaves the slots free that are kept for more urgent requests.
+    /// Whether it must not take slots that are kept for more urgent requests.
     pub(super) fn leaves_reserve(&self) -> bool {
         !self.is_retry() && !self.is_starved
     }
--- a/crates/dispatch/src/scheduler/reserve.rs
+++ b/crates/dispatch/src/scheduler/reserve.rs
@@ -1,13 +1,14 @@
 //! Slots that less urgent requests leave free for more urgent ones.
 //!
-//! A slot that a long request takes is lost for longer than an urgent short one can wait. So as many
-//! slots are kept free as the urgent arrivals of the last second need within their slack, less those
-//! that become free by themselves within that slack, and a margin as both vary. With many slots
-//! nothing is kept, as enough of them become free. Slots that no urgent request could use aren't
-//! kept either, and at most [`MAX_RESERVED_SHARE`] of those that they can use.
+//! A slot that a long request takes is lost for longer than an urgent short one can wait. So as
+//! many slots are kept free as the urgent arrivals of the last second need within their slack, less
+//! those that become free by themselves within that slack, and a margin as both vary. With many
+//! slots nothing is kept, as enough of them become free. Slots that no urgent request could use
+//! aren't kept either, and at most [`MAX_RESERVED_SHARE`] of those that they can use.
 //!
-//! The mean rate of the last second decides, which is too little for urgent bursts: if less urgent
-//! requests were served more often than urgent ones, the most arrivals within one slack do.
+//! The mean rate of the last second decides. It underestimates bursts of urgent requests, so if
+//! less urgent requests were served more often than urgent ones, the most arrivals within one slack
+//! decide.
 
 use super::Scheduler;
 use super::forecast::Forecast;
@@ -43,7 +44,7 @@
 #[derive(Debug, Default)]
 struct RouteArrivals {
     at_ms: VecDeque<Millis>,
-    /// That of the last arrival.
+    /// Objective of the last arrival.
     objective_ms: Millis,
 }
 
@@ -63,6 +64,7 @@
     objective_ms: Millis,
     /// Time that such a request can wait.
     slack_ms: Millis,
+    /// Number of slots that such requests need.
     slots: f64,
 }
 
@@ -82,6 +84,7 @@
         }
     }
 
+    /// Drops arrivals that no longer count.
     pub(super) fn expire(&mut self, now_ms: Millis) {
         self.routes.retain(|_, route| {
             let is_recent = |at_ms: &Millis| now_ms.since(*at_ms) < WINDOW_MS;
@@ -91,12 +94,14 @@
         });
     }
 
-    /// What the routes that are more urgent than this priority need, the least slack first: at the
-    /// mean rate of arrivals, or if all come at once that came within one slack.
+    /// What the routes that are more urgent than this priority need, the least slack first: slots
+    /// for the mean rate of arrivals, or with `is_peak` for the most arrivals within one slack at
+    /// once.
     fn needs(
         &self,
         now_ms: Millis,
-        (priority, is_peak): (u32, bool),
+        priority: u32,
+        is_peak: bool,
         expected_ms: impl Fn(RouteKey) -> Option<Millis>,
     ) -> Vec<Need> {
         let need = |(&(_, route), arrivals): (&(u32, RouteKey), &RouteArrivals)| {
@@ -118,6 +123,7 @@
 }
 
 impl RouteArrivals {
+    /// Number of arrivals of the last second.
     fn count(&self, now_ms: Millis) -> usize {
         self.recent(now_ms).count()
     }
@@ -157,7 +163,7 @@
     ) -> Reserve {
         let expected_ms = |route| upstreams.expected_ms(&self.cell.service, route, 1.0);
         let is_peak = self.shares.exceeds_more_urgent(now_ms, priority);
-        let needs = self.arrivals.needs(now_ms, (priority, is_peak), expected_ms);
+        let needs = self.arrivals.needs(now_ms, priority, is_peak, expected_ms);
         if needs.is_empty() {
             return Reserve::default();
         }
@@ -169,11 +175,11 @@
         let best = |id| upstreams.curve(id).map_or(0, |curve| curve.best_concurrency());
         let slots: u32 = usable.iter().map(best).sum();
         let most = f64::from(slots) * MAX_RESERVED_SHARE;
-        let slots = self.slots_short(now_ms, &needs, &usable).ceil().min(most.floor());
+        let slots = self.missing_slots(now_ms, &needs, &usable).ceil().min(most.floor());
         Reserve { slots: slots as u32, usable }
     }
 
-    /// Number of slots that are free for requests that need them, on the upstreams of a reserve.
+    /// Number of free slots on the upstreams of a reserve.
     pub(super) fn free_slots(
         &self,
         now_ms: Millis,
@@ -212,7 +218,7 @@
 
     /// The most slots that are needed within one of the slacks beyond those that become free, and a
     /// margin as both vary.
-    fn slots_short(&self, now_ms: Millis, needs: &[Need], usable: &FastSet<UpstreamId>) -> f64 {
+    fn missing_slots(&self, now_ms: Millis, needs: &[Need], usable: &FastSet<UpstreamId>) -> f64 {
         // Mean and variance of the number of slots that become free.
         let released = |slack_ms: Millis| {
             let at_usable = self.placed.iter().filter(|placed| usable.contains(&placed.upstream));
--- a/crates/dispatch/src/scheduler/served_shares.rs
+++ b/crates/dispatch/src/scheduler/served_shares.rs
@@ -1,15 +1,15 @@
 //! Which part of the requests of each priority is placed.
 //!
-//! Order and reserve follow from what is expected; this is what came of it, and corrects both: no
-//! priority is served more often than a more urgent one of its cell, and none less often than
-//! [`MIN_SHARE`] of what a more urgent one gets.
+//! The order of the queue and the reserve follow from expectations. The shares that were actually
+//! placed correct both: no priority should be served more often than a more urgent one of its cell,
+//! and none less often than [`MIN_SHARE`] of what a more urgent one gets.
 
 use super::request::QueuedRequest;
 use crate::decaying_sum::DecayingSum;
 use domain::{FastMap, Millis};
 
-/// Time in which earlier requests decay to 1/e; over several bursts, as a reserve that comes and goes
-/// within one serves neither priority.
+/// Time in which earlier requests decay to 1/e. It covers several bursts, as a reserve that comes
+/// and goes within one burst serves neither priority.
 const DECAY_MS: f64 = 5_000.0;
 
 /// Part of the requests of a priority that is placed at least, in relation to more urgent ones.
@@ -26,6 +26,7 @@
 
 #[derive(Debug)]
 struct Served {
+    /// Placed or refused.
     all: DecayingSum,
     placed: DecayingSum,
 }
@@ -62,18 +63,20 @@
     /// Whether a priority is served so much less often than a more urgent one that its requests go
     /// first.
     pub(super) fn is_starved(&self, now_ms: Millis, priority: u32) -> bool {
-        // Of fewer requests, a single one would be more than that share.
+        // A single one of fewer requests would exceed that share.
         let all = self.priorities.get(&priority).map_or(0.0, |served| served.all.at(now_ms));
         all >= 1.0 / MIN_SHARE
             && self.compare(now_ms, priority, |share, urgent| share < MIN_SHARE * urgent)
     }
 
+    /// Whether `holds` is true of the share of a priority and that of any more urgent one.
     fn compare(&self, now_ms: Millis, priority: u32, holds: impl Fn(f64, f64) -> bool) -> bool {
         let Some(share) = self.share(now_ms, priority) else { return false };
         let urgent = self.priorities.keys().filter(|other| **other < priority);
         urgent.filter_map(|other| self.share(now_ms, *other)).any(|urgent| holds(share, urgent))
     }
 
+    /// Part of a priority's requests that is placed, 0 to 1; none if too few are known.
     fn share(&self, now_ms: Millis, priority: u32) -> Option<f64> {
         let served = self.priorities.get(&priority)?;
         let all = served.all.at(now_ms);
--- a/crates/dispatch/src/service.rs
+++ b/crates/dispatch/src/service.rs
@@ -113,8 +113,8 @@
     /// The baseline is learned from requests that started at low concurrency, and the curve from
     /// all others: learned from the same responses, each would compensate for errors of the other.
     ///
-    /// The curve is learned by comparison with the route's own baseline: by the service's, requests
-    /// of a route that takes longer would seem to be slowed down by others.
+    /// The curve is learned by comparison with the route's own baseline. Compared with the
+    /// service's, requests of a longer route would seem to be slowed down by other requests.
     pub(crate) fn record_service_time(&mut self, slots: Slots, sample: &ServiceTimeSample) {
         let reference = self.routes.get(sample.route).unwrap_or(self.baseline);
         let Some(curve) = self.curves.iter_mut().find(|curve| curve.slots() == slots) else {
@@ -139,13 +139,13 @@
         self.baseline_ms(route).map(|baseline_ms| Millis((baseline_ms * work * overrun) as u64))
     }
 
-    /// Mean service time of its routes, as they are requested.
+    /// Mean service time of its requests, of all routes.
     pub(crate) fn mean_ms(&self) -> Option<Millis> {
         self.baseline.mean_ms.map(|mean_ms| Millis(mean_ms as u64))
     }
 
-    /// Service time of the mean request, in multiples of a route's.
-    pub(crate) fn mean_by_route(&self, route: RouteKey) -> f64 {
+    /// Mean service time of the service in multiples of a route's; 1 before anything was learned.
+    pub(crate) fn mean_to_route_ratio(&self, route: RouteKey) -> f64 {
         match (self.baseline.mean_ms, self.baseline_ms(route)) {
             (Some(mean_ms), Some(route_ms)) if route_ms > 0.0 => mean_ms / route_ms,
             _ => 1.0,
@@ -169,6 +169,7 @@
         self.routes.retain(is_known);
     }
 
+    /// Service time of a route at low concurrency and slowness 1.
     fn baseline_ms(&self, route: RouteKey) -> Option<f64> {
         self.routes.expected_ms(route, self.baseline.mean_ms)
     }
--- a/crates/dispatch/src/upstream_set.rs
+++ b/crates/dispatch/src/upstream_set.rs
@@ -218,8 +218,8 @@
         self.estimate_cost_from(now_ms, id, &self.zone, Some(route))
     }
 
-    /// The estimated cost of a request of a host in availability zone `zone` at an upstream. Without
-    /// a route, it is that of the service's mean request.
+    /// The estimated cost of a request of a host in availability zone `zone` at an upstream.
+    /// Without a route, it is that of the service's mean request.
     pub fn estimate_cost_from(
         &self,
         now_ms: Millis,
@@ -231,8 +231,8 @@
         let service = self.services.get(&state.entry.service)?;
         let is_other_zone = state.entry.availability_zone != *zone;
         let (load, curve) = (service.load, service.curve(state.entry.slots)?);
-        let mean_by_route = route.map_or(1.0, |route| service.mean_by_route(route));
-        let inputs = CostInputs { load, curve, now_ms, is_other_zone, mean_by_route };
+        let mean_to_route_ratio = route.map_or(1.0, |route| service.mean_to_route_ratio(route));
+        let inputs = CostInputs { load, curve, now_ms, is_other_zone, mean_to_route_ratio };
         Some(estimate_cost(state, inputs))
     }
 
--- a/crates/dispatch/tests/admission.rs
+++ b/crates/dispatch/tests/admission.rs
@@ -13,16 +13,16 @@
 use support::queue_simulation::{Conditions, Route, run};
 use support::{SLOTS, entry, id, report, set, submission};
 
-/// Share of a route's requests that is in time where there is room for them: the objective is for all
-/// of them, less those that arrive while others that vary by a third hold the slots.
+/// Least share of a route's requests that is in time where there is room for them. Not all are,
+/// since some arrive while requests that take up to a third longer than expected hold the slots.
 const IN_TIME: f64 = 0.95;
 
 fn route(priority: u32, service_time_ms: u64, objective_ms: u64, per_second: f64) -> Route {
     Route { priority, service_time_ms, objective_ms, per_second, burst: 0 }
 }
 
-/// An urgent short and a less urgent long route on 24 slots; `load` is the work of both in relation
-/// to what these slots complete.
+/// An urgent short and a less urgent long route; `load` is the work of both in relation to what 24
+/// slots complete, as many as [`Conditions::default`] has.
 fn routes(urgent_share: f64, load: f64) -> [Route; 2] {
     let mean_ms = urgent_share * 48.0 + (1.0 - urgent_share) * 150.0;
     let per_second = load * 24_000.0 / mean_ms;
@@ -75,7 +75,7 @@
 }
 
 /// Guards against long requests that hold all slots for longer than an urgent one can wait. Nine in
-/// ten: a slot that is kept is taken while an urgent request runs.
+/// ten urgent requests have to be in time: the kept slot is taken while another one runs.
 #[rstest]
 fn a_slot_is_free_for_an_urgent_request_beside_long_ones(#[values(5.0, 20.0)] per_second: f64) {
     let conditions = Conditions { upstreams: 6, ..Conditions::default() };
@@ -85,8 +85,8 @@
     assert!(urgent >= 0.9, "{urgent}");
 }
 
-/// Guards against slots that are kept free for nobody: without urgent arrivals, on a service with one
-/// priority, or where upstreams are too slow for the urgent objective.
+/// Guards against slots that are kept free for nobody: without urgent arrivals, on a service with
+/// one priority, or where upstreams are too slow for the urgent objective.
 #[rstest]
 #[case::no_urgent_arrivals(Conditions::default(), 0.0, 1)]
 #[case::one_priority(Conditions::default(), 20.0, 0)]
@@ -101,9 +101,9 @@
     assert_eq!(figures[0].reserved_ms, 0, "{figures:?}");
 }
 
-/// Guards against a reserve where enough slots become free by themselves: 134 that are held for 150 ms
-/// each release some fifty within the slack of an urgent request. One in a hundred milliseconds is left
-/// to chance.
+/// Guards against a reserve where enough slots become free by themselves: of 134 that are held for
+/// 150 ms each, some fifty become free within the slack of an urgent request. The bound allows a
+/// reserve in one of a hundred milliseconds, as arrivals are random.
 #[rstest]
 fn with_many_slots_hardly_anything_is_kept(#[values(0.1, 0.3)] urgent_share: f64) {
     let conditions = Conditions { upstreams: 67, ..Conditions::default() };
@@ -112,8 +112,8 @@
 }
 
 /// Guards against bursts of urgent requests for which no slot is free. The burst takes half of the
-/// slots, which is what may be kept; the reserve rises after an urgent route was served less often, hence
-/// the tolerance.
+/// slots, which is what may be kept. The tolerance is needed since the reserve rises only after an
+/// urgent route was served less often.
 #[rstest]
 fn an_urgent_burst_is_not_served_less_often(#[values(0.5, 0.9, 1.5)] load: f64) {
     let [urgent, long] = routes(0.01, load);
@@ -149,8 +149,8 @@
     assert!(short >= IN_TIME, "{short}");
 }
 
-/// Guards against an order by which fewer requests are in time than by the shortest first, for
-/// which distinct priorities stand here.
+/// Guards against an order of the queue in which fewer requests are in time than with the shortest
+/// first. Distinct priorities give that order here.
 #[rstest]
 fn the_earliest_objective_first_serves_as_many_as_the_shortest_first(
     #[values(0.3, 0.6)] short_share: f64,
--- a/crates/dispatch/tests/choice.rs
+++ b/crates/dispatch/tests/choice.rs
@@ -38,7 +38,8 @@
 
 fn estimate_cost(state: &UpstreamState, load: ServiceLoad, is_other_zone: bool) -> Candidate {
     let curve = SpeedCurve::new(Slots(support::SLOTS));
-    let inputs = CostInputs { load, curve: &curve, now_ms: NOW, is_other_zone, mean_by_route: 1.0 };
+    let inputs =
+        CostInputs { load, curve: &curve, now_ms: NOW, is_other_zone, mean_to_route_ratio: 1.0 };
     dispatch::estimate_cost(state, inputs)
 }
 
--- a/crates/dispatch/tests/rejections.rs
+++ b/crates/dispatch/tests/rejections.rs
@@ -51,7 +51,7 @@
         route_time_ms: Some(Millis(60)),
         mean_time_ms: Some(Millis(60)),
     };
-    rejections.time_retry(now_ms, refusal, request, &mut Pcg64Mcg::seed_from_u64(seed))
+    rejections.adapt_retry_after(now_ms, refusal, request, &mut Pcg64Mcg::seed_from_u64(seed))
 }
 
 /// The waits of callers whose requests are refused at the same moment.
--- a/crates/dispatch/tests/route_times.rs
+++ b/crates/dispatch/tests/route_times.rs
@@ -85,7 +85,8 @@
     assert!(expected_ms(&upstreams, SHORT) < 250.0);
 }
 
-/// Guards against another estimate than the service's where there is nothing to tell apart.
+/// Guards against an estimate that differs from the service's mean although the service has one
+/// route.
 #[test]
 fn a_single_route_takes_the_mean_of_its_service() {
     let (mut upstreams, mut rng) = (one_upstream(), Pcg64Mcg::seed_from_u64(1));
@@ -149,11 +150,11 @@
     let message = PlacementMessage::Submit(submission);
     schedulers.handle_message(Millis(1_000), message, Requester::OwnHost, &mut upstreams, &mut rng);
     let expected = expected_ms(&upstreams, SHORT);
-    // Ten samples' worth of the service's mean are part of the estimate.
+    // The service's mean counts as ten samples of the estimate.
     assert!((expected - wanted_ms).abs() < 125.0, "{expected}");
 }
 
-/// Guards against learning that upstreams slow down from requests that take longer by themselves.
+/// Guards against a speed curve that takes the longer service time of a route for a slow-down.
 #[test]
 fn a_longer_route_does_not_teach_a_slow_down() {
     let (mut upstreams, mut rng) = (one_upstream(), Pcg64Mcg::seed_from_u64(1));
@@ -172,8 +173,8 @@
     assert!(curve.speed(f64::from(SLOTS)) > 0.85, "{curve:?}");
 }
 
-/// Guards against refusing an urgent short request that nobody is ahead of: half a slot's wait
-/// after long requests fits its objective.
+/// Guards against refusing an urgent short request that nobody is ahead of: a slot that a long
+/// request holds becomes free in time for its objective.
 #[test]
 fn a_short_request_waits_for_a_slot_of_a_long_one() {
     let mut upstreams = one_upstream();
--- a/crates/dispatch/tests/support/queue_simulation.rs
+++ b/crates/dispatch/tests/support/queue_simulation.rs
@@ -1,4 +1,4 @@
-//! Virtual-time simulation of schedulers, upstreams and two routes of one service.
+//! Virtual-time simulation of schedulers, upstreams and the routes of one service.
 
 use super::{entry, id, set, submission};
 use dispatch::backpressure::Backpressure;
@@ -28,7 +28,7 @@
 pub struct Figures {
     pub arrived: u32,
     pub in_time: u32,
-    /// For how long slots were kept free, of all routes.
+    /// For how long any scheduler kept slots free; the same for all routes.
     pub reserved_ms: u32,
 }
 
@@ -44,11 +44,12 @@
 pub struct Conditions {
     pub upstreams: usize,
     pub slots: u32,
-    /// Every third upstream takes this multiple of the time.
+    /// Every third upstream takes this multiple of the routes' service times.
     pub slowness: f64,
     pub schedulers: usize,
-    /// Half of the upstreams are gone, and the first scheduler's state is lost, at half time.
+    /// Whether half of the upstreams are gone at half time.
     pub loses_upstreams: bool,
+    /// Whether the first scheduler's state is lost at half time.
     pub loses_scheduler: bool,
 }
 
@@ -65,7 +66,16 @@
     }
 }
 
+/// Time at which a run starts.
+const START_MS: u64 = 10_000;
+
+/// Duration of a run.
 const SPAN_MS: u64 = 10_000;
+
+/// Requests that arrive later aren't counted, as they may not end within the run.
+const COUNTED_UNTIL_MS: u64 = START_MS + SPAN_MS - 1_000;
+
+/// Time from a probe to its response.
 const PROBE_MS: u64 = 1;
 
 /// A request that runs or waits at an upstream.
@@ -74,6 +84,7 @@
     request: usize,
     scheduler: usize,
     started_ms: u64,
+    /// Service time that is left.
     left_ms: f64,
 }
 
@@ -83,8 +94,9 @@
     schedulers: Vec<(SchedulerSet, UpstreamSet)>,
     /// Requests at each upstream in order of arrival.
     running: FastMap<UpstreamId, Vec<Sent>>,
+    /// Time of the response in milliseconds, scheduler and upstream of each open probe.
     probes: Vec<(u64, usize, UpstreamId)>,
-    /// Route and arrival of each request.
+    /// Route and arrival in milliseconds of each request.
     requests: Vec<(usize, u64)>,
     rng: Pcg64Mcg,
     now_ms: u64,
@@ -107,7 +119,7 @@
         figures: vec![Figures::default(); routes.len()],
     };
     for now_ms in 0..SPAN_MS {
-        simulation.now_ms = 10_000 + now_ms;
+        simulation.now_ms = START_MS + now_ms;
         if now_ms == SPAN_MS / 2 {
             simulation.inject_fault();
         }
@@ -185,8 +197,7 @@
         let Route { priority, objective_ms, .. } = self.routes[route];
         let request = self.requests.len();
         self.requests.push((route, self.now_ms));
-        // What arrives at the end has no time to end.
-        if self.now_ms < 9_000 + SPAN_MS {
+        if self.now_ms < COUNTED_UNTIL_MS {
             self.figures[route].arrived += 1;
         }
         let message = PlacementMessage::Submit(Submission {
@@ -240,7 +251,7 @@
         for (upstream, Sent { request, scheduler, started_ms, .. }) in ended {
             let (route, arrived_ms) = self.requests[request];
             let in_time = self.now_ms - arrived_ms <= self.routes[route].objective_ms;
-            let counts = arrived_ms < 9_000 + SPAN_MS;
+            let counts = arrived_ms < COUNTED_UNTIL_MS;
             self.figures[route].in_time += u32::from(in_time && counts);
             let outcome = Outcome {
                 failure: None,
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -1,11 +1,13 @@
 //! A connection to an upstream, or to any other server.
 //!
 //! A connection serves one exchange at a time. A failed exchange tells whether any byte of the
-//! request was sent: only if none was, or if the upstream says so, did the request certainly not run.
+//! request was sent: only if none was, or if the upstream says so, did the request certainly not
+//! run.
 //!
-//! A response on a kept connection may belong to an earlier request: upstreams repeat responses, and
-//! send late ones. So nothing is sent on a connection with unread bytes; a response that names another
-//! request is skipped; and one that names none is taken only where no earlier request was answered.
+//! A response on a kept connection may belong to an earlier request: upstreams repeat responses,
+//! and send late ones. So nothing is sent on a connection with unread bytes; a response that names
+//! another request is skipped; and one that names none is taken only where no earlier request was
+//! answered.
 
 mod exchange;
 mod long_body;
@@ -96,8 +98,8 @@
         self.run
     }
 
-    /// Whether another exchange may begin: the connection is reusable, hasn't been idle for too long,
-    /// and is neither closed nor has unread bytes.
+    /// Whether another exchange may begin: the connection is reusable, hasn't been idle for too
+    /// long, and is neither closed nor has unread bytes.
     pub fn is_fresh(&mut self) -> bool {
         if !self.is_unexpired() || !self.buffer.is_empty() {
             return false;
@@ -116,8 +118,8 @@
         self.last_used.elapsed()
     }
 
-    /// Whether its last response was an error: the upstream may be about to close it, or may not have
-    /// read the whole request. A probe shows whether it is usable.
+    /// Whether its last response was an error: the upstream may be about to close it, or may not
+    /// have read the whole request. A probe shows whether it is usable.
     pub fn is_doubtful(&self) -> bool {
         self.is_doubtful
     }
@@ -136,13 +138,13 @@
     ) -> Result<Response, ExchangeError> {
         match self.receive(request, expected, None).await? {
             Received::Whole(response) => Ok(response),
-            // Unreachable: nothing is streamed.
+            // Not reached: without `streaming`, every response is collected whole.
             Received::Long(_) => Err(ExchangeError::Garbled),
         }
     }
 
-    /// The same, but returns as soon as the response proves to be one that is streamed. Its rest is
-    /// read by [`LongBody`].
+    /// Like [`Connection::exchange`], but returns a long response as soon as `streaming` allows to
+    /// pass it on in pieces. The rest of its body is read by [`LongBody`].
     pub async fn exchange_streaming(
         &mut self,
         request: &[u8],
@@ -152,6 +154,8 @@
         self.receive(request, expected, Some(streaming)).await
     }
 
+    /// Sends a request and reads its response, up to the head of a long one if `streaming` is
+    /// given.
     async fn receive(
         &mut self,
         request: &[u8],
@@ -219,8 +223,8 @@
         }
     }
 
-    /// Whether nothing has arrived, not even the end of the connection, since the last response. Asks
-    /// the kernel: the runtime learns of it only when it next waits for events.
+    /// Whether nothing has arrived, not even the end of the connection, since the last response.
+    /// Asks the kernel: the runtime learns of it only when it next waits for events.
     fn is_silent(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
         let peeked = socket2::SockRef::from(&self.stream).peek(&mut byte);
@@ -252,9 +256,10 @@
         }
     }
 
-    /// Prepares the connection for its next exchange. It isn't reused if the response came before the
-    /// whole request was sent: the upstream might take the next request for the rest of this one. Nor
-    /// after a response that doesn't name its request: the next one could not be told from a copy.
+    /// Prepares the connection for its next exchange. It isn't reused if the response came before
+    /// the whole request was sent: the upstream might take the next request for the rest of this
+    /// one. Nor after a response that doesn't name its request: the next one could not be told from
+    /// a copy.
     fn finish(&mut self, end: ExchangeEnd, is_all_sent: bool) {
         self.last_used = Moment::now();
         self.idle_limit = end.idle_limit;
@@ -267,9 +272,13 @@
 /// What the head of a response says about the next exchange on its connection.
 #[derive(Debug, Clone, Copy)]
 struct ExchangeEnd {
+    /// How long the connection may be idle.
     idle_limit: Duration,
+    /// What was answered on the connection, including this response.
     answered: Answered,
+    /// Whether nothing in the head prevents another exchange.
     may_reuse: bool,
+    /// Whether the status is an error.
     is_doubtful: bool,
 }
 
--- a/crates/gateway/src/connection/exchange.rs
+++ b/crates/gateway/src/connection/exchange.rs
@@ -1,4 +1,4 @@
-//! What is expected of an exchange, and what it brings.
+//! Types for what an exchange is expected to return, and what it returns.
 
 use super::ExchangeEnd;
 use crate::http1::{BodyReader, ResponseHead};
@@ -43,9 +43,11 @@
 pub struct LongResponse {
     /// Status line and headers.
     pub head: ResponseHead,
+    /// What was read of the body so far.
     pub(super) body: BodyReader,
     /// The rest of the request, which some upstreams read while they respond.
     pub(super) unsent: Vec<u8>,
+    /// What the head says about the next exchange on the connection.
     pub(super) end: ExchangeEnd,
 }
 
@@ -58,7 +60,8 @@
         }
     }
 
-    /// Whether the body is longer than this.
+    /// Whether the body is longer than `bytes`, which must not exceed
+    /// [`Streaming::max_whole_bytes`].
     pub fn is_longer(&self, bytes: usize) -> bool {
         match self {
             Received::Whole(response) => response.body.len() > bytes,
--- a/crates/gateway/src/connection/long_body.rs
+++ b/crates/gateway/src/connection/long_body.rs
@@ -1,4 +1,4 @@
-//! The body of a long response, read as fast as it is passed on.
+//! Reads the body of a long response in pieces, whenever its reader asks for the next one.
 
 use super::{Connection, ExchangeEnd, LongResponse, READ_BYTES};
 use crate::http1::{BodyProgress, BodyReader, Framing};
@@ -10,6 +10,7 @@
 pub struct LongBody {
     connection: Connection,
     reader: BodyReader,
+    /// The rest of the request.
     unsent: Vec<u8>,
     end: ExchangeEnd,
 }
@@ -28,21 +29,22 @@
 }
 
 impl LongBody {
-    /// The body of a response that arrives on this connection, and the first bytes of it.
+    /// Most bytes by which [`LongBody::read`] grows what is held.
+    pub const READ_BYTES: usize = READ_BYTES;
+
+    /// Returns the body of a response that arrives on this connection, and the bytes of it that
+    /// were read so far.
     pub fn new(connection: Connection, response: LongResponse) -> (LongBody, Vec<u8>) {
         let LongResponse { mut body, unsent, end, .. } = response;
         let first = body.take();
         (LongBody { connection, reader: body, unsent, end }, first)
     }
 
-    /// Number of bytes that were received and not yet returned.
+    /// Bytes in memory: received and not yet returned, and of the request not yet sent.
     pub fn held_bytes(&self) -> usize {
         self.connection.buffer.len() + self.unsent.len()
     }
 
-    /// Most bytes by which [`LongBody::read`] grows what is held.
-    pub const READ_BYTES: usize = READ_BYTES;
-
     /// Returns once there may be something to read.
     pub async fn ready(&self) {
         let interest = match self.unsent.is_empty() {
@@ -78,6 +80,8 @@
         self.connection
     }
 
+    /// Sends what is left of the request, as far as possible without waiting. False if the
+    /// connection broke.
     fn send_rest(&mut self) -> bool {
         while !self.unsent.is_empty() {
             match self.connection.stream.try_write(&self.unsent) {
--- a/crates/gateway/src/connection/response_reader.rs
+++ b/crates/gateway/src/connection/response_reader.rs
@@ -14,6 +14,7 @@
     expected: Expected<'a>,
     /// What was answered on the connection before.
     answered: Answered,
+    /// None if all responses are collected whole.
     streaming: Option<Streaming<'a>>,
     head: Option<ResponseHead>,
     body: Option<BodyReader>,
@@ -75,7 +76,7 @@
         is_long.then(|| self.head.take().zip(self.body.take()))?
     }
 
-    /// Bytes of the body that were read.
+    /// Number of bytes that were read of the body.
     pub(super) fn held_bytes(&self) -> usize {
         self.body.as_ref().map_or(0, BodyReader::received_bytes)
     }
--- a/crates/gateway/src/event_log/event.rs
+++ b/crates/gateway/src/event_log/event.rs
@@ -119,9 +119,9 @@
         is_other_zone: bool,
         warmth: Option<Warmth>,
     },
-    /// The scheduler found no upstream in time; `ahead` requests were queued before this one. The
-    /// service time of its route as this host knows it, and the number of responses that it was
-    /// learned from, if the route isn't the only one of its service.
+    /// The scheduler found no upstream in time; `ahead` requests were queued before this one.
+    /// `service_time_ms` is that of its route as this host knows it, learned from `samples`
+    /// responses; `samples` is none if the service has one route only.
     Unplaced {
         id: &'a str,
         ahead: usize,
@@ -213,19 +213,20 @@
         sendings: u32,
         picture_age_ms: Option<Millis>,
     },
-    /// A long response was broken off after a part of it, `passed_on_bytes`, was passed on.
+    /// A long response was broken off after `passed_on_bytes` were written to its caller.
     AnswerBrokenOff {
         id: &'a str,
         upstream: &'a UpstreamId,
         cause: BreakCause,
         passed_on_bytes: u64,
     },
-    /// A request was refused as its route's last response was long, and no memory is left for another.
+    /// A request was refused, as its route's last response was long and no memory is left for
+    /// another.
     ResponseMemoryFull { id: &'a str, route: &'a str, held_bytes: usize },
     /// The caller disconnected.
     CallerGone { id: &'a str, after_ms: Millis, sendings: u32, runs_on: bool },
-    /// A caller's connection ended: how, how long it had been inactive, how many of its requests got
-    /// no response, and how many bytes arrived that no request was read from.
+    /// A caller's connection ended: how, how long it had been inactive, how many of its requests
+    /// got no response, and how many bytes arrived that no request was read from.
     CallerClosed { end: SessionEnd, idle_ms: Millis, unanswered: usize, dropped_bytes: usize },
 }
 
--- a/crates/gateway/src/event_log/values.rs
+++ b/crates/gateway/src/event_log/values.rs
@@ -20,9 +20,9 @@
     Unwritable,
     /// The caller disconnected.
     CallerGone,
-    /// A response was broken off midway, visibly by its length or its missing last chunk.
+    /// A response was broken off midway; its length or the missing last chunk shows it.
     BrokenOff,
-    /// The same for a response that ends with its connection, which was reset.
+    /// A response that ends with its connection was broken off; the reset shows it.
     Reset,
 }
 
--- a/crates/gateway/src/http1/body.rs
+++ b/crates/gateway/src/http1/body.rs
@@ -37,8 +37,8 @@
     chunk: ChunkPart,
     max_bytes: usize,
     body: Vec<u8>,
-    /// Number of bytes that were taken out of `body`.
-    taken: usize,
+    /// Number of bytes that [`BodyReader::take`] returned.
+    taken_bytes: usize,
 }
 
 /// The next part of a chunked body.
@@ -54,23 +54,23 @@
 impl BodyReader {
     /// Reads a body of at most `max_bytes`.
     pub fn new(framing: Framing, max_bytes: usize) -> BodyReader {
-        BodyReader { framing, chunk: ChunkPart::Size, max_bytes, body: Vec::new(), taken: 0 }
+        BodyReader { framing, chunk: ChunkPart::Size, max_bytes, body: Vec::new(), taken_bytes: 0 }
     }
 
     /// Takes out what was read since the last call.
     pub fn take(&mut self) -> Vec<u8> {
-        self.taken += self.body.len();
+        self.taken_bytes += self.body.len();
         std::mem::take(&mut self.body)
     }
 
-    /// Returns what was read of the body.
+    /// Returns what was read of the body and not taken.
     pub fn into_body(self) -> Vec<u8> {
         self.body
     }
 
     /// Number of bytes that were read of the body.
     pub fn received_bytes(&self) -> usize {
-        self.taken + self.body.len()
+        self.taken_bytes + self.body.len()
     }
 
     /// How the body is framed.
--- a/crates/gateway/src/ingress/responding.rs
+++ b/crates/gateway/src/ingress/responding.rs
@@ -1,12 +1,12 @@
 //! Writes the responses of one caller's connection, in the order of their requests.
 
 use super::render::{render, render_refusal, render_streamed_head};
-use super::streaming::{Transfer, framing_for};
+use super::streaming::{BrokenTransfer, Transfer, framing_for};
 use super::{PendingRequest, Session};
 use crate::event_log::{BreakCause, SessionEnd};
 use crate::http1::Framing;
 use crate::response_memory::HeldBytes;
-use crate::serve::{Reply, ResponseStream, UpstreamResponse};
+use crate::serve::{Reply, UpstreamResponse};
 use clock::Moment;
 use dispatch::attempts::Refusal;
 use std::time::Duration;
@@ -27,13 +27,14 @@
                 let framing = framing_for(&pending.request.head, head.framing);
                 let should_close = should_close || framing == Framing::UntilClose;
                 let head = render_streamed_head(&head, framing, should_close);
-                let transfer = Transfer::new(&self.caller, (head, framing), body, rest, held);
+                let transfer = Transfer::new(&self.caller, head, framing, body, rest, held);
                 let ended = transfer.run().await;
                 self.last_active = Moment::now();
                 return match ended {
                     Ok(()) => should_close.then_some(SessionEnd::LastResponse),
-                    Err((cause, rest, written_bytes)) => {
-                        pending.break_off(cause, rest, written_bytes);
+                    Err(broken) => {
+                        let cause = broken.cause;
+                        pending.break_off(broken);
                         Some(self.end_after_break(cause, framing))
                     }
                 };
@@ -50,8 +51,8 @@
         }
     }
 
-    /// Returns how the connection ends after a response was broken off. One that ends with its
-    /// connection would look complete if the connection weren't reset.
+    /// Returns how the connection ends after a response was broken off. It is reset if the response
+    /// ends with its connection, as the response would look complete otherwise.
     fn end_after_break(&self, cause: BreakCause, framing: Framing) -> SessionEnd {
         match (cause, framing) {
             (BreakCause::CallerGone, _) => SessionEnd::CallerGone,
@@ -75,9 +76,10 @@
 }
 
 impl PendingRequest {
-    /// Ends the rest of a response that was broken off. If the caller of a request that runs at most
-    /// once disconnected, the rest is read and dropped.
-    fn break_off(&self, cause: BreakCause, rest: Option<Box<ResponseStream>>, written_bytes: u64) {
+    /// Ends the rest of a response that was broken off. If the caller of a request that runs at
+    /// most once disconnected, the rest is read and dropped.
+    fn break_off(&self, broken: BrokenTransfer) {
+        let BrokenTransfer { cause, rest, written_bytes } = broken;
         let runs_on = self.progress.continues_without_caller.get();
         match rest {
             Some(rest) if cause == BreakCause::CallerGone && runs_on => {
--- a/crates/gateway/src/ingress/streaming.rs
+++ b/crates/gateway/src/ingress/streaming.rs
@@ -1,7 +1,7 @@
 //! Passes a long response on to its caller, in pieces and with back-pressure.
 //!
-//! The upstream is read only while what is held for the response stays within its bound and the host
-//! has memory left. So a slow caller delays its own upstream only.
+//! The upstream is read only while what is held for the response stays within its bound and the
+//! host has memory left. So a slow caller delays its own upstream only.
 
 use super::Caller;
 use crate::connection::{BodyPart, LongBody};
@@ -16,8 +16,8 @@
 /// Most bytes by which one read makes a response grow: a piece, and the framing of a last chunk.
 const MAX_GROWTH_BYTES: usize = LongBody::READ_BYTES + 32;
 
-/// Pieces that are passed on before other tasks get a turn.
-const PIECES_PER_TURN: u32 = 4;
+/// Steps of a transfer before other tasks get a turn; each reads one piece at most.
+const STEPS_PER_TURN: u32 = 4;
 
 /// How the response to a request is framed for its caller, if its upstream frames it so. Callers of
 /// HTTP/1.0 don't know chunks.
@@ -37,19 +37,33 @@
     rest: Option<Box<ResponseStream>>,
     /// What is left to write.
     out: VecDeque<u8>,
+    /// Accounts for `out` and what was received but not read.
     held: HeldBytes,
     written_bytes: u64,
-    /// Nothing is held, and no memory was freed for [`STALL_LIMIT`]: one more piece is read.
-    is_starved: bool,
+    /// Whether one more piece is read though no memory is left, as the response has waited for it
+    /// for [`STALL_LIMIT`]. Applies only while there is nothing to write.
+    may_exceed_bound: bool,
+    /// When bytes were last read, or the upstream could not be read.
     last_read: Moment,
+    /// When bytes were last written, or there was nothing to write.
     last_written: Moment,
 }
 
+/// A transfer that was broken off.
+pub(super) struct BrokenTransfer {
+    pub(super) cause: BreakCause,
+    /// What was left to read; none once the body was read whole.
+    pub(super) rest: Option<Box<ResponseStream>>,
+    /// Bytes that were written to the caller, with head and framing.
+    pub(super) written_bytes: u64,
+}
+
 impl<'a> Transfer<'a> {
-    /// Of a response with this head for the caller, and the first bytes of its body.
+    /// Starts with the head as the caller gets it, and the first bytes of the body.
     pub(super) fn new(
         caller: &'a Caller,
-        (head, framing): (Vec<u8>, Framing),
+        head: Vec<u8>,
+        framing: Framing,
         first: Vec<u8>,
         rest: Box<ResponseStream>,
         held: HeldBytes,
@@ -62,7 +76,7 @@
             out: head.into(),
             held,
             written_bytes: 0,
-            is_starved: false,
+            may_exceed_bound: false,
             last_read: now,
             last_written: now,
         };
@@ -70,14 +84,12 @@
         transfer
     }
 
-    /// Passes the response on; returns why it was broken off, and what was left to read, if it was.
-    pub(super) async fn run(
-        mut self,
-    ) -> Result<(), (BreakCause, Option<Box<ResponseStream>>, u64)> {
+    /// Passes the response on to its end.
+    pub(super) async fn run(mut self) -> Result<(), BrokenTransfer> {
         let mut steps = 0;
         let ended = loop {
             steps += 1;
-            if steps == PIECES_PER_TURN {
+            if steps == STEPS_PER_TURN {
                 steps = 0;
                 tokio::task::yield_now().await;
             }
@@ -91,7 +103,8 @@
                 break Err(cause);
             }
         };
-        ended.map_err(|cause| (cause, self.rest, self.written_bytes))
+        let Transfer { rest, written_bytes, .. } = self;
+        ended.map_err(|cause| BrokenTransfer { cause, rest, written_bytes })
     }
 
     /// Writes and reads what is possible without waiting.
@@ -129,7 +142,7 @@
             BodyPart::Pending => {}
             BodyPart::Bytes(bytes) => {
                 self.last_read = Moment::now();
-                self.is_starved = false;
+                self.may_exceed_bound = false;
                 self.push(&bytes);
             }
             BodyPart::Last(bytes) => {
@@ -146,7 +159,7 @@
     /// Whether the upstream may be read once more.
     fn may_read(&self) -> bool {
         let may_grow =
-            self.held.may_grow(MAX_GROWTH_BYTES) || self.is_starved && self.out.is_empty();
+            self.held.may_grow(MAX_GROWTH_BYTES) || self.may_exceed_bound && self.out.is_empty();
         self.rest.is_some() && may_grow
     }
 
@@ -185,10 +198,10 @@
                 Err(BreakCause::CallerStalled)
             }
             Err(_) if may_read => Err(BreakCause::UpstreamStalled),
-            // The response only waits for memory. What holds it may wait for this response in turn, as
-            // one does that is pipelined behind it.
+            // The response only waits for memory, which a response that is pipelined behind it may
+            // hold.
             Err(_) => {
-                self.is_starved = true;
+                self.may_exceed_bound = true;
                 Ok(())
             }
         }
@@ -210,6 +223,7 @@
         self.record_held();
     }
 
+    /// Adds the end of the body, in the framing for the caller.
     fn push_end(&mut self) {
         if self.framing == Framing::Chunked {
             self.out.extend(b"0\r\n\r\n");
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -68,30 +68,30 @@
 
 /// What upstreams are probed for: a request of a route to a service.
 #[derive(Debug, Clone, Copy)]
-pub struct Target<'a> {
-    /// Service.
+pub struct ProbePurpose<'a> {
+    /// Service that the request goes to.
     pub service: &'a ServiceName,
-    /// Route.
+    /// Route, by which the request's cost is estimated.
     pub route: RouteKey,
 }
 
 /// Probes candidates of a service in rounds, and chooses the one with the lowest cost.
 pub async fn choose(
     host: &Rc<Host>,
-    target: Target<'_>,
+    purpose: ProbePurpose<'_>,
     excluded: &[UpstreamId],
 ) -> Option<Chosen> {
     let mut excluded = excluded.to_vec();
     let mut best: Option<Chosen> = None;
     let (mut probe_count, mut response_count) = (0, 0);
     for round in PROBE_ROUNDS {
-        let candidates = next_candidates(host, target.service, &mut excluded, round);
+        let candidates = next_candidates(host, purpose.service, &mut excluded, round);
         if candidates.is_empty() {
             break;
         }
         probe_count += candidates.len();
         let (chosen, responses) =
-            probe_round(host, target, candidates, ProbeBudgetKind::Fleet).await;
+            probe_round(host, purpose, candidates, ProbeBudgetKind::Fleet).await;
         response_count += responses;
         best = better(host, best, chosen);
         if best.as_ref().is_some_and(|best| best.cost <= GOOD_ENOUGH_COST) {
@@ -111,8 +111,8 @@
 }
 
 /// Probes upstreams of the local availability zone, and returns one that is idle and not slow.
-pub async fn choose_idle_local(host: &Rc<Host>, target: Target<'_>) -> Option<Chosen> {
-    let service = target.service;
+pub async fn choose_idle_local(host: &Rc<Host>, purpose: ProbePurpose<'_>) -> Option<Chosen> {
+    let service = purpose.service;
     let candidates: Vec<UpstreamId> = {
         let upstreams = host.upstreams.borrow();
         let mut rng = host.rng.borrow_mut();
@@ -136,7 +136,7 @@
     }
     let probe_count = candidates.len();
     let (chosen, response_count) =
-        probe_round(host, target, candidates, ProbeBudgetKind::LocalZone).await;
+        probe_round(host, purpose, candidates, ProbeBudgetKind::LocalZone).await;
     let chosen = chosen?;
     if chosen.connection.is_some() && chosen.cost <= IMMEDIATE_COST {
         return Some(Chosen { probe_count, response_count, ..chosen });
@@ -192,14 +192,14 @@
 
 async fn probe_round(
     host: &Rc<Host>,
-    target: Target<'_>,
+    purpose: ProbePurpose<'_>,
     candidates: Vec<UpstreamId>,
     budget: ProbeBudgetKind,
 ) -> (Option<Chosen>, usize) {
     let (sender, mut results) = mpsc::unbounded_channel();
     let mut outstanding = candidates.len();
     for upstream in candidates {
-        let (host, service) = (Rc::clone(host), target.service.clone());
+        let (host, service) = (Rc::clone(host), purpose.service.clone());
         let sender = sender.clone();
         tokio::task::spawn_local(async move {
             let probed = probe(&host, &service, upstream, budget).await;
@@ -216,7 +216,7 @@
         let Ok(Some(probed)) = clock::timeout_at(until, results.recv()).await else { break };
         outstanding -= 1;
         response_count += usize::from(matches!(probed.result, ProbeResult::Response { .. }));
-        best = better(host, best, evaluate(host, target.route, probed));
+        best = better(host, best, evaluate(host, purpose.route, probed));
         if best.as_ref().is_some_and(|best| best.cost <= IMMEDIATE_COST) {
             break;
         }
--- a/crates/gateway/src/response_memory.rs
+++ b/crates/gateway/src/response_memory.rs
@@ -15,27 +15,30 @@
 /// Most bytes that are held for one long response.
 pub const MAX_HELD_BYTES: usize = 256 * 1024;
 
-/// The part of the host's memory that responses may use.
-const RESPONSE_SHARE: u64 = 4;
+/// Responses may use the host's memory divided by this.
+const RESPONSE_MEMORY_DIVISOR: u64 = 4;
 
 /// The memory that responses use on this host.
 #[derive(Debug)]
 pub struct ResponseMemory {
-    /// Most bytes that long responses may fill up; none if the host's memory isn't stated.
-    bound: Option<usize>,
-    held: Cell<usize>,
+    /// Long responses are read on only while all responses hold less; none if the host's memory
+    /// isn't stated.
+    bound_bytes: Option<usize>,
+    /// Bytes held for all responses.
+    held_bytes: Cell<usize>,
+    /// Notified when memory is freed.
     freed: Notify,
     /// Routes whose last response was long.
     long_routes: RefCell<FastSet<RouteKey>>,
 }
 
 impl ResponseMemory {
-    /// Of a host with this memory.
+    /// Creates the account of a host with this memory; without a bound if it isn't stated.
     pub fn new(memory_bytes: Option<ByteCount>) -> Rc<ResponseMemory> {
-        let share = |bytes: ByteCount| usize::try_from(bytes.0 / RESPONSE_SHARE);
+        let share = |bytes: ByteCount| usize::try_from(bytes.0 / RESPONSE_MEMORY_DIVISOR);
         Rc::new(ResponseMemory {
-            bound: memory_bytes.map(|bytes| share(bytes).unwrap_or(usize::MAX)),
-            held: Cell::new(0),
+            bound_bytes: memory_bytes.map(|bytes| share(bytes).unwrap_or(usize::MAX)),
+            held_bytes: Cell::new(0),
             freed: Notify::new(),
             long_routes: RefCell::default(),
         })
@@ -43,7 +46,7 @@
 
     /// Bytes that are held.
     pub fn held_bytes(&self) -> usize {
-        self.held.get()
+        self.held_bytes.get()
     }
 
     /// Whether a response of a route can be held, judged by the route's last one.
@@ -71,7 +74,7 @@
     }
 
     fn has_room(&self, bytes: usize) -> bool {
-        self.bound.is_none_or(|bound| self.held.get().saturating_add(bytes) <= bound)
+        self.bound_bytes.is_none_or(|bound| self.held_bytes.get().saturating_add(bytes) <= bound)
     }
 }
 
@@ -83,7 +86,7 @@
 }
 
 impl HeldBytes {
-    /// Holds nothing yet.
+    /// Creates an account that holds nothing yet.
     pub fn none(memory: &Rc<ResponseMemory>) -> HeldBytes {
         HeldBytes { memory: Rc::clone(memory), bytes: Cell::new(0) }
     }
@@ -91,7 +94,7 @@
     /// Records how many bytes are held now.
     pub fn set(&self, bytes: usize) {
         let before = self.bytes.replace(bytes);
-        self.memory.held.update(|held| held + bytes - before);
+        self.memory.held_bytes.update(|held| held + bytes - before);
         if bytes < before {
             self.memory.freed.notify_waiters();
         }
@@ -102,7 +105,7 @@
         self.bytes.get() + bytes <= MAX_HELD_BYTES && self.memory.has_room(bytes)
     }
 
-    /// The memory that it is part of.
+    /// The host's account, which includes these bytes.
     pub fn memory(&self) -> &Rc<ResponseMemory> {
         &self.memory
     }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -79,6 +79,8 @@
     /// The routing that identified the caller.
     table: Rc<RouteTable>,
     service: ServiceName,
+    /// Identifies the route in learned service times; [`RouteKey::ONLY`] if no other route sends
+    /// requests to the service.
     route_key: RouteKey,
     end_ms: Millis,
     fingerprint: OnceCell<RequestFingerprint>,
@@ -153,8 +155,8 @@
     }
 }
 
-/// Reads and drops the rest of a response whose caller disconnected, if the request runs at most once:
-/// the upstream might cancel it otherwise.
+/// Reads and drops the rest of a response whose caller disconnected, if the request runs at most
+/// once: the upstream might cancel it otherwise.
 async fn discard_if_unwanted(
     mut response: UpstreamResponse,
     caller: &Caller,
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -8,7 +8,8 @@
 use super::{Reply, RoutedRequest};
 use crate::backpressure;
 use crate::connection::{
-    Connection, ExchangeError, Expected, LongBody, Received, Response, Sent, Streaming,
+    Connection, ExchangeError, Expected, LongBody, LongResponse, Received, Response, Sent,
+    Streaming,
 };
 use crate::event_log::{LogEvent, ResponseTo};
 use crate::http1::{HeaderChanges, ResponseHead, write_request};
@@ -100,7 +101,8 @@
         }
     }
 
-    /// Admits an attempt and records its start; refuses if time is up or the request is quarantined.
+    /// Admits an attempt and records its start; refuses if time is up or the request is
+    /// quarantined.
     fn begin(
         &self,
         mut selected: Selected,
@@ -185,7 +187,7 @@
             read_timeouts: None,
         };
         let held = HeldBytes::none(&self.host.response_memory);
-        // Only what is delivered in any case: while another attempt may follow, the response is kept.
+        // Only responses that are delivered in any case: another attempt may replace any other.
         let may_stream = |head: &ResponseHead| attempts::is_final(self.summarize(head));
         let streaming =
             Streaming { max_whole_bytes: MAX_WHOLE_BYTES, may_stream: &may_stream, held: &held };
@@ -196,19 +198,7 @@
             () = guard.upstream_restarted() => Err(ExchangeError::Broken),
         };
         let Selected { upstream, work, .. } = selected;
-        let (end, received) = match result {
-            Ok(received) => {
-                (AttemptResult::Answered(self.summarize(received.head())), Some(received))
-            }
-            Err(ExchangeError::NotSent) => (AttemptResult::NotSent, None),
-            Err(ExchangeError::Unnamed) => {
-                self.host.log.write(&LogEvent::AnswerUnnamed { id: &self.id, upstream: &upstream });
-                (AttemptResult::Broken, None)
-            }
-            Err(ExchangeError::Broken | ExchangeError::Silent | ExchangeError::Garbled) => {
-                (AttemptResult::Broken, None)
-            }
-        };
+        let (end, received) = self.attempt_result(&upstream, result);
         let head = received.as_ref().map(Received::head);
         let fields = head.map(|head| &head.fields);
         if let Some(fields) = fields {
@@ -221,17 +211,12 @@
             }
             _ => Backpressure::default(),
         };
-        if let (Some(received), AttemptResult::Answered(summary)) = (&received, end)
-            && attempts::is_final(summary)
-        {
-            let route = RouteKey::of(&self.route().name);
-            self.host.response_memory.record_response(route, received.is_longer(MAX_WHOLE_BYTES));
-        }
-        let broke_ms = self.host.now_ms();
-        let took_ms = broke_ms.since(sent_ms);
+        self.record_length(received.as_ref(), end);
+        // Of a long response: when its head was complete.
+        let ended_ms = self.host.now_ms();
+        let took_ms = ended_ms.since(sent_ms);
         let failure = failure_of(end);
         let entry = guard.entry();
-        let target = (&self.service, self.route_key);
         let outcome = Outcome { failure, took_ms, report, backpressure };
         let response = match received {
             Some(Received::Long(response)) => {
@@ -245,33 +230,30 @@
                     work,
                     outcome,
                     sent_ms,
-                    head_ms: broke_ms,
+                    head_ms: ended_ms,
                     guard: Some(guard),
                     request: Rc::clone(&self.request),
                     entry: entry.clone(),
                     trial: trial.take(),
                 };
-                let head = response.head.clone();
-                let (body, first) = LongBody::new(connection, response);
-                let rest = Some(ResponseStream::new(body, attempt));
-                Some(UpstreamResponse { head, body: first, held, rest })
+                Some(streamed_response(connection, response, attempt, held))
             }
             Some(Received::Whole(response)) => {
                 self.host.pool.borrow_mut().put(&upstream, connection);
-                guard.end(target, work, outcome);
+                guard.end(&self.service, self.route_key, work, outcome);
                 let Response { head, body } = response;
                 held.set(body.len());
                 Some(UpstreamResponse { head, body, held, rest: None })
             }
             None => {
-                guard.end(target, work, outcome);
+                guard.end(&self.service, self.route_key, work, outcome);
                 None
             }
         };
         let has_crashed = match entry {
             Some(upstream) if end == AttemptResult::Broken => {
                 let fingerprint = self.fingerprint();
-                let broken = BrokenAttempt { fingerprint, upstream, sent_ms, broke_ms };
+                let broken = BrokenAttempt { fingerprint, upstream, sent_ms, broke_ms: ended_ms };
                 quarantine::examine(&self.host, broken, trial.is_some()).await
             }
             _ => false,
@@ -279,11 +261,43 @@
         EndedAttempt { upstream, result: end, response, sent_ms, has_crashed, trial }
     }
 
+    /// Tells how an attempt ended by the result of its exchange, and logs a response that names no
+    /// request.
+    fn attempt_result(
+        &self,
+        upstream: &UpstreamId,
+        result: Result<Received, ExchangeError>,
+    ) -> (AttemptResult, Option<Received>) {
+        match result {
+            Ok(received) => {
+                (AttemptResult::Answered(self.summarize(received.head())), Some(received))
+            }
+            Err(ExchangeError::NotSent) => (AttemptResult::NotSent, None),
+            Err(ExchangeError::Unnamed) => {
+                self.host.log.write(&LogEvent::AnswerUnnamed { id: &self.id, upstream });
+                (AttemptResult::Broken, None)
+            }
+            Err(ExchangeError::Broken | ExchangeError::Silent | ExchangeError::Garbled) => {
+                (AttemptResult::Broken, None)
+            }
+        }
+    }
+
+    /// Records whether the route's last delivered response was long.
+    fn record_length(&self, received: Option<&Received>, end: AttemptResult) {
+        if let (Some(received), AttemptResult::Answered(summary)) = (received, end)
+            && attempts::is_final(summary)
+        {
+            let route = RouteKey::of(&self.route().name);
+            self.host.response_memory.record_response(route, received.is_longer(MAX_WHOLE_BYTES));
+        }
+    }
+
     fn summarize(&self, head: &ResponseHead) -> ResponseSummary {
         let fields = &head.fields;
         let dialect = &self.host.dialect;
         let status = head.status;
-        let not_run = status == 421 || fields.get(dialect.not_run).is_some();
+        let not_run = status == backpressure::MISDIRECTED || fields.get(dialect.not_run).is_some();
         let is_plain = fields.get("content-encoding").is_none();
         ResponseSummary {
             status,
@@ -293,6 +307,18 @@
     }
 }
 
+/// A long response, whose rest is read while it is passed on.
+fn streamed_response(
+    connection: Connection,
+    response: LongResponse,
+    attempt: StreamedAttempt,
+    held: HeldBytes,
+) -> UpstreamResponse {
+    let head = response.head.clone();
+    let (body, first) = LongBody::new(connection, response);
+    UpstreamResponse { head, body: first, held, rest: Some(ResponseStream::new(body, attempt)) }
+}
+
 /// Rounds to two decimal places for logs.
 fn rounded(figure: f64) -> f64 {
     (figure * 100.0).round() / 100.0
--- a/crates/gateway/src/serve/attempt_end.rs
+++ b/crates/gateway/src/serve/attempt_end.rs
@@ -76,7 +76,7 @@
                 }
                 None
             }
-            (NextStep::Refuse(refusal), _) => Some(Err(self.time_retry(refusal))),
+            (NextStep::Refuse(refusal), _) => Some(Err(self.adapt_retry_after(refusal))),
         }
     }
 
--- a/crates/gateway/src/serve/attempt_guard.rs
+++ b/crates/gateway/src/serve/attempt_guard.rs
@@ -29,7 +29,7 @@
     run: RunStart,
     begun_ms: Millis,
     placement: Option<PlacementGuard>,
-    /// What the response's head states was recorded before the attempt's end.
+    /// Whether what the response's head states was recorded before the attempt's end.
     is_head_recorded: bool,
     is_ended: bool,
 }
@@ -93,7 +93,8 @@
     /// Records that the attempt ended.
     pub(super) fn end(
         mut self,
-        (service, route): (&ServiceName, RouteKey),
+        service: &ServiceName,
+        route: RouteKey,
         work: f64,
         outcome: Outcome,
     ) {
--- a/crates/gateway/src/serve/rejection.rs
+++ b/crates/gateway/src/serve/rejection.rs
@@ -1,4 +1,4 @@
-//! Records rejections by upstreams, and has the retry of a refused request timed by them.
+//! Records rejections by upstreams, and adapts `Retry-After` of refused requests to them.
 
 use super::RoutedRequest;
 use super::attempt_end::EndedAttempt;
@@ -34,7 +34,7 @@
     }
 
     /// Adapts the time after which the caller may retry to recent rejections.
-    pub(super) fn time_retry(&self, refusal: Refusal) -> Refusal {
+    pub(super) fn adapt_retry_after(&self, refusal: Refusal) -> Refusal {
         let now_ms = self.host.now_ms();
         let due_ms = self.request.arrived_ms + self.route().objective_ms;
         let upstreams = self.host.upstreams.borrow();
@@ -45,6 +45,6 @@
             mean_time_ms: upstreams.mean_service_time_ms(&self.service),
         };
         let rejections = self.host.rejections.borrow();
-        rejections.time_retry(now_ms, refusal, request, &mut self.host.rng.borrow_mut())
+        rejections.adapt_retry_after(now_ms, refusal, request, &mut self.host.rng.borrow_mut())
     }
 }
--- a/crates/gateway/src/serve/response_stream.rs
+++ b/crates/gateway/src/serve/response_stream.rs
@@ -1,8 +1,8 @@
 //! A response that is to be delivered, and the rest of its body if it is passed on in pieces.
 //!
-//! The attempt of a long response lasts until its body was read: until then the upstream is busy with
-//! it. What the attempt reports as its duration is the time to the head, since the rest depends on how
-//! fast the caller reads.
+//! The attempt of a long response lasts until its body was read, as the upstream is busy with it
+//! until then. The reported duration of the attempt is the time to the head, since the rest depends
+//! on how fast the caller reads.
 
 use super::attempt_guard::AttemptGuard;
 use super::{Request, fingerprint};
@@ -21,7 +21,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-/// A response, or the caller of one, that makes no progress for this time is broken off.
+/// A response is broken off if its upstream sends nothing, or its caller takes nothing, for this
+/// time.
 pub const STALL_LIMIT: Duration = Duration::from_secs(5);
 
 /// A load report that is older than this when the body ends is no longer recorded.
@@ -40,7 +41,8 @@
     pub rest: Option<Box<ResponseStream>>,
 }
 
-/// The rest of a body, read as fast as it is passed on. Dropping it closes the upstream's connection.
+/// The rest of a body, read as fast as it is passed on. Dropping it closes the upstream's
+/// connection.
 pub struct ResponseStream {
     body: LongBody,
     attempt: StreamedAttempt,
@@ -60,10 +62,14 @@
     pub(super) upstream: UpstreamId,
     pub(super) service: ServiceName,
     pub(super) route: RouteKey,
+    /// Expected duration, in multiples of the route's service time.
     pub(super) work: f64,
+    /// Outcome by the head of the response.
     pub(super) outcome: Outcome,
     pub(super) sent_ms: Millis,
+    /// When the head was complete.
     pub(super) head_ms: Millis,
+    /// None once the attempt has ended.
     pub(super) guard: Option<AttemptGuard>,
     pub(super) request: Rc<Request>,
     /// The upstream's published entry when the attempt began.
@@ -73,13 +79,14 @@
 }
 
 impl StreamedAttempt {
+    /// Ends the attempt, with this failure or that of its head.
     fn end(&mut self, failure: Option<AttemptFailure>) {
         let Some(guard) = self.guard.take() else { return };
         let since_head_ms = self.host.now_ms().since(self.head_ms);
         let report = self.outcome.report.filter(|_| since_head_ms <= REPORT_CURRENT_MS);
         let failure = failure.or(self.outcome.failure);
         let outcome = Outcome { failure, report, ..self.outcome };
-        guard.end((&self.service, self.route), self.work, outcome);
+        guard.end(&self.service, self.route, self.work, outcome);
     }
 
     /// Clears the request from the quarantine: the upstream served it without a crash.
@@ -120,7 +127,7 @@
         Box::new(ResponseStream { body, attempt })
     }
 
-    /// Number of bytes that were received and not yet returned.
+    /// See [`LongBody::held_bytes`].
     pub fn held_bytes(&self) -> usize {
         self.body.held_bytes()
     }
@@ -157,8 +164,8 @@
         });
     }
 
-    /// Reads the rest for a caller that disconnected, so that a request that runs at most once isn't
-    /// cancelled by the upstream.
+    /// Reads the rest for a caller that disconnected, so that a request that runs at most once
+    /// isn't cancelled by the upstream.
     pub async fn discard(mut self) {
         loop {
             match self.read() {
--- a/crates/gateway/src/serve/selection.rs
+++ b/crates/gateway/src/serve/selection.rs
@@ -146,7 +146,7 @@
         if counts.sent > 0 || self.host.placement.is_busy(&self.service, begun_ms) {
             return None;
         }
-        let chosen = probe::choose_idle_local(&self.host, self.target()).await?;
+        let chosen = probe::choose_idle_local(&self.host, self.probe_purpose()).await?;
         Some(self.selected_by_probe(chosen, begun_ms))
     }
 
@@ -175,8 +175,8 @@
     }
 
     /// What upstreams are probed for.
-    fn target(&self) -> probe::Target<'_> {
-        probe::Target { service: &self.service, route: self.route_key }
+    fn probe_purpose(&self) -> probe::ProbePurpose<'_> {
+        probe::ProbePurpose { service: &self.service, route: self.route_key }
     }
 
     fn other_zone(&self, zone: &ZoneName) -> Option<ZoneName> {
@@ -261,7 +261,7 @@
         counts: &AttemptCounts,
     ) -> Result<Option<Selected>, Refusal> {
         loop {
-            let chosen = probe::choose(&self.host, self.target(), &counts.tried).await;
+            let chosen = probe::choose(&self.host, self.probe_purpose(), &counts.tried).await;
             let now_ms = self.host.now_ms();
             self.check_time(now_ms, counts)?;
             let Some(chosen) = chosen else { return Ok(None) };
@@ -272,7 +272,7 @@
                     clock::sleep(to_duration(pause_ms)).await;
                 }
                 Verdict::Refuse => {
-                    return Err(self.time_retry(Refusal::not_run(Cause::Overloaded)));
+                    return Err(self.adapt_retry_after(Refusal::not_run(Cause::Overloaded)));
                 }
             }
         }
--- a/crates/gateway/tests/long_responses.rs
+++ b/crates/gateway/tests/long_responses.rs
@@ -17,10 +17,10 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
 
-/// Longer than what is held and what sockets buffer.
+/// Bytes of a body that is longer than what is held and what sockets buffer.
 const LONG: usize = 14 << 20;
 
-/// A chunked response that is held in part only.
+/// Bytes of a body that is longer than what is held.
 const MEDIUM: usize = 700_000;
 
 fn long(bytes: usize, framing: Framing, end: BodyEnd) -> Behaviour {
@@ -40,8 +40,8 @@
     stream
 }
 
-/// A response as far as it was received: its head, its body, and whether it is complete. One that ends
-/// with its connection is complete if the connection was not reset.
+/// Returns what was received of a response: its head, its body, and whether it is complete. One
+/// that ends with its connection is complete if the connection was not reset.
 async fn receive(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> (ResponseHead, Vec<u8>, bool) {
     let receiving = async {
         let head = loop {
@@ -152,15 +152,16 @@
             assert!(memory.held_bytes() <= MAX_HELD_BYTES, "{}", memory.held_bytes());
         }
         assert!(upstream.written() < LONG, "the host read on though the caller did not");
-        // Beyond the route's timeout of 1.2 s, at which a response that makes progress isn't cut off.
+        // Beyond the route's timeout of 1.2 s, at which a response that makes progress isn't cut
+        // off.
         tokio::time::sleep(Duration::from_millis(1_300)).await;
         let (_, body, is_whole) = receive(&mut slow, &mut Vec::new()).await;
         assert!(is_whole && body == long_body(LONG));
     });
 }
 
-/// Guards against an upstream that goes on to send to nobody, or that nobody disconnects as there is
-/// nothing to write to the caller.
+/// Guards against an upstream that goes on to send to nobody, or that nobody disconnects as there
+/// is nothing to write to the caller.
 #[rstest]
 #[case::in_the_middle(LONG, BodyEnd::Whole, 1_000)]
 #[case::while_the_upstream_is_silent(200_000, BodyEnd::Stalled, 100_000)]
@@ -328,7 +329,7 @@
         settings.memory_bytes = Some(ByteCount(4));
         let gateway = support::start(settings, &published(&[&upstream])).await;
         wait_until("it is ready", || gateway.host().is_ready()).await;
-        // One piece is left beyond what is collected.
+        // One more piece follows what is collected whole.
         upstream.add_to_script([long(85_000, Framing::Chunked, BodyEnd::Whole)]);
         let (_, body, is_whole) = request(&gateway, &get("/any/x", "id-1")).await;
         assert!(is_whole && body == long_body(85_000));
@@ -350,8 +351,8 @@
     });
 }
 
-/// Guards against a request that crashes upstreams midway in their responses, and is cleared by each
-/// response that begins.
+/// Guards against a request that crashes upstreams midway in their responses, and is cleared by
+/// each response that begins.
 #[test]
 fn crashes_midway_are_held_against_the_request() {
     on_one_thread(async {
--- a/crates/gateway/tests/support/upstream.rs
+++ b/crates/gateway/tests/support/upstream.rs
@@ -70,6 +70,7 @@
 /// A body of [`long_body`], how it is framed and how it ends.
 #[derive(Debug, Clone, Copy)]
 pub struct LongBody {
+    /// Length of the whole body.
     pub bytes: usize,
     pub framing: Framing,
     pub end: BodyEnd,
@@ -92,8 +93,8 @@
     Crashed,
 }
 
-/// The body of a long response: no part of it is like another. Made of numbered blocks, since it is
-/// made on the thread that serves requests.
+/// The body of a long response, in which no part repeats. Made of numbered blocks, which is fast:
+/// it is made on the thread that serves requests.
 pub fn long_body(bytes: usize) -> Vec<u8> {
     let block: Vec<u8> = (0..4_096u32).flat_map(u32::to_be_bytes).collect();
     let mut body = Vec::with_capacity(bytes + block.len());
@@ -248,8 +249,8 @@
         self.state.tasks.borrow_mut().drain(..).for_each(|task| task.abort());
     }
 
-    /// The same, but its port accepts connections for `port_ms`, as one that a supervisor or a proxy
-    /// holds does. Nothing answers on them.
+    /// The same, but its port accepts connections for `port_ms`, as one that a supervisor or a
+    /// proxy holds does. Nothing answers on them.
     pub fn crash_behind_open_port(&self, port_ms: u64) {
         self.state.crashes.update(|count| count + 1);
         self.state.is_silent.set(true);
