What is left of a request doesn't count as held for its long response

It is sent by reading the response, which a full bound prevented: an upstream that starts a long response before it has read a request of over 240 KiB would have been read after 5 s. Found by reading; no test shows it.

--- a/crates/gateway/src/connection/long_body.rs
+++ b/crates/gateway/src/connection/long_body.rs
@@ -40,9 +40,10 @@
         (LongBody { connection, reader: body, unsent, end }, first)
     }
 
-    /// Bytes in memory: received and not yet returned, and of the request not yet sent.
+    /// Bytes that were received and not yet returned. What is left of the request doesn't count: it
+    /// is sent by reading, which a full bound would prevent.
     pub fn held_bytes(&self) -> usize {
-        self.connection.buffer.len() + self.unsent.len()
+        self.connection.buffer.len()
     }
 
     /// Returns once there may be something to read.
