Refusals with a time share one constructor; starvation is computed once per priority

Four constructors of Refusal repeated the same literal, and each evaluation of a queue computed the same shares for every waiting request. Two doc comments that a rename had spoilt.

--- a/crates/dispatch/src/attempts.rs
+++ b/crates/dispatch/src/attempts.rs
@@ -185,40 +185,27 @@
 
     /// For lack of capacity, which is expected again after `retry_after_ms`.
     pub fn overloaded(retry_after_ms: Millis) -> Refusal {
-        let retry_after_ms = Some(retry_after_ms);
-        Refusal {
-            cause: Cause::Overloaded,
-            is_not_run: true,
-            retry_after_ms,
-            rejection_state: None,
-        }
+        Refusal::not_run_until(Cause::Overloaded, retry_after_ms)
     }
 
     /// For exhausted rate limits, until upstreams accept the next request.
     pub fn rate_limited(next_request_in_ms: Millis) -> Refusal {
-        let retry_after_ms = Some(next_request_in_ms.max(DEFAULT_RETRY_AFTER_MS));
-        Refusal {
-            cause: Cause::UpstreamsLimited,
-            is_not_run: true,
-            retry_after_ms,
-            rejection_state: None,
-        }
+        let retry_after_ms = next_request_in_ms.max(DEFAULT_RETRY_AFTER_MS);
+        Refusal::not_run_until(Cause::UpstreamsLimited, retry_after_ms)
     }
 
     /// For an organisation's quota that is used up, until it allows the next request.
     pub fn over_quota(next_request_in_ms: Millis) -> Refusal {
-        let retry_after_ms = Some(next_request_in_ms);
-        Refusal { cause: Cause::OverQuota, is_not_run: true, retry_after_ms, rejection_state: None }
+        Refusal::not_run_until(Cause::OverQuota, next_request_in_ms)
     }
 
     /// For a quarantined request, until it may be tried again.
     pub fn quarantined(remaining_ms: Millis) -> Refusal {
-        Refusal {
-            cause: Cause::CrashesUpstreams,
-            is_not_run: true,
-            retry_after_ms: Some(remaining_ms),
-            rejection_state: None,
-        }
+        Refusal::not_run_until(Cause::CrashesUpstreams, remaining_ms)
+    }
+
+    fn not_run_until(cause: Cause, retry_after_ms: Millis) -> Refusal {
+        Refusal { retry_after_ms: Some(retry_after_ms), ..Refusal::not_run(cause) }
     }
 
     /// For a request that may have run.
--- a/crates/dispatch/src/rejections.rs
+++ b/crates/dispatch/src/rejections.rs
@@ -81,7 +81,7 @@
     pub mean_time_ms: Option<Millis>,
 }
 
-/// RecentRejections rejections, by service.
+/// Recent rejections, by service.
 #[derive(Debug, Default)]
 pub struct Rejections {
     services: FastMap<ServiceName, RecentRejections>,
@@ -89,7 +89,7 @@
     pruned_ms: Millis,
 }
 
-/// RecentRejections rejections of one service, the oldest first.
+/// Recent rejections of one service, the oldest first.
 #[derive(Debug, Default)]
 struct RecentRejections {
     rejections: VecDeque<(Millis, Evidence)>,
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -324,9 +324,12 @@
     /// Drops requests that have expired, and orders the others by what is known now.
     fn sort_waiting(&mut self, now_ms: Millis, upstreams: &UpstreamSet) {
         self.waiting.retain(|request| !request.is_expired(now_ms));
+        let mut starved = FastMap::default();
         for request in &mut self.waiting {
             let service_time_ms = upstreams.expected_ms(&self.cell.service, request.route, 1.0);
-            let is_starved = self.shares.is_starved(now_ms, request.priority);
+            let is_starved = *starved
+                .entry(request.priority)
+                .or_insert_with_key(|&priority| self.shares.is_starved(now_ms, priority));
             request.refresh(now_ms, service_time_ms, is_starved);
         }
         self.waiting.sort_by_key(QueuedRequest::queue_order);
