Logs and metrics tell a host without links from one whose upstreams are down

The logs of the incident could not say which scheduler refused a request, nor on whose word a scheduler left upstreams out. unplaced names the scheduler; placed-unreachable tells who could not reach an upstream; three gauges tell how long no upstream responded to a host, how many it failed to reach since, and how many it leaves out. No decision changes.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -18,6 +18,7 @@
 mod deadline;
 mod decaying_sum;
 mod fleet_rate;
+mod links;
 mod load;
 mod probing;
 pub mod quarantine;
@@ -38,6 +39,7 @@
 pub use curve::{Occupancy, SpeedCurve};
 pub use deadline::{DeadlineCheck, LatencyEstimate, Verdict};
 pub use fleet_rate::{FleetRate, LocalRateLimiter, assumed_fleet};
+pub use links::LinkMonitor;
 pub use load::LoadReport;
 pub use probing::{
     GOOD_ENOUGH_COST, IMMEDIATE_COST, PROBE_ROUNDS, PROBES_PER_ROUND, UNHEALTHY_COST,
--- a/crates/dispatch/src/scheduler/message.rs
+++ b/crates/dispatch/src/scheduler/message.rs
@@ -132,4 +132,11 @@
     },
     /// Probe an upstream, and record the load that it reports.
     Probe(UpstreamId),
+    /// Log that a host could not reach the upstream that its request was placed on.
+    LogUnreachable {
+        /// Who could not reach it.
+        requester: Requester,
+        /// Where the request was placed.
+        upstream: UpstreamId,
+    },
 }
--- a/crates/dispatch/src/scheduler/set.rs
+++ b/crates/dispatch/src/scheduler/set.rs
@@ -97,6 +97,11 @@
                 let mut scheduler = scheduler_of(&mut self.schedulers, key);
                 if let Some(scheduler) = &mut scheduler {
                     let upstream = scheduler.withdraw(now_ms, key, withdrawal, upstreams);
+                    let unreachable =
+                        upstream.clone().filter(|_| withdrawal == Withdrawal::Unreachable);
+                    effects.extend(
+                        unreachable.map(|upstream| Effect::LogUnreachable { requester, upstream }),
+                    );
                     if let Some(upstream) = upstream.filter(|_| withdrawal != Withdrawal::Sent) {
                         self.rates.budget.refund(&upstream);
                     }
--- a/crates/dispatch/src/upstream_set.rs
+++ b/crates/dispatch/src/upstream_set.rs
@@ -152,6 +152,11 @@
         self.states.values().filter(|state| state.warmth(now_ms) != Warmth::Warm).count()
     }
 
+    /// Number of upstreams that are left out for a while, as they could not be reached.
+    pub fn count_excluded(&self, now_ms: Millis) -> usize {
+        self.states.values().filter(|state| state.is_excluded(now_ms)).count()
+    }
+
     /// Applies the rate limits for cold upstreams from the routing.
     pub fn set_cold_rates<'s>(&mut self, services: impl Iterator<Item = &'s ServiceSettings>) {
         for service in self.services.values_mut() {
--- a/crates/dispatch/tests/scheduler.rs
+++ b/crates/dispatch/tests/scheduler.rs
@@ -141,7 +141,7 @@
 fn probed(effects: &[Effect]) -> Vec<String> {
     let of = |effect: &Effect| match effect {
         Effect::Probe(upstream) => Some(upstream.to_string()),
-        Effect::Send { .. } => None,
+        Effect::Send { .. } | Effect::LogUnreachable { .. } => None,
     };
     let mut probed: Vec<String> = effects.iter().filter_map(of).collect();
     probed.sort();
--- a/crates/dispatch/tests/support/queue_simulation.rs
+++ b/crates/dispatch/tests/support/queue_simulation.rs
@@ -233,7 +233,7 @@
                     let sent = Sent { request, scheduler, started_ms, left_ms };
                     self.running.get_mut(&upstream).unwrap().push(sent);
                 }
-                Effect::Send { .. } => {}
+                Effect::Send { .. } | Effect::LogUnreachable { .. } => {}
             }
         }
     }
--- a/crates/dispatch/tests/support/rate_simulation.rs
+++ b/crates/dispatch/tests/support/rate_simulation.rs
@@ -480,6 +480,7 @@
                     };
                     self.send(at, to, || Event::ToHost { to, message: message.clone() });
                 }
+                Effect::LogUnreachable { .. } => {}
                 Effect::Probe(upstream) => {
                     let run = self.hosts[at].run;
                     self.schedule(2 * LATENCY_MS, Event::Probed { by: at, run, upstream });
--- a/crates/emulator/src/simulation/scheduled.rs
+++ b/crates/emulator/src/simulation/scheduled.rs
@@ -155,6 +155,8 @@
                     let delay_ms = self.delay_ms(0, self.requests[request].host);
                     self.transmit(delay_ms, Event::MessageToHost(message));
                 }
+                // Hosts of a simulated site reach all upstreams.
+                Effect::LogUnreachable { .. } => {}
                 Effect::Probe(id) => {
                     let Some(upstream) = self.scheduler.index(&id) else { continue };
                     self.figures.probes += 1;
--- a/crates/gateway/src/event_log/event.rs
+++ b/crates/gateway/src/event_log/event.rs
@@ -124,11 +124,15 @@
     /// responses; `samples` is none if the service has one route only.
     Unplaced {
         id: &'a str,
+        scheduler: &'a HostId,
         ahead: usize,
         retry_after_ms: Millis,
         service_time_ms: Option<Millis>,
         samples: Option<u32>,
     },
+    /// A host could not reach the upstream that this host's scheduler had placed its request on.
+    /// `requester` is none for a request of this host.
+    PlacedUnreachable { upstream: &'a UpstreamId, requester: Option<String> },
     /// A scheduler did not reply in time. `is_passed_over` if it is temporarily excluded for that.
     SchedulerSilent { scheduler: &'a HostId, cell: &'a Cell, is_passed_over: bool },
     /// The best upstream of a round of probes was declined.
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -19,8 +19,8 @@
 use dispatch::quarantine::Quarantine;
 use dispatch::rejections::Rejections;
 use dispatch::{
-    FleetSize, LocalRateLimiter, MAX_IDLE_CONNECTIONS, RouteKey, SplitTable, UpstreamSet,
-    idle_connections_per_host,
+    FleetSize, LinkMonitor, LocalRateLimiter, MAX_IDLE_CONNECTIONS, RouteKey, SplitTable,
+    UpstreamSet, idle_connections_per_host,
 };
 use domain::{FastSet, Millis, PerSecond, ServiceName, UpstreamId};
 use published::{Gossip, Member, Members, PublishedState, RouteTable, StateChange};
@@ -72,6 +72,8 @@
     pub split_table: RefCell<SplitTable>,
     /// The memory that is held for responses.
     pub response_memory: Rc<ResponseMemory>,
+    /// What this host's own links to upstreams tell.
+    pub links: RefCell<LinkMonitor>,
     /// Idle connections to upstreams.
     pub pool: RefCell<Pool>,
     /// Requests that crash upstreams.
@@ -149,6 +151,7 @@
             quotas: QuotaState::new(settings.host.clone(), seed),
             split_table: RefCell::default(),
             response_memory: ResponseMemory::new(settings.memory_bytes),
+            links: RefCell::default(),
             pool: RefCell::default(),
             quarantine: RefCell::default(),
             quarantine_requests_sent: Cell::new(0),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -49,6 +49,9 @@
     quarantined: Gauge<u64>,
     evacuated_zones: Gauge<u64>,
     cold_upstreams: Gauge<u64>,
+    excluded_upstreams: Gauge<u64>,
+    unreached_upstreams: Gauge<u64>,
+    upstream_silence: Gauge<f64>,
     limited_upstreams: Gauge<u64>,
     backing_off: Gauge<u64>,
     leaving_upstreams: Gauge<u64>,
@@ -80,7 +83,12 @@
             .f64_gauge("gateway_picture_age_seconds")
             .with_description("Age of what is believed to be published")
             .build();
+        let upstream_silence = meter
+            .f64_gauge("gateway_upstream_silence_seconds")
+            .with_description("Time since any upstream responded to this host")
+            .build();
         Ok(Metrics {
+            upstream_silence,
             responses: counter(
                 "gateway_answers",
                 "Upstreams' answers passed on, by route and class",
@@ -117,6 +125,14 @@
                 "gateway_cold_upstreams",
                 "Upstreams that are cold, or may be, as far as this host knows",
             ),
+            excluded_upstreams: gauge(
+                "gateway_excluded_upstreams",
+                "Upstreams that this host, and its schedulers, leave out for a while",
+            ),
+            unreached_upstreams: gauge(
+                "gateway_unreached_upstreams",
+                "Upstreams that this host could not reach since any responded to it",
+            ),
             limited_upstreams: gauge(
                 "gateway_limited_upstreams",
                 "Upstreams that limit the requests that they take from all hosts",
@@ -207,6 +223,8 @@
         self.quarantined.record(state.quarantined, &[]);
         self.evacuated_zones.record(state.evacuated_zones, &[]);
         self.cold_upstreams.record(state.cold_upstreams, &[]);
+        self.excluded_upstreams.record(state.excluded_upstreams, &[]);
+        self.unreached_upstreams.record(state.unreached_upstreams, &[]);
         self.limited_upstreams.record(state.limited_upstreams, &[]);
         self.backing_off.record(state.backing_off, &[]);
         self.leaving_upstreams.record(state.leaving_upstreams, &[]);
@@ -214,6 +232,9 @@
         self.reserved_slots.record(u64::from(state.queue.reserved_slots), &[]);
         self.unread_headers.record(state.unread_headers, &[]);
         self.response_bytes.record(state.response_bytes, &[]);
+        if let Some(silence) = state.upstream_silence {
+            self.upstream_silence.record(silence.as_secs_f64(), &[]);
+        }
         if let Some(age) = state.state_age {
             self.state_age.record(age.as_secs_f64(), &[]);
         }
@@ -241,6 +262,12 @@
     pub evacuated_zones: u64,
     /// Upstreams that are cold, or may be.
     pub cold_upstreams: u64,
+    /// Upstreams that are left out after they could not be reached.
+    pub excluded_upstreams: u64,
+    /// Upstreams that could not be reached since any responded.
+    pub unreached_upstreams: u64,
+    /// Time since any upstream responded.
+    pub upstream_silence: Option<Duration>,
     /// Upstreams that state a rate limit.
     pub limited_upstreams: u64,
     /// Upstreams that asked this host to back off.
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -234,6 +234,13 @@
         quarantined: host.quarantine.borrow().count_held(host.now_ms()) as u64,
         evacuated_zones: host.published_state().evacuations().in_force().count() as u64,
         cold_upstreams: host.upstreams.borrow().count_cold(host.now_ms()) as u64,
+        excluded_upstreams: host.upstreams.borrow().count_excluded(host.now_ms()) as u64,
+        unreached_upstreams: host.links.borrow().unreached_count() as u64,
+        upstream_silence: host
+            .links
+            .borrow()
+            .silence_ms(host.now_ms())
+            .map(crate::host::to_duration),
         limited_upstreams: host.upstreams.borrow().backpressure().count_limited() as u64,
         backing_off: host
             .upstreams
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -70,8 +70,13 @@
 pub enum PlacementResult {
     /// The request was placed.
     Placed(PlacementGuard, Placement),
-    /// The scheduler refused it.
-    Refused(RefusalCause),
+    /// A scheduler refused it.
+    Refused {
+        /// Host of the scheduler.
+        scheduler: HostId,
+        /// Why.
+        cause: RefusalCause,
+    },
     /// No scheduler replied in time.
     Unanswered,
 }
@@ -159,7 +164,7 @@
                     SchedulerReply::Refused(cause) => {
                         host.placement.record_wait(&cell.service, host.now_ms());
                         guard.forget();
-                        return PlacementResult::Refused(cause);
+                        return PlacementResult::Refused { scheduler: scheduler.host, cause };
                     }
                 }
             }
--- a/crates/gateway/src/placement/scheduling.rs
+++ b/crates/gateway/src/placement/scheduling.rs
@@ -1,6 +1,7 @@
 //! Runs this host's schedulers, for its own requests and for those of other hosts.
 
 use super::send;
+use crate::event_log::LogEvent;
 use crate::host::Host;
 use crate::probe;
 use dispatch::UpstreamSet;
@@ -67,6 +68,13 @@
     for effect in effects {
         match effect {
             Effect::Send { to, message } => send(host, to, message),
+            Effect::LogUnreachable { requester, upstream } => {
+                let requester = match requester {
+                    Requester::OwnHost => None,
+                    Requester::Peer(address) => Some(address.to_string()),
+                };
+                host.log.write(&LogEvent::PlacedUnreachable { upstream: &upstream, requester });
+            }
             Effect::Probe(upstream) => {
                 let host = Rc::clone(host);
                 tokio::task::spawn_local(async move {
--- a/crates/gateway/src/probe/health_check.rs
+++ b/crates/gateway/src/probe/health_check.rs
@@ -54,6 +54,9 @@
     if let Some(known) = host.upstreams.borrow_mut().get_run_mut(upstream, run) {
         known.record_probe_failure(now_ms, failure);
     }
+    if matches!(failure, ProbeFailure::Unreachable | ProbeFailure::TimedOut) {
+        host.links.borrow_mut().record_unreached(upstream);
+    }
     host.log.write(&LogEvent::AskFailed { upstream, failure });
 }
 
@@ -198,6 +201,7 @@
     let expected = Expected { has_body: true, naming, read_timeouts: None };
     let response = connection.exchange(request.as_bytes(), expected).await;
     let response = response.map_err(|_| ProbeFailure::Unreachable)?;
+    host.links.borrow_mut().record_response(host.now_ms());
     host.log_unread_headers(upstream, &response.head.fields, ResponseTo::HealthCheck);
     let is_other = |id: &str| id != upstream.as_str();
     if response.head.fields.get(host.dialect.upstream).is_some_and(is_other) {
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -199,6 +199,9 @@
         };
         let Selected { upstream, work, .. } = selected;
         let (end, received) = self.attempt_result(&upstream, result);
+        if received.is_some() {
+            self.host.links.borrow_mut().record_response(self.host.now_ms());
+        }
         let head = received.as_ref().map(Received::head);
         let fields = head.map(|head| &head.fields);
         if let Some(fields) = fields {
--- a/crates/gateway/src/serve/selection.rs
+++ b/crates/gateway/src/serve/selection.rs
@@ -14,7 +14,7 @@
 use dispatch::attempts::{Cause, Refusal};
 use dispatch::scheduler::{Cell, Placement, RefusalCause, Submission, Ticket};
 use dispatch::{DeadlineCheck, LatencyEstimate, Verdict};
-use domain::{Millis, UpstreamId, ZoneName};
+use domain::{HostId, Millis, UpstreamId, ZoneName};
 use published::Organisation;
 
 /// If selecting and connecting took longer than this, the caller's connection is checked again.
@@ -131,12 +131,12 @@
             PlacementResult::Placed(guard, placement) => {
                 Ok(Some(self.selected_by_scheduler(guard, placement, begun_ms)))
             }
-            PlacementResult::Refused(RefusalCause::NoRoom { retry_after_ms, ahead }) => {
-                Err(self.no_capacity_refusal(retry_after_ms, ahead, counts))
-            }
-            PlacementResult::Refused(RefusalCause::NoUpstream) | PlacementResult::Unanswered => {
-                self.probe(begun_ms, counts).await
-            }
+            PlacementResult::Refused {
+                scheduler,
+                cause: RefusalCause::NoRoom { retry_after_ms, ahead },
+            } => Err(self.no_capacity_refusal(&scheduler, retry_after_ms, ahead, counts)),
+            PlacementResult::Refused { cause: RefusalCause::NoUpstream, .. }
+            | PlacementResult::Unanswered => self.probe(begun_ms, counts).await,
         }
     }
 
@@ -164,7 +164,7 @@
         let first_zone = cell.zone.clone();
         let result = placement::place(&self.host, cell, self.submission(&zone, counts)).await;
         // The zone has no capacity, or no upstream that can be reached.
-        let is_refused = matches!(result, PlacementResult::Refused(_));
+        let is_refused = matches!(result, PlacementResult::Refused { .. });
         match first_zone.and_then(|first| self.other_zone(&first)) {
             Some(other) if is_refused => {
                 let cell = Cell { service: self.service.clone(), zone: Some(other) };
@@ -235,6 +235,7 @@
 
     fn no_capacity_refusal(
         &self,
+        scheduler: &HostId,
         retry_after_ms: Millis,
         ahead: usize,
         counts: &AttemptCounts,
@@ -243,6 +244,7 @@
         let route_time = upstreams.route_time(&self.service, self.route_key);
         self.host.log.write(&LogEvent::Unplaced {
             id: &self.id,
+            scheduler,
             ahead,
             retry_after_ms,
             service_time_ms: upstreams.expected_ms(&self.service, self.route_key, 1.0),
--- a/crates/gateway/tests/docs.rs
+++ b/crates/gateway/tests/docs.rs
@@ -33,6 +33,9 @@
         quarantined: 0,
         evacuated_zones: 0,
         cold_upstreams: 0,
+        excluded_upstreams: 0,
+        unreached_upstreams: 0,
+        upstream_silence: Some(Duration::ZERO),
         limited_upstreams: 0,
         backing_off: 0,
         leaving_upstreams: 0,
@@ -45,7 +48,7 @@
     let (page, text) = (page(), metrics.render());
     let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
     let names: Vec<&str> = types.filter_map(|line| line.split(' ').next()).collect();
-    assert_eq!(names.len(), 24, "{names:?}");
+    assert_eq!(names.len(), 27, "{names:?}");
     for name in names {
         assert!(page.contains(&format!("`{name}`")), "{name}");
     }
