Connections to upstreams come from the host's own address

A host declares its address in its settings; upstreams and firewalls now see that one on machines with several, and tests on loopback can tell hosts apart.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -26,7 +26,7 @@
 use response_reader::ResponseReader;
 use std::io::{self, ErrorKind};
 use std::mem::MaybeUninit;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 use tokio::net::{TcpSocket, TcpStream};
 
@@ -68,9 +68,16 @@
 }
 
 impl Connection {
-    /// Opens a connection, with a timeout.
-    pub async fn open(address: SocketAddr, within: Duration) -> io::Result<Connection> {
+    /// Opens a connection, with a timeout; from this address of the host, or any of them.
+    pub async fn open(
+        address: SocketAddr,
+        from: Option<IpAddr>,
+        within: Duration,
+    ) -> io::Result<Connection> {
         let socket = TcpSocket::new_v4()?;
+        if let Some(from) = from {
+            socket.bind((from, 0).into())?;
+        }
         let connecting = clock::timeout(within, socket.connect(address));
         let stream = connecting.await.map_err(|_| io::Error::from(ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -27,6 +27,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use std::cell::{Cell, Ref, RefCell};
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
@@ -195,6 +196,11 @@
         self.published_state().age_ms(self.now_ms())
     }
 
+    /// This host's address towards upstreams and peers.
+    pub fn own_ip(&self) -> IpAddr {
+        self.settings.borrow().peers.ip()
+    }
+
     /// Whether the process is to stop.
     pub fn is_stopping(&self) -> bool {
         *self.stopping.borrow()
--- a/crates/gateway/src/probe/health_check.rs
+++ b/crates/gateway/src/probe/health_check.rs
@@ -177,7 +177,7 @@
     let entry = host.upstreams.borrow().get(upstream).map(|known| Arc::clone(&known.entry));
     let entry = entry.ok_or(ProbeFailure::Unreachable)?;
     host.metrics.connection_opened();
-    let connection = Connection::open(entry.address, CONNECT_LIMIT).await;
+    let connection = Connection::open(entry.address, Some(host.own_ip()), CONNECT_LIMIT).await;
     connection.map(|open| open.with_run(entry.run)).map_err(|_| ProbeFailure::Unreachable)
 }
 
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -106,7 +106,7 @@
         EntryState::Ready => {}
     }
     host.metrics.connection_opened();
-    match Connection::open(entry.address, CHECK_LIMIT).await {
+    match Connection::open(entry.address, Some(host.own_ip()), CHECK_LIMIT).await {
         Ok(connection) => match find_responder(host, entry, connection.with_run(entry.run)).await {
             Responder::Published => CrashEvidence::Accepts,
             Responder::Other => CrashEvidence::Replaced,
--- a/crates/gateway/tests/stray_responses.rs
+++ b/crates/gateway/tests/stray_responses.rs
@@ -119,7 +119,7 @@
             stream.read(&mut request).unwrap_or_default()
         });
         let dialect = Dialect::default();
-        let mut connection = Connection::open(address, Duration::from_secs(5)).await.unwrap();
+        let mut connection = Connection::open(address, None, Duration::from_secs(5)).await.unwrap();
         let mut exchange = async |id| {
             let naming = Some(dialect.naming(gateway::connection::Sent::Request(id)));
             let expected = Expected { has_body: true, naming, read_timeouts: None };
