Red: callers at hosts that reach no upstream, and others whose scheduler does not, are not served

A scheduler with good links leaves out, and takes for cold, what one host without links could not reach.

--- a/crates/gateway/tests/support/upstream.rs
+++ b/crates/gateway/tests/support/upstream.rs
@@ -3,8 +3,8 @@
 use super::network::next_stand_in;
 use gateway::http1::{BodyProgress, BodyReader, Framing, read_request};
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
-use std::net::SocketAddr;
+use std::collections::{HashMap, VecDeque};
+use std::net::{IpAddr, SocketAddr};
 use std::ops::Range;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -109,6 +109,21 @@
     body
 }
 
+/// How the link between it and one host is cut.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Cut {
+    /// Open and new connections are reset.
+    Reset,
+    /// Nothing arrives in either direction, on open and new connections.
+    Silent,
+    /// Requests arrive, and responses don't.
+    OneWay,
+    /// New connections are reset; those that are open live on.
+    OnlyNew,
+    /// Open connections are reset; new ones work.
+    OnlyOpen,
+}
+
 /// A request that it ran or refused.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ReceivedRequest {
@@ -155,6 +170,9 @@
     crashes: Cell<u32>,
     /// Target of requests that crash it.
     crashes_on: RefCell<Option<String>>,
+    /// Hosts whose links to it are cut.
+    cuts: RefCell<HashMap<IpAddr, Cut>>,
+    cuts_changed: Notify,
     /// The tasks that accept and serve connections, which a crash aborts.
     tasks: RefCell<Vec<JoinHandle<()>>>,
 }
@@ -177,6 +195,19 @@
     }
 }
 
+impl State {
+    /// Returns when a cut resets the open connections of a host, from its begin on.
+    async fn open_connections_reset(&self, host: IpAddr) {
+        loop {
+            self.cuts_changed.notified().await;
+            let cut = self.cuts.borrow().get(&host).copied();
+            if matches!(cut, Some(Cut::Reset | Cut::OnlyOpen)) {
+                return;
+            }
+        }
+    }
+}
+
 impl StandInUpstream {
     pub async fn start(id: &str) -> StandInUpstream {
         let listener = TcpListener::bind(next_stand_in()).await.unwrap();
@@ -202,6 +233,8 @@
             written: Cell::new(0),
             crashes: Cell::new(0),
             crashes_on: RefCell::default(),
+            cuts: RefCell::default(),
+            cuts_changed: Notify::new(),
             tasks: RefCell::default(),
         };
         let upstream = StandInUpstream { state: Rc::new(state) };
@@ -213,12 +246,23 @@
         let upstream = self.clone();
         let task = tokio::task::spawn_local(async move {
             let mut unanswered = Vec::new();
-            while let Ok((stream, _)) = listener.accept().await {
+            while let Ok((stream, from)) = listener.accept().await {
                 upstream.state.connections.update(|count| count + 1);
                 if upstream.state.is_silent.get() {
                     unanswered.push(stream);
                     continue;
                 }
+                match upstream.cut_from(from.ip()) {
+                    Some(Cut::Reset | Cut::OnlyNew) => {
+                        stream.set_zero_linger().unwrap();
+                        continue;
+                    }
+                    Some(Cut::Silent) => {
+                        unanswered.push(stream);
+                        continue;
+                    }
+                    Some(Cut::OneWay | Cut::OnlyOpen) | None => {}
+                }
                 if upstream.state.open.get() >= upstream.state.max_connections.get() {
                     upstream.state.resets.update(|count| count + 1);
                     stream.set_zero_linger().unwrap();
@@ -228,7 +272,11 @@
                 let open = Open::new(&upstream.state);
                 let serving = tokio::task::spawn_local(async move {
                     let _open = open;
-                    server.serve(stream).await;
+                    let broken_off = Rc::clone(&server.state);
+                    tokio::select! {
+                        () = server.serve(stream) => {}
+                        () = broken_off.open_connections_reset(from.ip()) => {}
+                    }
                 });
                 upstream.state.tasks.borrow_mut().push(serving);
             }
@@ -236,6 +284,21 @@
         self.state.tasks.borrow_mut().insert(0, task);
     }
 
+    /// Cuts its link to the host with this address, or restores it.
+    pub fn set_cut(&self, host: IpAddr, cut: Option<Cut>) {
+        let former = match cut {
+            Some(cut) => self.state.cuts.borrow_mut().insert(host, cut),
+            None => self.state.cuts.borrow_mut().remove(&host),
+        };
+        if former != cut {
+            self.state.cuts_changed.notify_waiters();
+        }
+    }
+
+    fn cut_from(&self, host: IpAddr) -> Option<Cut> {
+        self.state.cuts.borrow().get(&host).copied()
+    }
+
     /// Simulates a crash: its connections break, its port refuses new ones, and it restarts after
     /// [`RESTART_MS`].
     pub fn crash(&self) {
@@ -406,6 +469,7 @@
 
     async fn serve(&self, mut stream: TcpStream) {
         let mut buffer = Vec::new();
+        let from = stream.peer_addr().map(|address| address.ip()).ok();
         loop {
             let head = loop {
                 match read_request(&mut buffer, 64 * 1024) {
@@ -417,7 +481,14 @@
                     Err(_) => return,
                 }
             };
+            let cut = from.and_then(|from| self.cut_from(from));
+            if cut == Some(Cut::Silent) {
+                return std::future::pending().await;
+            }
             if head.path() == "/healthz" {
+                if cut == Some(Cut::OneWay) {
+                    return std::future::pending().await;
+                }
                 self.state.probes.update(|count| count + 1);
                 if stream.write_all(&self.health()).await.is_err() {
                     return;
@@ -472,6 +543,9 @@
             }
             let id = request.id.clone();
             self.state.requests.borrow_mut().push(request);
+            if cut == Some(Cut::OneWay) {
+                return std::future::pending().await;
+            }
             if !self.respond(&mut stream, behaviour, &id).await {
                 return;
             }
