--- a/crates/dispatch/src/attempts.rs
+++ b/crates/dispatch/src/attempts.rs
@@ -114,6 +114,8 @@
     NoUpstream,
     /// No upstream accepts requests, as the availability zones of the existing ones are evacuated.
     ZonesEvacuated,
+    /// This host reaches no upstream, nor a peer that does.
+    NoPath,
     /// No upstream could answer in time.
     Overloaded,
     /// All upstreams are rate-limited, and the limits are used up.
@@ -135,7 +137,7 @@
     pub fn status(self) -> u16 {
         match self {
             Cause::NotConfigured | Cause::NoUpstream | Cause::UpstreamsRefused => 503,
-            Cause::ZonesEvacuated | Cause::UpstreamsLimited => 503,
+            Cause::ZonesEvacuated | Cause::UpstreamsLimited | Cause::NoPath => 503,
             Cause::Expired | Cause::Overloaded | Cause::CrashesUpstreams => 503,
             Cause::KeyUnconfirmed | Cause::QuotaUnconfirmed => 503,
             Cause::UnknownKey => 401,
@@ -165,6 +167,7 @@
             Cause::SlowRequest => "slow-request",
             Cause::NoUpstream => "no-upstream",
             Cause::ZonesEvacuated => "zones-evacuated",
+            Cause::NoPath => "no-path",
             Cause::Overloaded => "overloaded",
             Cause::UpstreamsLimited => "upstreams-limited",
             Cause::UpstreamsRefused => "upstreams-refused",
@@ -188,6 +191,11 @@
         Refusal::not_run_until(Cause::Overloaded, retry_after_ms)
     }
 
+    /// For a host that reaches no upstream, until it probes one again.
+    pub fn no_path(next_probe_in_ms: Millis) -> Refusal {
+        Refusal::not_run_until(Cause::NoPath, next_probe_in_ms)
+    }
+
     /// For exhausted rate limits, until upstreams accept the next request.
     pub fn rate_limited(next_request_in_ms: Millis) -> Refusal {
         let retry_after_ms = next_request_in_ms.max(DEFAULT_RETRY_AFTER_MS);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -4,7 +4,8 @@
 //! generator. [`UpstreamSet`] holds the state of all upstreams; [`scheduler`] places the requests
 //! of many hosts from one queue; [`quarantine`] holds back requests that crash upstreams;
 //! [`backpressure`] tracks what upstreams state about their load; [`attempts`] has the rules of
-//! retrying; [`rejections`] when callers may retry what upstreams rejected; [`quota`] keeps
+//! retrying; [`rejections`] when callers may retry what upstreams rejected; [`LinkMonitor`] and
+//! [`relays`] what to do where only peers reach upstreams; [`quota`] keeps
 //! organisations within their quotas; [`budget`] limits this host's part of what the fleet may spend
 //! on retries and probes.
 
@@ -24,6 +25,7 @@
 pub mod quarantine;
 pub mod quota;
 pub mod rejections;
+pub mod relays;
 mod route_times;
 pub mod scheduler;
 mod service;
@@ -39,7 +41,7 @@
 pub use curve::{Occupancy, SpeedCurve};
 pub use deadline::{DeadlineCheck, LatencyEstimate, Verdict};
 pub use fleet_rate::{FleetRate, LocalRateLimiter, assumed_fleet};
-pub use links::LinkMonitor;
+pub use links::{LinkMonitor, LinkState};
 pub use load::LoadReport;
 pub use probing::{
     GOOD_ENOUGH_COST, IMMEDIATE_COST, PROBE_ROUNDS, PROBES_PER_ROUND, UNHEALTHY_COST,
--- a/crates/dispatch/src/scheduler.rs
+++ b/crates/dispatch/src/scheduler.rs
@@ -35,7 +35,6 @@
 
 use crate::cost::Candidate;
 use crate::service::ServiceTimeSample;
-use crate::upstream::ProbeFailure;
 use crate::upstream_set::UpstreamSet;
 use decision::{Decision, DecisionInputs, PlacementOption};
 use domain::{FastMap, Millis, UpstreamId};
@@ -150,6 +149,17 @@
         None
     }
 
+    fn take_waiting(&mut self) -> Vec<QueuedRequest> {
+        std::mem::take(&mut self.waiting)
+    }
+
+    /// Probes an upstream that a host could not reach, unless it was probed just now.
+    fn probe_reported(&mut self, now_ms: Millis, upstream: UpstreamId) -> Option<Effect> {
+        let due = self.without_recent_probe(now_ms, vec![upstream]).pop()?;
+        self.probed_ms.insert(due.clone(), now_ms);
+        Some(Effect::Probe(due))
+    }
+
     /// Removes a waiting or placed request; returns the upstream on which it was placed.
     fn withdraw(
         &mut self,
@@ -163,7 +173,7 @@
         if let Some(state) = upstreams.get_run_mut(&placed.upstream, placed.run) {
             state.record_withdrawn();
             if withdrawal == Withdrawal::Unreachable {
-                state.record_probe_failure(now_ms, ProbeFailure::Unreachable);
+                state.record_reported_unreachable(now_ms);
             }
         }
         Some(placed.upstream)
--- a/crates/dispatch/src/scheduler/decision.rs
+++ b/crates/dispatch/src/scheduler/decision.rs
@@ -136,7 +136,11 @@
         inputs.upstreams.expected_ms(&self.cell.service, request.route, work).unwrap_or_default()
     }
 
-    fn without_recent_probe(&self, now_ms: Millis, upstreams: Vec<UpstreamId>) -> Vec<UpstreamId> {
+    pub(super) fn without_recent_probe(
+        &self,
+        now_ms: Millis,
+        upstreams: Vec<UpstreamId>,
+    ) -> Vec<UpstreamId> {
         let is_probe_due = |id: &UpstreamId| {
             self.probed_ms.get(id).is_none_or(|&at_ms| now_ms.since(at_ms) >= PROBE_INTERVAL_MS)
         };
--- a/crates/dispatch/src/scheduler/directory.rs
+++ b/crates/dispatch/src/scheduler/directory.rs
@@ -65,6 +65,12 @@
         self.unresponsive.remove(host);
     }
 
+    /// Records that a host reaches no upstream, which excludes it for a while.
+    pub fn record_cut_off(&mut self, now_ms: Millis, host: &HostId) {
+        let unresponsive = self.unresponsive.entry(host.clone()).or_default();
+        unresponsive.until_ms = now_ms + Millis(MIN_EXCLUSION_MS);
+    }
+
     /// Records that a host didn't respond in time; returns whether this excludes it.
     pub fn record_timeout(&mut self, now_ms: Millis, host: &HostId) -> bool {
         let unresponsive = self.unresponsive.entry(host.clone()).or_default();
--- a/crates/dispatch/src/scheduler/message.rs
+++ b/crates/dispatch/src/scheduler/message.rs
@@ -86,6 +86,8 @@
     },
     /// The scheduler knows no upstream that accepts requests, or no longer schedules.
     NoUpstream,
+    /// The scheduler's host reaches no upstream of the service: another host is to schedule.
+    CutOff,
 }
 
 /// How an attempt ended at an upstream.
@@ -132,7 +134,8 @@
     },
     /// Probe an upstream, and record the load that it reports.
     Probe(UpstreamId),
-    /// Log that a host could not reach the upstream that its request was placed on.
+    /// Log that a host could not reach the upstream that its request was placed on. A probe of it
+    /// follows.
     LogUnreachable {
         /// Who could not reach it.
         requester: Requester,
--- a/crates/dispatch/src/scheduler/set.rs
+++ b/crates/dispatch/src/scheduler/set.rs
@@ -6,7 +6,7 @@
 use super::{Cell, QueueFigures, Scheduler};
 use crate::subset::FleetSize;
 use crate::upstream_set::UpstreamSet;
-use domain::{FastMap, HostId, Millis};
+use domain::{FastMap, HostId, Millis, ServiceName};
 use rand_pcg::Pcg64Mcg;
 
 /// Interval at which waiting requests are re-evaluated when no new information arrives.
@@ -52,6 +52,13 @@
         self.is_closed = true;
     }
 
+    /// Refuses all requests for a service that wait, as this host reaches none of its upstreams.
+    pub fn hand_over(&mut self, service: &ServiceName) -> Vec<Effect> {
+        let of_service = self.schedulers.iter_mut().filter(|(cell, _)| cell.service == *service);
+        let waiting = of_service.flat_map(|(_, scheduler)| scheduler.take_waiting());
+        waiting.map(|request| request.refused(RefusalCause::CutOff)).collect()
+    }
+
     /// Handles a message from a host.
     pub fn handle_message(
         &mut self,
@@ -99,9 +106,11 @@
                     let upstream = scheduler.withdraw(now_ms, key, withdrawal, upstreams);
                     let unreachable =
                         upstream.clone().filter(|_| withdrawal == Withdrawal::Unreachable);
-                    effects.extend(
-                        unreachable.map(|upstream| Effect::LogUnreachable { requester, upstream }),
-                    );
+                    if let Some(upstream) = unreachable {
+                        effects
+                            .push(Effect::LogUnreachable { requester, upstream: upstream.clone() });
+                        effects.extend(scheduler.probe_reported(now_ms, upstream));
+                    }
                     if let Some(upstream) = upstream.filter(|_| withdrawal != Withdrawal::Sent) {
                         self.rates.budget.refund(&upstream);
                     }
--- a/crates/dispatch/src/upstream.rs
+++ b/crates/dispatch/src/upstream.rs
@@ -44,6 +44,8 @@
     /// No response arrived in time.
     #[serde(rename = "silent")]
     TimedOut,
+    /// This host's links are down, and no peer could tell more.
+    NoPath,
 }
 
 /// Why an attempt failed.
@@ -210,9 +212,17 @@
         self.excluded_until_ms = Millis::ZERO;
     }
 
+    /// Records that a host reported that it can't reach the upstream: leaves it out until a probe of
+    /// this host shows whether that is so, and for the shortest time at least if none does.
+    pub(crate) fn record_reported_unreachable(&mut self, now_ms: Millis) {
+        let until_ms = now_ms + Millis(FIRST_EXCLUSION_MS);
+        self.excluded_until_ms = self.excluded_until_ms.max(until_ms);
+    }
+
     /// Records a failed probe.
     pub fn record_probe_failure(&mut self, now_ms: Millis, failure: ProbeFailure) {
         match failure {
+            ProbeFailure::NoPath => {}
             ProbeFailure::OtherUpstream => {
                 self.excluded_until_ms = now_ms + Millis(MAX_EXCLUSION_MS)
             }
--- a/crates/dispatch/src/upstream_set.rs
+++ b/crates/dispatch/src/upstream_set.rs
@@ -184,6 +184,13 @@
         self.services.get(service).map_or(&[][..], |service| &service.upstreams)
     }
 
+    /// The entries of all eligible upstreams.
+    pub fn eligible(&self) -> impl Iterator<Item = &Arc<Upstream>> {
+        let eligible =
+            self.states.values().filter(|state| state.eligibility == Eligibility::Eligible);
+        eligible.map(|state| &state.entry)
+    }
+
     /// Whether a service has an eligible upstream in an availability zone.
     pub fn accepts_requests_in(&self, service: &ServiceName, zone: &ZoneName) -> bool {
         self.eligible_zones(service).any(|eligible| eligible == zone)
--- a/crates/dispatch/tests/backoff.rs
+++ b/crates/dispatch/tests/backoff.rs
@@ -166,7 +166,7 @@
         {
             match cause {
                 RefusalCause::NoRoom { retry_after_ms, .. } => Some(retry_after_ms.0),
-                RefusalCause::NoUpstream => None,
+                RefusalCause::NoUpstream | RefusalCause::CutOff => None,
             }
         }
         _ => None,
--- a/crates/dispatch/tests/lost_links.rs
+++ b/crates/dispatch/tests/lost_links.rs
@@ -12,6 +12,9 @@
 use rand_pcg::Pcg64Mcg;
 use support::{entry, id, report, set, submission};
 
+/// Time after which an upstream is probed again.
+const PROBE_PAUSE_MS: Millis = Millis(30);
+
 fn peer(port: u16) -> Requester {
     Requester::Peer(([127, 0, 0, 1], port).into())
 }
@@ -32,9 +35,10 @@
     let mut upstreams = set(&names.map(|name| entry(name, "kariakoo")));
     let mut schedulers = SchedulerSet::new("front-1".parse().unwrap());
     let mut rng = Pcg64Mcg::seed_from_u64(7);
-    let now_ms = Millis(10_000);
+    let mut now_ms = Millis(10_000);
     let mut checked = Vec::new();
     for number in 0..2 {
+        now_ms = now_ms + PROBE_PAUSE_MS;
         for name in names {
             upstreams.record_report(now_ms, (&id(name), RunStart::default()), report(0, 0, 100));
         }
--- a/crates/emulator/src/simulation/scheduled.rs
+++ b/crates/emulator/src/simulation/scheduled.rs
@@ -192,7 +192,9 @@
             PlacementMessage::Refused { cause, .. } if is_pending => {
                 let delay_ms = match cause {
                     RefusalCause::NoRoom { retry_after_ms, .. } => retry_after_ms.as_f64(),
-                    RefusalCause::NoUpstream => super::DEFAULT_RETRY_DELAY_MS,
+                    RefusalCause::NoUpstream | RefusalCause::CutOff => {
+                        super::DEFAULT_RETRY_DELAY_MS
+                    }
                 };
                 self.refuse(request, delay_ms);
             }
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -20,6 +20,7 @@
 pub use long_body::{BodyPart, LongBody};
 
 use crate::http1::ResponseHead;
+use crate::tunnel::Tunnel;
 use clock::Moment;
 use domain::Millis;
 use published::RunStart;
@@ -27,6 +28,7 @@
 use std::io::{self, ErrorKind};
 use std::mem::MaybeUninit;
 use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::{TcpSocket, TcpStream};
 
@@ -44,9 +46,19 @@
 /// probed first, so an early close costs no request.
 const IDLE_SHARE: f64 = 0.9;
 
+/// How a connection leads to its upstream.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Path {
+    /// From this host.
+    Direct,
+    /// Through a peer.
+    Tunnel(Rc<Tunnel>),
+}
+
 /// An open connection.
 #[derive(Debug)]
 pub struct Connection {
+    path: Path,
     stream: TcpStream,
     buffer: Vec<u8>,
     last_used: Moment,
@@ -84,6 +96,7 @@
         let unacknowledged = Duration::from_millis(UNACKNOWLEDGED_MS.0);
         socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(unacknowledged))?;
         Ok(Connection {
+            path: Path::Direct,
             stream,
             buffer: Vec::new(),
             last_used: Moment::now(),
@@ -100,6 +113,27 @@
         Connection { run, ..self }
     }
 
+    /// The connection to an upstream that a relay opened, on the connection to the relay.
+    pub fn into_tunnel(self, tunnel: Tunnel) -> Connection {
+        Connection {
+            path: Path::Tunnel(Rc::new(tunnel)),
+            last_used: Moment::now(),
+            idle_limit: DEFAULT_IDLE,
+            answered: Answered::Nothing,
+            ..self
+        }
+    }
+
+    /// How it leads to its upstream.
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+
+    /// Its socket, to copy bytes.
+    pub fn into_stream(self) -> TcpStream {
+        self.stream
+    }
+
     /// The run of the upstream that it was opened to.
     pub fn run(&self) -> RunStart {
         self.run
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -9,7 +9,10 @@
 mod values;
 
 pub use event::LogEvent;
-pub use values::{BreakCause, ChosenBy, CrashEvidence, ResponseTo, SessionEnd};
+pub use values::{
+    BreakCause, ChosenBy, CrashEvidence, RelayRefusal, ResponseTo, SessionEnd, TunnelEnd,
+    TunnelProblem,
+};
 
 use domain::HostId;
 use event::Priority;
--- a/crates/gateway/src/event_log/event.rs
+++ b/crates/gateway/src/event_log/event.rs
@@ -2,12 +2,16 @@
 //!
 //! Operators' tools match the names of events, fields and values, so these keep their spelling.
 
-use super::values::{BreakCause, ChosenBy, CrashEvidence, ResponseTo, SessionEnd};
+use super::values::{
+    BreakCause, ChosenBy, CrashEvidence, RelayRefusal, ResponseTo, SessionEnd, TunnelEnd,
+    TunnelProblem,
+};
+use crate::tunnel::TunnelId;
 use dispatch::attempts::Refusal;
 use dispatch::backpressure::LimitChange;
 use dispatch::quarantine::SuspectStatus;
 use dispatch::scheduler::Cell;
-use dispatch::{AttemptFailure, ProbeFailure, Verdict, Warmth};
+use dispatch::{AttemptFailure, LinkState, ProbeFailure, Verdict, Warmth};
 use domain::{
     HostId, Incarnation, Millis, OrganisationName, PerSecond, RequestFingerprint, ServiceName,
     UpstreamId, Version, ZoneName,
@@ -166,8 +170,39 @@
     MarkUnread { upstream: &'a UpstreamId, on: ResponseTo, mark: &'a str, value: &'a str },
     /// A probe of an upstream failed.
     AskFailed { upstream: &'a UpstreamId, failure: ProbeFailure },
-    /// An attempt of a request was sent to an upstream.
-    Sent { id: &'a str, upstream: &'a UpstreamId, sending: u32, left_ms: Millis },
+    /// An attempt of a request was sent to an upstream; through a tunnel, if it names one.
+    Sent {
+        id: &'a str,
+        upstream: &'a UpstreamId,
+        sending: u32,
+        left_ms: Millis,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        tunnel: Option<&'a TunnelId>,
+    },
+    /// This host's links to the upstreams of a service went down, or work again; any upstream had
+    /// last responded `silence_ms` before.
+    Links { service: &'a ServiceName, state: LinkState, silence_ms: Option<Millis> },
+    /// A peer opened a connection to an upstream for this host.
+    TunnelOpened {
+        tunnel: &'a TunnelId,
+        relay: &'a HostId,
+        upstream: &'a UpstreamId,
+        took_ms: Millis,
+    },
+    /// A peer did not open a connection to an upstream for this host.
+    TunnelFailed { upstream: &'a UpstreamId, relay: &'a HostId, problem: TunnelProblem },
+    /// This host opened a connection to an upstream for a peer, and begins to copy bytes.
+    Relaying { tunnel: &'a str, upstream: &'a str },
+    /// A tunnel that this host served ended.
+    Relayed {
+        tunnel: &'a str,
+        upstream: &'a str,
+        end: TunnelEnd,
+        to_upstream_bytes: u64,
+        from_upstream_bytes: u64,
+    },
+    /// This host did not open a connection to an upstream for a peer.
+    RelayRefused { tunnel: &'a str, upstream: &'a str, refusal: RelayRefusal },
     /// An attempt failed.
     SendFailed {
         id: &'a str,
@@ -237,9 +272,12 @@
 impl LogEvent<'_> {
     pub(super) fn priority(&self) -> Priority {
         match self {
-            LogEvent::Routed { .. } | LogEvent::Chosen { .. } | LogEvent::Sent { .. } => {
-                Priority::Routine
-            }
+            LogEvent::Routed { .. }
+            | LogEvent::Chosen { .. }
+            | LogEvent::Sent { .. }
+            | LogEvent::TunnelOpened { .. }
+            | LogEvent::Relaying { .. }
+            | LogEvent::Relayed { .. } => Priority::Routine,
             LogEvent::Declined { verdict: Verdict::ProbeAgain(_), .. } => Priority::Routine,
             LogEvent::CallerClosed { unanswered: 0, .. } => Priority::Routine,
             LogEvent::Delivered { status, after_ms, objective_ms, .. }
--- a/crates/gateway/src/event_log/values.rs
+++ b/crates/gateway/src/event_log/values.rs
@@ -60,6 +60,8 @@
     Leaves,
     /// It reset a connection while it was opened, as a port does that is full or just closes.
     Reset,
+    /// Its port refused this host, and a peer can connect to it.
+    ReachedByPeer,
     /// It can't be reached.
     Unreachable,
     /// The check took too long.
@@ -73,6 +75,69 @@
     }
 }
 
+/// Why a peer opened no tunnel.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum TunnelProblem {
+    /// The peer reaches other upstreams, and not this one.
+    UpstreamUnreachable,
+    /// The peer can't help now.
+    RelayRefused,
+    /// The peer can't be reached, or broke the connection.
+    RelayUnreachable,
+    /// The peer did not respond in time.
+    RelaySilent,
+}
+
+/// Why this host opened no tunnel for a peer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RelayRefusal {
+    /// It reaches other upstreams, and not this one.
+    Unreachable,
+    /// Its own links are down.
+    LinksDown,
+    /// It did not reach this upstream, nor heard of any other lately.
+    LinksDoubtful,
+    /// It knows no such upstream that may get requests.
+    UnknownUpstream,
+    /// It serves as many tunnels as it can.
+    Full,
+    /// It is stopping.
+    Stopping,
+    /// The request is of another protocol.
+    OtherProtocol,
+}
+
+impl RelayRefusal {
+    /// Status of the response: 502 if the fault is the upstream's, 503 if another peer may help.
+    pub fn status(self) -> u16 {
+        match self {
+            RelayRefusal::Unreachable => 502,
+            RelayRefusal::LinksDown
+            | RelayRefusal::LinksDoubtful
+            | RelayRefusal::UnknownUpstream
+            | RelayRefusal::Full
+            | RelayRefusal::Stopping
+            | RelayRefusal::OtherProtocol => 503,
+        }
+    }
+}
+
+/// How a tunnel ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum TunnelEnd {
+    /// The peer closed it.
+    PeerClosed,
+    /// The upstream closed its connection.
+    UpstreamClosed,
+    /// One of the two connections broke.
+    Broken,
+    /// Nothing was sent for long.
+    Idle,
+}
+
 /// What an upstream responded to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -5,19 +5,23 @@
 mod rate_limits;
 mod response_logging;
 
+use crate::connection::Path;
 use crate::dialect::Dialect;
 use crate::event_log::{EventLog, LogEvent};
+use crate::links;
 use crate::metrics::Metrics;
 use crate::placement::PlacementState;
 use crate::pool::{Pool, PoolLimit};
 use crate::quota::QuotaState;
 use crate::response_memory::ResponseMemory;
 use crate::settings::Settings;
+use crate::ticket_counter::TicketCounter;
 use crate::unread_headers::UnreadHeaderLog;
 use clock::Clock;
 use dispatch::budget::{LOCAL_ZONE_PROBE_SHARE, ProbeBudget, RetryBudget, SCHEDULER_PROBE_SHARE};
 use dispatch::quarantine::Quarantine;
 use dispatch::rejections::Rejections;
+use dispatch::relays::RelayDirectory;
 use dispatch::{
     FleetSize, LinkMonitor, LocalRateLimiter, MAX_IDLE_CONNECTIONS, RouteKey, SplitTable,
     UpstreamSet, idle_connections_per_host,
@@ -75,6 +79,14 @@
     pub response_memory: Rc<ResponseMemory>,
     /// What this host's own links to upstreams tell.
     pub links: RefCell<LinkMonitor>,
+    /// What it knows of its peers as relays.
+    pub relays: RefCell<RelayDirectory>,
+    /// Whether upstreams that only peers reach are probed now and then.
+    pub is_rechecking_links: Cell<bool>,
+    /// Number of tunnels that it serves to peers.
+    pub open_tunnels: Cell<usize>,
+    /// Numbers of the tunnels that it requests.
+    pub tunnel_ids: TicketCounter,
     /// Idle connections to upstreams.
     pub pool: RefCell<Pool>,
     /// Requests that crash upstreams.
@@ -153,6 +165,10 @@
             split_table: RefCell::default(),
             response_memory: ResponseMemory::new(settings.memory_bytes),
             links: RefCell::default(),
+            relays: RefCell::default(),
+            is_rechecking_links: Cell::new(false),
+            open_tunnels: Cell::new(0),
+            tunnel_ids: TicketCounter::new(seed),
             pool: RefCell::default(),
             quarantine: RefCell::default(),
             quarantine_requests_sent: Cell::new(0),
@@ -287,10 +303,15 @@
                 idle_connections_per_host(settings.max_connections, hosts)
             })
         };
-        self.pool.borrow_mut().prune(|id| {
+        let is_wanted = |id: &UpstreamId, path: &Path| {
+            let upstream = state.upstream(id);
+            upstream.is_some_and(|entry| links::is_wanted(self, &entry.value, path))
+        };
+        let limit_of = |id: &UpstreamId| {
             let upstream = &state.upstream(id)?.value;
             Some(PoolLimit { run: upstream.run, max_idle: max_idle(&upstream.service) })
-        });
+        };
+        self.pool.borrow_mut().prune(limit_of, is_wanted);
     }
 
     fn apply_published_state(&self) {
@@ -304,6 +325,7 @@
         self.zone_probe_budget.borrow_mut().retain(is_known);
         self.placement.probe_budget.borrow_mut().retain(is_known);
         self.rate_limiter.borrow_mut().retain(now_ms, is_known);
+        self.links.borrow_mut().retain(is_known);
         self.unread_headers.borrow_mut().retain(is_known);
         self.malformed_headers.borrow_mut().retain(is_known);
         let Some(entry) = state.routing() else { return };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`placement`]: placements of requests at upstreams, by the scheduler of a service
 //! - [`response_memory`]: the memory that is held for responses
 //! - [`connection`], [`pool`], [`probe`]: connections to upstreams, and probes before sending
+//! - [`links`], [`tunnel`]: whether this host reaches upstreams, and connections through peers that do
 //! - [`quarantine`]: detects requests that crash upstreams, and informs the other hosts
 //! - [`source_reader`], [`peers`], [`fleet_message`]: the published state, read from the source or
 //!   received from peers, and other messages between hosts
@@ -28,6 +29,7 @@
 pub mod host;
 pub mod http1;
 pub mod ingress;
+pub mod links;
 pub mod metrics;
 pub mod operator;
 pub mod peers;
@@ -43,4 +45,5 @@
 pub mod source;
 pub mod source_reader;
 pub mod ticket_counter;
+pub mod tunnel;
 pub mod unread_headers;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -41,6 +41,9 @@
     connections: Counter<u64>,
     source_calls: Gauge<u64>,
     peer_bytes: Counter<u64>,
+    tunnels_requested: Counter<u64>,
+    open_tunnels: Gauge<u64>,
+    links_down: Gauge<u64>,
     callers_hung_up: Counter<u64>,
     broken_off: Counter<u64>,
     state_age: Gauge<f64>,
@@ -105,6 +108,18 @@
             connections: counter("gateway_connections_opened", "Connections opened to upstreams"),
             source_calls: gauge("gateway_source_calls", "Calls to the source of what is published"),
             peer_bytes: counter("gateway_peer_bytes", "Bytes sent to peers"),
+            tunnels_requested: counter(
+                "gateway_tunnels_requested",
+                "Connections to upstreams that peers were asked to open, by result",
+            ),
+            open_tunnels: gauge(
+                "gateway_open_tunnels",
+                "Connections to upstreams that this host keeps open for peers",
+            ),
+            links_down: gauge(
+                "gateway_links_down",
+                "Services of which peers reach upstreams and this host reaches none",
+            ),
             callers_hung_up: counter("gateway_callers_gone", "Requests whose caller hung up"),
             broken_off: counter(
                 "gateway_broken_off",
@@ -205,6 +220,11 @@
         self.peer_bytes.add(bytes as u64, &[]);
     }
 
+    /// Counts a connection that peers were asked to open.
+    pub fn tunnel_requested(&self, result: TunnelResult) {
+        self.tunnels_requested.add(1, &[KeyValue::new("result", result.as_str())]);
+    }
+
     /// Counts a request whose caller disconnected.
     pub fn caller_hung_up(&self) {
         self.callers_hung_up.add(1, &[]);
@@ -225,6 +245,8 @@
         self.cold_upstreams.record(state.cold_upstreams, &[]);
         self.excluded_upstreams.record(state.excluded_upstreams, &[]);
         self.unreached_upstreams.record(state.unreached_upstreams, &[]);
+        self.links_down.record(state.links_down, &[]);
+        self.open_tunnels.record(state.open_tunnels, &[]);
         self.limited_upstreams.record(state.limited_upstreams, &[]);
         self.backing_off.record(state.backing_off, &[]);
         self.leaving_upstreams.record(state.leaving_upstreams, &[]);
@@ -247,6 +269,27 @@
     }
 }
 
+/// What became of a request for a tunnel.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum TunnelResult {
+    /// A peer opened it.
+    Opened,
+    /// A peer couldn't reach the upstream either.
+    Unreachable,
+    /// No peer could help.
+    NoRelay,
+}
+
+impl TunnelResult {
+    fn as_str(self) -> &'static str {
+        match self {
+            TunnelResult::Opened => "opened",
+            TunnelResult::Unreachable => "unreachable",
+            TunnelResult::NoRelay => "no-relay",
+        }
+    }
+}
+
 /// The values of the gauges.
 #[derive(Debug, Clone, Copy)]
 pub struct StateFigures {
@@ -268,6 +311,10 @@
     pub unreached_upstreams: u64,
     /// Time since any upstream responded.
     pub upstream_silence: Option<Duration>,
+    /// Services to which this host's links are down.
+    pub links_down: u64,
+    /// Tunnels that it serves to peers.
+    pub open_tunnels: u64,
     /// Upstreams that state a rate limit.
     pub limited_upstreams: u64,
     /// Upstreams that asked this host to back off.
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -241,6 +241,8 @@
             .borrow()
             .silence_ms(host.now_ms())
             .map(crate::host::to_duration),
+        links_down: host.links.borrow().down_count() as u64,
+        open_tunnels: host.open_tunnels.get() as u64,
         limited_upstreams: host.upstreams.borrow().backpressure().count_limited() as u64,
         backing_off: host
             .upstreams
--- a/crates/gateway/src/peers/codec.rs
+++ b/crates/gateway/src/peers/codec.rs
@@ -13,8 +13,9 @@
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
-/// Version of the protocol; increases with each change of a message.
-const PROTOCOL: u8 = 8;
+/// Version of the protocol; increases with each change of a message that an earlier release would
+/// misread. One that it can only reject, as an appended variant, needs none.
+pub const PROTOCOL: u8 = 8;
 
 /// The content of a datagram.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -8,11 +8,12 @@
 mod scheduling;
 
 pub use guard::PlacementGuard;
-pub use scheduling::{reschedule, run, update_primary_cells};
+pub use scheduling::{hand_over, reschedule, run, update_primary_cells};
 
 use crate::event_log::LogEvent;
 use crate::fleet_message;
 use crate::host::Host;
+use crate::links;
 use crate::metrics::Metrics;
 use crate::peers::codec::Datagram;
 use crate::ticket_counter::TicketCounter;
@@ -37,6 +38,10 @@
 /// Longest wait for the next reply. One is sent every 10 ms, so four may be lost.
 const NEXT_REPLY: Duration = Duration::from_millis(50);
 
+/// Most schedulers that a request is submitted to, one after the other, if their hosts reach no
+/// upstream.
+const MAX_SCHEDULERS: usize = 4;
+
 /// How long a service counts as busy after one of its requests had to wait for a placement.
 const BUSY_MS: Millis = Millis(300);
 
@@ -133,11 +138,29 @@
     }
 }
 
-/// Submits a request to the scheduler of its cell, and waits for the reply.
+/// Submits a request to the scheduler of its cell, and waits for the reply. Goes on to the next host
+/// in order as long as schedulers' hosts reach no upstream.
 pub async fn place(
     host: &Rc<Host>,
     cell: Cell,
-    submission: impl FnOnce(Ticket, Cell) -> Submission,
+    submission: impl Fn(Ticket, Cell) -> Submission,
+) -> PlacementResult {
+    for _ in 0..MAX_SCHEDULERS {
+        match submit(host, cell.clone(), &submission).await {
+            PlacementResult::Refused { scheduler, cause: RefusalCause::CutOff } => {
+                let now_ms = host.now_ms();
+                host.placement.directory.borrow_mut().record_cut_off(now_ms, &scheduler);
+            }
+            result => return result,
+        }
+    }
+    PlacementResult::Unanswered
+}
+
+async fn submit(
+    host: &Rc<Host>,
+    cell: Cell,
+    submission: impl Fn(Ticket, Cell) -> Submission,
 ) -> PlacementResult {
     let Some(scheduler) = choose_scheduler(host, &cell) else { return PlacementResult::Unanswered };
     let ticket = host.placement.tickets.draw();
@@ -201,6 +224,12 @@
         PlacementMessage::Refused { ticket, cause } => {
             host.placement.deliver(ticket, SchedulerReply::Refused(cause));
         }
+        PlacementMessage::Submit(Submission { ticket, cell, .. })
+            if links::are_down(host, &cell.service) =>
+        {
+            let cause = RefusalCause::CutOff;
+            send(host, requester, PlacementMessage::Refused { ticket, cause });
+        }
         // This host knows only some upstreams and must not schedule; the sender probes instead.
         PlacementMessage::Submit(Submission { ticket, .. }) if host.is_partial() => {
             let cause = RefusalCause::NoUpstream;
--- a/crates/gateway/src/placement/scheduling.rs
+++ b/crates/gateway/src/placement/scheduling.rs
@@ -6,7 +6,7 @@
 use crate::probe;
 use dispatch::UpstreamSet;
 use dispatch::scheduler::{Cell, Directory, Effect, PlacementMessage, Requester, SchedulerSet};
-use domain::Millis;
+use domain::{Millis, ServiceName};
 use rand_pcg::Pcg64Mcg;
 use std::rc::Rc;
 
@@ -22,6 +22,12 @@
     decide_and_apply(host, SchedulerSet::schedule);
 }
 
+/// Refuses all requests for a service that wait, so that their hosts submit them elsewhere.
+pub fn hand_over(host: &Rc<Host>, service: &ServiceName) {
+    let effects = host.placement.schedulers.borrow_mut().hand_over(service);
+    carry_out(host, effects);
+}
+
 /// Updates for which cells this host is the primary scheduler.
 pub fn update_primary_cells(host: &Host) {
     let members = host.members();
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,6 +1,6 @@
 //! Pool of idle connections to upstreams.
 
-use crate::connection::Connection;
+use crate::connection::{Connection, Path};
 use dispatch::MAX_IDLE_CONNECTIONS;
 use domain::{FastMap, UpstreamId};
 use published::RunStart;
@@ -43,12 +43,18 @@
         }
     }
 
-    /// Closes connections that expired, or whose upstream is gone or has restarted, and the least
-    /// recently used ones beyond `max_idle`.
-    pub fn prune(&mut self, limit_of: impl Fn(&UpstreamId) -> Option<PoolLimit>) {
+    /// Closes connections whose path is not wanted, that expired, or whose upstream is gone or has
+    /// restarted, and the least recently used ones beyond `max_idle`.
+    pub fn prune(
+        &mut self,
+        limit_of: impl Fn(&UpstreamId) -> Option<PoolLimit>,
+        is_wanted: impl Fn(&UpstreamId, &Path) -> bool,
+    ) {
         self.idle.retain(|upstream, idle| {
             let Some(limit) = limit_of(upstream) else { return false };
-            idle.retain_mut(|connection| is_usable(connection, limit.run));
+            idle.retain_mut(|connection| {
+                is_wanted(upstream, connection.path()) && is_usable(connection, limit.run)
+            });
             idle.drain(..idle.len().saturating_sub(limit.max_idle));
             !idle.is_empty()
         });
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -8,9 +8,11 @@
 
 mod connect;
 mod health_check;
+mod open;
 
 pub use connect::{connect, is_trusted};
 pub use health_check::{Responder, find_responder, read_load, record_report, refresh};
+pub use open::{connect_directly, probe_directly};
 
 use crate::connection::Connection;
 use crate::host::Host;
--- a/crates/gateway/src/probe/connect.rs
+++ b/crates/gateway/src/probe/connect.rs
@@ -1,10 +1,13 @@
 //! Connections to upstreams that were chosen without being probed.
 
 use super::health_check::{
-    ProbeBudgetKind, exchange, health_path, open, record_failure, record_result, take_probe,
+    ProbeBudgetKind, exchange, health_path, record_failure, record_result, take_probe,
 };
+use super::open::{Check, open};
 use crate::connection::Connection;
 use crate::host::Host;
+use crate::links;
+use dispatch::ProbeFailure;
 use domain::UpstreamId;
 use published::{Idempotency, RunStart};
 use std::rc::Rc;
@@ -26,27 +29,28 @@
     host: &Rc<Host>,
     upstream: &UpstreamId,
     idempotency: Idempotency,
-) -> Option<Connection> {
+) -> Result<Connection, ProbeFailure> {
     let run = host.upstreams.borrow().current_run(upstream);
     let pooled = host.pool.borrow_mut().take(upstream, run);
     match pooled {
-        Some(connection) if is_trusted(&connection, idempotency) && !connection.is_doubtful() => {
-            return Some(connection);
+        Some(connection)
+            if is_trusted(&connection, idempotency)
+                && !connection.is_doubtful()
+                && !links::is_suspect(host, upstream, &connection) =>
+        {
+            return Ok(connection);
         }
         Some(connection) => {
             if let Some(connection) = verify(host, (upstream, run), connection).await {
-                return Some(connection);
+                return Ok(connection);
             }
         }
         None => {}
     }
-    match open(host, upstream).await {
-        Ok(connection) => Some(connection),
-        Err(failure) => {
-            record_failure(host, (upstream, run), failure);
-            None
-        }
-    }
+    let opened = open(host, (upstream, run), Check::IfDoubtful).await;
+    opened
+        .map(|opened| opened.connection)
+        .inspect_err(|failure| record_failure(host, (upstream, run), *failure))
 }
 
 /// Whether a connection was used so recently that it is taken to be alive without a probe. Checked
--- a/crates/gateway/src/probe/health_check.rs
+++ b/crates/gateway/src/probe/health_check.rs
@@ -1,24 +1,26 @@
 //! One probe of one upstream, and recording its result.
 
+use super::open::{Check, open};
 use crate::backpressure;
 use crate::connection::{Connection, Expected, Sent};
 use crate::event_log::{LogEvent, ResponseTo};
 use crate::host::Host;
 use crate::http1::HeadFields;
+use crate::links;
 use dispatch::backpressure::ResponseKind;
 use dispatch::{LoadReport, ProbeFailure};
 use domain::{Millis, ServiceName, UpstreamId};
 use published::{RunStart, Upstream};
 use std::rc::Rc;
-use std::sync::Arc;
 use std::time::Duration;
 
-/// Longest time to open a connection: some round trips between availability zones.
-const CONNECT_LIMIT: Duration = Duration::from_millis(250);
-
 /// Longest wait for the response to a probe; after it the upstream counts as unresponsive.
 const PROBE_LIMIT: Duration = Duration::from_millis(400);
 
+/// Longest wait on an idle connection while no upstream responds to this host: the connection may
+/// be dead.
+const POOLED_LIMIT: Duration = Duration::from_millis(50);
+
 /// The same for one that may be gone: half of the time of a look at it.
 const NEW_PROBE_LIMIT: Duration = Duration::from_millis(30);
 
@@ -54,9 +56,6 @@
     if let Some(known) = host.upstreams.borrow_mut().get_run_mut(upstream, run) {
         known.record_probe_failure(now_ms, failure);
     }
-    if matches!(failure, ProbeFailure::Unreachable | ProbeFailure::TimedOut) {
-        host.links.borrow_mut().record_unreached(upstream);
-    }
     host.log.write(&LogEvent::AskFailed { upstream, failure });
 }
 
@@ -144,9 +143,10 @@
     Responder::Published
 }
 
-struct ProbeResponse {
-    connection: Connection,
-    is_healthy: bool,
+/// A connection on which an upstream responded to a probe.
+pub(super) struct ProbeResponse {
+    pub(super) connection: Connection,
+    pub(super) is_healthy: bool,
 }
 
 async fn probe(
@@ -157,28 +157,35 @@
     let path = health_path(host, service);
     let pooled = host.pool.borrow_mut().take(upstream, run);
     if let Some(mut connection) = pooled {
-        match exchange(host, &mut connection, (upstream, run), &path).await {
+        let exchanging = exchange(host, &mut connection, (upstream, run), &path);
+        match within_pooled_limit(host, exchanging).await {
             Ok(is_healthy) => return Ok(ProbeResponse { connection, is_healthy }),
             // An idle connection may be dead; a probe is safe to repeat.
             Err(ProbeFailure::Unreachable) => {}
             Err(failure) => return Err(failure),
         }
     }
-    let mut connection = open(host, upstream).await?;
-    let is_healthy = exchange(host, &mut connection, (upstream, run), &path).await?;
-    Ok(ProbeResponse { connection, is_healthy })
+    open(host, (upstream, run), Check::Always).await
 }
 
-/// Opens a connection to an upstream.
-pub(super) async fn open(
-    host: &Rc<Host>,
-    upstream: &UpstreamId,
-) -> Result<Connection, ProbeFailure> {
-    let entry = host.upstreams.borrow().get(upstream).map(|known| Arc::clone(&known.entry));
-    let entry = entry.ok_or(ProbeFailure::Unreachable)?;
-    host.metrics.connection_opened();
-    let connection = Connection::open(entry.address, Some(host.own_ip()), CONNECT_LIMIT).await;
-    connection.map(|open| open.with_run(entry.run)).map_err(|_| ProbeFailure::Unreachable)
+/// Waits for the response on an idle connection; gives up early if no upstream responds to this host
+/// meanwhile.
+async fn within_pooled_limit(
+    host: &Host,
+    exchanging: impl Future<Output = Result<bool, ProbeFailure>>,
+) -> Result<bool, ProbeFailure> {
+    let begun_ms = host.now_ms();
+    let mut exchanging = std::pin::pin!(exchanging);
+    match clock::timeout(POOLED_LIMIT, &mut exchanging).await {
+        Ok(result) => result,
+        Err(_) if host.links.borrow().has_responded_since(begun_ms) => exchanging.await,
+        Err(_) => Err(ProbeFailure::Unreachable),
+    }
+}
+
+/// Takes a probe of this upstream from the budget that all hosts share; false if it is spent.
+pub(super) fn take_fleet_probe(host: &Host, entry: &Upstream) -> bool {
+    take_probe(host, &entry.service, &entry.id, ProbeBudgetKind::Fleet)
 }
 
 pub(super) fn health_path(host: &Host, service: &ServiceName) -> String {
@@ -201,7 +208,7 @@
     let expected = Expected { has_body: true, naming, read_timeouts: None };
     let response = connection.exchange(request.as_bytes(), expected).await;
     let response = response.map_err(|_| ProbeFailure::Unreachable)?;
-    host.links.borrow_mut().record_response(host.now_ms());
+    links::record_response(host, upstream, connection);
     host.log_unread_headers(upstream, &response.head.fields, ResponseTo::HealthCheck);
     let is_other = |id: &str| id != upstream.as_str();
     if response.head.fields.get(host.dialect.upstream).is_some_and(is_other) {
--- a/crates/gateway/src/quarantine.rs
+++ b/crates/gateway/src/quarantine.rs
@@ -4,15 +4,18 @@
 //! crash: upstreams send malformed responses, some reset connections when they are full, and links
 //! break. After a crash the port refuses connections, which one round trip shows, and no other
 //! connection to the upstream is open. A port may outlive its process for a moment, so one that
-//! accepts has to answer a probe; while it doesn't, it is looked at again. A crash that takes the
-//! machine off the network isn't detected.
+//! accepts has to answer a probe; while it doesn't, it is looked at again. A port that refuses only
+//! this host, as a peer can connect to it, is no crash. A crash that takes the machine off the
+//! network isn't detected.
 
 use crate::connection::Connection;
 use crate::event_log::{CrashEvidence, LogEvent};
 use crate::fleet_message;
 use crate::host::Host;
+use crate::links;
 use crate::peers::codec::Datagram;
 use crate::probe::{Responder, find_responder};
+use crate::tunnel::{self, TunnelFailure};
 use clock::Moment;
 use dispatch::quarantine::{Crash, MAX_SUSPECTS_PER_MESSAGE, QuarantineMessage, SuspectChange};
 use domain::{Millis, RequestFingerprint, UpstreamId};
@@ -114,7 +117,19 @@
         },
         Err(e) => match e.kind() {
             ErrorKind::ConnectionRefused if is_connected(host, entry) => CrashEvidence::OnlyFull,
-            ErrorKind::ConnectionRefused => CrashEvidence::Refused,
+            ErrorKind::ConnectionRefused => {
+                links::record_unreached(host, &entry.id);
+                match Box::pin(tunnel::open(host, entry)).await {
+                    Ok(_) => {
+                        links::record_reached_by_peer(host, &entry.id);
+                        CrashEvidence::ReachedByPeer
+                    }
+                    Err(TunnelFailure::NoRelay) if links::are_down(host, &entry.service) => {
+                        CrashEvidence::Unreachable
+                    }
+                    Err(_) => CrashEvidence::Refused,
+                }
+            }
             ErrorKind::TimedOut => CrashEvidence::TooLate,
             // A port that closes resets the connections that nobody accepted.
             ErrorKind::ConnectionReset => CrashEvidence::Reset,
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -18,6 +18,7 @@
 use crate::settings::Settings;
 use crate::source::Source;
 use crate::source_reader::SourceReader;
+use crate::tunnel;
 use domain::{Incarnation, Millis};
 use error_stack::{Report, ResultExt};
 use published::{Gossip, Member, Reader, StartConditions};
@@ -195,6 +196,9 @@
         spawn_local(clock::watch_for_suspension());
         spawn_local(Rc::clone(&peers).receive());
         spawn_local(Rc::clone(&peers).serve_fetches(listeners.fetches));
+        if let Some(listener) = listeners.tunnels {
+            spawn_local(tunnel::serve(Rc::clone(&host), listener));
+        }
         spawn_local(Rc::clone(&peers).send_hello());
         spawn_local(source_reader.run());
         spawn_local(placement::run(Rc::clone(&host)));
@@ -238,7 +242,10 @@
     host.placement.schedulers.borrow_mut().stop_accepting();
     clock::sleep(READINESS_NOTICE.min(to_duration(limit_ms))).await;
     host.closing_idle.send_replace(true);
-    let is_busy = || host.open_requests.get() > 0 || host.open_caller_connections.get() > 0;
+    let is_busy = || {
+        let open = [&host.open_requests, &host.open_caller_connections, &host.open_tunnels];
+        open.into_iter().any(|open| open.get() > 0)
+    };
     while is_busy() && host.now_ms().since(start_ms) < limit_ms {
         clock::sleep(STOP_CHECK_INTERVAL).await;
     }
@@ -273,6 +280,7 @@
             }
         }
         peers.run_gossip(|gossip| gossip.expire(now_ms));
+        host.relays.borrow_mut().retain(|peer| host.members().contains(peer));
         placement::update_primary_cells(&host);
         placement::reschedule(&host);
         quarantine::run_maintenance(&host);
@@ -298,6 +306,7 @@
     operator: Option<TcpListener>,
     metrics: Option<Result<TcpListener, Report<StartError>>>,
     fetches: TcpListener,
+    tunnels: Option<TcpListener>,
     datagrams: UdpSocket,
 }
 
@@ -309,6 +318,7 @@
             readiness: listen(settings.readiness)?,
             operator: settings.operator.map(listen).transpose()?,
             fetches: listen(settings.peers)?,
+            tunnels: settings.tunnels.map(listen).transpose()?,
             datagrams: datagrams.change_context(StartError::Listen(settings.peers))?,
             // Last, as it is optional and must not take an address that another listener needs.
             metrics: settings.metrics.map(listen),
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -8,11 +8,12 @@
 use super::{Reply, RoutedRequest};
 use crate::backpressure;
 use crate::connection::{
-    Connection, ExchangeError, Expected, LongBody, LongResponse, Received, Response, Sent,
+    Connection, ExchangeError, Expected, LongBody, LongResponse, Path, Received, Response, Sent,
     Streaming,
 };
 use crate::event_log::{LogEvent, ResponseTo};
 use crate::http1::{HeaderChanges, ResponseHead, write_request};
+use crate::links;
 use crate::probe;
 use crate::quarantine::{self, BrokenAttempt, Trial};
 use crate::response_memory::{HeldBytes, MAX_WHOLE_BYTES};
@@ -126,7 +127,7 @@
         self.progress
             .continues_without_caller
             .set(self.route().idempotency == Idempotency::AtMostOnce);
-        self.log_attempt(&selected, now_ms, counts.sent);
+        self.log_attempt(&selected, &connection, now_ms, counts.sent);
         if selected.placement.is_none() {
             self.host.record_rated_send(&selected.upstream);
         }
@@ -135,7 +136,13 @@
         Ok(Attempt { selected, connection, bytes, guard, sent_ms: now_ms, trial })
     }
 
-    fn log_attempt(&self, selected: &Selected, now_ms: Millis, sending: u32) {
+    fn log_attempt(
+        &self,
+        selected: &Selected,
+        connection: &Connection,
+        now_ms: Millis,
+        sending: u32,
+    ) {
         self.host.metrics.attempt_sent(sending > 1);
         let (is_other_zone, warmth) = {
             let upstreams = self.host.upstreams.borrow();
@@ -161,6 +168,10 @@
             upstream: &selected.upstream,
             sending,
             left_ms: self.end_ms.since(now_ms),
+            tunnel: match connection.path() {
+                Path::Direct => None,
+                Path::Tunnel(tunnel) => Some(&tunnel.id),
+            },
         });
     }
 
@@ -199,8 +210,14 @@
         };
         let Selected { upstream, work, .. } = selected;
         let (end, received) = self.attempt_result(&upstream, result);
-        if received.is_some() {
-            self.host.links.borrow_mut().record_response(self.host.now_ms());
+        match end {
+            AttemptResult::Answered(_) => {
+                links::record_response(&self.host, &upstream, &connection)
+            }
+            AttemptResult::Broken if *connection.path() == Path::Direct => {
+                links::record_unreached(&self.host, &upstream);
+            }
+            AttemptResult::Broken | AttemptResult::NotSent => {}
         }
         let head = received.as_ref().map(Received::head);
         let fields = head.map(|head| &head.fields);
--- a/crates/gateway/src/serve/selection.rs
+++ b/crates/gateway/src/serve/selection.rs
@@ -9,11 +9,12 @@
 use crate::connection::Connection;
 use crate::event_log::{ChosenBy, LogEvent};
 use crate::host::to_duration;
+use crate::links;
 use crate::placement::{self, PlacementGuard, PlacementResult};
 use crate::probe::{self, Chosen};
 use dispatch::attempts::{Cause, Refusal};
 use dispatch::scheduler::{Cell, Placement, RefusalCause, Submission, Ticket};
-use dispatch::{DeadlineCheck, LatencyEstimate, Verdict};
+use dispatch::{DeadlineCheck, LatencyEstimate, ProbeFailure, Verdict};
 use domain::{HostId, Millis, UpstreamId, ZoneName};
 use published::Organisation;
 
@@ -60,11 +61,14 @@
         while counts.tried.len() < MAX_TRIED {
             let begun_ms = self.host.now_ms();
             self.check_time(begun_ms, counts)?;
+            if links::have_no_path(&self.host, &self.service) {
+                break;
+            }
             let selected = self.select_upstream(begun_ms, counts).await?;
             self.check_time(self.host.now_ms(), counts)?;
             let Some(mut selected) = selected else { break };
             let connection = match selected.connection.take() {
-                Some(connection) => Some(connection),
+                Some(connection) => Ok(connection),
                 None => {
                     probe::connect(&self.host, &selected.upstream, self.route().idempotency).await
                 }
@@ -73,14 +77,15 @@
                 self.check_caller().await;
             }
             match connection {
-                Some(connection) if self.may_send(&selected) => {
+                Ok(connection) if self.may_send(&selected) => {
                     if probe::is_trusted(&connection, self.route().idempotency) {
                         return Ok((selected, connection));
                     }
                     self.host.pool.borrow_mut().put(&selected.upstream, connection);
                 }
                 connection => {
-                    if connection.is_none() {
+                    // Without a path, this host knows nothing of the upstream.
+                    if connection.is_err_and(|failure| failure != ProbeFailure::NoPath) {
                         selected.placement.iter_mut().for_each(PlacementGuard::record_unreachable);
                     }
                     counts.tried.push(selected.upstream);
@@ -109,6 +114,9 @@
         let upstreams = self.host.upstreams.borrow();
         match (counts.may_have_run() > 0, free_in_ms) {
             (true, _) => Refusal::may_have_run(Cause::UpstreamFailed),
+            (false, _) if links::are_down(&self.host, &self.service) => {
+                Refusal::no_path(links::RECHECK_INTERVAL_MS)
+            }
             (false, Some(free_in_ms)) => Refusal::rate_limited(free_in_ms),
             (false, None) if upstreams.is_evacuated(&self.service) => {
                 Refusal::not_run(Cause::ZonesEvacuated)
@@ -135,7 +143,10 @@
                 scheduler,
                 cause: RefusalCause::NoRoom { retry_after_ms, ahead },
             } => Err(self.no_capacity_refusal(&scheduler, retry_after_ms, ahead, counts)),
-            PlacementResult::Refused { cause: RefusalCause::NoUpstream, .. }
+            PlacementResult::Refused {
+                cause: RefusalCause::NoUpstream | RefusalCause::CutOff,
+                ..
+            }
             | PlacementResult::Unanswered => self.probe(begun_ms, counts).await,
         }
     }
@@ -188,7 +199,7 @@
         &self,
         zone: &ZoneName,
         counts: &AttemptCounts,
-    ) -> impl FnOnce(Ticket, Cell) -> Submission {
+    ) -> impl Fn(Ticket, Cell) -> Submission {
         let now_ms = self.host.now_ms();
         let route = self.route();
         let objective_ms = route.objective_ms;
@@ -203,15 +214,15 @@
         move |ticket, cell| Submission {
             ticket,
             cell,
-            zone,
+            zone: zone.clone(),
             route,
             route_time,
             priority,
             objective_ms,
             age_ms,
             left_ms,
-            tried,
-            backing_off,
+            tried: tried.clone(),
+            backing_off: backing_off.clone(),
             lends_rate_share: false,
         }
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -24,6 +24,9 @@
     pub metrics: Option<SocketAddr>,
     /// Address for peers' datagrams and connections.
     pub peers: SocketAddr,
+    /// Address for tunnels of peers; all hosts use its port. None if this host neither serves nor
+    /// requests tunnels.
+    pub tunnels: Option<SocketAddr>,
     /// Hosts through which this one joins the fleet.
     pub seeds: Vec<IpAddr>,
     /// Whether the whole system starts for the first time.
@@ -39,7 +42,7 @@
 impl Settings {
     /// All addresses on which the host listens.
     pub fn listen_addresses(&self) -> Vec<SocketAddr> {
-        let optional = [self.operator, self.metrics].into_iter().flatten();
+        let optional = [self.operator, self.metrics, self.tunnels].into_iter().flatten();
         [self.callers, self.readiness, self.peers].into_iter().chain(optional).collect()
     }
 }
--- a/crates/gateway/tests/datagram_bytes.rs
+++ b/crates/gateway/tests/datagram_bytes.rs
@@ -471,6 +471,7 @@
     "080103c0a8a504003cad02"
 )]
 #[case::no_upstream(refused(RefusalCause::NoUpstream), "080103c0a8a50401")]
+#[case::cut_off(refused(RefusalCause::CutOff), "080103c0a8a50402")]
 #[case::served(ended(served()), "080104c0a8a50400b4010105c801068c01010000000000001e4001d00f01")]
 #[case::error_answer(
     ended(failed(AttemptFailure::ErrorResponse)),
--- a/crates/gateway/tests/docs.rs
+++ b/crates/gateway/tests/docs.rs
@@ -4,7 +4,7 @@
 use dispatch::attempts::Cause;
 use dispatch::rejections::RejectionState;
 use dispatch::scheduler::QueueFigures;
-use gateway::metrics::{Metrics, StateFigures};
+use gateway::metrics::{Metrics, StateFigures, TunnelResult};
 use rstest::rstest;
 use std::path::Path;
 use std::time::Duration;
@@ -23,6 +23,7 @@
     metrics.probe_sent();
     metrics.connection_opened();
     metrics.peer_bytes_sent(3);
+    metrics.tunnel_requested(TunnelResult::Opened);
     metrics.caller_hung_up();
     metrics.upstream_broke_off(true);
     let state_age = Some(Duration::ZERO);
@@ -36,6 +37,8 @@
         excluded_upstreams: 0,
         unreached_upstreams: 0,
         upstream_silence: Some(Duration::ZERO),
+        links_down: 0,
+        open_tunnels: 0,
         limited_upstreams: 0,
         backing_off: 0,
         leaving_upstreams: 0,
@@ -48,7 +51,7 @@
     let (page, text) = (page(), metrics.render());
     let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
     let names: Vec<&str> = types.filter_map(|line| line.split(' ').next()).collect();
-    assert_eq!(names.len(), 27, "{names:?}");
+    assert_eq!(names.len(), 30, "{names:?}");
     for name in names {
         assert!(page.contains(&format!("`{name}`")), "{name}");
     }
--- a/crates/gateway/tests/support/mod.rs
+++ b/crates/gateway/tests/support/mod.rs
@@ -106,6 +106,7 @@
         operator: Some(at(18_082)),
         metrics: None,
         peers: at(PEER_PORT),
+        tunnels: Some(at(PEER_PORT + 1)),
         seeds: seeds.iter().map(SocketAddr::ip).collect(),
         is_first_start: false,
         capacity: Capacity::default(),
--- a/crates/published/src/members.rs
+++ b/crates/published/src/members.rs
@@ -137,6 +137,11 @@
         self.others.values().map(|peer| &peer.member)
     }
 
+    /// Whether a host is another member that has not announced its exit.
+    pub fn contains(&self, host: &HostId) -> bool {
+        self.others.contains_key(host)
+    }
+
     /// This host and all other hosts.
     pub fn all(&self) -> Vec<Member> {
         std::iter::once(&self.own).chain(self.others()).cloned().collect()
