--- a/crates/dispatch/src/relays.rs
+++ b/crates/dispatch/src/relays.rs
@@ -19,8 +19,11 @@
 /// How long a peer that helped is preferred to those of which nothing is known.
 const PROVEN_MS: Millis = Millis(5_000);
 
-/// Share of the choices among all peers, also while some are proven: so that the load spreads.
-const EXPLORED_SHARE: f64 = 0.1;
+/// Least share of the choices among all peers, also while some are proven.
+const MIN_EXPLORED_SHARE: f64 = 0.1;
+
+/// Weight of one outcome in the share of peers that could not help.
+const OUTCOME_WEIGHT: f64 = 0.2;
 
 /// Factor on the load of a peer in neither the host's nor the upstream's zone: its traffic crosses
 /// zones twice.
@@ -45,6 +48,8 @@
 #[derive(Debug, Default)]
 pub struct RelayDirectory {
     relays: FastMap<HostId, Relay>,
+    /// Moving average of the share of peers that could not help, 0 to 1.
+    failure_share: f64,
 }
 
 #[derive(Debug, Default)]
@@ -71,7 +76,9 @@
         let eligible: Vec<&Member> = peers.filter(is_eligible).collect();
         let is_proven = |peer: &&&Member| self.is_proven(now_ms, &peer.host);
         let proven: Vec<&Member> = eligible.iter().filter(is_proven).copied().collect();
-        let explores = proven.is_empty() || rng.random_bool(EXPLORED_SHARE);
+        // The load spreads over all peers as long as most of them help.
+        let explored_share = (1.0 - self.failure_share).max(MIN_EXPLORED_SHARE);
+        let explores = proven.is_empty() || rng.random_bool(explored_share);
         let among = if explores { &eligible } else { &proven };
         let near: Vec<&Member> = among.iter().filter(|peer| zones.is_near(peer)).copied().collect();
         let drawn = [among.choose(rng), among.choose(rng), near.choose(rng)];
@@ -112,6 +119,7 @@
     pub fn record_opened(&mut self, host: &HostId, tunnels: u32) {
         let relay = self.relays.entry(host.clone()).or_default();
         relay.tunnels = tunnels;
+        self.record_outcome(0.0);
     }
 
     /// Records that an upstream responded through a relay.
@@ -128,6 +136,11 @@
         relay.failures += 1;
         relay.responded_ms = None;
         relay.avoided_until_ms = now_ms + Millis(avoided_ms);
+        self.record_outcome(1.0);
+    }
+
+    fn record_outcome(&mut self, failures: f64) {
+        self.failure_share += (failures - self.failure_share) * OUTCOME_WEIGHT;
     }
 
     /// Whether an idle connection through a relay may have died unnoticed.
