--- a/crates/ctl/src/timeline.rs
+++ b/crates/ctl/src/timeline.rs
@@ -1,8 +1,9 @@
 //! Timeline of one request, built from the structured logs of several hosts.
 //!
-//! Merges the lines about the request by time. Adds context lines of the same hosts: events
-//! shortly before or during the request that affect the whole host or an upstream that the
-//! request's lines name. Reports and skips lines that can't be parsed.
+//! Merges the lines about the request by time. Adds context lines: events shortly before or during
+//! the request that affect its whole host, the host of its scheduler or an upstream that the
+//! request's lines name; and all lines about the tunnels that it was sent through, of both hosts.
+//! Reports and skips lines that can't be parsed.
 
 use crate::error::CtlError;
 use crate::output::{Format, Status};
@@ -17,7 +18,8 @@
 const CONTEXT_BEFORE_MS: u64 = 3_000;
 
 /// Events that affect every request of a host.
-const HOST_EVENTS: [&str; 9] = [
+const HOST_EVENTS: [&str; 10] = [
+    "links",
     "started",
     "stopping",
     "stopped",
@@ -137,14 +139,27 @@
     let (Some(first), Some(last)) = (own.first(), own.last()) else { return false };
     let is_in_time =
         line.at_ms.saturating_add(CONTEXT_BEFORE_MS) >= first.at_ms && line.at_ms <= last.at_ms;
+    let names = |name: &str, value: &Value| {
+        own.iter().any(|own| own.fields.get(name).is_some_and(|named| named == value))
+    };
+    if line.fields.get("tunnel").is_some_and(|tunnel| names("tunnel", tunnel)) {
+        return true;
+    }
+    let host = Value::String(line.host.clone());
     let is_same_host = own.iter().any(|own| own.host == line.host);
+    let is_scheduler = names("scheduler", &host);
     let names_upstream = || {
         let upstream = line.fields.get("upstream");
         upstream.is_some() && own.iter().any(|own| own.fields.get("upstream") == upstream)
     };
     let is_other_request = line.fields.contains_key("id");
-    let is_relevant = HOST_EVENTS.contains(&line.event.as_str()) || names_upstream();
-    is_in_time && is_same_host && !is_other_request && is_relevant
+    let is_host_event = HOST_EVENTS.contains(&line.event.as_str());
+    let is_relevant = match (is_same_host, is_scheduler) {
+        (true, _) => is_host_event || names_upstream(),
+        (false, true) => is_host_event,
+        (false, false) => false,
+    };
+    is_in_time && !is_other_request && is_relevant
 }
 
 /// Describes how the request ended, and its last failed attempt, if any.
--- a/crates/ctl/tests/timeline.rs
+++ b/crates/ctl/tests/timeline.rs
@@ -59,6 +59,47 @@
     assert!(!printed.contains("i-9"), "{printed}");
 }
 
+/// Guards against a request through a peer whose cause is found in one of the two logs only.
+#[test]
+fn lines_of_a_tunnel_are_shown_from_both_hosts() {
+    let own = file(
+        r#"{"at_ms":1000,"host":"front-1","event":"links","service":"parts","state":"down"}
+{"at_ms":1900,"host":"front-1","event":"tunnel-opened","tunnel":"front-1/7","relay":"front-2","upstream":"i-1"}
+{"at_ms":2004,"host":"front-1","event":"sent","id":"abc","upstream":"i-1","tunnel":"front-1/7"}
+{"at_ms":2104,"host":"front-1","event":"refused","id":"abc","status":502,"cause":"upstream-failed","is_not_run":false,"after_ms":104}
+"#,
+    );
+    let relay = file(
+        r#"{"at_ms":1899,"host":"front-2","event":"relaying","tunnel":"front-1/7","upstream":"i-1"}
+{"at_ms":2110,"host":"front-2","event":"relayed","tunnel":"front-1/7","upstream":"i-1","end":"broken"}
+{"at_ms":2111,"host":"front-2","event":"relayed","tunnel":"front-1/8","upstream":"i-1","end":"peer-closed"}
+"#,
+    );
+    let printed = text(&explain("abc", &[&own, &relay]).stdout);
+    for part in ["front-1 links", "relay=front-2", "front-2 relaying", "end=broken"] {
+        assert!(printed.contains(part), "{part}: {printed}");
+    }
+    assert!(!printed.contains("front-1/8"), "{printed}");
+}
+
+/// Guards against a refusal whose cause is the links of its scheduler's host.
+#[test]
+fn lost_links_of_the_schedulers_host_are_shown() {
+    let own = file(
+        r#"{"at_ms":2000,"host":"front-1","event":"routed","id":"abc"}
+{"at_ms":2004,"host":"front-1","event":"unplaced","id":"abc","scheduler":"front-2","ahead":0}
+"#,
+    );
+    let scheduler = file(
+        r#"{"at_ms":1990,"host":"front-2","event":"links","service":"parts","state":"down"}
+{"at_ms":1990,"host":"front-3","event":"links","service":"parts","state":"down"}
+"#,
+    );
+    let printed = text(&explain("abc", &[&own, &scheduler]).stdout);
+    assert!(printed.contains("front-2 links"), "{printed}");
+    assert!(!printed.contains("front-3"), "{printed}");
+}
+
 /// Guards against an overflow at a time near the largest number.
 #[test]
 fn any_time_is_accepted() {
--- a/crates/dispatch/src/relays.rs
+++ b/crates/dispatch/src/relays.rs
@@ -11,10 +11,10 @@
 pub const MAX_RELAYS: usize = 5;
 
 /// How long a peer that could not help is not asked; doubled each time up to [`MAX_AVOIDED_MS`].
-const MIN_AVOIDED_MS: u64 = 1_000;
+const MIN_AVOIDED_MS: u64 = 250;
 
-/// Longest time for which a peer is not asked.
-const MAX_AVOIDED_MS: u64 = 8_000;
+/// Longest time for which a peer is not asked: its links may be back, and the others' gone.
+const MAX_AVOIDED_MS: u64 = 1_000;
 
 /// How long a peer that helped is preferred to those of which nothing is known.
 const PROVEN_MS: Millis = Millis(5_000);
@@ -129,6 +129,13 @@
         relay.responded_ms = Some(now_ms);
     }
 
+    /// Records that a relay did not reach an upstream, without knowing whether that is due to its own
+    /// links.
+    pub fn record_doubtful(&mut self, now_ms: Millis, host: &HostId) {
+        let relay = self.relays.entry(host.clone()).or_default();
+        relay.avoided_until_ms = now_ms + Millis(MIN_AVOIDED_MS);
+    }
+
     /// Records that a relay could not help, or nothing came through it.
     pub fn record_failure(&mut self, now_ms: Millis, host: &HostId) {
         let relay = self.relays.entry(host.clone()).or_default();
--- a/crates/gateway/src/event_log/values.rs
+++ b/crates/gateway/src/event_log/values.rs
@@ -81,6 +81,8 @@
 pub enum TunnelProblem {
     /// The peer reaches other upstreams, and not this one.
     UpstreamUnreachable,
+    /// The peer doesn't reach this upstream, nor has it heard of others lately.
+    RelayDoubtful,
     /// The peer can't help now.
     RelayRefused,
     /// The peer can't be reached, or broke the connection.
@@ -110,12 +112,13 @@
 }
 
 impl RelayRefusal {
-    /// Status of the response: 502 if the fault is the upstream's, 503 if another peer may help.
+    /// Status of the response: 502 if the fault is the upstream's, 504 if it may be, 503 if another
+    /// peer may help.
     pub fn status(self) -> u16 {
         match self {
             RelayRefusal::Unreachable => 502,
+            RelayRefusal::LinksDoubtful => 504,
             RelayRefusal::LinksDown
-            | RelayRefusal::LinksDoubtful
             | RelayRefusal::UnknownUpstream
             | RelayRefusal::Full
             | RelayRefusal::Stopping
--- a/crates/gateway/src/tunnel/client.rs
+++ b/crates/gateway/src/tunnel/client.rs
@@ -19,6 +19,9 @@
 /// Status by which a relay states that it can't reach the upstream.
 const UNREACHABLE: u16 = 502;
 
+/// The same, if it doesn't know whether that is due to its own links.
+const DOUBTFUL: u16 = 504;
+
 /// Why no tunnel was opened.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum TunnelFailure {
@@ -42,11 +45,21 @@
                     relay: &relay.host,
                     problem,
                 });
-                if problem == TunnelProblem::UpstreamUnreachable {
-                    host.metrics.tunnel_requested(TunnelResult::Unreachable);
-                    return Err(TunnelFailure::Unreachable);
+                let now_ms = host.now_ms();
+                match problem {
+                    TunnelProblem::UpstreamUnreachable => {
+                        host.metrics.tunnel_requested(TunnelResult::Unreachable);
+                        return Err(TunnelFailure::Unreachable);
+                    }
+                    TunnelProblem::RelayDoubtful => {
+                        host.relays.borrow_mut().record_doubtful(now_ms, &relay.host);
+                    }
+                    TunnelProblem::RelayRefused
+                    | TunnelProblem::RelayUnreachable
+                    | TunnelProblem::RelaySilent => {
+                        host.relays.borrow_mut().record_failure(now_ms, &relay.host);
+                    }
                 }
-                host.relays.borrow_mut().record_failure(host.now_ms(), &relay.host);
             }
         }
         asked.push(relay.host);
@@ -102,6 +115,7 @@
             Ok(connection.into_tunnel(Tunnel { id, relay: relay.host.clone() }))
         }
         UNREACHABLE => Err(TunnelProblem::UpstreamUnreachable),
+        DOUBTFUL => Err(TunnelProblem::RelayDoubtful),
         _ => Err(TunnelProblem::RelayRefused),
     }
 }
--- a/crates/gateway/src/tunnel/server.rs
+++ b/crates/gateway/src/tunnel/server.rs
@@ -141,7 +141,8 @@
     host: &Rc<Host>,
     entry: &Upstream,
 ) -> std::result::Result<crate::connection::Connection, RelayRefusal> {
-    if !host.links.borrow().is_reliable(host.now_ms(), &entry.service) {
+    let is_reliable = host.links.borrow().is_reliable(host.now_ms(), &entry.service);
+    if !is_reliable {
         let probing = probe::probe_directly(host, entry);
         if !matches!(clock::timeout(OPEN_LIMIT, probing).await, Ok(Ok(_))) {
             links::record_unreached(host, &entry.id);
@@ -151,9 +152,8 @@
     match clock::timeout(OPEN_LIMIT, probe::connect_directly(host, entry)).await {
         Ok(Ok(connection)) => Ok(connection),
         Ok(Err(_)) | Err(_) => {
-            let hears_others = !host.links.borrow().is_silent(host.now_ms());
             links::record_unreached(host, &entry.id);
-            Err(if hears_others { RelayRefusal::Unreachable } else { RelayRefusal::LinksDoubtful })
+            Err(if is_reliable { RelayRefusal::Unreachable } else { RelayRefusal::LinksDoubtful })
         }
     }
 }
