Requests behind lost links free their slots, and silence is looked into while requests wait

Cause: the scheduler counts a slot as taken until its host says that the request ended; a silent link says nothing. Once all slots were taken, the cut-off host sent nothing new, and so did not notice that it was cut off. Now a host whose links to a service have been down for 0.2 s releases what it sent there directly, and sends idempotent requests again; if nothing has responded for 0.3 s while requests wait, it probes one or two upstreams. Evidence: the test is red without the release. A relay that doesn't know an upstream is no longer left out for others.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -41,7 +41,7 @@
 pub use curve::{Occupancy, SpeedCurve};
 pub use deadline::{DeadlineCheck, LatencyEstimate, Verdict};
 pub use fleet_rate::{FleetRate, LocalRateLimiter, assumed_fleet};
-pub use links::{LinkMonitor, LinkState};
+pub use links::{LinkMonitor, LinkState, MAX_SILENCE_MS};
 pub use load::LoadReport;
 pub use probing::{
     GOOD_ENOUGH_COST, IMMEDIATE_COST, PROBE_ROUNDS, PROBES_PER_ROUND, UNHEALTHY_COST,
--- a/crates/dispatch/src/links.rs
+++ b/crates/dispatch/src/links.rs
@@ -12,7 +12,7 @@
 const MIN_UPSTREAMS_REACHED_BY_PEERS: usize = 2;
 
 /// Time without a response on a path after which its idle connections are probed before use.
-const MAX_SILENCE_MS: Millis = Millis(300);
+pub const MAX_SILENCE_MS: Millis = Millis(300);
 
 /// State of a host's links to the upstreams of a service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
--- a/crates/gateway/src/event_log/values.rs
+++ b/crates/gateway/src/event_log/values.rs
@@ -81,7 +81,7 @@
 pub enum TunnelProblem {
     /// The peer reaches other upstreams, and not this one.
     UpstreamUnreachable,
-    /// The peer doesn't reach this upstream, nor has it heard of others lately.
+    /// The peer doesn't know this upstream, or doesn't reach it and has heard of no other lately.
     RelayDoubtful,
     /// The peer can't help now.
     RelayRefused,
@@ -117,9 +117,8 @@
     pub fn status(self) -> u16 {
         match self {
             RelayRefusal::Unreachable => 502,
-            RelayRefusal::LinksDoubtful => 504,
+            RelayRefusal::LinksDoubtful | RelayRefusal::UnknownUpstream => 504,
             RelayRefusal::LinksDown
-            | RelayRefusal::UnknownUpstream
             | RelayRefusal::Full
             | RelayRefusal::Stopping
             | RelayRefusal::OtherProtocol => 503,
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -81,6 +81,10 @@
     pub links: RefCell<LinkMonitor>,
     /// What it knows of its peers as relays.
     pub relays: RefCell<RelayDirectory>,
+    /// Whether upstreams are being probed as none responded.
+    pub is_checking_links: Cell<bool>,
+    /// Notified when the links to a service went down or work again.
+    pub links_changed: Notify,
     /// Whether upstreams that only peers reach are probed now and then.
     pub is_rechecking_links: Cell<bool>,
     /// Number of tunnels that it serves to peers.
@@ -166,6 +170,8 @@
             response_memory: ResponseMemory::new(settings.memory_bytes),
             links: RefCell::default(),
             relays: RefCell::default(),
+            is_checking_links: Cell::new(false),
+            links_changed: Notify::new(),
             is_rechecking_links: Cell::new(false),
             open_tunnels: Cell::new(0),
             tunnel_ids: TicketCounter::new(seed),
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -17,9 +17,16 @@
 /// Time between two direct probes while upstreams are reached through peers only.
 pub const RECHECK_INTERVAL_MS: Millis = Millis(300);
 
+/// Upstreams that are probed while none responds: as many as show that the links are down.
+const CHECKED_UPSTREAMS: usize = 2;
+
 /// Longest wait for the response to one of them.
 const RECHECK_LIMIT: Duration = Duration::from_millis(150);
 
+/// Time for which links are down until requests on direct connections are given up: responses that
+/// are on their way still arrive, and open connections may live on.
+const LOST_AFTER: Duration = Duration::from_millis(200);
+
 /// Records that an upstream responded on a connection.
 pub fn record_response(host: &Rc<Host>, upstream: &UpstreamId, connection: &Connection) {
     let now_ms = host.now_ms();
@@ -80,6 +87,39 @@
     }
 }
 
+/// Probes upstreams of a service, unless any has responded lately: if the links are cut silently,
+/// requests that wait for responses take all slots, and nothing else would show it.
+pub fn check_if_silent(host: &Rc<Host>, service: &ServiceName) {
+    let is_silent = host.links.borrow().is_silent(host.now_ms());
+    if !is_silent || host.is_checking_links.replace(true) {
+        return;
+    }
+    let (host, service) = (Rc::clone(host), service.clone());
+    tokio::task::spawn_local(async move {
+        for _ in 0..CHECKED_UPSTREAMS {
+            let Some(upstream) = draw_unchecked(&host, &service) else { break };
+            probe::check(&host, &upstream).await;
+            if !host.links.borrow().is_silent(host.now_ms()) {
+                break;
+            }
+        }
+        host.is_checking_links.set(false);
+    });
+}
+
+/// Returns once the links to a service have been down for some time: nothing more is to be expected
+/// on a direct connection.
+pub async fn lost(host: &Host, service: &ServiceName) {
+    loop {
+        let changed = host.links_changed.notified();
+        if !are_down(host, service) {
+            changed.await;
+        } else if clock::timeout(LOST_AFTER, changed).await.is_err() {
+            return;
+        }
+    }
+}
+
 fn service_of(host: &Host, upstream: &UpstreamId) -> Option<ServiceName> {
     host.upstreams.borrow().get(upstream).map(|known| known.entry.service.clone())
 }
@@ -100,6 +140,7 @@
         return;
     }
     host.log.write(&LogEvent::Links { service: &service, state: after, silence_ms });
+    host.links_changed.notify_waiters();
     host.prune_connections();
     if after == LinkState::Down {
         placement::hand_over(host, &service);
@@ -120,6 +161,16 @@
     host.is_rechecking_links.set(false);
 }
 
+/// Draws an eligible upstream of a service that this host has not failed to reach.
+fn draw_unchecked(host: &Host, service: &ServiceName) -> Option<UpstreamId> {
+    let (upstreams, links) = (host.upstreams.borrow(), host.links.borrow());
+    let is_unchecked = |entry: &&Arc<Upstream>| {
+        entry.service == *service && !links.is_detoured(service, &entry.id)
+    };
+    let eligible = upstreams.eligible().filter(is_unchecked);
+    eligible.choose(&mut *host.rng.borrow_mut()).map(|entry| entry.id.clone())
+}
+
 fn draw_detoured(host: &Host) -> Option<UpstreamId> {
     let (links, mut rng) = (host.links.borrow(), host.rng.borrow_mut());
     links.detoured().choose(&mut *rng).cloned()
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -11,7 +11,7 @@
 mod open;
 
 pub use connect::{connect, is_trusted};
-pub use health_check::{Responder, find_responder, read_load, record_report, refresh};
+pub use health_check::{Responder, check, find_responder, read_load, record_report, refresh};
 pub use open::{connect_directly, probe_directly};
 
 use crate::connection::Connection;
--- a/crates/gateway/src/probe/health_check.rs
+++ b/crates/gateway/src/probe/health_check.rs
@@ -12,6 +12,7 @@
 use domain::{Millis, ServiceName, UpstreamId};
 use published::{RunStart, Upstream};
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 /// Longest wait for the response to a probe; after it the upstream counts as unresponsive.
@@ -72,6 +73,15 @@
     true
 }
 
+/// Probes an upstream to learn whether this host reaches it, if the probe budget allows.
+pub async fn check(host: &Rc<Host>, upstream: &UpstreamId) {
+    let known = host.upstreams.borrow().get(upstream).map(|known| Arc::clone(&known.entry));
+    let Some(entry) = known.filter(|entry| take_fleet_probe(host, entry)) else { return };
+    if let Some((connection, _)) = probe_within_limit(host, &entry.service, upstream).await {
+        host.pool.borrow_mut().put(upstream, connection);
+    }
+}
+
 /// Takes a probe of this upstream from the budget; false if it is spent.
 pub(super) fn take_probe(
     host: &Host,
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -12,15 +12,16 @@
     Streaming,
 };
 use crate::event_log::{LogEvent, ResponseTo};
+use crate::host::to_duration;
 use crate::http1::{HeaderChanges, ResponseHead, write_request};
 use crate::links;
 use crate::probe;
 use crate::quarantine::{self, BrokenAttempt, Trial};
 use crate::response_memory::{HeldBytes, MAX_WHOLE_BYTES};
-use dispatch::RouteKey;
 use dispatch::attempts::{self, AttemptResult, Cause, Refusal, ResponseSummary};
 use dispatch::backpressure::Backpressure;
 use dispatch::scheduler::Outcome;
+use dispatch::{MAX_SILENCE_MS, RouteKey};
 use domain::{Millis, UpstreamId};
 use published::{Idempotency, Route};
 use std::rc::Rc;
@@ -202,12 +203,9 @@
         let may_stream = |head: &ResponseHead| attempts::is_final(self.summarize(head));
         let streaming =
             Streaming { max_whole_bytes: MAX_WHOLE_BYTES, may_stream: &may_stream, held: &held };
-        let result = tokio::select! {
-            // A response that arrived completely counts even if the upstream has restarted since.
-            biased;
-            result = connection.exchange_streaming(&bytes, expected, streaming) => result,
-            () = guard.upstream_restarted() => Err(ExchangeError::Broken),
-        };
+        let is_direct = *connection.path() == Path::Direct;
+        let exchange = connection.exchange_streaming(&bytes, expected, streaming);
+        let result = self.watch(exchange, &mut guard, is_direct).await;
         let Selected { upstream, work, .. } = selected;
         let (end, received) = self.attempt_result(&upstream, result);
         match end {
@@ -281,6 +279,38 @@
         EndedAttempt { upstream, result: end, response, sent_ms, has_crashed, trial }
     }
 
+    /// Waits for the result of an exchange, unless the upstream restarts or its link is lost. A
+    /// request that runs at most once waits on behind a lost link, but without its placement.
+    async fn watch(
+        &self,
+        exchange: impl Future<Output = Result<Received, ExchangeError>>,
+        guard: &mut AttemptGuard,
+        is_direct: bool,
+    ) -> Result<Received, ExchangeError> {
+        let mut exchange = std::pin::pin!(exchange);
+        loop {
+            tokio::select! {
+                // A response that arrived completely counts even if the upstream has restarted since.
+                biased;
+                result = &mut exchange => return result,
+                () = guard.upstream_restarted() => return Err(ExchangeError::Broken),
+                () = links::lost(&self.host, &self.service), if is_direct => break,
+                () = clock::sleep(to_duration(MAX_SILENCE_MS)), if is_direct => {
+                    links::check_if_silent(&self.host, &self.service);
+                }
+            }
+        }
+        guard.release_placement();
+        if self.route().idempotency == Idempotency::Idempotent {
+            return Err(ExchangeError::Broken);
+        }
+        tokio::select! {
+            biased;
+            result = &mut exchange => result,
+            () = guard.upstream_restarted() => Err(ExchangeError::Broken),
+        }
+    }
+
     /// Tells how an attempt ended by the result of its exchange, and logs a response that names no
     /// request.
     fn attempt_result(
--- a/crates/gateway/src/serve/attempt_guard.rs
+++ b/crates/gateway/src/serve/attempt_guard.rs
@@ -29,6 +29,9 @@
     run: RunStart,
     begun_ms: Millis,
     placement: Option<PlacementGuard>,
+    /// Whether the guard records the attempt in this host's state. If this host's scheduler placed
+    /// the request, the scheduler records it there.
+    updates_own_state: bool,
     /// Whether what the response's head states was recorded before the attempt's end.
     is_head_recorded: bool,
     is_ended: bool,
@@ -46,6 +49,7 @@
         let entry = host.upstreams.borrow().get(upstream).map(|known| Arc::clone(&known.entry));
         let run = entry.as_ref().map(|entry| entry.run).unwrap_or_default();
         let (host, upstream) = (Rc::clone(host), upstream.clone());
+        let updates_own_state = placement.as_ref().is_none_or(|placement| !placement.is_own());
         let attempt = AttemptGuard {
             host,
             upstream,
@@ -53,11 +57,12 @@
             run,
             begun_ms,
             placement,
+            updates_own_state,
             is_head_recorded: false,
             is_ended: false,
         };
         match attempt.host.upstreams.borrow_mut().get_mut(&attempt.upstream) {
-            Some(known) if attempt.updates_own_state() => known.record_sent(begun_ms),
+            Some(known) if attempt.updates_own_state => known.record_sent(begun_ms),
             _ => {}
         }
         attempt
@@ -83,6 +88,12 @@
         }
     }
 
+    /// Tells the scheduler that nothing is known of the attempt any more, so that the slot counts as
+    /// free unless the upstream reports otherwise.
+    pub(super) fn release_placement(&mut self) {
+        self.placement = None;
+    }
+
     /// Records what the head of a response states, if the attempt ends only with its body.
     pub(super) fn record_head(&mut self, outcome: &Outcome) {
         self.is_head_recorded = true;
@@ -103,7 +114,7 @@
         if !self.is_head_recorded {
             self.record_head(&outcome);
         }
-        if self.updates_own_state() {
+        if self.updates_own_state {
             self.record_end(outcome);
             if outcome.failure.is_none() {
                 let mut upstreams = self.host.upstreams.borrow_mut();
@@ -127,25 +138,19 @@
         }
     }
 
-    /// Whether the guard records the attempt in this host's state. If this host's scheduler placed
-    /// the request, the scheduler records it there.
-    fn updates_own_state(&self) -> bool {
-        self.placement.as_ref().is_none_or(|placement| !placement.is_own())
-    }
-
     fn cancel(&mut self) {
         let took_ms = self.host.now_ms().since(self.begun_ms);
         if took_ms > UNRESPONSIVE_MS {
             let failure = Some(AttemptFailure::TimedOut);
             let outcome =
                 Outcome { failure, took_ms, report: None, backpressure: Backpressure::default() };
-            if self.updates_own_state() {
+            if self.updates_own_state {
                 self.record_end(outcome);
             }
             if let Some(placement) = self.placement.take() {
                 placement.end(outcome);
             }
-        } else if self.updates_own_state() {
+        } else if self.updates_own_state {
             // A placement is released when its guard is dropped.
             let mut upstreams = self.host.upstreams.borrow_mut();
             if let Some(known) = upstreams.get_run_mut(&self.upstream, self.run) {
--- a/crates/gateway/src/tunnel/client.rs
+++ b/crates/gateway/src/tunnel/client.rs
@@ -19,7 +19,7 @@
 /// Status by which a relay states that it can't reach the upstream.
 const UNREACHABLE: u16 = 502;
 
-/// The same, if it doesn't know whether that is due to its own links.
+/// The same, if that may be due to its own links or knowledge.
 const DOUBTFUL: u16 = 504;
 
 /// Why no tunnel was opened.
--- a/crates/gateway/tests/lost_links.rs
+++ b/crates/gateway/tests/lost_links.rs
@@ -154,3 +154,36 @@
         assert!(at_cut_off >= MIN_SERVED_TO_OTHERS * others, "{at_cut_off} beside {others}");
     });
 }
+
+/// Guards against slots that stay taken by requests whose links were lost, until these expire.
+#[test]
+fn slots_of_requests_behind_lost_links_are_free_for_others() {
+    on_one_thread(async {
+        let upstreams = start_upstreams().await;
+        let upstreams = &upstreams[..2];
+        let published = published(&upstreams.iter().collect::<Vec<_>>());
+        let hosts = ordered(fleet(2, &published).await, false);
+        wait_until("all are ready", || hosts.iter().all(|host| host.host().is_ready())).await;
+        let _logs = LogsOnFailure::of(&hosts);
+        for caller in 0..12 {
+            let address = caller_address(&hosts[0]);
+            tokio::task::spawn_local(async move {
+                let mut connection = Caller::connect(address).await;
+                for number in 0.. {
+                    let id = format!("{caller}-{number}");
+                    connection.exchange(&post("/once/x", &id, "{}")).await;
+                }
+            });
+        }
+        tokio::time::sleep(MEASURED_TIME).await;
+        set_cut(upstreams, &hosts[..1], Some(Cut::Silent));
+        // Requests time out 1.2 s after their arrival.
+        tokio::time::sleep(Duration::from_millis(900)).await;
+        let mut caller = Caller::connect(caller_address(&hosts[1])).await;
+        let sent = Instant::now();
+        let got = caller.exchange(&post("/once/x", "other", "{}")).await;
+        assert_eq!(got.status, 200, "{}", got.cause);
+        let longest = Duration::from_millis(2 * WORK_MS);
+        assert!(sent.elapsed() < longest, "after {:?}", sent.elapsed());
+    });
+}
