--- a/crates/dispatch/tests/backoff.rs
+++ b/crates/dispatch/tests/backoff.rs
@@ -14,7 +14,7 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use rstest::rstest;
-use support::{entry, id, of_run, report, set, submission};
+use support::{entry, id, of_run, placed, report, set, submission};
 
 const NOW: Millis = Millis(10_000);
 const RUN: RunStart = RunStart(None);
@@ -173,15 +173,6 @@
     })
 }
 
-fn placed(effects: &[Effect]) -> Option<UpstreamId> {
-    effects.iter().find_map(|effect| match effect {
-        Effect::Send { message: PlacementMessage::Placed { placement, .. }, .. } => {
-            Some(placement.upstream.clone())
-        }
-        _ => None,
-    })
-}
-
 #[test]
 fn a_scheduler_avoids_upstreams_that_the_submitting_host_backs_off_from() {
     let mut simulation = Simulation::new(&["i-1", "i-2"]);
--- a/crates/dispatch/tests/lost_links.rs
+++ b/crates/dispatch/tests/lost_links.rs
@@ -6,11 +6,11 @@
 
 use dispatch::Warmth;
 use dispatch::scheduler::{Effect, PlacementMessage, Requester, SchedulerSet, Ticket, Withdrawal};
-use domain::{Millis, UpstreamId};
+use domain::Millis;
 use published::RunStart;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
-use support::{entry, id, report, set, submission};
+use support::{entry, id, placed, report, set, submission};
 
 /// Time after which an upstream is probed again.
 const PROBE_PAUSE_MS: Millis = Millis(30);
@@ -19,15 +19,6 @@
     Requester::Peer(([127, 0, 0, 1], port).into())
 }
 
-fn placed(effects: &[Effect]) -> Option<UpstreamId> {
-    effects.iter().find_map(|effect| match effect {
-        Effect::Send { message: PlacementMessage::Placed { placement, .. }, .. } => {
-            Some(placement.upstream.clone())
-        }
-        _ => None,
-    })
-}
-
 /// Guards against a scheduler that takes a host's lost links for upstreams that are down.
 #[test]
 fn an_upstream_that_one_host_cannot_reach_is_probed_and_stays_warm() {
--- a/crates/dispatch/tests/support/mod.rs
+++ b/crates/dispatch/tests/support/mod.rs
@@ -4,7 +4,7 @@
 pub mod queue_simulation;
 pub mod rate_simulation;
 
-use dispatch::scheduler::{Cell, Submission, Ticket};
+use dispatch::scheduler::{Cell, Effect, PlacementMessage, Submission, Ticket};
 use dispatch::{LoadReport, RouteKey, UpstreamSet, UpstreamState};
 use domain::{Millis, Slots, UpstreamId};
 use published::{Entry, Evacuations, Revision, RunStart, Upstream, UpstreamMode};
@@ -73,3 +73,13 @@
         lends_rate_share: true,
     }
 }
+
+/// Where the first request that the effects place is placed.
+pub fn placed(effects: &[Effect]) -> Option<UpstreamId> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::Send { message: PlacementMessage::Placed { placement, .. }, .. } => {
+            Some(placement.upstream.clone())
+        }
+        _ => None,
+    })
+}
--- a/crates/gateway/src/probe/open.rs
+++ b/crates/gateway/src/probe/open.rs
@@ -97,7 +97,7 @@
             links::record_reached_by_peer(host, &entry.id);
             Ok(opened)
         }
-        // This host is the only one to know, unless its links are down.
+        // No peer could tell more: what this host found stands, unless its links are down.
         Err(ProbeFailure::NoPath) if !links::are_down(host, &entry.service) => {
             Err(ProbeFailure::Unreachable)
         }
