--- a/crates/dispatch/tests/backoff.rs
+++ b/crates/dispatch/tests/backoff.rs
@@ -9,7 +9,7 @@
 use dispatch::scheduler::{
     Effect, PlacementMessage, RefusalCause, Requester, SchedulerSet, Submission, Ticket,
 };
-use domain::{Millis, PerSecond, UpstreamId};
+use domain::{Millis, PerSecond};
 use published::{Evacuations, RunStart};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
