Logs and metrics tell who spent how much of the retry budget, out of which hosts and requests, and what was free

A send-failed line said only what was left. It now says from how many hosts, requests and spent retries that was computed, and whether the request would have been sent again; a further sending says whether it was charged. Two metrics: requests denied a retry, and the number of hosts by which the fixed part is divided. No decision changes.

--- a/crates/dispatch/src/budget.rs
+++ b/crates/dispatch/src/budget.rs
@@ -6,6 +6,7 @@
 //! what they spent when they restart, and learn of each other late.
 
 use domain::{FastMap, Millis, PerSecond, ServiceName, Share, SuspensionDetector, UpstreamId};
+use serde::Serialize;
 use std::collections::VecDeque;
 
 /// Part of the allowed share that is used.
@@ -35,6 +36,23 @@
     pub window_ms: Millis,
 }
 
+/// What a host's part of the retries for a service was computed from, and what is left of it.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize)]
+pub struct RetryAccount {
+    /// Number of hosts that the fixed part is divided by.
+    #[serde(rename = "budget_hosts")]
+    pub hosts: u32,
+    /// Requests of this host within the window.
+    #[serde(rename = "budget_requests")]
+    pub requests: u32,
+    /// Retries that this host spent within the window.
+    #[serde(rename = "budget_repeats")]
+    pub retries: u32,
+    /// Retries left.
+    #[serde(rename = "repeats_left")]
+    pub remaining: f64,
+}
+
 /// This host's retry budget, by service.
 #[derive(Debug)]
 pub struct RetryBudget {
@@ -88,6 +106,11 @@
 
     /// Retries left for a service.
     pub fn remaining(&self, now_ms: Millis, service: &ServiceName) -> f64 {
+        self.account(now_ms, service).remaining
+    }
+
+    /// What is left for a service, and what that was computed from.
+    pub fn account(&self, now_ms: Millis, service: &ServiceName) -> RetryAccount {
         let since = now_ms.since(self.allowed.window_ms).0 / COUNT_MS.0;
         let counts = self.services.get(service).map(|window| &window.counts);
         let recent = counts.into_iter().flatten().filter(|count| count.second >= since);
@@ -96,7 +119,8 @@
         });
         let share = self.allowed.ratio.0 * RATIO_USED * f64::from(requests);
         let slack = self.allowed.slack * SLACK_USED / f64::from(self.hosts.max(1));
-        share + slack.max(1.0) - f64::from(retries)
+        let remaining = share + slack.max(1.0) - f64::from(retries);
+        RetryAccount { hosts: self.hosts, requests, retries, remaining }
     }
 
     fn window(&mut self, service: &ServiceName) -> &mut Window {
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -10,8 +10,8 @@
 
 pub use event::LogEvent;
 pub use values::{
-    BreakCause, ChosenBy, CrashEvidence, RelayRefusal, ResponseTo, SessionEnd, TunnelEnd,
-    TunnelProblem,
+    BreakCause, ChosenBy, CrashEvidence, RelayRefusal, ResponseTo, RetryCharge, SessionEnd,
+    TunnelEnd, TunnelProblem,
 };
 
 use domain::HostId;
--- a/crates/gateway/src/event_log/event.rs
+++ b/crates/gateway/src/event_log/event.rs
@@ -3,12 +3,13 @@
 //! Operators' tools match the names of events, fields and values, so these keep their spelling.
 
 use super::values::{
-    BreakCause, ChosenBy, CrashEvidence, RelayRefusal, ResponseTo, SessionEnd, TunnelEnd,
-    TunnelProblem,
+    BreakCause, ChosenBy, CrashEvidence, RelayRefusal, ResponseTo, RetryCharge, SessionEnd,
+    TunnelEnd, TunnelProblem,
 };
 use crate::tunnel::TunnelId;
 use dispatch::attempts::Refusal;
 use dispatch::backpressure::LimitChange;
+use dispatch::budget::RetryAccount;
 use dispatch::quarantine::SuspectStatus;
 use dispatch::scheduler::Cell;
 use dispatch::{AttemptFailure, LinkState, ProbeFailure, Verdict, Warmth};
@@ -170,11 +171,14 @@
     MarkUnread { upstream: &'a UpstreamId, on: ResponseTo, mark: &'a str, value: &'a str },
     /// A probe of an upstream failed.
     AskFailed { upstream: &'a UpstreamId, failure: ProbeFailure },
-    /// An attempt of a request was sent to an upstream; through a tunnel, if it names one.
+    /// An attempt of a request was sent to an upstream; through a tunnel, if it names one. One
+    /// beyond the first states whether it was charged to the retry budget.
     Sent {
         id: &'a str,
         upstream: &'a UpstreamId,
         sending: u32,
+        #[serde(skip_serializing_if = "Option::is_none")]
+        charge: Option<RetryCharge>,
         left_ms: Millis,
         #[serde(skip_serializing_if = "Option::is_none")]
         tunnel: Option<&'a TunnelId>,
@@ -211,7 +215,10 @@
         after_ms: Millis,
         status: Option<u16>,
         is_not_run: bool,
-        repeats_left: f64,
+        #[serde(flatten)]
+        budget: RetryAccount,
+        /// It would have been retried, but no retry was left.
+        is_retry_denied: bool,
         fingerprint: RequestFingerprint,
         has_crashed: bool,
     },
--- a/crates/gateway/src/event_log/values.rs
+++ b/crates/gateway/src/event_log/values.rs
@@ -171,3 +171,24 @@
         answered: usize,
     },
 }
+
+/// Whether a retry was charged to the retry budget.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RetryCharge {
+    /// Free: no byte of the earlier attempts was sent.
+    #[default]
+    Free,
+    /// Charged.
+    Charged,
+}
+
+impl RetryCharge {
+    /// Name in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            RetryCharge::Charged => "charged",
+            RetryCharge::Free => "free",
+        }
+    }
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,8 +1,10 @@
 //! Metrics of the process, in the format of Prometheus.
 
+use crate::event_log::RetryCharge;
 use dispatch::attempts::Cause;
 use dispatch::rejections::RejectionState;
 use dispatch::scheduler::QueueFigures;
+use domain::ServiceName;
 use error_stack::{Report, ResultExt};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
@@ -37,6 +39,8 @@
     latency: Histogram<f64>,
     attempts: Counter<u64>,
     retries: Counter<u64>,
+    retries_denied: Counter<u64>,
+    budget_hosts: Gauge<u64>,
     probes: Counter<u64>,
     connections: Counter<u64>,
     source_calls: Gauge<u64>,
@@ -103,7 +107,18 @@
             ),
             latency,
             attempts: counter("gateway_sendings", "Sendings to upstreams"),
-            retries: counter("gateway_repeats", "Sendings beyond a request's first"),
+            retries: counter(
+                "gateway_repeats",
+                "Sendings beyond a request's first, by service and whether they were charged",
+            ),
+            retries_denied: counter(
+                "gateway_repeats_denied",
+                "Requests that were not sent again, as no repeat was left, by service",
+            ),
+            budget_hosts: gauge(
+                "gateway_budget_hosts",
+                "Hosts by which the fixed part of the repeats is divided",
+            ),
             probes: counter("gateway_health_checks", "Health checks sent to upstreams"),
             connections: counter("gateway_connections_opened", "Connections opened to upstreams"),
             source_calls: gauge("gateway_source_calls", "Calls to the source of what is published"),
@@ -197,14 +212,20 @@
         self.refusals_after_rejections.add(1, &[KeyValue::new("state", state.as_str())]);
     }
 
-    /// Counts an attempt that was sent to an upstream.
-    pub fn attempt_sent(&self, is_retry: bool) {
+    /// Counts an attempt that was sent to an upstream; a retry by its charge.
+    pub fn attempt_sent(&self, service: &ServiceName, charge: Option<RetryCharge>) {
         self.attempts.add(1, &[]);
-        if is_retry {
-            self.retries.add(1, &[]);
+        if let Some(charge) = charge {
+            let service = KeyValue::new("service", service.to_string());
+            self.retries.add(1, &[service, KeyValue::new("charge", charge.as_str())]);
         }
     }
 
+    /// Counts a request that was not retried, as no retry was left for its service.
+    pub fn retry_denied(&self, service: &ServiceName) {
+        self.retries_denied.add(1, &[KeyValue::new("service", service.to_string())]);
+    }
+
     /// Counts a probe that was sent to an upstream.
     pub fn probe_sent(&self) {
         self.probes.add(1, &[]);
@@ -238,6 +259,7 @@
     /// Sets the gauges, which is done only when metrics are fetched.
     pub fn record_state(&self, state: &StateFigures) {
         self.source_calls.record(state.source_calls, &[]);
+        self.budget_hosts.record(u64::from(state.budget_hosts), &[]);
         self.log_lines_dropped.record(state.log_lines_dropped, &[]);
         self.open_requests.record(state.open_requests, &[]);
         self.quarantined.record(state.quarantined, &[]);
@@ -295,6 +317,8 @@
 pub struct StateFigures {
     /// Calls to the source.
     pub source_calls: u64,
+    /// Hosts by which the fixed part of the retries is divided.
+    pub budget_hosts: u32,
     /// Log lines dropped.
     pub log_lines_dropped: u64,
     /// Requests without a final response.
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -11,7 +11,7 @@
     Connection, ExchangeError, Expected, LongBody, LongResponse, Path, Received, Response, Sent,
     Streaming,
 };
-use crate::event_log::{LogEvent, ResponseTo};
+use crate::event_log::{LogEvent, ResponseTo, RetryCharge};
 use crate::host::to_duration;
 use crate::http1::{HeaderChanges, ResponseHead, write_request};
 use crate::links;
@@ -50,6 +50,8 @@
     pub(super) not_run: u32,
     /// Attempts during which the upstream crashed.
     pub(super) crashes: u32,
+    /// Whether the next attempt, if it is a retry, was charged to the retry budget.
+    pub(super) charge: RetryCharge,
 }
 
 impl AttemptCounts {
@@ -128,7 +130,7 @@
         self.progress
             .continues_without_caller
             .set(self.route().idempotency == Idempotency::AtMostOnce);
-        self.log_attempt(&selected, &connection, now_ms, counts.sent);
+        self.log_attempt(&selected, &connection, now_ms, counts);
         if selected.placement.is_none() {
             self.host.record_rated_send(&selected.upstream);
         }
@@ -142,9 +144,10 @@
         selected: &Selected,
         connection: &Connection,
         now_ms: Millis,
-        sending: u32,
+        counts: &AttemptCounts,
     ) {
-        self.host.metrics.attempt_sent(sending > 1);
+        let charge = (counts.sent > 1).then_some(counts.charge);
+        self.host.metrics.attempt_sent(&self.service, charge);
         let (is_other_zone, warmth) = {
             let upstreams = self.host.upstreams.borrow();
             let known = upstreams.get(&selected.upstream);
@@ -167,7 +170,8 @@
         self.host.log.write(&LogEvent::Sent {
             id: &self.id,
             upstream: &selected.upstream,
-            sending,
+            sending: counts.sent,
+            charge,
             left_ms: self.end_ms.since(now_ms),
             tunnel: match connection.path() {
                 Path::Direct => None,
--- a/crates/gateway/src/serve/attempt_end.rs
+++ b/crates/gateway/src/serve/attempt_end.rs
@@ -2,11 +2,12 @@
 
 use super::attempt::AttemptCounts;
 use super::{Reply, RoutedRequest, UpstreamResponse};
-use crate::event_log::LogEvent;
+use crate::event_log::{LogEvent, RetryCharge};
 use crate::host::to_duration;
 use crate::quarantine::Trial;
 use dispatch::AttemptFailure;
 use dispatch::attempts::{self, AttemptResult, AttemptState, Cause, NextStep, Refusal};
+use dispatch::budget::RetryAccount;
 use domain::{Millis, UpstreamId};
 
 /// An attempt that ended.
@@ -48,26 +49,37 @@
         if ended.result == AttemptResult::NotSent {
             counts.arrived -= 1;
         }
-        self.log_failure(&ended, now_ms);
         self.record_rejection(&ended, now_ms);
         let uses_retry_budget = counts.arrived > 0;
+        let account = self.host.retry_budget.borrow().account(now_ms, &self.service);
         let state = AttemptState {
             idempotency: self.route().idempotency,
             may_have_run: counts.may_have_run(),
             attempts_made: counts.sent,
             max_attempts: self.route().attempts,
             left_ms: self.end_ms.since(now_ms),
-            is_budget_spent: uses_retry_budget
-                && self.host.retry_budget.borrow().remaining(self.host.now_ms(), &self.service)
-                    < 1.0,
+            is_budget_spent: uses_retry_budget && account.remaining < 1.0,
         };
-        match (attempts::next_step(state, ended.result), ended.response) {
+        let step = attempts::next_step(state, ended.result);
+        let is_denied = step != NextStep::Retry && state.is_budget_spent && {
+            let unlimited = AttemptState { is_budget_spent: false, ..state };
+            attempts::next_step(unlimited, ended.result) == NextStep::Retry
+        };
+        if is_denied {
+            self.host.metrics.retry_denied(&self.service);
+        }
+        self.log_failure(&ended, now_ms, account, is_denied);
+        match (step, ended.response) {
             (NextStep::Deliver, Some(response)) => {
                 Some(Ok(self.deliver(&ended.upstream, response, counts)))
             }
             // Unreachable: only an attempt with a response is delivered.
             (NextStep::Deliver, None) => Some(Err(Refusal::may_have_run(Cause::UpstreamFailed))),
             (NextStep::Retry, response) => {
+                counts.charge = match uses_retry_budget {
+                    true => RetryCharge::Charged,
+                    false => RetryCharge::Free,
+                };
                 if uses_retry_budget {
                     self.host.retry_budget.borrow_mut().try_spend(now_ms, &self.service);
                 }
@@ -103,7 +115,13 @@
         Reply::Response(response)
     }
 
-    fn log_failure(&self, ended: &EndedAttempt, now_ms: Millis) {
+    fn log_failure(
+        &self,
+        ended: &EndedAttempt,
+        now_ms: Millis,
+        budget: RetryAccount,
+        is_retry_denied: bool,
+    ) {
         let Some(failure) = failure_of(ended.result) else { return };
         self.host.log.write(&LogEvent::SendFailed {
             id: &self.id,
@@ -112,11 +130,8 @@
             after_ms: now_ms.since(ended.sent_ms),
             status: ended.response.as_ref().map(|response| response.head.status),
             is_not_run: attempts::is_not_run(ended.result),
-            repeats_left: self
-                .host
-                .retry_budget
-                .borrow()
-                .remaining(self.host.now_ms(), &self.service),
+            budget,
+            is_retry_denied,
             fingerprint: self.fingerprint(),
             has_crashed: ended.has_crashed,
         });
--- a/crates/gateway/tests/docs.rs
+++ b/crates/gateway/tests/docs.rs
@@ -4,6 +4,7 @@
 use dispatch::attempts::Cause;
 use dispatch::rejections::RejectionState;
 use dispatch::scheduler::QueueFigures;
+use gateway::event_log::RetryCharge;
 use gateway::metrics::{Metrics, StateFigures, TunnelResult};
 use rstest::rstest;
 use std::path::Path;
@@ -19,7 +20,9 @@
     let metrics = Metrics::new().unwrap();
     metrics.response_forwarded("r", 200, Duration::from_millis(3));
     metrics.request_refused("r", Cause::NoRoute);
-    metrics.attempt_sent(true);
+    let service = "orders".parse().unwrap();
+    metrics.attempt_sent(&service, Some(RetryCharge::Charged));
+    metrics.retry_denied(&service);
     metrics.probe_sent();
     metrics.connection_opened();
     metrics.peer_bytes_sent(3);
@@ -29,6 +32,7 @@
     let state_age = Some(Duration::ZERO);
     let values = StateFigures {
         source_calls: 1,
+        budget_hosts: 1,
         log_lines_dropped: 0,
         open_requests: 0,
         quarantined: 0,
@@ -51,7 +55,7 @@
     let (page, text) = (page(), metrics.render());
     let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
     let names: Vec<&str> = types.filter_map(|line| line.split(' ').next()).collect();
-    assert_eq!(names.len(), 30, "{names:?}");
+    assert_eq!(names.len(), 32, "{names:?}");
     for name in names {
         assert!(page.contains(&format!("`{name}`")), "{name}");
     }
