Hosts that fell silent share probes, rates and idle connections for two hours, not one minute

A side of a cut forgot the other after a minute and divided by itself: each side of a longer cut spent the whole allowance of probes and of stated and cold rates, and kept idle connections for a fleet of its size. Test: hosts_that_fell_silent_share_allowances_for_two_hours (there was no such number before; the old one is 1 in it where 2 share). Not tried with processes: a cut of over a minute.

--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -266,10 +266,13 @@
         budget
     }
 
-    /// Numbers of hosts that share the probes of upstreams.
+    /// Numbers of hosts that share the probes and the rates of upstreams.
     pub fn fleet_size(&self) -> FleetSize {
         let members = self.members();
-        FleetSize { hosts: members.count(), hosts_in_zone: members.count_in_zone() }
+        FleetSize {
+            hosts: members.count_with_silent(),
+            hosts_in_zone: members.count_with_silent_in_zone(),
+        }
     }
 
     /// Logs changes of the published state, applies it, and notifies those that wait for it.
@@ -325,7 +328,7 @@
     pub fn prune_connections(&self) {
         let state = self.published_state();
         let table = self.table.borrow();
-        let hosts = self.host_count();
+        let hosts = self.fleet_size().hosts;
         let max_idle = |service: &ServiceName| {
             let settings = table.as_ref().and_then(|table| table.service(service));
             settings.map_or(MAX_IDLE_CONNECTIONS, |settings| {
--- a/crates/published/src/members.rs
+++ b/crates/published/src/members.rs
@@ -156,7 +156,18 @@
         self.known_hosts().max(self.stated_fleet.hosts)
     }
 
-    /// Number of hosts that share the fleet's allowances: also those that exited or fell silent.
+    /// Number of hosts that may spend a shared allowance at this moment: also those that fell silent.
+    pub fn count_with_silent(&self) -> u32 {
+        self.count().max(self.known_hosts().saturating_add(self.absent.silent()))
+    }
+
+    /// The same in this host's availability zone.
+    pub fn count_with_silent_in_zone(&self) -> u32 {
+        self.count_in_zone().saturating_add(self.absent.silent_in(&self.own.availability_zone))
+    }
+
+    /// Number of hosts that share what is saved up for a window: also those that exited, as they may
+    /// be back before they are heard.
     pub fn sharing_count(&self) -> u32 {
         self.known_hosts().saturating_add(self.absent.count()).max(self.absent.stated_fleet())
     }
@@ -326,8 +337,9 @@
             .collect();
         self.absent.expire(now_ms);
         for host in &expired {
-            self.remove(host);
-            self.absent.record_silence(now_ms, host);
+            if let Some(peer) = self.remove(host) {
+                self.absent.record_silence(now_ms, host, peer.member.availability_zone);
+            }
         }
         expired
     }
--- a/crates/published/src/members/absent.rs
+++ b/crates/published/src/members/absent.rs
@@ -1,6 +1,6 @@
 //! Hosts that can't be asked, and still share the allowances of the fleet.
 
-use domain::{FastMap, HostId, Millis};
+use domain::{FastMap, HostId, Millis, ZoneName};
 
 /// How long a host counts that announced its exit: it may restart, and spend before it is heard.
 const EXITED_MS: Millis = Millis(60_000);
@@ -12,8 +12,10 @@
 /// Hosts that exited or fell silent.
 #[derive(Debug, Default)]
 pub(super) struct AbsentHosts {
-    /// By host, until when it counts.
-    until_ms: FastMap<HostId, Millis>,
+    /// Hosts that announced their exit, until when they count.
+    exited: FastMap<HostId, Millis>,
+    /// Hosts that fell silent, their availability zones, and until when they count.
+    silent: FastMap<HostId, (ZoneName, Millis)>,
     stated_hosts: u32,
     stated_until_ms: Millis,
 }
@@ -21,7 +23,19 @@
 impl AbsentHosts {
     /// Number of absent hosts.
     pub(super) fn count(&self) -> u32 {
-        u32::try_from(self.until_ms.len()).unwrap_or(u32::MAX)
+        let count = self.exited.len() + self.silent.len();
+        u32::try_from(count).unwrap_or(u32::MAX)
+    }
+
+    /// Number of silent hosts, which may work on unseen.
+    pub(super) fn silent(&self) -> u32 {
+        u32::try_from(self.silent.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Number of silent hosts of an availability zone.
+    pub(super) fn silent_in(&self, zone: &ZoneName) -> u32 {
+        let in_zone = self.silent.values().filter(|(of_host, _)| of_host == zone).count();
+        u32::try_from(in_zone).unwrap_or(u32::MAX)
     }
 
     /// Greatest fleet that a peer has stated, without those that exited for good since.
@@ -37,21 +51,23 @@
     }
 
     pub(super) fn record_exit(&mut self, now_ms: Millis, host: &HostId) {
-        self.until_ms.insert(host.clone(), now_ms + EXITED_MS);
+        self.exited.insert(host.clone(), now_ms + EXITED_MS);
     }
 
-    pub(super) fn record_silence(&mut self, now_ms: Millis, host: &HostId) {
-        self.until_ms.insert(host.clone(), now_ms + SILENT_MS);
+    pub(super) fn record_silence(&mut self, now_ms: Millis, host: &HostId, zone: ZoneName) {
+        self.silent.insert(host.clone(), (zone, now_ms + SILENT_MS));
     }
 
     /// A host is heard again.
     pub(super) fn remove(&mut self, host: &HostId) {
-        self.until_ms.remove(host);
+        self.exited.remove(host);
+        self.silent.remove(host);
     }
 
     pub(super) fn expire(&mut self, now_ms: Millis) {
         let before = self.count();
-        self.until_ms.retain(|_, until_ms| now_ms < *until_ms);
+        self.exited.retain(|_, until_ms| now_ms < *until_ms);
+        self.silent.retain(|_, (_, until_ms)| now_ms < *until_ms);
         self.stated_hosts = match now_ms < self.stated_until_ms {
             true => self.stated_hosts.saturating_sub(before - self.count()),
             false => 0,
--- a/crates/published/tests/members.rs
+++ b/crates/published/tests/members.rs
@@ -48,6 +48,47 @@
     assert_eq!(members.expire(Millis(60_001)).len(), 1);
 }
 
+/// Guards against both sides of a long cut that each spend a shared allowance alone.
+#[test]
+fn hosts_that_fell_silent_share_allowances_for_two_hours() {
+    let mut members = Members::new(member("a", 1));
+    members.record(Millis(0), member("b", 1));
+    let minute = |minute: u64| Millis(minute * 60_000);
+    // Shorter than a suspension of this host.
+    (0..=10_000).for_each(|step| drop(members.expire(Millis(step * 100))));
+    assert_eq!((members.count(), members.count_with_silent()), (1, 2));
+    assert_eq!((members.count_with_silent_in_zone(), members.sharing_count()), (2, 2));
+    (10_000..=70_000).for_each(|step| drop(members.expire(Millis(step * 100))));
+    assert_eq!(members.count_with_silent(), 2);
+    members.expire(minute(200));
+    assert_eq!((members.count_with_silent(), members.sharing_count()), (1, 1));
+}
+
+#[test]
+fn hosts_that_exited_share_what_is_saved_up_for_a_minute() {
+    let mut members = Members::new(member("a", 1));
+    members.record(Millis(0), member("b", 1));
+    members.remove_leaving(Millis(10), &"b".parse().unwrap(), Incarnation(1));
+    members.expire(Millis(50_000));
+    assert_eq!((members.count_with_silent(), members.sharing_count()), (1, 2));
+    members.record(Millis(51_000), member("b", 2));
+    assert_eq!((members.count_with_silent(), members.sharing_count()), (2, 2));
+    members.remove_leaving(Millis(52_000), &"b".parse().unwrap(), Incarnation(2));
+    members.expire(Millis(112_000));
+    assert_eq!(members.sharing_count(), 1);
+}
+
+#[test]
+fn a_new_host_takes_over_the_number_of_hosts_that_share_allowances() {
+    let mut members = Members::new(member("a", 1));
+    assert!(!members.knows_others());
+    members.record_fleet_size(Millis(0), 18);
+    members.record(Millis(0), member("b", 1));
+    assert!(members.knows_others());
+    members.expire(Millis(60_000));
+    assert_eq!((members.count(), members.sharing_count()), (2, 18));
+}
+
 /// A host that was suspended for a minute received nothing, but its peers are alive.
 #[test]
 fn time_in_which_this_host_was_suspended_removes_nobody() {
