The owner of a quota counts hosts that fell silent long ago as out of its reach

The part reached is now of all hosts that share it; standing shares divide by the same number. Test: the_part_that_is_reached_counts_hosts_that_fell_silent; the first two cases give 1.0 for the former part(known). Not tried with processes.

--- a/crates/dispatch/src/quota/reach.rs
+++ b/crates/dispatch/src/quota/reach.rs
@@ -75,8 +75,14 @@
         *self = Reach { next_number: self.next_number, ..Reach::default() };
     }
 
-    /// The part of a fleet of `hosts` hosts that this one reaches, itself included.
-    pub fn part(&self, hosts: u32) -> f64 {
+    /// The part that this host reaches, itself included, of `sharing` hosts that share quotas. It
+    /// pings `known` ones, itself included; the others fell silent long ago.
+    pub fn part(&self, known: u32, sharing: u32) -> f64 {
+        let known_part = f64::from(known) / f64::from(sharing.max(known).max(1));
+        self.part_of_known(known) * known_part
+    }
+
+    fn part_of_known(&self, hosts: u32) -> f64 {
         if hosts <= 1 {
             return 1.0;
         }
--- a/crates/dispatch/tests/quota.rs
+++ b/crates/dispatch/tests/quota.rs
@@ -7,6 +7,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use rstest::rstest;
+use std::net::SocketAddr;
 
 const TOLERANCE: QuotaTolerance =
     QuotaTolerance { over: Share(0.25), slack: 20.0, window_ms: Millis(5_000) };
@@ -136,7 +137,7 @@
     fn decide(&mut self, now_ms: Millis, owner: usize) -> Verdict {
         let (quota, hosts) = (self.quota_at(now_ms), self.members.len() as u32);
         let SimHost { owner, reach, .. } = &mut self.hosts[owner];
-        owner.decide(now_ms, &self.organisation.name, quota, TOLERANCE, reach.part(hosts))
+        owner.decide(now_ms, &self.organisation.name, quota, TOLERANCE, reach.part(hosts, hosts))
     }
 
     /// The answer of a host that is asked: by the owner if the host reaches it, else its own.
@@ -345,3 +346,25 @@
     }
     admitted
 }
+
+/// Guards against two owners that each grant the whole quota once a side of a cut has forgotten the
+/// other.
+#[rstest]
+#[case::halves(9, 18, 0.5)]
+#[case::one_host(1, 18, 1.0 / 18.0)]
+#[case::nobody_is_missing(18, 18, 1.0)]
+fn the_part_that_is_reached_counts_hosts_that_fell_silent(
+    #[case] known: u32,
+    #[case] sharing: u32,
+    #[case] expected: f64,
+) {
+    let mut reach = Reach::default();
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    for now_ms in (0..60_000).step_by(50) {
+        let others = (1..known).map(|host| SocketAddr::from(([10, 0, 0, host as u8], 7540)));
+        let ping = reach.next_ping(Millis(now_ms), others, &mut rng);
+        ping.into_iter().for_each(|ping| reach.record_pong(Millis(now_ms + 1), ping.number));
+    }
+    let part = reach.part(known, sharing);
+    assert!((part - expected).abs() < 1e-9, "{part}");
+}
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -293,7 +293,7 @@
     let dump = StateDump {
         host: host.settings.borrow().host.to_string(),
         quotas: host.quotas.dump(now_ms),
-        quota_reach: host.quotas.reach(host.host_count()),
+        quota_reach: host.quotas.reach(host.host_count(), host.fleet_size().hosts),
         is_ready: host.is_ready(),
         is_partial: host.is_partial(),
         is_stopping: host.is_stopping(),
--- a/crates/gateway/src/quota.rs
+++ b/crates/gateway/src/quota.rs
@@ -86,9 +86,9 @@
         self.owner.borrow().dump(now_ms)
     }
 
-    /// The part of the fleet that this host reaches.
-    pub fn reach(&self, hosts: u32) -> f64 {
-        self.reach.borrow().part(hosts)
+    /// The part that this host reaches of `sharing` hosts, of which it knows `known`.
+    pub fn reach(&self, known: u32, sharing: u32) -> f64 {
+        self.reach.borrow().part(known, sharing)
     }
 }
 
@@ -201,7 +201,7 @@
     let quota = quota_of(host, organisation);
     let Some(quota) = quota else { return Verdict::Unknown };
     let tolerance = host.settings.borrow().limits.quotas;
-    let reach = host.quotas.reach(host.host_count());
+    let reach = host.quotas.reach(host.host_count(), host.fleet_size().hosts);
     host.quotas.decided.notify_waiters();
     host.quotas.owner.borrow_mut().decide(host.now_ms(), organisation, quota, tolerance, reach)
 }
@@ -212,7 +212,7 @@
 
 fn take_standing(host: &Host, organisation: &Organisation, quota: Quota) -> bool {
     let tolerance = host.settings.borrow().limits.quotas;
-    let (now_ms, hosts) = (host.now_ms(), host.host_count());
+    let (now_ms, hosts) = (host.now_ms(), host.fleet_size().hosts);
     let mut client = host.quotas.client.borrow_mut();
     client.take_standing(now_ms, &organisation.name, quota, tolerance, hosts)
 }
