--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -45,7 +45,7 @@
 /// a thousand upstreams would block a small host.
 const MAX_LOGGED_CHANGES: usize = 32;
 
-/// For this long after its start, a host with seeds doesn't know how many hosts there are.
+/// For this long after its start, a host doesn't know how many hosts there are.
 const DISCOVERY_MS: Millis = Millis(3_000);
 
 /// The state of this host.
@@ -255,7 +255,7 @@
         let members = self.members();
         let is_alone = self.settings.borrow().seeds.iter().all(|seed| *seed == self.own_ip());
         let is_new = self.now_ms().since(self.started_ms) < DISCOVERY_MS;
-        (is_alone || !is_new && members.knows_others()).then(|| members.sharing_count())
+        (!is_new && (is_alone || members.knows_others())).then(|| members.sharing_count())
     }
 
     /// The retry budget, for the hosts that share it now.
