--- a/crates/dispatch/src/retry_budget.rs
+++ b/crates/dispatch/src/retry_budget.rs
@@ -114,89 +114,78 @@
 
     /// Counts a request for a service.
     pub fn record_request(&mut self, now_ms: Millis, service: &ServiceName) {
-        let earned = self.allowed.ratio.0 * EARNED_RATIO;
-        let window_ms = self.allowed.window_ms;
-        let budget = self.updated(now_ms, service);
-        budget.count(now_ms, window_ms).requests += 1;
-        budget.balance += earned;
-        self.limit_savings(now_ms, service);
+        let allowed = self.allowed;
+        self.change(now_ms, service, |budget| {
+            budget.count(now_ms, allowed.window_ms).requests += 1;
+            budget.balance += allowed.ratio.0 * EARNED_RATIO;
+        });
     }
 
     /// Reserves a retry; false if none is left. It is to be sent or released.
     pub fn try_reserve(&mut self, now_ms: Millis, service: &ServiceName) -> bool {
-        let budget = self.updated(now_ms, service);
-        let is_left = budget.balance >= 1.0;
-        if is_left {
-            budget.balance -= 1.0;
-            budget.reserved += 1;
-        }
-        is_left
+        self.change(now_ms, service, |budget| {
+            let is_left = budget.balance >= 1.0;
+            if is_left {
+                budget.balance -= 1.0;
+                budget.reserved += 1;
+            }
+            is_left
+        })
     }
 
     /// Records that a reserved retry is sent.
     pub fn record_sent(&mut self, now_ms: Millis, service: &ServiceName) {
         let window_ms = self.allowed.window_ms;
-        let budget = self.updated(now_ms, service);
-        budget.reserved = budget.reserved.saturating_sub(1);
-        budget.count(now_ms, window_ms).retries += 1;
+        self.change(now_ms, service, |budget| {
+            budget.reserved = budget.reserved.saturating_sub(1);
+            budget.count(now_ms, window_ms).retries += 1;
+        });
     }
 
     /// Returns a reserved retry that is not sent.
     pub fn release(&mut self, now_ms: Millis, service: &ServiceName) {
-        let budget = self.updated(now_ms, service);
-        budget.reserved = budget.reserved.saturating_sub(1);
-        budget.balance += 1.0;
-        self.limit_savings(now_ms, service);
+        self.change(now_ms, service, |budget| {
+            budget.reserved = budget.reserved.saturating_sub(1);
+            budget.balance += 1.0;
+        });
     }
 
     /// Returns a retry of which no byte was sent.
     pub fn return_unsent(&mut self, now_ms: Millis, service: &ServiceName) {
         let window_ms = self.allowed.window_ms;
-        let budget = self.updated(now_ms, service);
-        let count = budget.count(now_ms, window_ms);
-        count.retries = count.retries.saturating_sub(1);
-        budget.balance += 1.0;
-        self.limit_savings(now_ms, service);
+        self.change(now_ms, service, |budget| {
+            let count = budget.count(now_ms, window_ms);
+            count.retries = count.retries.saturating_sub(1);
+            budget.balance += 1.0;
+        });
     }
 
     /// What is left for a service, and what that was computed from.
     pub fn account(&mut self, now_ms: Millis, service: &ServiceName) -> RetryAccount {
         let (hosts, window_ms) = (self.hosts, self.allowed.window_ms);
-        let budget = self.updated(now_ms, service);
-        let (requests, retries) = budget.recent(now_ms, window_ms);
-        RetryAccount { hosts, requests, retries, remaining: budget.balance }
-    }
-
-    /// The budget of a service, with what time has earned.
-    fn updated(&mut self, now_ms: Millis, service: &ServiceName) -> &mut ServiceBudget {
-        let earned_per_ms = self.fixed_part().earned_per_ms;
-        let budget = self.entry(service);
-        let earned_ms = now_ms.since(budget.updated_ms);
-        budget.balance += earned_ms.as_f64() * earned_per_ms;
-        budget.updated_ms = budget.updated_ms.max(now_ms);
-        self.limit_savings(now_ms, service);
-        self.entry(service)
-    }
-
-    fn entry(&mut self, service: &ServiceName) -> &mut ServiceBudget {
-        let (rng, started_ms) = (&mut self.rng, self.started_ms);
-        self.services.entry(service.clone()).or_insert_with(|| ServiceBudget {
-            balance: -rng.random::<f64>(),
-            reserved: 0,
-            updated_ms: started_ms,
-            counts: VecDeque::new(),
+        self.change(now_ms, service, |budget| {
+            let (requests, retries) = budget.recent(now_ms, window_ms);
+            RetryAccount { hosts, requests, retries, remaining: budget.balance }
         })
     }
 
-    /// Drops whole retries beyond what may be saved up: dropping fractions would leave a host whose
-    /// part is below one retry without any.
-    fn limit_savings(&mut self, now_ms: Millis, service: &ServiceName) {
-        let (fixed, allowed) = (self.fixed_part(), self.allowed);
-        let budget = self.entry(service);
-        let (requests, _) = budget.recent(now_ms, allowed.window_ms);
-        let most = SAVED_RATIO * allowed.ratio.0 * f64::from(requests) + fixed.saved;
-        let beyond = budget.balance + f64::from(budget.reserved) - most;
-        budget.balance -= beyond.floor().max(0.0);
+    /// Changes the budget of a service, after what time has earned is added; then drops what may not
+    /// be saved up.
+    fn change<T>(
+        &mut self,
+        now_ms: Millis,
+        service: &ServiceName,
+        change: impl FnOnce(&mut ServiceBudget) -> T,
+    ) -> T {
+        let (fixed, allowed, started_ms) = (self.fixed_part(), self.allowed, self.started_ms);
+        let rng = &mut self.rng;
+        let new = || ServiceBudget::new(started_ms, rng.random());
+        let budget = self.services.entry(service.clone()).or_insert_with(new);
+        budget.add_earned(now_ms, fixed);
+        budget.limit_savings(now_ms, allowed, fixed);
+        let result = change(budget);
+        budget.limit_savings(now_ms, allowed, fixed);
+        result
     }
 
     fn fixed_part(&self) -> FixedPart {
@@ -213,6 +202,31 @@
 }
 
 impl ServiceBudget {
+    /// The budget of a service at the start of a run. `phase`, from 0 to 1, differs between hosts, so
+    /// that those that start together don't hold a whole retry together.
+    fn new(started_ms: Millis, phase: f64) -> ServiceBudget {
+        ServiceBudget {
+            balance: -phase,
+            reserved: 0,
+            updated_ms: started_ms,
+            counts: VecDeque::new(),
+        }
+    }
+
+    fn add_earned(&mut self, now_ms: Millis, fixed: FixedPart) {
+        self.balance += now_ms.since(self.updated_ms).as_f64() * fixed.earned_per_ms;
+        self.updated_ms = self.updated_ms.max(now_ms);
+    }
+
+    /// Drops whole retries beyond what may be saved up: dropping fractions would leave a host whose
+    /// part is below one retry without any.
+    fn limit_savings(&mut self, now_ms: Millis, allowed: FleetRetryLimits, fixed: FixedPart) {
+        let (requests, _) = self.recent(now_ms, allowed.window_ms);
+        let most = SAVED_RATIO * allowed.ratio.0 * f64::from(requests) + fixed.saved;
+        let beyond = self.balance + f64::from(self.reserved) - most;
+        self.balance -= beyond.floor().max(0.0);
+    }
+
     /// The current count; drops counts that are older than the window.
     fn count(&mut self, now_ms: Millis, window_ms: Millis) -> &mut Count {
         let index = count_index(now_ms, window_ms);
