--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -2,6 +2,7 @@
 //!
 //! One thread runs everything, so cells replace locks. No borrow is held across an await.
 
+mod allowances;
 mod rate_limits;
 mod response_logging;
 
@@ -17,21 +18,22 @@
 use crate::settings::Settings;
 use crate::ticket_counter::TicketCounter;
 use crate::unread_headers::UnreadHeaderLog;
+use allowances::{local_zone_probes, scheduler_probes, unscheduled_probes};
 use clock::Clock;
-use dispatch::probe_budget::{LOCAL_ZONE_PROBE_SHARE, ProbeBudget, SCHEDULER_PROBE_SHARE};
+use dispatch::probe_budget::ProbeBudget;
 use dispatch::quarantine::Quarantine;
 use dispatch::rejections::Rejections;
 use dispatch::relays::RelayDirectory;
 use dispatch::retry_budget::RetryBudget;
 use dispatch::{
-    FleetSize, LinkMonitor, LocalRateLimiter, MAX_IDLE_CONNECTIONS, RouteKey, SplitTable,
-    UpstreamSet, idle_connections_per_host,
+    LinkMonitor, LocalRateLimiter, MAX_IDLE_CONNECTIONS, RouteKey, SplitTable, UpstreamSet,
+    idle_connections_per_host,
 };
-use domain::{FastSet, Millis, PerSecond, ServiceName, UpstreamId};
+use domain::{FastSet, Millis, ServiceName, UpstreamId};
 use published::{Gossip, Member, Members, PublishedState, RouteTable, StateChange};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
-use std::cell::{Cell, Ref, RefCell, RefMut};
+use std::cell::{Cell, Ref, RefCell};
 use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -45,9 +47,6 @@
 /// a thousand upstreams would block a small host.
 const MAX_LOGGED_CHANGES: usize = 32;
 
-/// For this long after its start, a host doesn't know how many hosts there are.
-const DISCOVERY_MS: Millis = Millis(3_000);
-
 /// The state of this host.
 #[derive(Debug)]
 pub struct Host {
@@ -249,32 +248,6 @@
         self.members().count()
     }
 
-    /// Number of hosts that share the fleet's allowances; none if this one can't know it, as it has
-    /// just started or heard of no other host, though it has seeds.
-    pub fn sharing_hosts(&self) -> Option<u32> {
-        let members = self.members();
-        let is_alone = self.settings.borrow().seeds.iter().all(|seed| *seed == self.own_ip());
-        let is_new = self.now_ms().since(self.started_ms) < DISCOVERY_MS;
-        (!is_new && (is_alone || members.knows_others())).then(|| members.sharing_count())
-    }
-
-    /// The retry budget, for the hosts that share it now.
-    pub fn retry_budget(&self) -> RefMut<'_, RetryBudget> {
-        let hosts = self.sharing_hosts();
-        let mut budget = self.retry_budget.borrow_mut();
-        budget.set_hosts(hosts);
-        budget
-    }
-
-    /// Numbers of hosts that share the probes and the rates of upstreams.
-    pub fn fleet_size(&self) -> FleetSize {
-        let members = self.members();
-        FleetSize {
-            hosts: members.count_with_silent(),
-            hosts_in_zone: members.count_with_silent_in_zone(),
-        }
-    }
-
     /// Logs changes of the published state, applies it, and notifies those that wait for it.
     pub fn apply_state_changes(&self, changes: &[StateChange], from: &str) {
         for change in changes.iter().take(MAX_LOGGED_CHANGES) {
@@ -305,24 +278,13 @@
     pub fn reload(&self, settings: Settings) {
         let mut current = self.settings.borrow_mut();
         let is_changed = *current != settings;
-        self.retry_budget.borrow_mut().set_allowed(settings.limits.retries);
-        self.probe_budget.borrow_mut().set_allowed(unscheduled_probes(&settings));
-        self.zone_probe_budget.borrow_mut().set_allowed(local_zone_probes(&settings));
-        self.placement.probe_budget.borrow_mut().set_allowed(scheduler_probes(&settings));
+        self.set_allowances(&settings);
         current.limits = settings.limits;
         current.seeds = settings.seeds;
         drop(current);
         self.log.write(&LogEvent::Reloaded { changed: is_changed });
     }
 
-    /// Records that the process runs, so that probe budgets accrue nothing while it is suspended.
-    pub fn record_awake(&self) {
-        let now_ms = self.now_ms();
-        for budget in [&self.probe_budget, &self.zone_probe_budget, &self.placement.probe_budget] {
-            budget.borrow_mut().record_awake(now_ms);
-        }
-    }
-
     /// Closes idle connections that expired, whose upstream is gone or restarted, or that exceed
     /// this host's limit.
     pub fn prune_connections(&self) {
@@ -382,21 +344,6 @@
     }
 }
 
-/// Rate of probes for requests that no scheduler places.
-fn unscheduled_probes(settings: &Settings) -> PerSecond {
-    PerSecond(settings.limits.probes.0 * (1.0 - SCHEDULER_PROBE_SHARE - LOCAL_ZONE_PROBE_SHARE))
-}
-
-/// Rate of probes for requests that go to an idle upstream in the local availability zone.
-fn local_zone_probes(settings: &Settings) -> PerSecond {
-    PerSecond(settings.limits.probes.0 * LOCAL_ZONE_PROBE_SHARE)
-}
-
-/// Rate of probes for requests that this host schedules.
-fn scheduler_probes(settings: &Settings) -> PerSecond {
-    PerSecond(settings.limits.probes.0 * SCHEDULER_PROBE_SHARE)
-}
-
 /// Converts to the standard library's type.
 pub fn to_duration(span_ms: Millis) -> Duration {
     Duration::from_millis(span_ms.0)
