--- a/crates/dispatch/tests/retry_fleet.rs
+++ b/crates/dispatch/tests/retry_fleet.rs
@@ -166,20 +166,15 @@
     restarts.chain(losses.iter().copied()).collect()
 }
 
-fn drawn_schedules() -> u32 {
-    std::env::var("RETRY_SCHEDULES").ok().and_then(|count| count.parse().ok()).unwrap_or(80)
-}
-
-fn drawn_seed() -> RngSeed {
-    RngSeed::Fixed(
-        std::env::var("RETRY_SEED").ok().and_then(|seed| seed.parse().ok()).unwrap_or(55),
-    )
+/// A number that the environment sets, or a default.
+fn setting<T: std::str::FromStr>(name: &str, default: T) -> T {
+    std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
 }
 
 proptest! {
     #![proptest_config(ProptestConfig {
-        cases: drawn_schedules(),
-        rng_seed: drawn_seed(),
+        cases: setting("RETRY_SCHEDULES", 80),
+        rng_seed: RngSeed::Fixed(setting("RETRY_SEED", 55)),
         failure_persistence: None,
         max_shrink_iters: 200,
         ..ProptestConfig::default()
@@ -193,6 +188,28 @@
     }
 }
 
+/// All hosts exit by tenths, a tenth is killed again and again, and a third is cut off.
+#[test]
+fn a_large_fleet_that_rolls_keeps_the_retry_limit() {
+    let hosts = setting("RETRY_HOSTS", 300);
+    let allowed = FleetRetryLimits { slack: 62.0 + 1.3 * hosts as f64, ..ALLOWED };
+    let (tenth, third) = (hosts / 10, hosts / 3);
+    let exit = HostEvent::Exit { down_ms: 700 };
+    let kill = HostEvent::Kill { down_ms: 300 };
+    let mut events: Vec<Event> =
+        (0..hosts).map(|host| (30_000 + (host / tenth) as u64 * 1_000, host, exit)).collect();
+    for second in 0..10 {
+        events.extend((0..tenth).map(|host| (34_000 + second * 1_000, host, kill)));
+    }
+    for host in third..2 * third {
+        events.push((41_000, host, HostEvent::Island(1)));
+    }
+    let per_s = 4.0 * hosts as f64;
+    let sent = play(&Schedule { allowed, hosts, requests_per_s: per_s, ..schedule(events) });
+    let excess = most_excess(&sent, allowed);
+    assert!(excess <= 0.0, "{excess}");
+}
+
 /// A calm fleet under steady need uses nine tenths of what requests allow, and most of the fixed part
 /// in its first window.
 #[rstest]
