A stated number of hosts is stated to others for a minute only

Found by reading: a host that starts took over its peer's number for two hours and stated it to the next, so hosts that start one after another would have kept up the size of a fleet that is gone, and its part of the retries unused. Test: a_stated_number_of_hosts_is_stated_to_others_for_a_minute_only (there was no such limit before).

--- a/crates/dispatch/tests/support/retry_simulation.rs
+++ b/crates/dispatch/tests/support/retry_simulation.rs
@@ -191,7 +191,7 @@
             .find(|&peer| peer != index && self.are_in_touch(index, peer, now_ms));
         let count = peer
             .and_then(|peer| self.hosts[peer].run.as_ref())
-            .map(|run| run.members.sharing_count());
+            .map(|run| run.members.stated_sharing_count());
         if let (Some(count), Some(run)) = (count, self.hosts[index].run.as_mut()) {
             run.members.record_fleet_size(Millis(now_ms), count);
         }
--- a/crates/published/src/gossip/joining/answering.rs
+++ b/crates/published/src/gossip/joining/answering.rs
@@ -271,7 +271,7 @@
     }
 
     fn send_join_reply(&self, bootstrap: Bootstrap, to: SocketAddr, effects: &mut Vec<Effect>) {
-        let (from, host_count) = (self.members.own().clone(), self.members.sharing_count());
+        let (from, host_count) = (self.members.own().clone(), self.members.stated_sharing_count());
         let reply = JoinReply { from, host_count, bootstrap };
         self.send(Message::JoinReply(Box::new(reply)), vec![to], effects);
     }
--- a/crates/published/src/members.rs
+++ b/crates/published/src/members.rs
@@ -169,7 +169,16 @@
     /// Number of hosts that share what is saved up for a window: also those that exited, as they may
     /// be back before they are heard.
     pub fn sharing_count(&self) -> u32 {
-        self.known_hosts().saturating_add(self.absent.count()).max(self.absent.stated_fleet())
+        self.known_or_absent().max(self.absent.stated_fleet())
+    }
+
+    /// The same, as this host states it to one that starts.
+    pub fn stated_sharing_count(&self) -> u32 {
+        self.known_or_absent().max(self.absent.restated_fleet())
+    }
+
+    fn known_or_absent(&self) -> u32 {
+        self.known_hosts().saturating_add(self.absent.count())
     }
 
     /// Whether this host has heard of any other, directly or not.
--- a/crates/published/src/members/absent.rs
+++ b/crates/published/src/members/absent.rs
@@ -9,6 +9,10 @@
 /// lose each other.
 const SILENT_MS: Millis = Millis(2 * 60 * 60 * 1_000);
 
+/// How long a stated fleet size is stated to others in turn: until this host knows its peers. Longer,
+/// hosts that start one after another would keep up the size of a fleet that is gone.
+const RESTATED_MS: Millis = Millis(60_000);
+
 /// Hosts that exited or fell silent.
 #[derive(Debug, Default)]
 pub(super) struct AbsentHosts {
@@ -18,6 +22,8 @@
     silent: FastMap<HostId, (ZoneName, Millis)>,
     stated_hosts: u32,
     stated_until_ms: Millis,
+    restated_until_ms: Millis,
+    is_restated: bool,
 }
 
 impl AbsentHosts {
@@ -43,10 +49,17 @@
         self.stated_hosts
     }
 
+    /// The same, if it is to be stated to others.
+    pub(super) fn restated_fleet(&self) -> u32 {
+        if self.is_restated { self.stated_hosts } else { 0 }
+    }
+
     pub(super) fn record_stated_fleet(&mut self, now_ms: Millis, hosts: u32) {
         if hosts >= self.stated_hosts {
             self.stated_hosts = hosts;
             self.stated_until_ms = now_ms + SILENT_MS;
+            self.restated_until_ms = now_ms + RESTATED_MS;
+            self.is_restated = true;
         }
     }
 
@@ -66,6 +79,7 @@
 
     pub(super) fn expire(&mut self, now_ms: Millis) {
         let before = self.count();
+        self.is_restated = now_ms < self.restated_until_ms;
         self.exited.retain(|_, until_ms| now_ms < *until_ms);
         self.silent.retain(|_, (_, until_ms)| now_ms < *until_ms);
         self.stated_hosts = match now_ms < self.stated_until_ms {
--- a/crates/published/tests/members.rs
+++ b/crates/published/tests/members.rs
@@ -89,6 +89,17 @@
     assert_eq!((members.count(), members.sharing_count()), (2, 18));
 }
 
+/// Guards against hosts that start one after another and keep up the size of a fleet that is gone.
+#[test]
+fn a_stated_number_of_hosts_is_stated_to_others_for_a_minute_only() {
+    let mut members = Members::new(member("a", 1));
+    members.record_fleet_size(Millis(0), 18);
+    members.expire(Millis(59_000));
+    assert_eq!((members.sharing_count(), members.stated_sharing_count()), (18, 18));
+    members.expire(Millis(61_000));
+    assert_eq!((members.sharing_count(), members.stated_sharing_count()), (18, 1));
+}
+
 /// A host that was suspended for a minute received nothing, but its peers are alive.
 #[test]
 fn time_in_which_this_host_was_suspended_removes_nobody() {
