--- a/crates/dispatch/tests/retry_fleet.rs
+++ b/crates/dispatch/tests/retry_fleet.rs
@@ -225,7 +225,7 @@
     let allowed = FleetRetryLimits { slack, ..ALLOWED };
     let per_s = 4.0 * hosts as f64;
     let calm = Schedule { allowed, hosts, requests_per_s: per_s, ..schedule(Vec::new()) };
-    let sent = play(&Schedule { duration_ms: 60_000, ..calm });
+    let sent = play(&calm);
     let spent = |from_ms: u64| -> u32 {
         let from = (from_ms / STEP_MS) as usize;
         sent.retries[from..from + 100].iter().sum()
--- a/crates/published/src/members/absent.rs
+++ b/crates/published/src/members/absent.rs
@@ -21,8 +21,7 @@
     /// Hosts that fell silent, their availability zones, and until when they count.
     silent: FastMap<HostId, (ZoneName, Millis)>,
     stated_hosts: u32,
-    stated_until_ms: Millis,
-    restated_until_ms: Millis,
+    stated_ms: Millis,
     is_restated: bool,
 }
 
@@ -57,8 +56,7 @@
     pub(super) fn record_stated_fleet(&mut self, now_ms: Millis, hosts: u32) {
         if hosts >= self.stated_hosts {
             self.stated_hosts = hosts;
-            self.stated_until_ms = now_ms + SILENT_MS;
-            self.restated_until_ms = now_ms + RESTATED_MS;
+            self.stated_ms = now_ms;
             self.is_restated = true;
         }
     }
@@ -79,10 +77,10 @@
 
     pub(super) fn expire(&mut self, now_ms: Millis) {
         let before = self.count();
-        self.is_restated = now_ms < self.restated_until_ms;
+        self.is_restated = now_ms.since(self.stated_ms) < RESTATED_MS;
         self.exited.retain(|_, until_ms| now_ms < *until_ms);
         self.silent.retain(|_, (_, until_ms)| now_ms < *until_ms);
-        self.stated_hosts = match now_ms < self.stated_until_ms {
+        self.stated_hosts = match now_ms.since(self.stated_ms) < SILENT_MS {
             true => self.stated_hosts.saturating_sub(before - self.count()),
             false => 0,
         };
