--- /dev/null
+++ b/review/standins/src/cases/mod.rs
@@ -0,0 +1,4 @@
+//! The cases.
+
+pub mod hang;
+pub mod memory;
--- /dev/null
+++ b/review/standins/src/client.rs
@@ -0,0 +1,84 @@
+//! A client's connection.
+
+use crate::http::{HttpMessage, Reader};
+use crate::site::HOST;
+use std::io::{self, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::os::fd::AsRawFd;
+use std::time::Duration;
+
+/// `SOL_SOCKET` of Linux.
+const SOCKET_LEVEL: i32 = 1;
+
+/// `SO_LINGER` of Linux.
+const LINGER_OPTION: i32 = 13;
+
+unsafe extern "C" {
+    fn setsockopt(socket: i32, level: i32, option: i32, value: *const [i32; 2], bytes: u32) -> i32;
+}
+
+/// A request.
+pub struct Request<'a> {
+    /// Its id.
+    pub id: &'a str,
+    /// `GET` or `POST`.
+    pub method: &'a str,
+    /// Prefix of its route.
+    pub prefix: &'a str,
+    /// How long its client waits.
+    pub deadline: Duration,
+    /// Further header lines, each with its line end.
+    pub fields: &'a str,
+    /// Its body.
+    pub body: &'a [u8],
+}
+
+impl Request<'_> {
+    /// Its bytes.
+    pub fn encode(&self) -> Vec<u8> {
+        let Request { id, method, prefix, deadline, fields, body } = self;
+        let (deadline_ms, length) = (deadline.as_millis(), body.len());
+        let head = format!(
+            "{method} {prefix}{id} HTTP/1.1\r\nHost: {HOST}\r\nX-Jujubedeal-Request-Id: {id}\r\n\
+             X-Jujubedeal-Deadline-Ms: {deadline_ms}\r\n{fields}Content-Length: {length}\r\n\r\n"
+        );
+        [head.as_bytes(), body].concat()
+    }
+}
+
+/// An open connection to the entry host.
+pub struct Client {
+    writer: TcpStream,
+    reader: Reader,
+}
+
+impl Client {
+    /// Connects.
+    pub fn connect(entry: SocketAddr) -> io::Result<Client> {
+        let writer = TcpStream::connect(entry)?;
+        writer.set_nodelay(true)?;
+        let reader = Reader::new(writer.try_clone()?);
+        Ok(Client { writer, reader })
+    }
+
+    /// Sends a request.
+    pub fn send(&mut self, request: &Request<'_>) -> io::Result<()> {
+        self.writer.write_all(&request.encode())
+    }
+
+    /// Reads the next answer; an error of the kind `WouldBlock` if there is none within `limit`.
+    pub fn receive(&mut self, limit: Duration) -> io::Result<Option<HttpMessage>> {
+        self.writer.set_read_timeout(Some(limit))?;
+        self.reader.read()
+    }
+
+    /// Gives up and resets the connection, as a program does that ends with a request open.
+    pub fn reset(self) -> io::Result<()> {
+        let (is_on, seconds) = (1, 0);
+        let value = [is_on, seconds];
+        let socket = self.writer.as_raw_fd();
+        // SAFETY: the socket is open, and the value is that of a `struct linger` of its size.
+        let result = unsafe { setsockopt(socket, SOCKET_LEVEL, LINGER_OPTION, &value, 8) };
+        if result == 0 { Ok(()) } else { Err(io::Error::last_os_error()) }
+    }
+}
