Review case 3: a long answer that is broken off takes the answers behind it along

Cause: requests behind a pipelined one are passed on, while its long answer may still end the connection.

--- a/review/standins/src/cases/hang.rs
+++ b/review/standins/src/cases/hang.rs
@@ -18,6 +18,8 @@
     objective_ms: 400,
     timeout_ms: 1_200,
     work_ms: 160,
+    body_bytes: 0,
+    faulty: None,
 };
 
 /// Monthly statements.
@@ -28,6 +30,8 @@
     objective_ms: 1_000,
     timeout_ms: 4_000,
     work_ms: 400,
+    body_bytes: 0,
+    faulty: None,
 };
 
 /// Length of the cut.
--- a/review/standins/src/cases/memory.rs
+++ b/review/standins/src/cases/memory.rs
@@ -4,7 +4,6 @@
 use crate::Verdict;
 use crate::client::{Client, Request};
 use crate::front::MEMORY_MB;
-use crate::instance::RunEnd;
 use crate::record::Record;
 use crate::site::{Service, Site};
 use std::io::{self, ErrorKind};
@@ -23,6 +22,8 @@
     objective_ms: 500,
     timeout_ms: 1_500,
     work_ms: 210,
+    body_bytes: 0,
+    faulty: None,
 };
 
 /// Bytes of a large order, with its attachments: less than the limit `bodyBytes`.
@@ -99,7 +100,7 @@
 
 /// Whether an instance has run a request.
 fn was_passed_on(site: &Site, id: &str) -> bool {
-    site.runs_of(id).iter().any(|run| run.end != RunEnd::Open || run.begun <= Instant::now())
+    !site.runs_of(id).is_empty()
 }
 
 /// Sends orders on one connection until the run is over; returns those whose connection was closed
--- a/review/standins/src/cases/mod.rs
+++ b/review/standins/src/cases/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod hang;
 pub mod memory;
+pub mod pipeline;
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -50,6 +50,7 @@
     let verdict = match case {
         "hang" => cases::hang::run(&root, &record, has_trouble)?,
         "memory" => cases::memory::run(&root, &record, has_trouble)?,
+        "pipeline" => cases::pipeline::run(&root, &record, has_trouble)?,
         _ => return Err(std::io::Error::other("there is no such case")),
     };
     record.note(format!("the rule: {verdict:?}"));
--- a/review/standins/src/site.rs
+++ b/review/standins/src/site.rs
@@ -1,13 +1,15 @@
 //! A small deployment: a store, instances of two services, and one entry host.
 
 use crate::front::Front;
-use crate::instance::{Instance, SLOTS};
+use crate::instance::{Behaviour, Instance, SLOTS};
 use crate::link::{self, Cut, CutAfter};
 use crate::record::Record;
 use crate::store::Store;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 /// `Host` header of the routes.
@@ -31,6 +33,30 @@
     pub timeout_ms: u64,
     /// How long an instance works on a request.
     pub work_ms: u64,
+    /// Least bytes of an answer's body.
+    pub body_bytes: usize,
+    /// Instances that break off one answer in so many.
+    pub faulty: Option<Faulty>,
+}
+
+/// Instances that hand out wrong bytes.
+#[derive(Debug, Clone, Copy)]
+pub struct Faulty {
+    /// Number of them.
+    pub instances: usize,
+    /// They break off one answer in so many.
+    pub breaks_off_every: usize,
+}
+
+impl Service {
+    fn behaviour_of(&self, index: usize) -> Behaviour {
+        let faulty = self.faulty.filter(|faulty| index < faulty.instances);
+        Behaviour {
+            work: Duration::from_millis(self.work_ms),
+            body_bytes: self.body_bytes,
+            breaks_off_every: faulty.map(|faulty| faulty.breaks_off_every),
+        }
+    }
 }
 
 /// The deployment. Dropping it ends the entry host.
@@ -43,6 +69,8 @@
     pub cut: Cut,
     /// Cuts them in the middle of what a client sends.
     pub cut_after: CutAfter,
+    /// Switches the faults of instances on and off.
+    pub faults: Arc<AtomicBool>,
     /// All instances.
     pub instances: Vec<Instance>,
     folder: PathBuf,
@@ -57,12 +85,13 @@
         let (cut, cut_after, none) = (Cut::default(), CutAfter::default(), CutAfter::default());
         let (store, store_address) = Store::start(any)?;
         store.put("op/config", config(services));
+        let faults = Arc::new(AtomicBool::new(false));
         let mut instances = Vec::new();
         for service in services {
             for index in 0..INSTANCES {
                 let id = format!("i-{}{index}", service.name);
-                let work = Duration::from_millis(service.work_ms);
-                let (instance, address) = Instance::start(&id, any, work, record)?;
+                let behaviour = service.behaviour_of(index);
+                let (instance, address) = Instance::start(&id, any, behaviour, &faults, record)?;
                 let address = link::start(any, address, &cut, &none)?;
                 store.put(&format!("servers/{id}"), entry(service.name, address));
                 instances.push(instance);
@@ -72,7 +101,7 @@
         let front = Front::start(root, &folder, machine_ip(), store_address)?;
         let entry = link::start(any, front.address, &cut, &cut_after)?;
         record.note(format!("the entry host is ready, and takes {} MB", front.memory_mb()));
-        Ok(Site { front, entry, cut, cut_after, instances, folder })
+        Ok(Site { front, entry, cut, cut_after, faults, instances, folder })
     }
 
     /// Runs of a request at all instances.
