Review case 2: steadier

Cause: the small orders were at the same stage, so that at times none was under way. Done: clients start one after the other, and large orders are sent at a steady rate.

--- a/review/standins/src/cases/memory.rs
+++ b/review/standins/src/cases/memory.rs
@@ -20,7 +20,7 @@
     kind: "unsafe",
     prefix: "/orders/",
     objective_ms: 500,
-    timeout_ms: 1_500,
+    timeout_ms: 2_500,
     work_ms: 210,
     body_bytes: 0,
     faulty: None,
@@ -29,6 +29,13 @@
 /// Bytes of a large order, with its attachments: less than the limit `bodyBytes`.
 const LARGE_BYTES: usize = 36 * 1024 * 1024;
 
+/// Bytes that its client sends at a time, and the time between two such pieces: 24 MB a second.
+const PIECE_BYTES: usize = 1024 * 1024;
+const BETWEEN_PIECES: Duration = Duration::from_millis(44);
+
+/// The end of a large order, which its client sends once all have sent the rest.
+const LAST_BYTES: usize = 1024;
+
 /// Clients that send a large order at the same time, on a usual day and in a burst.
 const USUAL_CLIENTS: usize = 3;
 const BURST_CLIENTS: usize = 5;
@@ -36,6 +43,9 @@
 /// Clients that send small orders on kept connections, one after the other.
 const SMALL_CLIENTS: usize = 12;
 
+/// Time between their starts, so that their orders are not all at the same stage.
+const BETWEEN_STARTS: Duration = Duration::from_millis(18);
+
 /// How long small orders are sent.
 const RUN_TIME: Duration = Duration::from_secs(8);
 
@@ -57,16 +67,17 @@
     let small: Vec<_> = (0..SMALL_CLIENTS)
         .map(|index| {
             let (record, is_over) = (record.clone(), Arc::clone(&is_over));
+            thread::sleep(BETWEEN_STARTS);
             thread::spawn(move || send_small_orders(entry, index, &is_over, &record))
         })
         .collect();
     thread::sleep(LARGE_AT);
     let clients = if has_trouble { BURST_CLIENTS } else { USUAL_CLIENTS };
-    let start = Arc::new(Barrier::new(clients));
+    let last = Arc::new(Barrier::new(clients));
     let large: Vec<_> = (0..clients)
         .map(|index| {
-            let (record, start) = (record.clone(), Arc::clone(&start));
-            thread::spawn(move || send_large_order(entry, index, &start, &record))
+            let (record, last) = (record.clone(), Arc::clone(&last));
+            thread::spawn(move || send_large_order(entry, index, &last, &record))
         })
         .collect();
     let mut peak_mb = 0;
@@ -146,7 +157,7 @@
 fn send_large_order(
     entry: SocketAddr,
     client: usize,
-    start: &Barrier,
+    last: &Barrier,
     record: &Record,
 ) -> io::Result<()> {
     let id = format!("large-{client}");
@@ -160,10 +171,17 @@
         fields: "",
         body: &body,
     };
+    let bytes = request.encode();
+    let (first, rest) = bytes.split_at(bytes.len() - LAST_BYTES);
     let mut connection = Client::connect(entry)?;
-    start.wait();
     record.note(format!("{id} is sent: {LARGE_BYTES} bytes"));
-    let answer = connection.send(&request).and_then(|()| connection.receive(deadline));
+    let sent_first = first.chunks(PIECE_BYTES).try_for_each(|piece| {
+        thread::sleep(BETWEEN_PIECES);
+        connection.send_bytes(piece)
+    });
+    last.wait();
+    let sent = sent_first.and_then(|()| connection.send_bytes(rest));
+    let answer = sent.and_then(|()| connection.receive(deadline));
     record.note(match answer {
         Ok(Some(answer)) => format!("{id} gets {}", answer.status()),
         Ok(None) => format!("{id}: the connection closes without an answer"),
--- a/review/standins/src/client.rs
+++ b/review/standins/src/client.rs
@@ -63,7 +63,12 @@
 
     /// Sends a request.
     pub fn send(&mut self, request: &Request<'_>) -> io::Result<()> {
-        self.writer.write_all(&request.encode())
+        self.send_bytes(&request.encode())
+    }
+
+    /// Sends bytes of a request.
+    pub fn send_bytes(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.writer.write_all(bytes)
     }
 
     /// Reads the next answer; an error of the kind `WouldBlock` if there is none within `limit`.
