Review case 1: the host hangs after a freeze

Cause: a partial head that times out behind a pending request makes the session's loop spin without giving the thread back. A freeze shows it with clients that do nothing unusual.

--- a/review/standins/src/cases/memory.rs
+++ b/review/standins/src/cases/memory.rs
@@ -61,7 +61,7 @@
 /// Plays the case.
 pub fn run(root: &Path, record: &Record, has_trouble: bool) -> io::Result<Verdict> {
     let mut site = Site::start(root, &[ORDERS], record)?;
-    let entry = site.entry;
+    let entry = site.front.address;
     let begun = Instant::now();
     let is_over = Arc::new(AtomicBool::new(false));
     let small: Vec<_> = (0..SMALL_CLIENTS)
--- a/review/standins/src/cases/mod.rs
+++ b/review/standins/src/cases/mod.rs
@@ -1,5 +1,5 @@
 //! The cases.
 
-pub mod hang;
+pub mod freeze;
 pub mod memory;
 pub mod pipeline;
--- a/review/standins/src/cases/pipeline.rs
+++ b/review/standins/src/cases/pipeline.rs
@@ -44,7 +44,7 @@
 /// Plays the case.
 pub fn run(root: &Path, record: &Record, has_trouble: bool) -> io::Result<Verdict> {
     let site = Site::start(root, &[STATEMENTS], record)?;
-    let (entry, until) = (site.entry, Instant::now() + BEFORE + FAULT_TIME + AFTER);
+    let (entry, until) = (site.front.address, Instant::now() + BEFORE + FAULT_TIME + AFTER);
     let clients: Vec<_> = (0..CLIENTS)
         .map(|client| {
             let record = record.clone();
--- a/review/standins/src/client.rs
+++ b/review/standins/src/client.rs
@@ -4,19 +4,8 @@
 use crate::site::HOST;
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::os::fd::AsRawFd;
 use std::time::Duration;
 
-/// `SOL_SOCKET` of Linux.
-const SOCKET_LEVEL: i32 = 1;
-
-/// `SO_LINGER` of Linux.
-const LINGER_OPTION: i32 = 13;
-
-unsafe extern "C" {
-    fn setsockopt(socket: i32, level: i32, option: i32, value: *const [i32; 2], bytes: u32) -> i32;
-}
-
 /// A request.
 pub struct Request<'a> {
     /// Its id.
@@ -76,14 +65,4 @@
         self.writer.set_read_timeout(Some(limit))?;
         self.reader.read()
     }
-
-    /// Gives up and resets the connection, as a program does that ends with a request open.
-    pub fn reset(self) -> io::Result<()> {
-        let (is_on, seconds) = (1, 0);
-        let value = [is_on, seconds];
-        let socket = self.writer.as_raw_fd();
-        // SAFETY: the socket is open, and the value is that of a `struct linger` of its size.
-        let result = unsafe { setsockopt(socket, SOCKET_LEVEL, LINGER_OPTION, &value, 8) };
-        if result == 0 { Ok(()) } else { Err(io::Error::last_os_error()) }
-    }
 }
--- a/review/standins/src/front.rs
+++ b/review/standins/src/front.rs
@@ -16,6 +16,14 @@
 /// Longest time for a host to become ready.
 const START_LIMIT: Duration = Duration::from_secs(10);
 
+/// `SIGCONT` and `SIGSTOP` of Linux.
+const CONTINUE_SIGNAL: i32 = 18;
+const STOP_SIGNAL: i32 = 19;
+
+unsafe extern "C" {
+    fn kill(process: i32, signal: i32) -> i32;
+}
+
 /// Clock ticks of `/proc` in a second.
 const TICKS_PER_S: f64 = 100.0;
 
@@ -130,16 +138,28 @@
         kilobytes.and_then(|text| text.parse::<u64>().ok()).unwrap_or_default() / 1024
     }
 
+    /// Stops it, as a machine that freezes.
+    pub fn freeze(&self) -> io::Result<()> {
+        self.signal(STOP_SIGNAL)
+    }
+
+    /// Lets it go on.
+    pub fn wake(&self) -> io::Result<()> {
+        self.signal(CONTINUE_SIGNAL)
+    }
+
+    fn signal(&self, signal: i32) -> io::Result<()> {
+        let id = i32::try_from(self.child.id()).map_err(io::Error::other)?;
+        // SAFETY: the call takes numbers only, and the child has not been waited for.
+        let result = unsafe { kill(id, signal) };
+        if result == 0 { Ok(()) } else { Err(io::Error::last_os_error()) }
+    }
+
     /// Kills it, as the platform kills a process over its memory limit.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
     }
-
-    /// Whether it still runs.
-    pub fn is_running(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(None))
-    }
 }
 
 impl Drop for Front {
--- a/review/standins/src/site.rs
+++ b/review/standins/src/site.rs
@@ -2,7 +2,6 @@
 
 use crate::front::Front;
 use crate::instance::{Behaviour, Instance, SLOTS};
-use crate::link::{self, Cut, CutAfter};
 use crate::record::Record;
 use crate::store::Store;
 use std::io;
@@ -63,12 +62,6 @@
 pub struct Site {
     /// The entry host.
     pub front: Front,
-    /// Where clients reach it: over a link.
-    pub entry: SocketAddr,
-    /// Cuts all links of the entry host.
-    pub cut: Cut,
-    /// Cuts them in the middle of what a client sends.
-    pub cut_after: CutAfter,
     /// Switches the faults of instances on and off.
     pub faults: Arc<AtomicBool>,
     /// All instances.
@@ -82,7 +75,6 @@
         let folder = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         std::fs::create_dir_all(&folder)?;
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-        let (cut, cut_after, none) = (Cut::default(), CutAfter::default(), CutAfter::default());
         let (store, store_address) = Store::start(any)?;
         store.put("op/config", config(services));
         let faults = Arc::new(AtomicBool::new(false));
@@ -92,16 +84,13 @@
                 let id = format!("i-{}{index}", service.name);
                 let behaviour = service.behaviour_of(index);
                 let (instance, address) = Instance::start(&id, any, behaviour, &faults, record)?;
-                let address = link::start(any, address, &cut, &none)?;
                 store.put(&format!("servers/{id}"), entry(service.name, address));
                 instances.push(instance);
             }
         }
-        let store_address = link::start(any, store_address, &cut, &none)?;
         let front = Front::start(root, &folder, machine_ip(), store_address)?;
-        let entry = link::start(any, front.address, &cut, &cut_after)?;
         record.note(format!("the entry host is ready, and takes {} MB", front.memory_mb()));
-        Ok(Site { front, entry, cut, cut_after, faults, instances, folder })
+        Ok(Site { front, faults, instances, folder })
     }
 
     /// Runs of a request at all instances.
