Review case 2: a body in small chunks stalls the host

Cause: each chunk moves all that is read ahead of it, and the session goes on without letting others end. It replaces a lesser case, an answer of over 64 KiB that is broken off. Done: a script that sends one order in chunks of 32 bytes, or with its length.

--- a/review/standins/src/cases/freeze.rs
+++ b/review/standins/src/cases/freeze.rs
@@ -2,6 +2,7 @@
 //! on its way. Judged is what clients with other connections get once it has been in touch again.
 
 use crate::Verdict;
+use crate::cases::kept::{self, READS};
 use crate::client::{Client, Request};
 use crate::link;
 use crate::record::Record;
@@ -14,18 +15,6 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// The printer portal.
-const READS: Service = Service {
-    name: "fleetwatch",
-    kind: "safe",
-    prefix: "/reads/",
-    objective_ms: 400,
-    timeout_ms: 1_200,
-    work_ms: 160,
-    body_bytes: 0,
-    faulty: None,
-};
-
 /// Monthly statements.
 const STATEMENTS: Service = Service {
     name: "ledgerview",
@@ -34,8 +23,6 @@
     objective_ms: 2_000,
     timeout_ms: 10_000,
     work_ms: 400,
-    body_bytes: 0,
-    faulty: None,
 };
 
 /// Length of a freeze, and the most freezes.
@@ -61,12 +48,6 @@
 /// Bytes of cookies that each of them carries.
 const COOKIE_BYTES: usize = 1_900;
 
-/// Clients whose connections are idle during the freeze.
-const KEPT_CLIENTS: usize = 12;
-
-/// How late the final answer may be after the route's timeout.
-const SLACK: Duration = Duration::from_millis(500);
-
 /// Plays the case.
 pub fn run(root: &Path, record: &Record, has_trouble: bool) -> io::Result<Verdict> {
     let site = Site::start(root, &[READS, STATEMENTS], record)?;
@@ -81,7 +62,7 @@
         .collect();
     let mut verdict = Verdict::Held;
     for round in 0..FREEZES {
-        let kept = open_kept(entry, round, record)?;
+        let clients = kept::open(entry, round, record)?;
         thread::sleep(BEFORE);
         if has_trouble {
             while flights.try_recv().is_ok() {}
@@ -95,15 +76,11 @@
         record.note("the machine goes on");
         thread::sleep(CONTACT);
         let (cpu_before, at) = (site.front.cpu(), Instant::now());
-        let late = count_late(kept, round, record);
+        let late = kept::count_late(clients, round, record);
         let cpu_share = (site.front.cpu() - cpu_before).as_secs_f64() / at.elapsed().as_secs_f64();
-        record.note(format!(
-            "of {KEPT_CLIENTS} reads, {} had no answer at the route's timeout, {} none {SLACK:?} \
-             later; the process uses {cpu_share:.2} of a core",
-            late.at_timeout, late.after_slack
-        ));
-        if late.after_slack > 0 && late.after_slack > late.at_timeout / 2 {
-            verdict = Verdict::Broken;
+        late.note(cpu_share, record);
+        verdict = late.verdict();
+        if verdict == Verdict::Broken {
             break;
         }
     }
@@ -114,17 +91,6 @@
     Ok(verdict)
 }
 
-/// Opens connections, each with a read that is answered.
-fn open_kept(entry: SocketAddr, round: usize, record: &Record) -> io::Result<Vec<Client>> {
-    let mut kept = Vec::new();
-    for index in 0..KEPT_CLIENTS {
-        let mut client = Client::connect(entry)?;
-        read(&mut client, &format!("before-{round}-{index}"), record)?;
-        kept.push(client);
-    }
-    Ok(kept)
-}
-
 /// Sends batches of statement requests, and reads the answers, until the run is over.
 fn send_batches(entry: SocketAddr, client: usize, is_over: &AtomicBool) -> io::Result<()> {
     let deadline = Duration::from_millis(STATEMENTS.timeout_ms);
@@ -153,61 +119,3 @@
     }
     Ok(())
 }
-
-/// Reads without an answer.
-#[derive(Debug, Default)]
-struct Late {
-    at_timeout: usize,
-    after_slack: usize,
-}
-
-/// Sends a read on each kept connection, all at once.
-fn count_late(kept: Vec<Client>, round: usize, record: &Record) -> Late {
-    let readers: Vec<_> = kept
-        .into_iter()
-        .enumerate()
-        .map(|(index, mut client)| {
-            let record = record.clone();
-            thread::spawn(move || read(&mut client, &format!("after-{round}-{index}"), &record))
-        })
-        .collect();
-    let timeout = Duration::from_millis(READS.timeout_ms);
-    let mut late = Late::default();
-    for reader in readers {
-        match reader.join() {
-            Ok(Ok((Some(_), took))) => late.at_timeout += usize::from(took > timeout),
-            // A connection that was closed is no wait for an answer.
-            Ok(Ok((None, took))) if took < timeout => {}
-            Ok(Ok((None, _))) => {
-                late.at_timeout += 1;
-                late.after_slack += 1;
-            }
-            Ok(Err(_)) | Err(_) => {}
-        }
-    }
-    late
-}
-
-/// Sends a read; returns the status of its answer, none if there was none within the slack after
-/// the route's timeout, and how long it took.
-fn read(client: &mut Client, id: &str, record: &Record) -> io::Result<(Option<u16>, Duration)> {
-    let timeout = Duration::from_millis(READS.timeout_ms);
-    let request = Request {
-        id,
-        method: "GET",
-        prefix: READS.prefix,
-        deadline: timeout,
-        fields: "",
-        body: b"",
-    };
-    let sent = Instant::now();
-    client.send(&request)?;
-    let answer = client.receive(timeout + SLACK);
-    let took = sent.elapsed();
-    let status = answer.ok().flatten().map(|answer| answer.status());
-    record.note(match status {
-        Some(status) => format!("{id} gets {status} after {} ms", took.as_millis()),
-        None => format!("{id} has no answer after {} ms", took.as_millis()),
-    });
-    Ok((status, took))
-}
--- a/review/standins/src/cases/memory.rs
+++ b/review/standins/src/cases/memory.rs
@@ -22,8 +22,6 @@
     objective_ms: 500,
     timeout_ms: 2_500,
     work_ms: 210,
-    body_bytes: 0,
-    faulty: None,
 };
 
 /// Bytes of a large order, with its attachments: less than the limit `bodyBytes`.
@@ -137,7 +135,8 @@
             fields: "",
             body: &[b'o'; 300],
         };
-        let answer = connection.send(&request).and_then(|()| connection.receive(deadline));
+        let answer =
+            connection.send_bytes(&request.encode()).and_then(|()| connection.receive(deadline));
         match answer {
             Ok(Some(answer)) if answer.status() == 200 => {}
             Ok(Some(answer)) => record.note(format!("{id} gets {}", answer.status())),
--- a/review/standins/src/cases/mod.rs
+++ b/review/standins/src/cases/mod.rs
@@ -1,5 +1,6 @@
 //! The cases.
 
+pub mod chunks;
 pub mod freeze;
+mod kept;
 pub mod memory;
-pub mod pipeline;
--- a/review/standins/src/front.rs
+++ b/review/standins/src/front.rs
@@ -111,7 +111,8 @@
             let limit = Duration::from_secs(1);
             let mut stream = TcpStream::connect_timeout(&self.ready, limit)?;
             stream.set_read_timeout(Some(limit))?;
-            stream.write_all(b"GET /-/readyz HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n")?;
+            stream
+                .write_all(b"GET /-/readyz HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n")?;
             let mut answer = [0; 12];
             stream.read_exact(&mut answer)?;
             Ok(answer.ends_with(b" 200"))
--- a/review/standins/src/instance.rs
+++ b/review/standins/src/instance.rs
@@ -4,7 +4,7 @@
 use crate::record::Record;
 use std::io::{self, ErrorKind, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -24,8 +24,6 @@
     Answered,
     /// Its connection closed, so it dropped the request.
     Dropped,
-    /// It broke off its answer.
-    BrokenOff,
 }
 
 /// A request that an instance has run.
@@ -37,43 +35,29 @@
     pub end: RunEnd,
 }
 
-/// How an instance behaves.
-#[derive(Debug, Clone, Copy)]
-pub struct Behaviour {
-    /// How long it works on a request.
-    pub work: Duration,
-    /// Least bytes of an answer's body.
-    pub body_bytes: usize,
-    /// While faults are on, breaks off one answer in so many midway; none if it is sound.
-    pub breaks_off_every: Option<usize>,
-}
-
 /// An instance.
 #[derive(Clone)]
 pub struct Instance {
     id: String,
-    behaviour: Behaviour,
-    faults: Arc<AtomicBool>,
+    work: Duration,
     running: Arc<AtomicU32>,
     runs: Arc<Mutex<Vec<Run>>>,
     record: Record,
 }
 
 impl Instance {
-    /// Starts an instance; returns it with its address.
+    /// Starts an instance that works on each request for `work`; returns it with its address.
     pub fn start(
         id: &str,
         address: SocketAddr,
-        behaviour: Behaviour,
-        faults: &Arc<AtomicBool>,
+        work: Duration,
         record: &Record,
     ) -> io::Result<(Instance, SocketAddr)> {
         let listener = TcpListener::bind(address)?;
         let address = listener.local_addr()?;
         let instance = Instance {
             id: id.to_owned(),
-            behaviour,
-            faults: Arc::clone(faults),
+            work,
             running: Arc::default(),
             runs: Arc::default(),
             record: record.clone(),
@@ -128,7 +112,7 @@
         }
         let index = self.begin(id);
         self.record.note(format!("instance {} runs {id}", self.id));
-        let until = Instant::now() + self.behaviour.work;
+        let until = Instant::now() + self.work;
         let mut is_open = true;
         while is_open && Instant::now() < until {
             thread::sleep(LOOK_INTERVAL);
@@ -140,29 +124,15 @@
             self.record.note(format!("instance {} drops {id}: its connection closed", self.id));
             return Ok(false);
         }
-        let mut body = format!("answer to {id}").into_bytes();
-        body.resize(body.len().max(self.behaviour.body_bytes), b'.');
+        let body = format!("answer to {id}");
         let fields =
             format!("X-Jujubedeal-Request-Id: {id}\r\nX-Jujubedeal-Response-Seal: seal.{id}\r\n");
-        let response = self.response("200 OK", &fields, &body);
-        if self.breaks_off(index) {
-            self.end(index, RunEnd::BrokenOff);
-            self.record.note(format!("instance {} breaks off its answer to {id}", self.id));
-            writer.write_all(&response[..response.len() / 2])?;
-            return Ok(false);
-        }
         self.end(index, RunEnd::Answered);
         self.record.note(format!("instance {} answers {id}", self.id));
-        writer.write_all(&response)?;
+        writer.write_all(&self.response("200 OK", &fields, body.as_bytes()))?;
         Ok(true)
     }
 
-    /// Whether it breaks off the answer of this run.
-    fn breaks_off(&self, index: usize) -> bool {
-        let is_due = |every: usize| (index + 1).is_multiple_of(every);
-        self.faults.load(Ordering::SeqCst) && self.behaviour.breaks_off_every.is_some_and(is_due)
-    }
-
     fn begin(&self, id: &str) -> usize {
         let mut runs = self.runs.lock().expect("no thread panics with the runs");
         runs.push(Run { id: id.to_owned(), end: RunEnd::Open });
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -46,11 +46,12 @@
 fn run(case: &str, folder: &Path, has_trouble: bool) -> std::io::Result<Verdict> {
     let root = repository(folder)?;
     let record = Record::create(folder)?;
-    record.note(format!("case {case}, {} disruption", if has_trouble { "with" } else { "without" }));
+    record
+        .note(format!("case {case}, {} disruption", if has_trouble { "with" } else { "without" }));
     let verdict = match case {
+        "chunks" => cases::chunks::run(&root, &record, has_trouble)?,
         "freeze" => cases::freeze::run(&root, &record, has_trouble)?,
         "memory" => cases::memory::run(&root, &record, has_trouble)?,
-        "pipeline" => cases::pipeline::run(&root, &record, has_trouble)?,
         _ => return Err(std::io::Error::other("there is no such case")),
     };
     record.note(format!("the rule: {verdict:?}"));
--- a/review/standins/src/site.rs
+++ b/review/standins/src/site.rs
@@ -1,14 +1,12 @@
 //! A small deployment: a store, instances of two services, and one entry host.
 
 use crate::front::Front;
-use crate::instance::{Behaviour, Instance, SLOTS};
+use crate::instance::{Instance, SLOTS};
 use crate::record::Record;
 use crate::store::Store;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
-use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
 use std::time::Duration;
 
 /// `Host` header of the routes.
@@ -32,38 +30,12 @@
     pub timeout_ms: u64,
     /// How long an instance works on a request.
     pub work_ms: u64,
-    /// Least bytes of an answer's body.
-    pub body_bytes: usize,
-    /// Instances that break off one answer in so many.
-    pub faulty: Option<Faulty>,
-}
-
-/// Instances that hand out wrong bytes.
-#[derive(Debug, Clone, Copy)]
-pub struct Faulty {
-    /// Number of them.
-    pub instances: usize,
-    /// They break off one answer in so many.
-    pub breaks_off_every: usize,
-}
-
-impl Service {
-    fn behaviour_of(&self, index: usize) -> Behaviour {
-        let faulty = self.faulty.filter(|faulty| index < faulty.instances);
-        Behaviour {
-            work: Duration::from_millis(self.work_ms),
-            body_bytes: self.body_bytes,
-            breaks_off_every: faulty.map(|faulty| faulty.breaks_off_every),
-        }
-    }
 }
 
 /// The deployment. Dropping it ends the entry host.
 pub struct Site {
     /// The entry host.
     pub front: Front,
-    /// Switches the faults of instances on and off.
-    pub faults: Arc<AtomicBool>,
     /// All instances.
     pub instances: Vec<Instance>,
     folder: PathBuf,
@@ -77,20 +49,19 @@
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let (store, store_address) = Store::start(any)?;
         store.put("op/config", config(services));
-        let faults = Arc::new(AtomicBool::new(false));
         let mut instances = Vec::new();
         for service in services {
             for index in 0..INSTANCES {
                 let id = format!("i-{}{index}", service.name);
-                let behaviour = service.behaviour_of(index);
-                let (instance, address) = Instance::start(&id, any, behaviour, &faults, record)?;
+                let work = Duration::from_millis(service.work_ms);
+                let (instance, address) = Instance::start(&id, any, work, record)?;
                 store.put(&format!("servers/{id}"), entry(service.name, address));
                 instances.push(instance);
             }
         }
         let front = Front::start(root, &folder, machine_ip(), store_address)?;
         record.note(format!("the entry host is ready, and takes {} MB", front.memory_mb()));
-        Ok(Site { front, faults, instances, folder })
+        Ok(Site { front, instances, folder })
     }
 
     /// Runs of a request at all instances.
