--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 program="$folder/../../target/review/release/review-standins"
 [ -x "$program" ] || { echo "run review/build.sh first" >&2; exit 2; }
-exec "$program" pipeline "$folder"
+exec "$program" memory "$folder"
