Metrics: bytes held for others, by what for; resident and stated memory

Now what is read ahead from callers, requests until they are answered, copies on their way to upstreams, and responses are counted where they are read, and shown as gateway_held_bytes beside gateway_resident_bytes and gateway_memory_bytes. No decision changed; the account of responses keeps its bound, and routes with long responses moved to a module of their own.

--- a/crates/gateway/src/connection/exchange.rs
+++ b/crates/gateway/src/connection/exchange.rs
@@ -2,7 +2,7 @@
 
 use super::ExchangeEnd;
 use crate::http1::{BodyReader, ResponseHead};
-use crate::response_memory::HeldBytes;
+use crate::memory::HeldBytes;
 use std::time::Duration;
 
 /// Why an exchange brought no complete response. The variants are logged under these names.
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -10,11 +10,12 @@
 use crate::dialect::Dialect;
 use crate::event_log::{EventLog, LogEvent};
 use crate::links;
+use crate::long_routes::LongRoutes;
+use crate::memory::HostMemory;
 use crate::metrics::Metrics;
 use crate::placement::PlacementState;
 use crate::pool::{Pool, PoolLimit};
 use crate::quota::QuotaState;
-use crate::response_memory::ResponseMemory;
 use crate::settings::Settings;
 use crate::ticket_counter::TicketCounter;
 use crate::unread_headers::UnreadHeaderLog;
@@ -79,8 +80,10 @@
     pub quotas: QuotaState,
     /// The state of routes that split their requests between services.
     pub split_table: RefCell<SplitTable>,
-    /// The memory that is held for responses.
-    pub response_memory: Rc<ResponseMemory>,
+    /// The memory that is held for callers and upstreams.
+    pub memory: Rc<HostMemory>,
+    /// Routes whose last response was long.
+    pub long_routes: RefCell<LongRoutes>,
     /// What this host's own links to upstreams tell.
     pub links: RefCell<LinkMonitor>,
     /// What it knows of its peers as relays.
@@ -172,7 +175,8 @@
             ),
             quotas: QuotaState::new(settings.host.clone(), seed),
             split_table: RefCell::default(),
-            response_memory: ResponseMemory::new(settings.memory_bytes),
+            memory: HostMemory::new(settings.memory_bytes),
+            long_routes: RefCell::default(),
             links: RefCell::default(),
             relays: RefCell::default(),
             is_checking_links: Cell::new(false),
@@ -337,7 +341,7 @@
         self.split_table.borrow_mut().retain(has_route);
         let routes: FastSet<RouteKey> =
             entry.value.routes.iter().map(|route| RouteKey::of(&route.name)).collect();
-        self.response_memory.retain_routes(|route| routes.contains(&route));
+        self.long_routes.borrow_mut().retain(|route| routes.contains(&route));
         self.upstreams
             .borrow_mut()
             .retain_routes(|route| route == RouteKey::ONLY || routes.contains(&route));
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -20,13 +20,13 @@
 use crate::event_log::{LogEvent, SessionEnd};
 use crate::host::{ACCEPT_PAUSE, Host, to_duration};
 use crate::http1::{BodyProgress, BodyReader, RequestError, RequestHead, read_request};
+use crate::memory::{HeldBytes, HeldFor};
 use crate::serve::{Reply, Request, RequestProgress, serve};
 use caller::linger;
 use clock::Moment;
 use dispatch::attempts::{Cause, Refusal};
 use domain::{ByteCount, Millis};
 use published::{CallerLimits, Idempotency};
-use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
@@ -80,7 +80,10 @@
 /// A request whose head was read, but not its whole body.
 struct PartialRequest {
     head: RequestHead,
+    head_bytes: usize,
     body: BodyReader,
+    /// Accounts for the head, and what was read of the body.
+    held: HeldBytes,
     arrived_ms: Millis,
     begun: Moment,
     sent_continue: bool,
@@ -133,8 +136,7 @@
 async fn session(host: Rc<Host>, stream: TcpStream) {
     // If it fails, small responses may be delayed, nothing else.
     let _ = stream.set_nodelay(true);
-    let inbox = RefCell::new(Vec::new());
-    let caller = Rc::new(Caller { stream, inbox, is_gone: Cell::new(false) });
+    let caller = Rc::new(Caller::new(stream, &host.memory));
     let now = Moment::now();
     let mut session = Session {
         host,
@@ -220,7 +222,7 @@
         self.pending.is_empty()
             && self.partial.is_none()
             && self.complete.is_none()
-            && self.caller.inbox.borrow().is_empty()
+            && self.caller.inbox_bytes() == 0
     }
 
     /// Whether the connection is idle after another read: a busy host may not have read everything.
@@ -307,7 +309,8 @@
             return false;
         }
         let Some(partial) = &mut self.partial else { return false };
-        let progress = partial.body.read_from(&mut self.caller.inbox.borrow_mut());
+        let progress = self.caller.take(|inbox| partial.body.read_from(inbox));
+        partial.held.set(partial.head_bytes + partial.body.received_bytes());
         match progress {
             Ok(BodyProgress::Whole) => {}
             Ok(BodyProgress::Partial) => {
@@ -324,21 +327,21 @@
                 return false;
             }
         }
-        let Some(PartialRequest { head, body, arrived_ms, .. }) = self.partial.take() else {
+        let Some(PartialRequest { head, body, held, arrived_ms, .. }) = self.partial.take() else {
             return false;
         };
-        self.complete = Some(Rc::new(Request { head, body: body.into_body(), arrived_ms }));
+        self.complete = Some(Rc::new(Request { head, body: body.into_body(), arrived_ms, held }));
         true
     }
 
     fn read_head(&mut self) -> bool {
         let limits = self.limits();
         let max_bytes = usize::try_from(limits.head_bytes.0).unwrap_or(usize::MAX);
-        let mut inbox = self.caller.inbox.borrow_mut();
-        let head = match read_request(&mut inbox, max_bytes) {
+        let inbox_bytes = self.caller.inbox_bytes();
+        let head = match self.caller.take(|inbox| read_request(inbox, max_bytes)) {
             Ok(Some(head)) => head,
             Ok(None) => {
-                let has_bytes = !inbox.is_empty();
+                let has_bytes = self.caller.inbox_bytes() > 0;
                 self.head_started = self.head_started.filter(|_| has_bytes);
                 if has_bytes {
                     self.head_started.get_or_insert_with(Moment::now);
@@ -358,7 +361,18 @@
         let body = BodyReader::new(head.framing, max_body);
         let arrived_ms = self.host.now_ms();
         let begun = Moment::now();
-        self.partial = Some(PartialRequest { head, body, arrived_ms, begun, sent_continue: false });
+        let head_bytes = inbox_bytes - self.caller.inbox_bytes();
+        let held = self.host.memory.hold(HeldFor::Requests);
+        held.set(head_bytes);
+        self.partial = Some(PartialRequest {
+            head,
+            head_bytes,
+            body,
+            held,
+            arrived_ms,
+            begun,
+            sent_continue: false,
+        });
         true
     }
 
--- a/crates/gateway/src/ingress/caller.rs
+++ b/crates/gateway/src/ingress/caller.rs
@@ -1,8 +1,10 @@
 //! A caller's connection: its socket, and the bytes read ahead from it.
 
+use crate::memory::{HeldBytes, HeldFor, HostMemory};
 use clock::Moment;
 use std::cell::{Cell, RefCell};
 use std::io::{self, ErrorKind, Read};
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::TcpStream;
 
@@ -19,11 +21,32 @@
 #[derive(Debug)]
 pub struct Caller {
     pub(super) stream: TcpStream,
-    pub(super) inbox: RefCell<Vec<u8>>,
+    inbox: RefCell<Vec<u8>>,
+    /// Accounts for the inbox.
+    held: HeldBytes,
     pub(super) is_gone: Cell<bool>,
 }
 
 impl Caller {
+    /// A connection from which nothing was read yet.
+    pub(super) fn new(stream: TcpStream, memory: &Rc<HostMemory>) -> Caller {
+        let held = memory.hold(HeldFor::ReadAhead);
+        Caller { stream, inbox: RefCell::default(), held, is_gone: Cell::new(false) }
+    }
+
+    /// Takes bytes from the inbox.
+    pub(super) fn take<T>(&self, take: impl FnOnce(&mut Vec<u8>) -> T) -> T {
+        let mut inbox = self.inbox.borrow_mut();
+        let taken = take(&mut inbox);
+        self.held.set(inbox.len());
+        taken
+    }
+
+    /// Bytes that were read ahead.
+    pub(super) fn inbox_bytes(&self) -> usize {
+        self.inbox.borrow().len()
+    }
+
     /// Reads what has arrived, and returns whether the caller has disconnected.
     pub fn is_gone_now(&self) -> bool {
         self.fill_now();
@@ -48,7 +71,10 @@
         while !self.is_gone.get() && inbox.len() < MAX_READ_AHEAD {
             match read(&mut chunk) {
                 Ok(0) => self.is_gone.set(true),
-                Ok(read) => inbox.extend_from_slice(&chunk[..read]),
+                Ok(read) => {
+                    inbox.extend_from_slice(&chunk[..read]);
+                    self.held.set(inbox.len());
+                }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(_) => self.is_gone.set(true),
             }
@@ -57,7 +83,7 @@
 
     /// Whether more may be read ahead.
     pub(super) fn has_room(&self) -> bool {
-        self.inbox.borrow().len() < MAX_READ_AHEAD
+        self.inbox_bytes() < MAX_READ_AHEAD
     }
 
     /// Writes all bytes.
@@ -77,7 +103,7 @@
 /// Shuts down the write half, and drops what the caller still sends, so that closing doesn't reset
 /// the connection before the caller has read the last response. Returns the number of bytes dropped.
 pub(super) async fn linger(caller: &Caller) -> usize {
-    let mut dropped_bytes = caller.inbox.borrow().len();
+    let mut dropped_bytes = caller.inbox_bytes();
     if caller.is_gone.get()
         || socket2::SockRef::from(&caller.stream).shutdown(std::net::Shutdown::Write).is_err()
     {
--- a/crates/gateway/src/ingress/responding.rs
+++ b/crates/gateway/src/ingress/responding.rs
@@ -5,7 +5,7 @@
 use super::{PendingRequest, Session};
 use crate::event_log::{BreakCause, SessionEnd};
 use crate::http1::Framing;
-use crate::response_memory::HeldBytes;
+use crate::memory::HeldBytes;
 use crate::serve::{Reply, UpstreamResponse};
 use clock::Moment;
 use dispatch::attempts::Refusal;
--- a/crates/gateway/src/ingress/streaming.rs
+++ b/crates/gateway/src/ingress/streaming.rs
@@ -7,7 +7,7 @@
 use crate::connection::{BodyPart, LongBody};
 use crate::event_log::BreakCause;
 use crate::http1::{Framing, RequestHead};
-use crate::response_memory::HeldBytes;
+use crate::memory::HeldBytes;
 use crate::serve::{ResponseStream, STALL_LIMIT};
 use clock::Moment;
 use std::collections::VecDeque;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -8,7 +8,7 @@
 //! - [`http1`]: the framing of requests and responses, with the `httparse` library
 //! - [`ingress`]: callers' connections; [`serve`]: one request from arrival to response
 //! - [`placement`]: placements of requests at upstreams, by the scheduler of a service
-//! - [`response_memory`]: the memory that is held for responses
+//! - [`memory`]: the memory that is held for callers and upstreams; [`long_routes`]
 //! - [`connection`], [`pool`], [`probe`]: connections to upstreams, and probes before sending
 //! - [`links`], [`tunnel`]: whether this host reaches upstreams, and connections through peers that do
 //! - [`quarantine`]: detects requests that crash upstreams, and informs the other hosts
@@ -30,6 +30,8 @@
 pub mod http1;
 pub mod ingress;
 pub mod links;
+pub mod long_routes;
+pub mod memory;
 pub mod metrics;
 pub mod operator;
 pub mod peers;
@@ -38,7 +40,6 @@
 pub mod probe;
 pub mod quarantine;
 pub mod quota;
-pub mod response_memory;
 pub mod run;
 pub mod serve;
 pub mod settings;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,10 +1,11 @@
 //! Metrics of the process, in the format of Prometheus.
 
 use crate::event_log::RetryCharge;
+use crate::memory::HeldFor;
 use dispatch::attempts::Cause;
 use dispatch::rejections::RejectionState;
 use dispatch::scheduler::QueueFigures;
-use domain::ServiceName;
+use domain::{ByteCount, ServiceName};
 use error_stack::{Report, ResultExt};
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
@@ -66,6 +67,9 @@
     reserved_slots: Gauge<u64>,
     unread_headers: Gauge<u64>,
     response_bytes: Gauge<u64>,
+    held_bytes: Gauge<u64>,
+    memory_bytes: Gauge<u64>,
+    resident_bytes: Gauge<u64>,
 }
 
 impl Metrics {
@@ -188,6 +192,15 @@
                 "Names of marks on upstreams' answers that nothing reads",
             ),
             response_bytes: gauge("gateway_response_bytes", "Bytes held for upstreams' responses"),
+            held_bytes: gauge("gateway_held_bytes", "Bytes held for others, by what for"),
+            memory_bytes: gauge(
+                "gateway_memory_bytes",
+                "Memory of the host, as its settings state",
+            ),
+            resident_bytes: gauge(
+                "gateway_resident_bytes",
+                "Memory of the process that is resident",
+            ),
             registry,
             _provider: provider,
         })
@@ -275,7 +288,16 @@
         self.queued_work_ms.record(state.queue.work_ms.0, &[]);
         self.reserved_slots.record(u64::from(state.queue.reserved_slots), &[]);
         self.unread_headers.record(state.unread_headers, &[]);
-        self.response_bytes.record(state.response_bytes, &[]);
+        self.response_bytes.record(state.held_bytes[HeldFor::Responses as usize], &[]);
+        for (held_for, bytes) in HeldFor::ALL.into_iter().zip(state.held_bytes) {
+            self.held_bytes.record(bytes, &[KeyValue::new("for", held_for.as_str())]);
+        }
+        if let Some(bytes) = state.memory_bytes {
+            self.memory_bytes.record(bytes.0, &[]);
+        }
+        if let Some(bytes) = state.resident_bytes {
+            self.resident_bytes.record(bytes.0, &[]);
+        }
         if let Some(silence) = state.upstream_silence {
             self.upstream_silence.record(silence.as_secs_f64(), &[]);
         }
@@ -349,8 +371,12 @@
     pub queue: QueueFigures,
     /// Names of headers of upstreams' responses that nothing reads.
     pub unread_headers: u64,
-    /// Bytes held for upstreams' responses.
-    pub response_bytes: u64,
+    /// Bytes held for others, in the order of [`HeldFor::ALL`].
+    pub held_bytes: [u64; HeldFor::ALL.len()],
+    /// Memory of the host; none if it isn't stated.
+    pub memory_bytes: Option<ByteCount>,
+    /// Memory of the process that is resident.
+    pub resident_bytes: Option<ByteCount>,
     /// Age of the published state, as this host knows it.
     pub state_age: Option<Duration>,
 }
--- a/crates/gateway/src/operator.rs
+++ b/crates/gateway/src/operator.rs
@@ -2,6 +2,7 @@
 
 use crate::host::{ACCEPT_PAUSE, Host};
 use crate::http1::{BodyProgress, BodyReader, Framing, RequestHead, ResponseWriter, read_request};
+use crate::memory::{self, HeldFor};
 use crate::metrics::StateFigures;
 use crate::quarantine;
 use dispatch::Warmth;
@@ -254,7 +255,9 @@
         leaving_upstreams: host.upstreams.borrow().backpressure().count_leaving() as u64,
         queue: host.placement.schedulers.borrow().queue_figures(),
         unread_headers: host.unread_headers.borrow().count_names() as u64,
-        response_bytes: host.response_memory.held_bytes() as u64,
+        held_bytes: HeldFor::ALL.map(|held_for| host.memory.held_bytes(held_for) as u64),
+        memory_bytes: host.memory.limit_bytes(),
+        resident_bytes: memory::resident_bytes(),
         state_age: host.state_age_ms().map(crate::host::to_duration),
     });
     Response { status: 200, content_type: "text/plain; version=0.0.4", body: host.metrics.render() }
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -19,6 +19,7 @@
 use crate::host::Host;
 use crate::http1::RequestHead;
 use crate::ingress::Caller;
+use crate::memory::{HeldBytes, HeldFor, MAX_HELD_BYTES};
 use crate::quota;
 use authentication::authenticate;
 use dispatch::RouteKey;
@@ -39,6 +40,8 @@
     pub body: Vec<u8>,
     /// When its head was complete.
     pub arrived_ms: Millis,
+    /// Accounts for its head and body.
+    pub held: HeldBytes,
 }
 
 impl Request {
@@ -259,12 +262,12 @@
         left_ms: end_ms.since(now_ms),
         picture_age_ms: host.state_age_ms(),
     });
-    let memory = &host.response_memory;
-    if !memory.has_room_for(RouteKey::of(&matched.route.name)) {
+    let is_long = host.long_routes.borrow().contains(RouteKey::of(&matched.route.name));
+    if is_long && !host.memory.has_room_for_response(MAX_HELD_BYTES) {
         host.log.write(&LogEvent::ResponseMemoryFull {
             id,
             route: &matched.route.name,
-            held_bytes: memory.held_bytes(),
+            held_bytes: host.memory.held_bytes(HeldFor::Responses),
         });
         return Err(Refusal::not_run(Cause::Overloaded));
     }
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -16,9 +16,10 @@
 use crate::host::to_duration;
 use crate::http1::{HeaderChanges, ResponseHead, write_request};
 use crate::links;
+use crate::long_routes::MAX_WHOLE_BYTES;
+use crate::memory::{HeldBytes, HeldFor};
 use crate::probe;
 use crate::quarantine::{self, BrokenAttempt, Trial};
-use crate::response_memory::{HeldBytes, MAX_WHOLE_BYTES};
 use dispatch::attempts::{self, AttemptResult, Cause, Refusal, ResponseSummary};
 use dispatch::backpressure::Backpressure;
 use dispatch::scheduler::Outcome;
@@ -32,6 +33,8 @@
     selected: Selected,
     connection: Connection,
     bytes: Vec<u8>,
+    /// Accounts for `bytes`.
+    held: HeldBytes,
     guard: AttemptGuard,
     sent_ms: Millis,
     /// Set if it is a trial: the only request with its fingerprint that the fleet has in flight.
@@ -146,7 +149,9 @@
         }
         let guard = AttemptGuard::begin(&self.host, &selected.upstream, selected.placement.take());
         let bytes = self.encode(&selected.upstream, now_ms);
-        Ok(Attempt { selected, connection, bytes, guard, sent_ms: now_ms, trial })
+        let held = self.host.memory.hold(HeldFor::Attempts);
+        held.set(bytes.len());
+        Ok(Attempt { selected, connection, bytes, held, guard, sent_ms: now_ms, trial })
     }
 
     fn log_attempt(
@@ -206,13 +211,14 @@
     }
 
     async fn send(&self, attempt: Attempt) -> EndedAttempt {
-        let Attempt { selected, mut connection, bytes, mut guard, sent_ms, mut trial } = attempt;
+        let Attempt { selected, mut connection, bytes, held: _held, mut guard, sent_ms, mut trial } =
+            attempt;
         let expected = Expected {
             has_body: self.request.head.method != "HEAD",
             naming: Some(self.host.dialect.naming(Sent::Request(&self.id))),
             read_timeouts: None,
         };
-        let held = HeldBytes::none(&self.host.response_memory);
+        let held = self.host.memory.hold(HeldFor::Responses);
         // Only responses that are delivered in any case: another attempt may replace any other.
         let may_stream = |head: &ResponseHead| attempts::is_final(self.summarize(head));
         let streaming =
@@ -353,7 +359,8 @@
             && attempts::is_final(summary)
         {
             let route = RouteKey::of(&self.route().name);
-            self.host.response_memory.record_response(route, received.is_longer(MAX_WHOLE_BYTES));
+            let is_long = received.is_longer(MAX_WHOLE_BYTES);
+            self.host.long_routes.borrow_mut().record_response(route, is_long);
         }
     }
 
--- a/crates/gateway/tests/docs.rs
+++ b/crates/gateway/tests/docs.rs
@@ -4,7 +4,9 @@
 use dispatch::attempts::Cause;
 use dispatch::rejections::RejectionState;
 use dispatch::scheduler::QueueFigures;
+use domain::ByteCount;
 use gateway::event_log::RetryCharge;
+use gateway::memory::HeldFor;
 use gateway::metrics::{Metrics, StateFigures, TunnelResult};
 use rstest::rstest;
 use std::path::Path;
@@ -48,14 +50,16 @@
         leaving_upstreams: 0,
         queue: QueueFigures::default(),
         unread_headers: 0,
-        response_bytes: 0,
+        held_bytes: [0; HeldFor::ALL.len()],
+        memory_bytes: Some(ByteCount(1)),
+        resident_bytes: Some(ByteCount(1)),
         state_age,
     };
     metrics.record_state(&values);
     let (page, text) = (page(), metrics.render());
     let types = text.lines().filter_map(|line| line.strip_prefix("# TYPE "));
     let names: Vec<&str> = types.filter_map(|line| line.split(' ').next()).collect();
-    assert_eq!(names.len(), 32, "{names:?}");
+    assert_eq!(names.len(), 35, "{names:?}");
     for name in names {
         assert!(page.contains(&format!("`{name}`")), "{name}");
     }
--- a/crates/gateway/tests/long_responses.rs
+++ b/crates/gateway/tests/long_responses.rs
@@ -5,7 +5,7 @@
 
 use domain::ByteCount;
 use gateway::http1::{BodyProgress, BodyReader, Framing, ResponseHead, read_response};
-use gateway::response_memory::{HeldBytes, MAX_HELD_BYTES, ResponseMemory};
+use gateway::memory::{HeldFor, HostMemory, MAX_HELD_BYTES};
 use gateway::run::Gateway;
 use rstest::rstest;
 use std::net::SocketAddr;
@@ -100,7 +100,7 @@
             _ => Framing::Chunked,
         };
         assert_eq!(head.framing, expected);
-        assert_eq!(gateway.host().response_memory.held_bytes(), 0);
+        assert_eq!(gateway.host().memory.held_bytes(HeldFor::Responses), 0);
     });
 }
 
@@ -139,17 +139,23 @@
     on_one_thread(async {
         let upstream = StandInUpstream::start("i-1").await;
         let (gateway, _) = ready(&[&upstream]).await;
-        let memory = &gateway.host().response_memory;
+        let memory = &gateway.host().memory;
         upstream.add_to_script([whole(LONG)]);
         let mut slow = slow_caller(caller_address(&gateway), &get("/any/x", "id-slow")).await;
-        wait_until("the host waits for the caller", || memory.held_bytes() > MAX_HELD_BYTES / 2)
-            .await;
+        wait_until("the host waits for the caller", || {
+            memory.held_bytes(HeldFor::Responses) > MAX_HELD_BYTES / 2
+        })
+        .await;
         let mut fast = Caller::connect(caller_address(&gateway)).await;
         for round in 0..50 {
             // Within its deadline of 1.2 s, or it would be refused.
             let got = fast.exchange(&get("/any/x", &format!("id-{round}"))).await;
             assert_eq!(got.body, format!("i-1 ran id-{round}"));
-            assert!(memory.held_bytes() <= MAX_HELD_BYTES, "{}", memory.held_bytes());
+            assert!(
+                memory.held_bytes(HeldFor::Responses) <= MAX_HELD_BYTES,
+                "{}",
+                memory.held_bytes(HeldFor::Responses)
+            );
         }
         assert!(upstream.written() < LONG, "the host read on though the caller did not");
         // Beyond the route's timeout of 1.2 s, at which a response that makes progress isn't cut
@@ -180,7 +186,7 @@
         let begun = Instant::now();
         wait_until("it is disconnected", || upstream.abandoned() == 1).await;
         assert!(begun.elapsed() < Duration::from_millis(500), "{:?}", begun.elapsed());
-        assert_eq!(gateway.host().response_memory.held_bytes(), 0);
+        assert_eq!(gateway.host().memory.held_bytes(HeldFor::Responses), 0);
         let log = gateway.host().log.take_buffered();
         assert!(log.contains("\"cause\":\"caller-gone\""), "{log}");
     });
@@ -237,10 +243,13 @@
         let text: String = (0..4).map(|n| get("/any/x", &format!("id-{n}"))).collect();
         let mut stream = TcpStream::connect(caller_address(&gateway)).await.unwrap();
         stream.write_all(text.as_bytes()).await.unwrap();
-        let memory = &gateway.host().response_memory;
+        let memory = &gateway.host().memory;
         wait_until("all arrived", || upstream.requests().len() == 4).await;
         tokio::time::sleep(Duration::from_millis(100)).await;
-        assert!(memory.held_bytes() <= 2 * MAX_HELD_BYTES && upstream.written() < LONG + MEDIUM);
+        assert!(
+            memory.held_bytes(HeldFor::Responses) <= 2 * MAX_HELD_BYTES
+                && upstream.written() < LONG + MEDIUM
+        );
         let mut buffer = Vec::new();
         for n in 0..4 {
             let (head, body, is_whole) = receive(&mut stream, &mut buffer).await;
@@ -285,7 +294,7 @@
         settings.memory_bytes = Some(ByteCount(4 * bound as u64));
         let gateway = support::start(settings, &published(&[&upstream])).await;
         wait_until("it is ready", || gateway.host().is_ready()).await;
-        let memory = &gateway.host().response_memory;
+        let memory = &gateway.host().memory;
         upstream.add_to_script([whole(LONG), whole(LONG), whole(LONG)]);
         let mut slow = Vec::new();
         for n in 0..3 {
@@ -295,14 +304,21 @@
         }
         wait_until("all arrived", || upstream.requests().len() == 3).await;
         let _logs = support::LogsOnFailure::of([&gateway]);
-        wait_until("it is full", || memory.held_bytes() > bound - MAX_HELD_BYTES / 8).await;
+        wait_until("it is full", || {
+            memory.held_bytes(HeldFor::Responses) > bound - MAX_HELD_BYTES / 8
+        })
+        .await;
         let mut caller = Caller::connect(caller_address(&gateway)).await;
         let refused = caller.exchange(&get("/any/x", "id-4")).await;
         assert_eq!((refused.status, refused.cause.as_str()), (503, "overloaded"));
         assert!(refused.retry_after.is_some());
         assert_eq!(upstream.requests().len(), 3);
         assert_eq!(caller.exchange(&post("/once/x", "id-5", "{}")).await.status, 200);
-        assert!(memory.held_bytes() <= bound, "{}", memory.held_bytes());
+        assert!(
+            memory.held_bytes(HeldFor::Responses) <= bound,
+            "{}",
+            memory.held_bytes(HeldFor::Responses)
+        );
         // All of those that wait for memory arrive.
         let (mut first, mut second, mut third) = (slow.remove(0), slow.remove(0), slow.remove(0));
         let (mut one, mut two, mut three) = (Vec::new(), Vec::new(), Vec::new());
@@ -314,7 +330,7 @@
         for (_, body, is_whole) in [all.0, all.1, all.2] {
             assert!(is_whole && body == long_body(LONG));
         }
-        assert_eq!(memory.held_bytes(), 0);
+        assert_eq!(memory.held_bytes(HeldFor::Responses), 0);
         upstream.add_to_script([Behaviour::Respond]);
         assert_eq!(caller.exchange(&get("/any/x", "id-6")).await.status, 200);
     });
@@ -340,8 +356,8 @@
 #[test]
 fn freed_memory_is_announced() {
     on_one_thread(async {
-        let memory = ResponseMemory::new(None);
-        let held = HeldBytes::none(&memory);
+        let memory = HostMemory::new(None);
+        let held = memory.hold(HeldFor::Responses);
         held.set(2);
         let waiting = Rc::clone(&memory);
         let freed = tokio::task::spawn_local(async move { waiting.freed().await });
