Responses of any status and place in a pipeline stay within the memory

Found by going through what a host holds (docs/design/host-memory.md), not by callers: failures of upstreams, and all other responses that may be replaced, were collected whole up to 16 MiB each, and responses of up to 64 KiB were collected without any bound, 32 for each pipeline.

Now any long response of the request's own is read in pieces, also one that is kept while the request is retried; bodies of responses to other requests are dropped as they are read; while responses fill 4/32 of the memory only 8 KiB are collected and no further pipelined request is started; a request for whose response 24 KiB beside those of all open ones don't fit into 10/32 is refused before it is sent.

--- a/crates/gateway/src/connection/exchange.rs
+++ b/crates/gateway/src/connection/exchange.rs
@@ -1,10 +1,14 @@
 //! Types for what an exchange is expected to return, and what it returns.
 
 use super::{ExchangeEnd, Unsent};
-use crate::http1::{BodyReader, ResponseHead};
+use crate::http1::{BodyReader, Framing, ResponseHead};
+use crate::long_routes::MAX_WHOLE_BYTES;
 use crate::memory::HeldBytes;
 use std::time::Duration;
 
+/// Longest body that is collected whole while responses fill much of the memory.
+const MIN_WHOLE_BYTES: usize = 8 * 1024;
+
 /// Why an exchange brought no complete response. The variants are logged under these names.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ExchangeError {
@@ -60,27 +64,35 @@
         }
     }
 
-    /// Whether the body is longer than `bytes`, which must not exceed
-    /// [`Streaming::max_whole_bytes`].
-    pub fn is_longer(&self, bytes: usize) -> bool {
+    /// Whether the body is long, as far as that is known.
+    pub fn is_long(&self) -> bool {
         match self {
-            Received::Whole(response) => response.body.len() > bytes,
-            Received::Long(_) => true,
+            Received::Whole(_) => false,
+            Received::Long(response) => match response.body.framing() {
+                Framing::Length(length) => length > MAX_WHOLE_BYTES as u64,
+                Framing::Chunked | Framing::UntilClose => true,
+            },
         }
     }
 }
 
-/// Which responses are passed on before they are complete.
+/// Long responses are passed on before they are complete.
 #[derive(Clone, Copy)]
 pub struct Streaming<'a> {
-    /// Longest body that is collected whole.
-    pub max_whole_bytes: usize,
-    /// Whether a response with this head may be passed on in pieces.
-    pub may_stream: &'a dyn Fn(&ResponseHead) -> bool,
     /// Accounts for what is held of the response.
     pub held: &'a HeldBytes,
 }
 
+impl Streaming<'_> {
+    /// Longest body that is collected whole.
+    pub(super) fn max_whole_bytes(&self) -> usize {
+        match self.held.memory().may_collect_response() {
+            true => MAX_WHOLE_BYTES,
+            false => MIN_WHOLE_BYTES,
+        }
+    }
+}
+
 /// What is expected of a response.
 #[derive(Debug, Clone, Copy)]
 pub struct Expected<'a> {
--- a/crates/gateway/src/connection/response_reader.rs
+++ b/crates/gateway/src/connection/response_reader.rs
@@ -43,8 +43,14 @@
                 self.body = Some(BodyReader::new(head.framing, max_bytes));
                 self.head = Some(head);
             }
+            let owner = self.head.as_ref().map(|head| self.owner_of(head));
+            let is_stray = owner == Some(Owner::Other);
             let Some(body) = &mut self.body else { return Ok(None) };
-            match body.read_from(buffer).map_err(malformed)? {
+            let progress = body.read_from(buffer).map_err(malformed)?;
+            if is_stray {
+                drop(body.take());
+            }
+            match progress {
                 BodyProgress::Partial => return Ok(None),
                 BodyProgress::TooLarge => return Err(ExchangeError::Garbled),
                 BodyProgress::Whole => {}
@@ -68,7 +74,7 @@
     /// Takes the response that is being read, if it is long and may be streamed.
     pub(super) fn take_long(&mut self) -> Option<(ResponseHead, BodyReader)> {
         let (head, body) = (self.head.as_ref()?, self.body.as_ref()?);
-        let max_bytes = self.streaming_of(head)?.max_whole_bytes;
+        let max_bytes = self.streaming_of(head)?.max_whole_bytes();
         let is_long = match head.framing {
             Framing::Length(length) => length > max_bytes as u64,
             Framing::Chunked | Framing::UntilClose => body.received_bytes() > max_bytes,
@@ -76,15 +82,14 @@
         is_long.then(|| self.head.take().zip(self.body.take()))?
     }
 
-    /// Number of bytes that were read of the body.
+    /// Number of bytes that are held of the body.
     pub(super) fn held_bytes(&self) -> usize {
-        self.body.as_ref().map_or(0, BodyReader::received_bytes)
+        self.body.as_ref().map_or(0, BodyReader::held_bytes)
     }
 
     /// How a response is streamed; none if it belongs to another request or has to be whole.
     fn streaming_of(&self, head: &ResponseHead) -> Option<Streaming<'a>> {
-        self.streaming
-            .filter(|streaming| self.owner_of(head) == Owner::This && (streaming.may_stream)(head))
+        self.streaming.filter(|_| self.owner_of(head) == Owner::This)
     }
 
     /// Returns the response that the end of the connection completes, if its body is framed so.
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -506,8 +506,10 @@
         };
         let are_all_idempotent = idempotency == Idempotency::Idempotent
             && self.pending.iter().all(|pending| pending.idempotency == Idempotency::Idempotent);
-        let may_start =
-            self.pending.is_empty() || are_all_idempotent && self.pending.len() < MAX_PIPELINED;
+        let may_start = self.pending.is_empty()
+            || are_all_idempotent
+                && self.pending.len() < MAX_PIPELINED
+                && self.host.memory.may_collect_response();
         if !may_start {
             self.complete = Some(request);
             return false;
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -272,7 +272,11 @@
         picture_age_ms: host.state_age_ms(),
     });
     let is_long = host.long_routes.borrow().contains(RouteKey::of(&matched.route.name));
-    if is_long && !host.memory.has_room_for_response(MAX_HELD_BYTES) {
+    let has_room = match is_long {
+        true => host.memory.has_room_for_response(MAX_HELD_BYTES),
+        false => host.memory.has_room_beside(host.open_requests.get()),
+    };
+    if !has_room {
         host.log.write(&LogEvent::ResponseMemoryFull {
             id,
             route: &matched.route.name,
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -16,7 +16,6 @@
 use crate::host::to_duration;
 use crate::http1::{HeaderChanges, ResponseHead, write_request_head};
 use crate::links;
-use crate::long_routes::MAX_WHOLE_BYTES;
 use crate::memory::{HeldBytes, HeldFor};
 use crate::probe;
 use crate::quarantine::{self, BrokenAttempt, Trial};
@@ -251,10 +250,7 @@
             guard.release_slot();
         }
         let held = self.host.memory.hold(HeldFor::Responses);
-        // Only responses that are delivered in any case: another attempt may replace any other.
-        let may_stream = |head: &ResponseHead| attempts::is_final(self.summarize(head));
-        let streaming =
-            Streaming { max_whole_bytes: MAX_WHOLE_BYTES, may_stream: &may_stream, held: &held };
+        let streaming = Streaming { held: &held };
         let is_direct = *connection.path() == Path::Direct;
         let exchange = connection.exchange_streaming(unsent, expected, streaming);
         let result = self.watch(exchange, &mut guard, is_direct).await;
@@ -392,7 +388,7 @@
             && attempts::is_final(summary)
         {
             let route = RouteKey::of(&self.route().name);
-            let is_long = received.is_longer(MAX_WHOLE_BYTES);
+            let is_long = received.is_long();
             self.host.long_routes.borrow_mut().record_response(route, is_long);
         }
     }
--- a/crates/gateway/tests/support/bodies.rs
+++ b/crates/gateway/tests/support/bodies.rs
@@ -34,7 +34,10 @@
     let published = super::published(upstreams);
     let mut routing = routing(2);
     routing.limits.body_bytes = ByteCount(BODY_BYTES as u64);
-    routing.routes.iter_mut().for_each(|route| route.timeout_ms = Millis(8_000));
+    for route in &mut routing.routes {
+        route.objective_ms = Millis(8_000);
+        route.timeout_ms = Millis(8_000);
+    }
     published.write_routing(routing);
     let mut settings = super::settings(&[]);
     settings.memory_bytes = Some(ByteCount(MEMORY_BYTES as u64));
@@ -83,18 +86,25 @@
 
 /// Reads one response.
 pub async fn receive(stream: &mut TcpStream) -> Option<(ResponseHead, Vec<u8>)> {
-    let mut buffer = Vec::new();
+    receive_next(stream, &mut Vec::new()).await
+}
+
+/// Reads the next response of a pipeline.
+pub async fn receive_next(
+    stream: &mut TcpStream,
+    buffer: &mut Vec<u8>,
+) -> Option<(ResponseHead, Vec<u8>)> {
     let receiving = async {
         let head = loop {
-            match read_response(&mut buffer, true).unwrap() {
+            match read_response(buffer, true).unwrap() {
                 Some(head) => break head,
-                None if stream.read_buf(&mut buffer).await.ok()? == 0 => return None,
+                None if stream.read_buf(buffer).await.ok()? == 0 => return None,
                 None => {}
             }
         };
         let mut body = BodyReader::new(head.framing, usize::MAX);
-        while body.read_from(&mut buffer).unwrap() != BodyProgress::Whole {
-            if stream.read_buf(&mut buffer).await.ok()? == 0 {
+        while body.read_from(buffer).unwrap() != BodyProgress::Whole {
+            if stream.read_buf(buffer).await.ok()? == 0 {
                 return None;
             }
         }
--- a/crates/gateway/tests/support/upstream.rs
+++ b/crates/gateway/tests/support/upstream.rs
@@ -54,6 +54,8 @@
     Unframed,
     /// A long response.
     Long(LongBody),
+    /// A failure of its own with a body of this many bytes.
+    LongFailure(usize),
     /// Bytes that are not HTTP.
     Garbage,
     /// The same response twice.
@@ -635,6 +637,14 @@
                 stream.write_all(UNNAMED).await.is_ok()
             }
             Behaviour::Long(body) => self.respond_long(stream, body, id).await,
+            Behaviour::LongFailure(bytes) => {
+                let head = format!(
+                    "HTTP/1.1 500 X\r\nx-request-id: {id}\r\nx-upstream-seal: s\r\n\
+                     content-length: {bytes}\r\n\r\n"
+                );
+                let _ = stream.write_all(head.as_bytes()).await;
+                stream.write_all(&long_body(bytes)).await.is_ok()
+            }
             Behaviour::Unsealed => stream.write_all(&self.response(200, id, false)).await.is_ok(),
             Behaviour::Truncated => {
                 let _ = stream.write_all(&complete[..complete.len() - 3]).await;
