--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -22,14 +22,15 @@
 use crate::http1::{
     BodyProgress, BodyReader, Framing, HeadError, RequestError, RequestHead, read_request,
 };
-use crate::memory::{HeldBytes, HeldFor};
+use crate::memory::{HeldBytes, HeldFor, OpenRequest, REQUEST_TASK_BYTES};
 use crate::request_body::{BodyStream, PREFIX_BYTES, RequestBody, Segments};
-use crate::serve::{Reply, Request, RequestProgress, latest_end_ms, serve};
+use crate::serve::{Reply, Request, RequestProgress, fingerprint, latest_end_ms, serve};
 use caller::linger;
 use clock::Moment;
 use dispatch::attempts::{Cause, Refusal};
 use domain::{ByteCount, Millis};
 use published::{CallerLimits, Idempotency};
+use std::cell::OnceCell;
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
@@ -68,6 +69,7 @@
     progress: Rc<RequestProgress>,
     task: JoinHandle<Reply>,
     idempotency: Idempotency,
+    _open: OpenRequest,
 }
 
 impl PendingRequest {
@@ -91,6 +93,7 @@
 /// A request whose head was read, but not its whole body.
 struct PartialRequest {
     head: RequestHead,
+    /// Bytes of the head, and of the task that will serve it.
     head_bytes: usize,
     reader: BodyReader,
     body: Segments,
@@ -128,6 +131,17 @@
         self.expires.map_or(too_slow, |expires| expires.min(too_slow))
     }
 
+    /// Most bytes of the body that may still arrive.
+    fn left_bytes(&self) -> usize {
+        match self.reader.framing() {
+            Framing::Length(length) => {
+                let length = usize::try_from(length).unwrap_or(usize::MAX);
+                length.saturating_sub(self.reader.received_bytes())
+            }
+            Framing::Chunked | Framing::UntilClose => usize::MAX,
+        }
+    }
+
     /// Finds out when the request can no longer be served.
     fn set_expiry(&mut self, host: &Host) {
         if self.expires.is_none() {
@@ -157,8 +171,12 @@
 pub async fn accept(host: Rc<Host>, listener: TcpListener) {
     let mut closing = host.closing_idle.subscribe();
     loop {
+        let accepting = async {
+            host.memory.small_requests_have_room().await;
+            listener.accept().await
+        };
         let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
+            accepted = accepting => accepted,
             _ = closing.changed() => return,
         };
         match accepted {
@@ -381,7 +399,8 @@
             return false;
         };
         let body = RequestBody::Whole(body);
-        self.complete = Some(Rc::new(Request { head, body, arrived_ms, held }));
+        let fingerprint = OnceCell::new();
+        self.complete = Some(Rc::new(Request { head, body, arrived_ms, held, fingerprint }));
         true
     }
 
@@ -403,7 +422,8 @@
         if !self.pending.is_empty() {
             return false;
         }
-        let Some(permit) = self.host.memory.permit_stream() else {
+        let left_bytes = self.partial.as_ref().map_or(0, PartialRequest::left_bytes);
+        let Some(permit) = self.host.memory.permit_stream(left_bytes) else {
             self.refused = Some(Refusal::not_run(Cause::Overloaded));
             return false;
         };
@@ -419,9 +439,12 @@
         });
         self.host.metrics.body_passed_on();
         held.set(head_bytes);
+        let prefix = body.prefix(PREFIX_BYTES);
+        let fingerprint = fingerprint(&head, &prefix, self.host.dialect.caller).into();
+        drop(prefix);
         let body = BodyStream::new(&self.caller, reader, body, permit);
         let body = RequestBody::Streamed(Box::new(body));
-        self.complete = Some(Rc::new(Request { head, body, arrived_ms, held }));
+        self.complete = Some(Rc::new(Request { head, body, arrived_ms, held, fingerprint }));
         true
     }
 
@@ -453,7 +476,7 @@
         let reader = BodyReader::new(head.framing, max_body);
         let arrived_ms = self.host.now_ms();
         let begun = Moment::now();
-        let head_bytes = inbox_bytes - self.caller.inbox_bytes();
+        let head_bytes = inbox_bytes - self.caller.inbox_bytes() + REQUEST_TASK_BYTES;
         let held = self.host.memory.hold(HeldFor::Requests);
         let reserved_bytes = self.bytes_to_reserve(head.framing, max_body);
         held.set(head_bytes + reserved_bytes);
@@ -509,7 +532,7 @@
         let may_start = self.pending.is_empty()
             || are_all_idempotent
                 && self.pending.len() < MAX_PIPELINED
-                && self.host.memory.may_collect_response();
+                && self.host.memory.has_room_for_pipelined();
         if !may_start {
             self.complete = Some(request);
             return false;
@@ -523,7 +546,8 @@
             Rc::clone(&progress),
         );
         let task = tokio::task::spawn_local(serving);
-        self.pending.push_back(PendingRequest { request, progress, task, idempotency });
+        let _open = self.host.memory.open_request();
+        self.pending.push_back(PendingRequest { request, progress, task, idempotency, _open });
         true
     }
 }
--- a/crates/gateway/src/ingress/caller.rs
+++ b/crates/gateway/src/ingress/caller.rs
@@ -1,6 +1,6 @@
 //! A caller's connection: its socket, and the bytes read ahead from it.
 
-use crate::memory::{HeldBytes, HeldFor, HostMemory};
+use crate::memory::{CONNECTION_BYTES, HeldBytes, HeldFor, HostMemory};
 use clock::Moment;
 use std::cell::{Cell, RefCell};
 use std::io::{self, ErrorKind, Read};
@@ -10,7 +10,7 @@
 use tokio::sync::Notify;
 
 /// Most bytes that are read ahead.
-const MAX_READ_AHEAD: usize = 256 * 1024;
+const MAX_READ_AHEAD: usize = 64 * 1024;
 
 /// Bytes that are read ahead though large requests fill the memory for them.
 const MIN_READ_AHEAD: usize = 16 * 1024;
@@ -32,7 +32,7 @@
 pub struct Caller {
     pub(super) stream: TcpStream,
     inbox: RefCell<Vec<u8>>,
-    /// Accounts for the inbox.
+    /// Accounts for the connection and its inbox.
     held: HeldBytes,
     /// Bytes that may be read ahead in any case but an exhausted memory.
     min_read_ahead: Cell<usize>,
@@ -44,10 +44,12 @@
 impl Caller {
     /// A connection from which nothing was read yet.
     pub(super) fn new(stream: TcpStream, memory: &Rc<HostMemory>) -> Caller {
+        let held = memory.hold(HeldFor::ReadAhead);
+        held.set(CONNECTION_BYTES);
         Caller {
             stream,
             inbox: RefCell::default(),
-            held: memory.hold(HeldFor::ReadAhead),
+            held,
             min_read_ahead: Cell::new(MIN_READ_AHEAD),
             is_gone: Cell::new(false),
             left: Notify::new(),
@@ -92,7 +94,7 @@
         if inbox.is_empty() && inbox.capacity() > MAX_KEPT_BYTES {
             *inbox = Vec::new();
         }
-        self.held.set(inbox.len());
+        self.record_held(&inbox);
         taken
     }
 
@@ -121,7 +123,7 @@
                 Ok(0) => self.set_gone(),
                 Ok(read) => {
                     inbox.extend_from_slice(&chunk[..read]);
-                    self.held.set(inbox.len());
+                    self.record_held(&inbox);
                 }
                 Err(e) if e.kind() == ErrorKind::WouldBlock => return,
                 Err(_) => self.set_gone(),
@@ -129,6 +131,10 @@
         }
     }
 
+    fn record_held(&self, inbox: &[u8]) {
+        self.held.set(CONNECTION_BYTES + inbox.len());
+    }
+
     /// Whether more may be read ahead.
     pub(super) fn has_room(&self) -> bool {
         self.inbox_bytes() < self.max_read_ahead()
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -20,6 +20,12 @@
 /// Held for a response in any case: its beginning, and one read.
 pub const MIN_RESPONSE_BYTES: usize = 24 * 1024;
 
+/// Held for a caller's connection besides what is read from it: its task, and its socket's state.
+pub const CONNECTION_BYTES: usize = 6 * 1024;
+
+/// Held for an open request besides its head and body: its task.
+pub const REQUEST_TASK_BYTES: usize = 8 * 1024;
+
 /// Smallest bound on what is held for all requests, or for all responses: one of them always fits.
 const MIN_FULL_BYTES: u64 = 64 * 1024;
 
@@ -83,6 +89,10 @@
     held_bytes: [Cell<usize>; HeldFor::ALL.len()],
     /// Bodies that are passed on in pieces.
     streams: Cell<usize>,
+    /// What the kernel may have received of them.
+    received_bytes: Cell<usize>,
+    /// Requests that are being served.
+    open_requests: Cell<usize>,
     /// Notified when bytes held for responses are freed.
     responses_freed: Notify,
     /// Notified when requests no longer fill their whole share.
@@ -96,6 +106,8 @@
             limit_bytes,
             held_bytes: HeldFor::ALL.map(|_| Cell::new(0)),
             streams: Cell::new(0),
+            received_bytes: Cell::new(0),
+            open_requests: Cell::new(0),
             responses_freed: Notify::new(),
             requests_freed: Notify::new(),
         })
@@ -143,14 +155,16 @@
         }
     }
 
-    /// Permits to pass on a body in pieces; none if too many are.
-    pub fn permit_stream(self: &Rc<HostMemory>) -> Option<StreamPermit> {
-        let received_bytes = self.streams.get() * RECEIVE_BUFFER_BYTES as usize;
-        if !self.fits(RECEIVED_SHARE, received_bytes, RECEIVE_BUFFER_BYTES as usize) {
+    /// Permits to pass on a body in pieces, of which `left_bytes` may still arrive; none if the kernel
+    /// may hold too much for those that are passed on.
+    pub fn permit_stream(self: &Rc<HostMemory>, left_bytes: usize) -> Option<StreamPermit> {
+        let bytes = left_bytes.min(RECEIVE_BUFFER_BYTES as usize);
+        if !self.fits(RECEIVED_SHARE, self.received_bytes.get(), bytes) {
             return None;
         }
         self.streams.update(|streams| streams + 1);
-        Some(StreamPermit { memory: Rc::clone(self) })
+        self.received_bytes.update(|received| received + bytes);
+        Some(StreamPermit { memory: Rc::clone(self), bytes })
     }
 
     /// Whether this many bytes more can be held for large responses.
@@ -158,10 +172,15 @@
         self.fits(LARGE_SHARE, self.held_bytes(HeldFor::Responses), bytes)
     }
 
-    /// Whether a response fits that belongs to another request beside `open_requests`.
-    pub fn has_room_beside(&self, open_requests: usize) -> bool {
-        let to_come_bytes = open_requests.saturating_mul(MIN_RESPONSE_BYTES);
-        self.fits(RESPONSES_SHARE, self.held_bytes(HeldFor::Responses), to_come_bytes)
+    /// Whether the responses to all open requests fit.
+    pub fn has_room_for_open_requests(&self) -> bool {
+        self.fits(RESPONSES_SHARE, self.held_bytes(HeldFor::Responses), self.bytes_to_come())
+    }
+
+    /// Whether a request may be served whose response waits for that of another on its connection.
+    pub fn has_room_for_pipelined(&self) -> bool {
+        let to_come_bytes = self.bytes_to_come() + MIN_RESPONSE_BYTES;
+        self.fits(COLLECTED_SHARE, self.held_bytes(HeldFor::Responses), to_come_bytes)
     }
 
     /// Whether responses are few enough to collect those of a moderate size whole.
@@ -169,6 +188,17 @@
         self.fits(COLLECTED_SHARE, self.held_bytes(HeldFor::Responses), 0)
     }
 
+    /// Bytes that are held at least for responses to open requests.
+    fn bytes_to_come(&self) -> usize {
+        self.open_requests.get().saturating_mul(MIN_RESPONSE_BYTES)
+    }
+
+    /// Counts a request as open until the guard is dropped.
+    pub fn open_request(self: &Rc<HostMemory>) -> OpenRequest {
+        self.open_requests.update(|open| open + 1);
+        OpenRequest { memory: Rc::clone(self) }
+    }
+
     /// Creates an entry that holds nothing yet.
     pub fn hold(self: &Rc<HostMemory>, held_for: HeldFor) -> HeldBytes {
         HeldBytes { memory: Rc::clone(self), held_for, bytes: Cell::new(0) }
@@ -243,11 +273,25 @@
 #[derive(Debug)]
 pub struct StreamPermit {
     memory: Rc<HostMemory>,
+    bytes: usize,
 }
 
 impl Drop for StreamPermit {
     fn drop(&mut self) {
         self.memory.streams.update(|streams| streams - 1);
+        self.memory.received_bytes.update(|received| received - self.bytes);
+    }
+}
+
+/// A request that is being served, until it is dropped.
+#[derive(Debug)]
+pub struct OpenRequest {
+    memory: Rc<HostMemory>,
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.memory.open_requests.update(|open| open - 1);
     }
 }
 
--- a/crates/gateway/src/request_body.rs
+++ b/crates/gateway/src/request_body.rs
@@ -11,7 +11,6 @@
 
 use crate::http1::Framing;
 use domain::Millis;
-use std::borrow::Cow;
 
 /// Bytes of a body that are held in any case, and that identify it.
 pub const PREFIX_BYTES: usize = 16 * 1024;
@@ -26,14 +25,6 @@
 }
 
 impl RequestBody {
-    /// Its first [`PREFIX_BYTES`].
-    pub fn prefix(&self) -> Cow<'_, [u8]> {
-        match self {
-            RequestBody::Whole(segments) => segments.prefix(PREFIX_BYTES),
-            RequestBody::Streamed(stream) => Cow::Borrowed(stream.prefix()),
-        }
-    }
-
     /// How it is framed for upstreams.
     pub fn framing(&self) -> Framing {
         match self {
--- a/crates/gateway/src/request_body/stream.rs
+++ b/crates/gateway/src/request_body/stream.rs
@@ -3,7 +3,7 @@
 //! Whoever sends the request pulls: bytes are read from the caller only when the upstream has taken
 //! those before. So an upstream that takes nothing delays its own caller only.
 
-use super::{PREFIX_BYTES, Segments};
+use super::Segments;
 use crate::http1::{BodyProgress, BodyReader, Framing};
 use crate::ingress::Caller;
 use crate::memory::{HeldBytes, HeldFor, StreamPermit};
@@ -50,7 +50,6 @@
 pub struct BodyStream {
     caller: Rc<Caller>,
     framing: Framing,
-    prefix: Vec<u8>,
     state: RefCell<StreamState>,
     /// Accounts for what was read and not sent.
     held: HeldBytes,
@@ -83,12 +82,10 @@
         permit: StreamPermit,
     ) -> BodyStream {
         let held = caller.memory().hold(HeldFor::Requests);
-        let prefix = waiting.prefix(PREFIX_BYTES).into_owned();
-        held.set(prefix.len() + waiting.len());
+        held.set(waiting.len());
         BodyStream {
             caller: Rc::clone(caller),
             framing: reader.framing(),
-            prefix,
             state: RefCell::new(StreamState {
                 reader,
                 is_read: false,
@@ -106,10 +103,6 @@
         }
     }
 
-    pub(super) fn prefix(&self) -> &[u8] {
-        &self.prefix
-    }
-
     pub(super) fn framing(&self) -> Framing {
         self.framing
     }
@@ -207,7 +200,7 @@
     }
 
     fn record_held(&self, state: &StreamState) {
-        self.held.set(self.prefix.len() + state.waiting.len() + state.piece.len());
+        self.held.set(state.waiting.len() + state.piece.len());
     }
 }
 
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -21,7 +21,7 @@
 use crate::ingress::Caller;
 use crate::memory::{HeldBytes, HeldFor, MAX_HELD_BYTES};
 use crate::quota;
-use crate::request_body::RequestBody;
+use crate::request_body::{PREFIX_BYTES, RequestBody};
 use authentication::authenticate;
 use dispatch::RouteKey;
 use dispatch::attempts::{Cause, Refusal};
@@ -43,6 +43,22 @@
     pub arrived_ms: Millis,
     /// Accounts for its head, and for a body that is collected.
     pub held: HeldBytes,
+    /// Computed on first use, since few need it; or before the body is passed on.
+    pub fingerprint: OnceCell<RequestFingerprint>,
+}
+
+impl Request {
+    /// Its fingerprint; `caller` is the header that names its caller, if any.
+    pub fn fingerprint(&self, caller: Option<&str>) -> RequestFingerprint {
+        let compute = || match &self.body {
+            RequestBody::Whole(segments) => {
+                fingerprint(&self.head, &segments.prefix(PREFIX_BYTES), caller)
+            }
+            // Not reached: it was computed before.
+            RequestBody::Streamed(_) => fingerprint(&self.head, &[], caller),
+        };
+        *self.fingerprint.get_or_init(compute)
+    }
 }
 
 /// How long the caller waits, if it stated a valid time.
@@ -96,7 +112,6 @@
     /// requests to the service.
     route_key: RouteKey,
     end_ms: Millis,
-    fingerprint: OnceCell<RequestFingerprint>,
 }
 
 /// Counts a request as open while it exists; logs if the request is dropped unanswered,
@@ -274,7 +289,7 @@
     let is_long = host.long_routes.borrow().contains(RouteKey::of(&matched.route.name));
     let has_room = match is_long {
         true => host.memory.has_room_for_response(MAX_HELD_BYTES),
-        false => host.memory.has_room_beside(host.open_requests.get()),
+        false => host.memory.has_room_for_open_requests(),
     };
     if !has_room {
         host.log.write(&LogEvent::ResponseMemoryFull {
@@ -300,6 +315,5 @@
         service,
         route_key,
         end_ms,
-        fingerprint: OnceCell::new(),
     })
 }
--- a/crates/gateway/src/serve/admission.rs
+++ b/crates/gateway/src/serve/admission.rs
@@ -1,7 +1,7 @@
 //! Quarantine of a request: whether it may be sent, and what the end of an attempt says about it.
 
+use super::RoutedRequest;
 use super::attempt::AttemptCounts;
-use super::{RoutedRequest, fingerprint};
 use crate::quarantine;
 use dispatch::attempts::{self, AttemptResult, Cause, Refusal};
 use dispatch::quarantine::{Admission, RequestTime};
@@ -65,10 +65,8 @@
         }
     }
 
-    /// The request's fingerprint; computed on first use, since few need it.
     pub(super) fn fingerprint(&self) -> RequestFingerprint {
-        let compute = || fingerprint::of_request(&self.request, self.host.dialect.caller);
-        *self.fingerprint.get_or_init(compute)
+        self.request.fingerprint(self.host.dialect.caller)
     }
 }
 
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -222,7 +222,7 @@
         let mut bytes = write_request_head(head, body.framing(), &changes);
         match body {
             RequestBody::Whole(segments) if segments.len() <= PREFIX_BYTES => {
-                bytes.extend_from_slice(&body.prefix());
+                bytes.extend_from_slice(&segments.prefix(PREFIX_BYTES));
                 (bytes, None)
             }
             RequestBody::Whole(_) | RequestBody::Streamed(_) => {
--- a/crates/gateway/src/serve/fingerprint.rs
+++ b/crates/gateway/src/serve/fingerprint.rs
@@ -7,7 +7,6 @@
 //! headers, since some differ with each attempt. The digest is cryptographic, so that nobody can
 //! forge a request with the fingerprint of another caller's.
 
-use super::Request;
 use crate::http1::{Framing, RequestHead};
 use crate::request_body::PREFIX_BYTES;
 use domain::RequestFingerprint;
@@ -19,13 +18,8 @@
 /// Standard headers that identify callers.
 const CREDENTIALS: [&str; 2] = ["authorization", "cookie"];
 
-/// Computes the fingerprint of a request; `caller` is the header that names its caller, if any.
-pub(super) fn of_request(request: &Request, caller: Option<&str>) -> RequestFingerprint {
-    fingerprint(&request.head, &request.body.prefix(), caller)
-}
-
 /// Computes the fingerprint of a request with this body, or with a body that begins so and is
-/// longer than [`PREFIX_BYTES`].
+/// longer than [`PREFIX_BYTES`]; `caller` is the header that names its caller, if any.
 pub fn fingerprint(head: &RequestHead, body: &[u8], caller: Option<&str>) -> RequestFingerprint {
     let mut hasher = Sha256::new();
     let authority = head.fields.get("host").unwrap_or_default().to_ascii_lowercase();
--- a/crates/gateway/src/serve/response_stream.rs
+++ b/crates/gateway/src/serve/response_stream.rs
@@ -4,8 +4,8 @@
 //! until then. The reported duration of the attempt is the time to the head, since the rest depends
 //! on how fast the caller reads.
 
+use super::Request;
 use super::attempt_guard::AttemptGuard;
-use super::{Request, fingerprint};
 use crate::connection::{BodyPart, LongBody};
 use crate::event_log::{BreakCause, LogEvent};
 use crate::host::Host;
@@ -111,7 +111,7 @@
     }
 
     fn fingerprint(&self) -> RequestFingerprint {
-        fingerprint::of_request(&self.request, self.host.dialect.caller)
+        self.request.fingerprint(self.host.dialect.caller)
     }
 }
 
--- a/crates/gateway/tests/request_bodies.rs
+++ b/crates/gateway/tests/request_bodies.rs
@@ -94,6 +94,7 @@
             let n = request.id.strip_prefix("large-").unwrap().parse().unwrap();
             assert!(request.body == text(bytes, n), "the body of {} is altered", request.id);
         }
+        drop(small);
         wait_until("all is released", || held_for_requests(&gateway) == 0).await;
     });
 }
