--- a/crates/gateway/benches/tunnels.rs
+++ b/crates/gateway/benches/tunnels.rs
@@ -8,8 +8,8 @@
 
 use criterion::{Criterion, criterion_group, criterion_main};
 use gateway::run::Gateway;
-use std::time::Duration;
 use support::caller::{Caller, get};
+use support::thread_time::processor_time;
 use support::upstream::{Cut, StandInUpstream};
 use support::{caller_address, fleet, published, wait_until};
 use tokio::runtime::{Builder, Runtime};
@@ -54,12 +54,6 @@
     }
 }
 
-/// Processor time of this thread, as the kernel counts it.
-fn processor_time() -> Duration {
-    let text = std::fs::read_to_string("/proc/thread-self/schedstat").unwrap();
-    Duration::from_nanos(text.split(' ').next().unwrap().parse().unwrap())
-}
-
 fn requests(criterion: &mut Criterion) {
     for (name, is_cut) in [("direct", false), ("through a peer", true)] {
         let mut bench = Bench::new(is_cut);
--- a/crates/gateway/tests/support/thread_time.rs
+++ b/crates/gateway/tests/support/thread_time.rs
@@ -4,6 +4,8 @@
 //! measures. The kernel counts for how long a thread was ready to run and did not, so that time can
 //! be left out; what is left is time in which it ran or waited for something.
 
+#![allow(clippy::unwrap_used)]
+
 use std::time::{Duration, Instant};
 
 /// Measures time without that in which the thread was ready, but other threads ran.
@@ -28,6 +30,12 @@
     }
 }
 
+/// Processor time of this thread, as the kernel counts it.
+pub fn processor_time() -> Duration {
+    let text = std::fs::read_to_string("/proc/thread-self/schedstat").unwrap();
+    Duration::from_nanos(text.split(' ').next().unwrap().parse().unwrap())
+}
+
 /// For how long this thread was ready to run while others ran; zero if the kernel doesn't count it.
 fn ready_time() -> Duration {
     let Ok(text) = std::fs::read_to_string("/proc/thread-self/schedstat") else {
