A moment that has passed is waited for once, and a late caller is judged after a look at what arrived

Cause: once the head was late, its refusal waited for the pending request, and the wait went on to return the same passed moment; sleep_until returned without a yield, so the loop kept the only thread. Now the refusal ends the wait for the head, a wait for a passed moment gives others a turn wherever it stands, and a partial request that is late is looked at once more before it is refused: a process that was frozen may not have read what arrived.

--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -122,8 +122,17 @@
     sleep_until(Moment::now() + span).await;
 }
 
-/// Waits until a moment.
+/// Waits until a moment. If it has passed, other tasks get a turn, so that a loop that waits for the
+/// same moment again doesn't keep the thread.
 pub async fn sleep_until(moment: Moment) {
+    if moment.remaining().is_zero() {
+        return tokio::task::yield_now().await;
+    }
+    reach(moment).await;
+}
+
+/// Waits until a moment, not at all if it has passed.
+async fn reach(moment: Moment) {
     loop {
         let resumed = RESUMED.notified();
         let remaining = moment.remaining();
@@ -166,7 +175,7 @@
         tokio::task::yield_now().await;
         tokio::task::yield_now().await;
     };
-    Timeout { future, expiry: sleep_until(moment), is_late: false, turns }
+    Timeout { future, expiry: reach(moment), is_late: false, turns }
 }
 
 pin_project! {
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -45,6 +45,9 @@
     idle_timeout_ms: Millis(15_000),
 };
 
+/// After this many bytes of one connection other tasks get a turn.
+const TURN_BYTES: usize = 32 * 1024;
+
 /// Most requests of one connection that are served concurrently.
 const MAX_PIPELINED: usize = 32;
 
@@ -162,6 +165,8 @@
     refused: Option<Refusal>,
     head_started: Option<Moment>,
     last_active: Moment,
+    /// Whether the partial request has been late once.
+    was_late: bool,
     is_last: bool,
 }
 
@@ -206,6 +211,7 @@
         refused: None,
         head_started: None,
         last_active: now,
+        was_late: false,
         is_last: false,
     };
     session.host.open_caller_connections.update(|open| open + 1);
@@ -228,11 +234,14 @@
 impl Session {
     async fn run(&mut self) -> SessionEnd {
         loop {
-            self.caller.fill();
+            let read_bytes = self.caller.fill();
             if self.caller.is_gone() {
                 return SessionEnd::CallerGone;
             }
             self.start_requests().await;
+            if read_bytes >= TURN_BYTES {
+                tokio::task::yield_now().await;
+            }
             if let Some(refusal) = self.refused.filter(|_| self.pending.is_empty()) {
                 self.write_refusal(refusal).await;
                 return SessionEnd::Refused;
@@ -245,9 +254,8 @@
                     }
                 }
                 Next::TimedOut if self.is_still_idle() => return SessionEnd::Idle,
-                Next::TimedOut if self.has_partial_request() => {
-                    self.refused = Some(Refusal::not_run(Cause::SlowRequest));
-                }
+                Next::TimedOut if self.has_partial_request() => self.judge_late(),
+                Next::TimedOut if self.pending.is_empty() => return SessionEnd::Idle,
                 // Requests in progress have timeouts of their own.
                 Next::TimedOut => {}
                 Next::Closing if self.is_still_idle() => return SessionEnd::Stopping,
@@ -294,6 +302,18 @@
         self.partial.is_some() || self.head_started.is_some()
     }
 
+    /// Refuses a partial request that is late. First it is looked at once more: this process may have
+    /// been held up, and may not have read what had arrived by then.
+    fn judge_late(&mut self) {
+        if !std::mem::replace(&mut self.was_late, true) {
+            return;
+        }
+        self.refused = Some(Refusal::not_run(Cause::SlowRequest));
+        // Nothing more is waited for, whatever else is still being served.
+        self.partial = None;
+        self.head_started = None;
+    }
+
     fn limits(&self) -> CallerLimits {
         let table = self.host.table.borrow();
         table.as_ref().map_or(FIRST_LIMITS, |table| table.routing().limits)
@@ -472,6 +492,7 @@
             }
         };
         self.head_started = None;
+        self.was_late = false;
         let max_body = usize::try_from(limits.body_bytes.0).unwrap_or(usize::MAX);
         let reader = BodyReader::new(head.framing, max_body);
         let arrived_ms = self.host.now_ms();
--- a/crates/gateway/src/ingress/caller.rs
+++ b/crates/gateway/src/ingress/caller.rs
@@ -103,32 +103,35 @@
         self.inbox.borrow().len()
     }
 
-    /// Reads what the runtime knows to have arrived into the inbox.
-    pub fn fill(&self) {
-        self.fill_by(|chunk| self.stream.try_read(chunk));
+    /// Reads what the runtime knows to have arrived into the inbox; returns the number of bytes.
+    pub fn fill(&self) -> usize {
+        self.fill_by(|chunk| self.stream.try_read(chunk))
     }
 
     /// Reads all that has arrived into the inbox. The runtime learns of it only when it next waits
     /// for events, which is too late before a connection is closed.
     pub(super) fn fill_now(&self) {
         let socket = socket2::SockRef::from(&self.stream);
-        self.fill_by(|chunk| (&*socket).read(chunk));
+        let _ = self.fill_by(|chunk| (&*socket).read(chunk));
     }
 
-    fn fill_by(&self, read: impl Fn(&mut [u8]) -> io::Result<usize>) {
+    fn fill_by(&self, read: impl Fn(&mut [u8]) -> io::Result<usize>) -> usize {
         let mut chunk = [0; READ_BYTES];
+        let mut read_bytes = 0;
         let mut inbox = self.inbox.borrow_mut();
         while !self.is_gone.get() && inbox.len() < self.max_read_ahead() {
             match read(&mut chunk) {
                 Ok(0) => self.set_gone(),
                 Ok(read) => {
+                    read_bytes += read;
                     inbox.extend_from_slice(&chunk[..read]);
                     self.record_held(&inbox);
                 }
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == ErrorKind::WouldBlock => break,
                 Err(_) => self.set_gone(),
             }
         }
+        read_bytes
     }
 
     fn record_held(&self, inbox: &[u8]) {
