Chunked bodies cost what their bytes cost; a turn for one connection is bounded

Cause: size line, data and line end of each chunk were drained from the front of what was read ahead, which moved all the rest three times a chunk. Now a body is read through a slice and drained once; the lines aren't copied.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -40,6 +40,9 @@
 /// Size of one read.
 const READ_BYTES: usize = 16 * 1024;
 
+/// Reads of one response before other tasks get a turn.
+const READS_PER_TURN: u32 = 4;
+
 /// An empty buffer that has grown beyond this is released.
 const MAX_KEPT_BYTES: usize = 4 * 1024;
 
@@ -219,6 +222,7 @@
         }
         let mut reader = ResponseReader::new(expected, self.answered, streaming);
         let mut has_received = false;
+        let mut reads: u32 = 0;
         loop {
             let step = unsent.send(&self.stream).map_err(|_| broken(unsent.is_begun()))?;
             match self.read_some() {
@@ -227,6 +231,10 @@
                 }
                 Ok(Some(_)) => {
                     has_received = true;
+                    reads += 1;
+                    if reads.is_multiple_of(READS_PER_TURN) {
+                        tokio::task::yield_now().await;
+                    }
                     if let Some(response) = reader.read_from(&mut self.buffer)? {
                         let end = ExchangeEnd::new(&response.head, &expected, self.answered);
                         self.finish(end, unsent.is_all_sent());
--- a/crates/gateway/src/connection/unsent.rs
+++ b/crates/gateway/src/connection/unsent.rs
@@ -7,7 +7,7 @@
 use tokio::net::TcpStream;
 
 /// Most bytes that are sent for one request before other tasks get a turn.
-const TURN_BYTES: usize = 256 * 1024;
+const TURN_BYTES: usize = 64 * 1024;
 
 /// What is left to send of a request: the rest of its head, and of its body.
 #[derive(Debug)]
--- a/crates/gateway/src/http1/body.rs
+++ b/crates/gateway/src/http1/body.rs
@@ -107,11 +107,19 @@
     }
 
     fn read_chunks(&mut self, buffer: &mut Vec<u8>) -> Result<BodyProgress, HeadError> {
+        let mut unread = buffer.as_slice();
+        let progress = self.read_chunks_from(&mut unread);
+        // Once for all chunks: what is behind them moves.
+        buffer.drain(..buffer.len() - unread.len());
+        progress
+    }
+
+    fn read_chunks_from(&mut self, unread: &mut &[u8]) -> Result<BodyProgress, HeadError> {
         loop {
             match self.chunk {
-                ChunkPart::Size => match take_line(buffer)? {
+                ChunkPart::Size => match take_line(unread)? {
                     None => return Ok(BodyProgress::Partial),
-                    Some(line) => match chunk_size(&line)? {
+                    Some(line) => match chunk_size(line)? {
                         0 => self.chunk = ChunkPart::Trailers(0),
                         size if size > self.max_bytes.saturating_sub(self.received_bytes()) => {
                             return Ok(BodyProgress::TooLarge);
@@ -120,23 +128,23 @@
                     },
                 },
                 ChunkPart::Data(left) => {
-                    let taken = left.min(buffer.len());
-                    self.body.extend_from_slice(&buffer[..taken]);
-                    buffer.drain(..taken);
+                    let taken = left.min(unread.len());
+                    self.body.extend_from_slice(&unread[..taken]);
+                    *unread = &unread[taken..];
                     if taken < left {
                         self.chunk = ChunkPart::Data(left - taken);
                         return Ok(BodyProgress::Partial);
                     }
                     self.chunk = ChunkPart::DataEnd;
                 }
-                ChunkPart::DataEnd => match take_line(buffer)? {
+                ChunkPart::DataEnd => match take_line(unread)? {
                     None => return Ok(BodyProgress::Partial),
-                    Some(line) if line.is_empty() => self.chunk = ChunkPart::Size,
+                    Some([]) => self.chunk = ChunkPart::Size,
                     Some(_) => return Err(HeadError::BadEncoding),
                 },
-                ChunkPart::Trailers(count) => match take_line(buffer)? {
+                ChunkPart::Trailers(count) => match take_line(unread)? {
                     None => return Ok(BodyProgress::Partial),
-                    Some(line) if line.is_empty() => return Ok(BodyProgress::Whole),
+                    Some([]) => return Ok(BodyProgress::Whole),
                     Some(_) if count == MAX_TRAILERS => return Err(HeadError::BadEncoding),
                     Some(_) => self.chunk = ChunkPart::Trailers(count + 1),
                 },
@@ -152,15 +160,17 @@
     }
 }
 
-fn take_line(buffer: &mut Vec<u8>) -> Result<Option<Vec<u8>>, HeadError> {
-    let Some(at) = buffer.iter().position(|&byte| byte == b'\n') else {
-        return if buffer.len() > MAX_LINE_BYTES { Err(HeadError::BadEncoding) } else { Ok(None) };
+/// Takes a complete line from the front, without its end; none if it is incomplete.
+fn take_line<'b>(unread: &mut &'b [u8]) -> Result<Option<&'b [u8]>, HeadError> {
+    let longest = &unread[..unread.len().min(MAX_LINE_BYTES + 1)];
+    let Some(at) = longest.iter().position(|&byte| byte == b'\n') else {
+        return if unread.len() > MAX_LINE_BYTES { Err(HeadError::BadEncoding) } else { Ok(None) };
     };
-    let mut line: Vec<u8> = buffer.drain(..=at).collect();
-    line.pop();
-    match line.pop() {
-        Some(b'\r') => Ok(Some(line)),
-        _ => Err(HeadError::BareLineFeed),
+    let (line, rest) = unread.split_at(at + 1);
+    *unread = rest;
+    match line.strip_suffix(b"\r\n") {
+        Some(line) => Ok(Some(line)),
+        None => Err(HeadError::BareLineFeed),
     }
 }
 
--- a/crates/gateway/tests/http1.rs
+++ b/crates/gateway/tests/http1.rs
@@ -213,3 +213,20 @@
         );
     }
 }
+
+/// Guards against the failure of review/2: each chunk moves all that is behind it, so a body in small
+/// chunks costs the square of its length. This one would take hours.
+#[test]
+fn a_body_in_small_chunks_costs_no_more_than_its_length() {
+    const CHUNKS: usize = 2_000_000;
+    let (done, is_done) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        let mut buffer = b"4\r\nabcd\r\n".repeat(CHUNKS);
+        buffer.extend_from_slice(b"0\r\n\r\nnext");
+        let mut body = BodyReader::new(Framing::Chunked, usize::MAX);
+        let progress = body.read_from(&mut buffer);
+        done.send((progress, body.into_body().len(), buffer)).unwrap();
+    });
+    let read = is_done.recv_timeout(std::time::Duration::from_secs(60)).expect("it isn't linear");
+    assert_eq!(read, (Ok(BodyProgress::Whole), 4 * CHUNKS, b"next".to_vec()));
+}
