Many headers within headerBytes are served; a request that did not run isn't sent again for a caller that left

The space for headers follows the lines of the head; the headers that connection names are collected once, as asking for each header would cost the square of their number. - a request that runs at most once went on without its caller after an upstream had provably not run it, and was sent to the next (closing: a_request_that_did_not_run_is_not_sent_again_...).

--- a/crates/gateway/benches/bodies.rs
+++ b/crates/gateway/benches/bodies.rs
@@ -20,6 +20,12 @@
 /// Sizes of bodies, in bytes.
 const SIZES: [usize; 5] = [300, 15_000, 60_000, 1_000_000, 4_000_000];
 
+/// Sizes of chunks, in bytes.
+const CHUNK_SIZES: [usize; 5] = [1, 4, 32, 1_000, 64_000];
+
+/// Length of a body in chunks.
+const CHUNKED_BYTES: usize = 200_000;
+
 /// A host with an upstream, and a caller's connection.
 struct Bench {
     runtime: Runtime,
@@ -96,5 +102,21 @@
     }
 }
 
-criterion_group!(benches, bodies);
+/// A body of the same length in chunks of several sizes.
+fn chunks(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("chunks");
+    for chunk_bytes in CHUNK_SIZES {
+        let body = vec![b'x'; CHUNKED_BYTES];
+        let request = encode("/once/x", "id-1", &body, Frame::Chunks(chunk_bytes));
+        let mut bench = Bench::new(false);
+        group.throughput(Throughput::Bytes(CHUNKED_BYTES as u64));
+        group.sample_size(10);
+        group.bench_function(format!("of {chunk_bytes} B"), |bencher| {
+            bencher.iter_custom(|count| bench.measure(&request, count));
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, bodies, chunks);
 criterion_main!(benches);
--- a/crates/gateway/src/http1/head.rs
+++ b/crates/gateway/src/http1/head.rs
@@ -3,9 +3,6 @@
 use std::fmt;
 use std::ops::Range;
 
-/// Most headers in a head; bounds the work of parsing one.
-pub const MAX_HEADERS: usize = 96;
-
 /// Why a head is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum HeadError {
@@ -106,6 +103,12 @@
     }
 }
 
+/// Space for all headers that a complete head may have.
+pub fn space_for_headers(bytes: &[u8]) -> Vec<httparse::Header<'_>> {
+    let lines = bytes.iter().filter(|&&byte| byte == b'\n').count();
+    vec![httparse::EMPTY_HEADER; lines]
+}
+
 /// Returns the length of the head, up to and with its first empty line.
 pub fn head_end(bytes: &[u8]) -> Option<usize> {
     bytes.windows(4).position(|window| window == b"\r\n\r\n").map(|at| at + 4)
--- a/crates/gateway/src/http1/mod.rs
+++ b/crates/gateway/src/http1/mod.rs
@@ -18,4 +18,4 @@
 pub use head::{HeadError, HeadFields};
 pub use request::{RequestError, RequestHead, read_request};
 pub use response::{ResponseHead, read_response};
-pub use write::{HeaderChanges, ResponseWriter, is_hop_by_hop, write_request_head};
+pub use write::{HeaderChanges, HopByHop, ResponseWriter, write_request_head};
--- a/crates/gateway/src/http1/request.rs
+++ b/crates/gateway/src/http1/request.rs
@@ -1,6 +1,6 @@
 //! Heads of callers' requests.
 
-use super::head::{MAX_HEADERS, head_end};
+use super::head::{head_end, space_for_headers};
 use super::{Framing, HeadError, HeadFields};
 
 /// Why a request is refused.
@@ -75,7 +75,7 @@
 }
 
 fn parse(bytes: &[u8]) -> Result<RequestHead, HeadError> {
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut headers = space_for_headers(bytes);
     let mut parsed = httparse::Request::new(&mut headers);
     match parsed.parse(bytes) {
         Ok(httparse::Status::Complete(_)) => {}
--- a/crates/gateway/src/http1/response.rs
+++ b/crates/gateway/src/http1/response.rs
@@ -1,6 +1,6 @@
 //! Heads of responses.
 
-use super::head::{MAX_HEADERS, head_end};
+use super::head::{head_end, space_for_headers};
 use super::{Framing, HeadError, HeadFields};
 
 /// Largest head of a response.
@@ -42,7 +42,7 @@
 }
 
 fn parse(bytes: &[u8], has_body: bool) -> Result<ResponseHead, HeadError> {
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut headers = space_for_headers(bytes);
     let mut parsed = httparse::Response::new(&mut headers);
     match parsed.parse(bytes) {
         Ok(httparse::Status::Complete(_)) => {}
--- a/crates/gateway/src/http1/write.rs
+++ b/crates/gateway/src/http1/write.rs
@@ -1,6 +1,7 @@
 //! Writes requests and responses.
 
 use super::{Framing, HeadFields, RequestHead};
+use domain::FastSet;
 
 /// Headers that concern one connection only.
 const HOP_BY_HOP: [&str; 10] = [
@@ -16,9 +17,29 @@
     "content-length",
 ];
 
-/// Whether a header isn't forwarded.
-pub fn is_hop_by_hop(name: &str, fields: &HeadFields) -> bool {
-    HOP_BY_HOP.iter().any(|hop| name.eq_ignore_ascii_case(hop)) || fields.lists("connection", name)
+/// Headers of one message that aren't forwarded.
+#[derive(Debug)]
+pub struct HopByHop {
+    /// Those that `connection` names, in lower case.
+    named: FastSet<String>,
+}
+
+impl HopByHop {
+    /// Finds those of a message.
+    pub fn of(fields: &HeadFields) -> HopByHop {
+        let values = fields.all("connection").map(String::from_utf8_lossy);
+        let mut named = FastSet::default();
+        for value in values {
+            named.extend(value.split(',').map(|name| name.trim().to_ascii_lowercase()));
+        }
+        HopByHop { named }
+    }
+
+    /// Whether a header isn't forwarded.
+    pub fn contains(&self, name: &str) -> bool {
+        HOP_BY_HOP.iter().any(|hop| name.eq_ignore_ascii_case(hop))
+            || !self.named.is_empty() && self.named.contains(&name.to_ascii_lowercase())
+    }
 }
 
 /// Changes of a request's headers on its way to an upstream.
@@ -41,8 +62,9 @@
         out.extend_from_slice(part.as_bytes());
     }
     let is_replaced = |name: &str| added.iter().any(|(added, _)| name.eq_ignore_ascii_case(added));
+    let hop_by_hop = HopByHop::of(&head.fields);
     for (name, value) in head.fields.iter() {
-        let is_left_out = is_hop_by_hop(name, &head.fields)
+        let is_left_out = hop_by_hop.contains(name)
             || is_replaced(name)
             || name.eq_ignore_ascii_case("expect")
             || is_dropped(name, value);
--- a/crates/gateway/src/ingress/render.rs
+++ b/crates/gateway/src/ingress/render.rs
@@ -1,7 +1,7 @@
 //! Serializes responses to callers.
 
 use crate::host::Host;
-use crate::http1::{Framing, ResponseHead, ResponseWriter, is_hop_by_hop};
+use crate::http1::{Framing, HopByHop, ResponseHead, ResponseWriter};
 use crate::serve::{Reply, Request};
 use dispatch::attempts::{Cause, Refusal};
 use rand::RngExt;
@@ -36,7 +36,8 @@
 
 fn forwarded_head(head: &ResponseHead) -> ResponseWriter {
     let fields = &head.fields;
-    let forwarded = fields.iter().filter(|(name, _)| !is_hop_by_hop(name, fields));
+    let hop_by_hop = HopByHop::of(fields);
+    let forwarded = fields.iter().filter(|(name, _)| !hop_by_hop.contains(name));
     forwarded
         .fold(ResponseWriter::new(head.status), |writer, (name, value)| writer.field(name, value))
 }
--- a/crates/gateway/src/serve/attempt_end.rs
+++ b/crates/gateway/src/serve/attempt_end.rs
@@ -51,6 +51,9 @@
             counts.arrived -= 1;
             self.return_unsent_retry(counts.charge);
         }
+        if counts.may_have_run() == 0 {
+            self.progress.continues_without_caller.set(false);
+        }
         self.record_rejection(&ended, now_ms);
         let uses_retry_budget = counts.arrived > 0;
         let account = self.host.retry_budget().account(now_ms, &self.service);
@@ -78,6 +81,10 @@
             }
             // Unreachable: only an attempt with a response is delivered.
             (NextStep::Deliver, None) => Some(Err(Refusal::may_have_run(Cause::UpstreamFailed))),
+            // Nothing has run, and nobody waits for it.
+            (NextStep::Retry, _) if self.is_abandoned() => {
+                Some(Err(Refusal::not_run(Cause::UpstreamsRefused)))
+            }
             (NextStep::Retry, response) => {
                 counts.permit = match uses_retry_budget {
                     true => RetryPermit::reserve(&self.host, &self.service),
@@ -92,6 +99,11 @@
         }
     }
 
+    /// Whether the caller has left a request that may be dropped.
+    fn is_abandoned(&self) -> bool {
+        !self.progress.continues_without_caller.get() && self.caller.is_gone()
+    }
+
     fn return_unsent_retry(&self, charge: RetryCharge) {
         if charge == RetryCharge::Charged {
             let now_ms = self.host.now_ms();
--- a/crates/gateway/tests/closing.rs
+++ b/crates/gateway/tests/closing.rs
@@ -8,7 +8,7 @@
 use rstest::rstest;
 use std::time::Duration;
 use support::caller::{Caller, get, post};
-use support::upstream::StandInUpstream;
+use support::upstream::{Behaviour, StandInUpstream};
 use support::{caller_address, on_one_thread, ready, routing, wait_until};
 
 /// Begins the part of a stop in which idle connections are closed.
@@ -124,3 +124,22 @@
         assert_eq!(upstream.requests().len(), 1);
     });
 }
+
+/// Guards against a request that runs though its caller has left and the upstream to which it had
+/// been sent did not run it.
+#[test]
+fn a_request_that_did_not_run_is_not_sent_again_for_a_caller_that_left() {
+    on_one_thread(async {
+        let upstreams = [StandInUpstream::start("i-1").await, StandInUpstream::start("i-2").await];
+        upstreams.iter().for_each(|it| it.set_work_ms(150));
+        upstreams.iter().for_each(|it| it.add_to_script([Behaviour::NotRun]));
+        let (gateway, _published) = ready(&[&upstreams[0], &upstreams[1]]).await;
+        let mut caller = Caller::connect(caller_address(&gateway)).await;
+        caller.send(&post("/once/x", "id-1", "{}")).await;
+        let sent = || upstreams.iter().map(|it| it.requests().len()).sum::<usize>();
+        wait_until("it was sent", || sent() == 1).await;
+        drop(caller);
+        wait_until("it has ended", || gateway.host().open_requests.get() == 0).await;
+        assert_eq!(sent(), 1);
+    });
+}
--- a/crates/gateway/tests/serving.rs
+++ b/crates/gateway/tests/serving.rs
@@ -472,3 +472,18 @@
         }
     });
 }
+
+/// Guards against a proper request that is refused for the number of its headers, though their bytes
+/// are within the limit, and against work that grows with their square.
+#[test]
+fn a_request_with_many_headers_is_served() {
+    on_one_thread(async {
+        let upstream = StandInUpstream::start("i-1").await;
+        let (gateway, _published) = ready(&[&upstream]).await;
+        let many: String = (0..300).map(|n| format!("A{n}: {n}\r\n")).collect();
+        let text = get("/any/x", "id-1").replace("\r\n\r\n", &format!("\r\n{many}\r\n"));
+        assert!(text.len() < 4_096, "{} bytes", text.len());
+        let got = Caller::connect(caller_address(&gateway)).await.exchange(&text).await;
+        assert_eq!((got.status, got.body.as_str()), (200, "i-1 ran id-1"));
+    });
+}
