--- a/crates/gateway/src/ingress/responding.rs
+++ b/crates/gateway/src/ingress/responding.rs
@@ -8,7 +8,7 @@
 use crate::memory::HeldBytes;
 use crate::serve::{Reply, UpstreamResponse};
 use clock::Moment;
-use dispatch::attempts::Refusal;
+use dispatch::attempts::{Cause, Refusal};
 use std::time::Duration;
 
 /// Longest time to write a response to a caller.
@@ -28,17 +28,23 @@
                 let framing = framing_for(&pending.request.head, head.framing);
                 let should_close = should_close || framing == Framing::UntilClose;
                 let head = render_streamed_head(&head, framing, should_close);
-                let transfer = Transfer::new(&self.caller, head, framing, body, rest, held);
+                let waits = !self.pending.is_empty();
+                let transfer = Transfer::new(&self.caller, head, framing, body, rest, held, waits);
                 let ended = transfer.run().await;
                 self.last_active = Moment::now();
-                return match ended {
-                    Ok(()) => should_close.then_some(SessionEnd::LastResponse),
+                match ended {
+                    Ok(()) => return should_close.then_some(SessionEnd::LastResponse),
+                    Err(broken) if broken.is_upstreams() && broken.written_bytes == 0 => {
+                        pending.break_off(broken);
+                        self.host.metrics.request_refused("", Cause::UpstreamFailed);
+                        Reply::Refused(Refusal::may_have_run(Cause::UpstreamFailed))
+                    }
                     Err(broken) => {
                         let cause = broken.cause;
                         pending.break_off(broken);
-                        Some(self.end_after_break(cause, framing))
+                        return Some(self.end_after_break(cause, framing));
                     }
-                };
+                }
             }
             reply => reply,
         };
--- a/crates/gateway/src/ingress/streaming.rs
+++ b/crates/gateway/src/ingress/streaming.rs
@@ -39,6 +39,9 @@
     out: VecDeque<u8>,
     /// Accounts for `out` and what was received but not read.
     held: HeldBytes,
+    /// Whether nothing is written before the response is whole, as far as it may be held: other
+    /// responses wait behind it, and would be lost with the connection if it were broken off.
+    waits_for_whole: bool,
     written_bytes: u64,
     /// Whether one more piece is read though no memory is left, as the response has waited for it
     /// for [`STALL_LIMIT`]. Applies only while there is nothing to write.
@@ -58,6 +61,13 @@
     pub(super) written_bytes: u64,
 }
 
+impl BrokenTransfer {
+    /// Whether its upstream is the cause.
+    pub(super) fn is_upstreams(&self) -> bool {
+        matches!(self.cause, BreakCause::UpstreamBroke | BreakCause::UpstreamStalled)
+    }
+}
+
 impl<'a> Transfer<'a> {
     /// Starts with the head as the caller gets it, and the first bytes of the body.
     pub(super) fn new(
@@ -67,6 +77,7 @@
         first: Vec<u8>,
         rest: Box<ResponseStream>,
         held: HeldBytes,
+        waits_for_whole: bool,
     ) -> Transfer<'a> {
         let now = Moment::now();
         let mut transfer = Transfer {
@@ -75,6 +86,7 @@
             rest: Some(rest),
             out: head.into(),
             held,
+            waits_for_whole,
             written_bytes: 0,
             may_exceed_bound: false,
             last_read: now,
@@ -129,7 +141,7 @@
     }
 
     fn write(&mut self) -> Result<(), BreakCause> {
-        while !self.out.is_empty() {
+        while self.may_write() {
             match self.caller.stream.try_write(self.out.as_slices().0) {
                 Ok(written) => {
                     self.out.drain(..written);
@@ -167,6 +179,12 @@
         Ok(())
     }
 
+    /// Whether there is something to write now.
+    fn may_write(&self) -> bool {
+        let is_collected = self.waits_for_whole && self.written_bytes == 0 && self.may_read();
+        !self.out.is_empty() && !is_collected
+    }
+
     /// Whether the upstream may be read once more.
     fn may_read(&self) -> bool {
         let may_grow =
@@ -177,7 +195,7 @@
     /// Waits until there may be something to write or to read.
     async fn wait(&mut self) -> Result<(), BreakCause> {
         let now = Moment::now();
-        let has_output = !self.out.is_empty();
+        let has_output = self.may_write();
         let may_read = self.may_read();
         // Only the time for which a side could make progress counts.
         if !has_output {
--- a/crates/gateway/tests/long_responses.rs
+++ b/crates/gateway/tests/long_responses.rs
@@ -387,3 +387,33 @@
         assert_eq!(head.fields.get("x-refusal-cause"), Some("crashes-upstreams"));
     });
 }
+
+/// Guards against finished responses that are lost with their connection, as the long one before them
+/// is broken off by its upstream.
+#[rstest]
+#[case::short(Framing::Length(200_000), BodyEnd::Closed)]
+#[case::reset(Framing::Length(200_000), BodyEnd::Reset)]
+#[case::no_last_chunk(Framing::Chunked, BodyEnd::Closed)]
+#[case::malformed_chunk(Framing::Chunked, BodyEnd::Malformed)]
+#[case::whole(Framing::Length(100_000), BodyEnd::Whole)]
+fn responses_behind_a_broken_one_are_delivered(#[case] framing: Framing, #[case] end: BodyEnd) {
+    on_one_thread(async {
+        let upstream = StandInUpstream::start("i-1").await;
+        let (gateway, _) = ready(&[&upstream]).await;
+        let _logs = support::LogsOnFailure::of([&gateway]);
+        let bytes = if end == BodyEnd::Whole { 100_000 } else { 200_000 };
+        upstream.add_to_script([long(bytes, framing, end)]);
+        let text: String = (0..4).map(|n| get("/any/x", &format!("id-{n}"))).collect();
+        let mut stream = TcpStream::connect(caller_address(&gateway)).await.unwrap();
+        stream.write_all(text.as_bytes()).await.unwrap();
+        let mut buffer = Vec::new();
+        let statuses = if end == BodyEnd::Whole { [200; 4] } else { [502, 200, 200, 200] };
+        for (n, status) in statuses.into_iter().enumerate() {
+            let (head, body, is_whole) = receive(&mut stream, &mut buffer).await;
+            assert!(is_whole, "response {n}");
+            assert_eq!(head.status, status);
+            assert_eq!(head.fields.get("x-request-id"), Some(format!("id-{n}").as_str()));
+            assert!(n > 0 || status != 200 || body == long_body(bytes));
+        }
+    });
+}
