retry_charges: a budget that is spent earns nothing in the test

The test took a budget for spent with up to one retry left; the request's own share (0.18 of a retry) completed one when 0.820 to 0.828 were left, and the retry that followed is allowed.

--- a/crates/gateway/tests/retry_charges.rs
+++ b/crates/gateway/tests/retry_charges.rs
@@ -4,11 +4,14 @@
 mod support;
 
 use dispatch::retry_budget::RetryAccount;
+use domain::Share;
 use gateway::run::Gateway;
 use rstest::rstest;
 use support::caller::{Caller, get};
 use support::upstream::{Behaviour, StandInUpstream};
-use support::{caller_address, on_one_thread, ready, service};
+use support::{
+    caller_address, on_one_thread, published, ready, service, settings, start, wait_until,
+};
 
 fn account(gateway: &Gateway) -> RetryAccount {
     gateway.host().retry_budget().account(gateway.host().now_ms(), &service())
@@ -58,7 +61,12 @@
     on_one_thread(async {
         let (first, second) =
             (StandInUpstream::start("i-1").await, StandInUpstream::start("i-2").await);
-        let (gateway, _published) = ready(&[&first, &second]).await;
+        let mut settings = settings(&[]);
+        // Otherwise the request's own share may complete a retry, which it is then allowed.
+        settings.limits.retries.ratio = Share(0.0);
+        settings.limits.retries.slack = 0.0;
+        let gateway = start(settings, &published(&[&first, &second])).await;
+        wait_until("it is ready", || gateway.host().is_ready()).await;
         let now_ms = gateway.host().now_ms();
         while gateway.host().retry_budget().try_reserve(now_ms, &service()) {}
         for upstream in [&first, &second] {
