One place releases grown buffers, and one watches accounts in tests

Found by reading the change once more: an empty buffer was released with the same constant in Caller and in Connection, and two test files each had their own watch of an account, beside a list of accounts that HostMemory::request_bytes sums already. Assertions and bounds are as they were. A comment named a bound of bodies that they no longer have.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -22,7 +22,7 @@
 pub use unsent::Unsent;
 
 use crate::http1::ResponseHead;
-use crate::memory::RECEIVE_BUFFER_BYTES;
+use crate::memory::{RECEIVE_BUFFER_BYTES, release_if_empty};
 use crate::tunnel::Tunnel;
 use clock::Moment;
 use domain::Millis;
@@ -43,9 +43,6 @@
 /// Reads of one response before other tasks get a turn.
 const READS_PER_TURN: u32 = 4;
 
-/// An empty buffer that has grown beyond this is released.
-const MAX_KEPT_BYTES: usize = 4 * 1024;
-
 /// A connection ends if sent bytes aren't acknowledged for this time, as when the other machine has
 /// lost power.
 const UNACKNOWLEDGED_MS: Millis = Millis(3_000);
@@ -328,9 +325,7 @@
         self.answered = end.answered;
         self.is_reusable = end.may_reuse && is_all_sent && self.buffer.is_empty();
         self.is_doubtful = end.is_doubtful;
-        if self.buffer.is_empty() && self.buffer.capacity() > MAX_KEPT_BYTES {
-            self.buffer = Vec::new();
-        }
+        release_if_empty(&mut self.buffer);
     }
 }
 
--- a/crates/gateway/src/ingress/caller.rs
+++ b/crates/gateway/src/ingress/caller.rs
@@ -1,6 +1,6 @@
 //! A caller's connection: its socket, and the bytes read ahead from it.
 
-use crate::memory::{CONNECTION_BYTES, HeldBytes, HeldFor, HostMemory};
+use crate::memory::{CONNECTION_BYTES, HeldBytes, HeldFor, HostMemory, release_if_empty};
 use clock::Moment;
 use std::cell::{Cell, RefCell};
 use std::io::{self, ErrorKind, Read};
@@ -18,9 +18,6 @@
 /// Size of one read.
 const READ_BYTES: usize = 16 * 1024;
 
-/// An empty inbox that has grown beyond this is released.
-const MAX_KEPT_BYTES: usize = 4 * 1024;
-
 /// How long what the caller still sends is read and dropped after the last response.
 const LINGER: Duration = Duration::from_millis(600);
 
@@ -91,9 +88,7 @@
     pub fn take<T>(&self, take: impl FnOnce(&mut Vec<u8>) -> T) -> T {
         let mut inbox = self.inbox.borrow_mut();
         let taken = take(&mut inbox);
-        if inbox.is_empty() && inbox.capacity() > MAX_KEPT_BYTES {
-            *inbox = Vec::new();
-        }
+        release_if_empty(&mut inbox);
         self.record_held(&inbox);
         taken
     }
--- a/crates/gateway/src/memory.rs
+++ b/crates/gateway/src/memory.rs
@@ -11,7 +11,7 @@
 use std::rc::Rc;
 use tokio::sync::Notify;
 
-/// Most bytes that are held for one response, or for one body, that is passed on in pieces.
+/// Most bytes that are held for one response that is passed on in pieces.
 pub const MAX_HELD_BYTES: usize = 256 * 1024;
 
 /// Receive buffer of the kernel for one connection.
@@ -52,6 +52,9 @@
 /// What the kernel may have received of bodies that are passed on.
 const RECEIVED_SHARE: Share = Share { units: 3, min_bytes: RECEIVE_BUFFER_BYTES as u64 };
 
+/// An empty buffer that has grown beyond this is released.
+const MAX_KEPT_BYTES: usize = 4 * 1024;
+
 /// What bytes are held for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum HeldFor {
@@ -295,6 +298,13 @@
     }
 }
 
+/// Releases a buffer of an idle connection, if it is empty and has grown.
+pub fn release_if_empty(buffer: &mut Vec<u8>) {
+    if buffer.is_empty() && buffer.capacity() > MAX_KEPT_BYTES {
+        *buffer = Vec::new();
+    }
+}
+
 /// Memory of this process that is resident; none if the kernel doesn't tell.
 pub fn resident_bytes() -> Option<ByteCount> {
     let status = std::fs::read_to_string("/proc/self/status").ok()?;
--- a/crates/gateway/tests/held_responses.rs
+++ b/crates/gateway/tests/held_responses.rs
@@ -6,9 +6,7 @@
 use gateway::http1::Framing;
 use gateway::memory::HeldFor;
 use rstest::rstest;
-use std::cell::Cell;
-use std::rc::Rc;
-use support::bodies::{MEMORY_BYTES, ONE_READ_BYTES, receive, receive_next, start};
+use support::bodies::{MEMORY_BYTES, ONE_READ_BYTES, receive, receive_next, start, watch};
 use support::caller::{Caller, get, post};
 use support::upstream::{Behaviour, BodyEnd, LongBody, StandInUpstream, long_body};
 use support::{LogsOnFailure, caller_address, on_one_thread, wait_until};
@@ -18,19 +16,6 @@
 /// What all responses may hold.
 const MAX_RESPONSE_BYTES: usize = MEMORY_BYTES / 32 * 10;
 
-/// Records the most that the host holds for responses while it exists.
-fn watch(host: &Rc<gateway::host::Host>) -> Rc<Cell<usize>> {
-    let most = Rc::new(Cell::new(0));
-    let (seen, memory) = (Rc::downgrade(&most), Rc::clone(&host.memory));
-    tokio::task::spawn_local(async move {
-        while let Some(seen) = seen.upgrade() {
-            seen.set(seen.get().max(memory.held_bytes(HeldFor::Responses)));
-            tokio::task::yield_now().await;
-        }
-    });
-    most
-}
-
 /// Guards against failures of upstreams with long bodies that are held whole, up to 16 MiB each.
 #[rstest]
 #[case::delivered("POST", "/once/x", 1)]
@@ -46,7 +31,7 @@
         let upstreams = [StandInUpstream::start("i-1").await, StandInUpstream::start("i-2").await];
         let gateway = start(&[&upstreams[0], &upstreams[1]]).await;
         let _logs = LogsOnFailure::of([&gateway]);
-        let most = watch(gateway.host());
+        let most = watch(&gateway, |memory| memory.held_bytes(HeldFor::Responses));
         for upstream in &upstreams {
             upstream.add_to_script(vec![Behaviour::LongFailure(BYTES); CALLERS * attempts]);
         }
@@ -86,7 +71,7 @@
         }
         let gateway = start(&upstreams.iter().collect::<Vec<_>>()).await;
         let _logs = LogsOnFailure::of([&gateway]);
-        let most = watch(gateway.host());
+        let most = watch(&gateway, |memory| memory.held_bytes(HeldFor::Responses));
         let mut small = Caller::connect(caller_address(&gateway)).await;
         for round in 0..50 {
             let got = small.exchange(&post("/once/x", &format!("before-{round}"), "{}")).await;
--- a/crates/gateway/tests/request_bodies.rs
+++ b/crates/gateway/tests/request_bodies.rs
@@ -4,14 +4,13 @@
 
 mod support;
 
-use gateway::memory::HeldFor;
-use gateway::run::Gateway;
+use gateway::memory::HostMemory;
 use rstest::rstest;
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use support::bodies::{
     Frame, MAX_REQUEST_BYTES, ONE_READ_BYTES, encode, held_for_requests, receive, start, text,
+    watch,
 };
 use support::caller::{Caller, post};
 use support::upstream::StandInUpstream;
@@ -20,21 +19,6 @@
 use tokio::net::TcpStream;
 use tokio::sync::Barrier;
 
-/// Records the most that the host holds for requests while it exists.
-fn watch(gateway: &Gateway) -> Rc<Cell<usize>> {
-    let most = Rc::new(Cell::new(0));
-    let (seen, host) = (Rc::downgrade(&most), Rc::clone(gateway.host()));
-    tokio::task::spawn_local(async move {
-        while let Some(seen) = seen.upgrade() {
-            let accounts = [HeldFor::ReadAhead, HeldFor::Requests, HeldFor::Attempts];
-            let held = accounts.into_iter().map(|it| host.memory.held_bytes(it)).sum();
-            seen.set(seen.get().max(held));
-            tokio::task::yield_now().await;
-        }
-    });
-    most
-}
-
 /// Sends all but the last byte, waits for the others, and returns the status of the response.
 async fn send_with_others(address: SocketAddr, bytes: Vec<u8>, last: Rc<Barrier>) -> u16 {
     let mut stream = TcpStream::connect(address).await.unwrap();
@@ -63,7 +47,7 @@
         let upstreams = [StandInUpstream::start("i-1").await, StandInUpstream::start("i-2").await];
         let gateway = start(&[&upstreams[0], &upstreams[1]]).await;
         let _logs = support::LogsOnFailure::of([&gateway]);
-        let most = watch(&gateway);
+        let most = watch(&gateway, HostMemory::request_bytes);
         let last = Rc::new(Barrier::new(callers + 1));
         let sending: Vec<_> = (0..callers)
             .map(|n| {
--- a/crates/gateway/tests/support/bodies.rs
+++ b/crates/gateway/tests/support/bodies.rs
@@ -5,8 +5,10 @@
 use super::{WAIT_TIMEOUT, caller_address, routing, wait_until};
 use domain::{ByteCount, Millis};
 use gateway::http1::{BodyProgress, BodyReader, ResponseHead, read_response};
-use gateway::memory::HeldFor;
+use gateway::memory::HostMemory;
 use gateway::run::Gateway;
+use std::cell::Cell;
+use std::rc::Rc;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
@@ -80,8 +82,20 @@
 
 /// Bytes that the host holds for requests.
 pub fn held_for_requests(gateway: &Gateway) -> usize {
-    let accounts = [HeldFor::ReadAhead, HeldFor::Requests, HeldFor::Attempts];
-    accounts.into_iter().map(|held_for| gateway.host().memory.held_bytes(held_for)).sum()
+    gateway.host().memory.request_bytes()
+}
+
+/// Records the most that the host holds, by one of its accounts, while the record exists.
+pub fn watch(gateway: &Gateway, held: impl Fn(&HostMemory) -> usize + 'static) -> Rc<Cell<usize>> {
+    let most = Rc::new(Cell::new(0));
+    let (seen, memory) = (Rc::downgrade(&most), Rc::clone(&gateway.host().memory));
+    tokio::task::spawn_local(async move {
+        while let Some(seen) = seen.upgrade() {
+            seen.set(seen.get().max(held(&memory)));
+            tokio::task::yield_now().await;
+        }
+    });
+    most
 }
 
 /// Reads one response.
