--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/../.." || exit 2
 PLAYER=target/review-2/release/review-standins-2
 [ -x "$PLAYER" ] && [ -x target/release/jujubedeal-front ] || exit 2
-timeout 115 "$PLAYER" broken-answer review/8/record.txt
+timeout 115 "$PLAYER" late-request review/8/record.txt
 case $? in
     0) exit 0 ;;
     1) exit 1 ;;
