--- a/review/standins-2/src/broken_answer.rs
+++ b/review/standins-2/src/broken_answer.rs
@@ -1,14 +1,14 @@
 //! Reads that clients send behind a read whose instance breaks its long answer off.
 
+use crate::Verdict;
 use crate::http::{Connection, Request};
 use crate::instance::{Exchange, Handler, Instance};
 use crate::record::Record;
 use crate::site::{Route, Site, ZONES};
-use crate::Verdict;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::Duration;
 
--- a/review/standins-2/src/instance.rs
+++ b/review/standins-2/src/instance.rs
@@ -3,8 +3,8 @@
 use crate::http::{Connection, Head};
 use crate::record::Record;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
 use std::net::{Shutdown, TcpStream};
+use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -122,6 +122,11 @@
         self.answers.load(Ordering::Relaxed)
     }
 
+    /// The counter of its answers.
+    pub fn answers_counter(&self) -> Arc<AtomicUsize> {
+        Arc::clone(&self.answers)
+    }
+
     /// Closes all connections, as at the end of its process.
     pub fn close_connections(&self) {
         for stream in self.open.lock().unwrap().drain(..) {
--- a/review/standins-2/src/late_request.rs
+++ b/review/standins-2/src/late_request.rs
@@ -1,10 +1,10 @@
 //! A read that a client sends behind another one, late in the planned stop of an entry host.
 
+use crate::Verdict;
 use crate::http::{Connection, Request};
 use crate::instance::{Exchange, Instance};
 use crate::record::Record;
 use crate::site::{Route, Site, ZONES};
-use crate::Verdict;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -25,12 +25,8 @@
 
 pub fn play(record: &Record, has_trouble: bool) -> io::Result<Verdict> {
     let mut site = Site::start()?;
-    let route = |prefix| Route {
-        prefix,
-        kind: "safe",
-        service: "ledgerview",
-        timeout_ms: DEADLINE_MS,
-    };
+    let route =
+        |prefix| Route { prefix, kind: "safe", service: "ledgerview", timeout_ms: DEADLINE_MS };
     site.configure(1, &[route("/ledger/")]);
     let mut instances = Vec::new();
     for (at, zone) in ZONES.iter().enumerate() {
--- a/review/standins-2/src/restarted.rs
+++ b/review/standins-2/src/restarted.rs
@@ -1,19 +1,19 @@
 //! An instance that restarts after the clock of its machine was set back, and drains later.
 
+use crate::Verdict;
 use crate::http::{Connection, Request};
 use crate::instance::{Exchange, Handler, Instance};
 use crate::record::Record;
 use crate::site::{Route, Site, ZONES};
-use crate::Verdict;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-/// Instances of the service; one of them is on a machine whose clock is wrong (a share of 0.25).
-const INSTANCES: usize = 4;
+/// Instances of the service; one of them is on a machine whose clock is wrong (a share of 0.143).
+const INSTANCES: usize = 7;
 
 /// How much the clock is ahead, until it is set right.
 const STEP_MS: u64 = 2_000;
@@ -30,8 +30,8 @@
 const LONGER: Duration = Duration::from_secs(4);
 
 const DEADLINE_MS: u64 = 1_500;
-const WORK: Duration = Duration::from_millis(100);
-const CLIENTS: usize = 6;
+const WORK: Duration = Duration::from_millis(400);
+const CLIENTS: usize = 14;
 
 pub fn play(record: &Record, has_trouble: bool) -> io::Result<Verdict> {
     let mut site = Site::start()?;
@@ -66,7 +66,9 @@
     let publish = |state: &str, born_ms: u64, sequence: u64| {
         site.store.put(&instance.key(), &instance.entry(state, born_ms, sequence));
         let id = &instance.id;
-        record.write(&format!("store acknowledges {id}: {state}, born {born_ms}, sequence {sequence}"));
+        record.write(&format!(
+            "store acknowledges {id}: {state}, born {born_ms}, sequence {sequence}"
+        ));
     };
     publish("ready", unix_ms() + ahead_ms, 1);
     thread::sleep(FIRST_RUN);
@@ -102,7 +104,9 @@
     let late = runs.iter().filter(|run| run.at > drained_at + DRAIN_TIMEOUT).count();
     let before = runs.iter().filter(|run| run.at < drained_at).count();
     record.write(&format!("{before} orders reached {} before it drained", instance.id));
-    record.write(&format!("{late} orders reached it later than drainTimeout after the store's acknowledgement"));
+    record.write(&format!(
+        "{late} orders reached it later than drainTimeout after the store's acknowledgement"
+    ));
     record.write(&format!("{failed} orders in all got another answer than 200, or none"));
     Ok(if late > 0 { Verdict::Broken } else { Verdict::Held })
 }
--- a/review/standins-2/src/second_answer.rs
+++ b/review/standins-2/src/second_answer.rs
@@ -1,51 +1,47 @@
 //! Orders on connections on which an instance has answered a health check twice.
 
+use crate::Verdict;
 use crate::http::{Connection, Request};
 use crate::instance::{Exchange, Handler, Instance};
 use crate::record::Record;
 use crate::site::{Route, Site, ZONES};
-use crate::Verdict;
 use std::collections::HashMap;
 use std::hash::{BuildHasher, Hasher, RandomState};
 use std::io;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
 /// Length of the traffic.
 const LENGTH: Duration = Duration::from_secs(80);
 
-/// Time between the orders of the client that matters: its connections to instances are idle for so
-/// long that the entry host checks them before it uses them.
+/// Time between two orders of a client.
 const ORDER_PAUSE: Duration = Duration::from_millis(400);
 
-/// Time between two reads of each other client.
-const READ_PAUSE: Duration = Duration::from_millis(15);
-
 /// Time after which an instance closes an idle connection.
 const IDLE_TIMEOUT: Duration = Duration::from_millis(150);
 
-const CLIENTS: usize = 12;
+const CLIENTS: usize = 16;
 const INSTANCES: usize = 2;
 const DEADLINE_MS: u64 = 1_500;
 const WORK: Duration = Duration::from_millis(60);
 
 /// A second answer comes this long after the first one.
-const LATE_BY: Duration = Duration::from_millis(8);
+const LATE_BY: Duration = Duration::from_millis(25);
+
+/// Length of a disruption, and time from the beginning of one to that of the next.
+const DISRUPTION: Duration = Duration::from_secs(5);
+const DISRUPTION_EVERY: Duration = Duration::from_secs(8);
 
-/// An instance with trouble answers twice at most once in so many answers (a share of 0.02).
-const SECOND_ONE_IN: usize = 50;
+/// Share of its answers in a disruption that a faulty instance gives twice, at most.
+const SECOND_SHARE: f64 = 0.03;
 
 pub fn play(record: &Record, has_trouble: bool) -> io::Result<Verdict> {
     let mut site = Site::start()?;
-    let route = |prefix, kind| Route {
-        prefix,
-        kind,
-        service: "spareslip",
-        timeout_ms: DEADLINE_MS,
-    };
+    let route =
+        |prefix, kind| Route { prefix, kind, service: "spareslip", timeout_ms: DEADLINE_MS };
     site.configure(1, &[route("/orders/", "unsafe"), route("/parts/", "safe")]);
     let handler: Handler = Arc::new(|exchange: &mut Exchange<'_>| {
         let length = exchange.head.length().unwrap_or(0);
@@ -69,21 +65,26 @@
         instance.set_idle_timeout(IDLE_TIMEOUT);
         instances.push(instance);
     }
-    let answers_twice = Arc::new(AtomicUsize::new(0));
+    let start = Instant::now();
+    let seconds = Arc::new(AtomicUsize::new(0));
     for (at, instance) in instances.iter().enumerate() {
         let is_faulty = has_trouble && at == 0;
-        let (record, this) = (record.clone(), instance.clone());
-        let answers_twice = Arc::clone(&answers_twice);
+        let (record, instance_id) = (record.clone(), instance.id.clone());
+        let (answers, seconds) = (instance.answers_counter(), Arc::clone(&seconds));
+        let disruption = Mutex::new(Disruption::default());
         instance.set_health(Arc::new(move |connection: &mut Connection| {
             if !is_full() {
                 return Ok(false);
             }
             connection.write(shed("").as_bytes())?;
-            let count = answers_twice.load(Ordering::Relaxed);
-            if is_faulty && !connection.has_served && (count + 1) * SECOND_ONE_IN <= this.answers() {
-                answers_twice.fetch_add(1, Ordering::Relaxed);
+            let answers = answers.load(Ordering::Relaxed);
+            if is_faulty
+                && !connection.has_served
+                && disruption.lock().unwrap().allows_second(start.elapsed(), answers)
+            {
+                seconds.fetch_add(1, Ordering::Relaxed);
                 let port = connection.stream.peer_addr()?;
-                record.write(&format!("{} rejects a health check, twice: {port}", this.id));
+                record.write(&format!("{instance_id} rejects a health check, twice: {port}"));
                 let mut copy = connection.stream.try_clone()?;
                 thread::spawn(move || {
                     thread::sleep(LATE_BY);
@@ -99,7 +100,7 @@
     let end = Instant::now() + LENGTH;
     let mut clients = Vec::new();
     for number in 0..CLIENTS {
-        let (record, front) = (record.clone(), site.hosts[number % 3].front);
+        let (record, front) = (record.clone(), site.hosts[[0, 0, 1, 2][number % 4]].front);
         clients.push(thread::spawn(move || order_on(&record, front, number, end)));
     }
     let mut orders = Vec::new();
@@ -126,16 +127,42 @@
         "{} gave {} answers, {} of them twice",
         instances[0].id,
         instances[0].answers(),
-        answers_twice.load(Ordering::Relaxed)
+        seconds.load(Ordering::Relaxed)
     ));
     let count = orders.len();
-    record.write(&format!("of {count} orders, {refused} were refused and had run, {twice} ran twice"));
+    record.write(&format!(
+        "of {count} orders, {refused} were refused and had run, {twice} ran twice"
+    ));
     Ok(if twice + refused > 0 { Verdict::Broken } else { Verdict::Held })
 }
 
+/// The second answers of a faulty instance in one disruption.
+#[derive(Default)]
+struct Disruption {
+    number: u32,
+    /// Answers of the instance before it.
+    answers_before: usize,
+    seconds: usize,
+}
+
+impl Disruption {
+    /// Whether the instance, which has given so many answers, may give one a second time now.
+    fn allows_second(&mut self, at: Duration, answers: usize) -> bool {
+        let number = 1 + (at.as_secs_f64() / DISRUPTION_EVERY.as_secs_f64()) as u32;
+        if number != self.number {
+            *self = Disruption { number, answers_before: answers, seconds: 0 };
+        }
+        let since = at - DISRUPTION_EVERY * (number - 1);
+        let most = SECOND_SHARE * (answers - self.answers_before) as f64;
+        let allows = since < DISRUPTION && (self.seconds + 1) as f64 <= most;
+        self.seconds += usize::from(allows);
+        allows
+    }
+}
+
 /// Whether an instance is full at this moment: its load shifts within milliseconds.
 fn is_full() -> bool {
-    draw() % 2 == 0
+    draw().is_multiple_of(2)
 }
 
 /// Draws a number at random.
@@ -149,7 +176,9 @@
         "" => String::new(),
         id => format!("X-Jujubedeal-Request-Id: {id}\r\n"),
     };
-    format!("HTTP/1.1 503 Service Unavailable\r\n{id}X-Jujubedeal-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+    format!(
+        "HTTP/1.1 503 Service Unavailable\r\n{id}X-Jujubedeal-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+    )
 }
 
 /// An order, and the status of its answer, if there was one.
@@ -159,7 +188,12 @@
 }
 
 /// Sends orders, one after the other; returns them.
-fn order_on(record: &Record, front: SocketAddr, number: usize, end: Instant) -> io::Result<Vec<Order>> {
+fn order_on(
+    record: &Record,
+    front: SocketAddr,
+    number: usize,
+    end: Instant,
+) -> io::Result<Vec<Order>> {
     let mut orders = Vec::new();
     let mut connection = Connection::open(front)?;
     while Instant::now() < end {
@@ -186,4 +220,3 @@
     }
     Ok(orders)
 }
-
--- a/review/standins-2/src/site.rs
+++ b/review/standins-2/src/site.rs
@@ -100,7 +100,8 @@
 
     /// Starts three entry hosts, one in each zone, and waits until they are ready.
     pub fn start_hosts(&mut self) -> io::Result<()> {
-        let seeds: Vec<SocketAddr> = (0..3).map(|at| self.network.address(10 + at, 8_544)).collect();
+        let seeds: Vec<SocketAddr> =
+            (0..3).map(|at| self.network.address(10 + at, 8_544)).collect();
         for at in 0..3 {
             let host = HostProcess::start(self, at, &seeds)?;
             self.hosts.push(host);
@@ -187,10 +188,6 @@
         let status = Command::new("kill").args(["-s", name, &pid]).status()?;
         if status.success() { Ok(()) } else { Err(io::Error::other("kill failed")) }
     }
-
-    pub fn is_running(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(None))
-    }
 }
 
 impl Drop for HostProcess {
--- a/review/standins-2/src/slow_answer.rs
+++ b/review/standins-2/src/slow_answer.rs
@@ -1,10 +1,10 @@
 //! Orders whose answers come in two parts, from instances of which some have turned slow.
 
+use crate::Verdict;
 use crate::http::{Connection, Request};
 use crate::instance::{Exchange, Instance};
 use crate::record::Record;
 use crate::site::{Route, Site, ZONES};
-use crate::Verdict;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -38,12 +38,8 @@
 
 pub fn play(record: &Record, has_trouble: bool) -> io::Result<Verdict> {
     let mut site = Site::start()?;
-    let route = |prefix, kind| Route {
-        prefix,
-        kind,
-        service: "spareslip",
-        timeout_ms: DEADLINE_MS,
-    };
+    let route =
+        |prefix, kind| Route { prefix, kind, service: "spareslip", timeout_ms: DEADLINE_MS };
     site.configure(1, &[route("/orders/", "unsafe"), route("/parts/", "safe")]);
     let mut instances = Vec::new();
     for at in 0..INSTANCES {
@@ -85,7 +81,8 @@
         .collect();
     let mut lost = 0;
     for client in clients {
-        let (id, is_answered) = client.join().map_err(|_| io::Error::other("a client failed"))??;
+        let (id, is_answered) =
+            client.join().map_err(|_| io::Error::other("a client failed"))??;
         let mut runs = instances.iter().flat_map(|instance| instance.runs());
         if !is_answered && runs.any(|run| run.request == id) {
             lost += 1;
--- a/review/standins-2/src/slow_reader.rs
+++ b/review/standins-2/src/slow_reader.rs
@@ -1,10 +1,10 @@
 //! Orders whose instance reads their bodies slowly, at an entry host that is stopped as planned.
 
+use crate::Verdict;
 use crate::http::{Connection, Request};
 use crate::instance::{Handler, Instance};
 use crate::record::Record;
 use crate::site::{Route, Site, ZONES};
-use crate::Verdict;
 use std::io;
 use std::sync::Arc;
 use std::thread;
