gateway: a line for each request that a stop cuts

What ended with the process was dropped without a word, so the log could not tell why a stop cut a request. cut-by-stop says when it had arrived and was last sent, against the stop's begin. The stop has a module and a schedule of its own; no decision is changed.

--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod scheduler;
 mod service;
 mod service_load;
+mod shutdown;
 mod split;
 mod subset;
 mod upstream;
@@ -50,6 +51,7 @@
 pub use route_times::{MAX_ROUTES, RouteKey, RouteTime};
 pub use service::ServiceTimeSample;
 pub use service_load::ServiceLoad;
+pub use shutdown::ShutdownSchedule;
 pub use split::SplitTable;
 pub use subset::{FULL_SUBSET_MAX, FleetSize, LOCAL_ZONE_UPSTREAMS, OTHER_ZONE_UPSTREAMS, Subset};
 pub use upstream::{AttemptFailure, ProbeFailure, UpstreamState};
--- a/crates/gateway/src/event_log.rs
+++ b/crates/gateway/src/event_log.rs
@@ -160,6 +160,13 @@
     }
 }
 
+/// What is logged while the last tasks of a process end is not lost.
+impl Drop for EventLog {
+    fn drop(&mut self) {
+        self.flush();
+    }
+}
+
 impl State {
     fn count_dropped(&mut self, priority: Priority) {
         self.dropped_total += 1;
--- a/crates/gateway/src/event_log/event.rs
+++ b/crates/gateway/src/event_log/event.rs
@@ -273,6 +273,15 @@
     ResponseMemoryFull { id: &'a str, route: &'a str, held_bytes: usize },
     /// The caller disconnected.
     CallerGone { id: &'a str, after_ms: Millis, sendings: u32, runs_on: bool },
+    /// The process ended with a request without a final response: how long before it had arrived, and
+    /// was last sent (none: never), and the stop had begun.
+    CutByStop {
+        id: &'a str,
+        after_ms: Millis,
+        sendings: u32,
+        sent_before_ms: Option<Millis>,
+        stopping_for_ms: Millis,
+    },
     /// A caller's connection ended: how, how long it had been inactive, how many of its requests
     /// got no response, and how many bytes arrived that no request was read from.
     CallerClosed { end: SessionEnd, idle_ms: Millis, unanswered: usize, dropped_bytes: usize },
--- a/crates/gateway/src/host.rs
+++ b/crates/gateway/src/host.rs
@@ -17,6 +17,7 @@
 use crate::pool::{Pool, PoolLimit};
 use crate::quota::QuotaState;
 use crate::settings::Settings;
+use crate::shutdown::Shutdown;
 use crate::ticket_counter::TicketCounter;
 use crate::unread_headers::UnreadHeaderLog;
 use allowances::{local_zone_probes, scheduler_probes, unscheduled_probes};
@@ -39,7 +40,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
-use tokio::sync::{Notify, watch};
+use tokio::sync::Notify;
 
 /// Pause after a failed accept: the process may be out of descriptors until some are closed.
 pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -133,10 +134,8 @@
     pub large_replies_in_progress: Cell<usize>,
     /// Number of calls to the source so far.
     pub source_calls: Cell<u64>,
-    /// True once the process is to stop.
-    pub stopping: watch::Sender<bool>,
-    /// True once callers' connections are to be closed as soon as they are idle.
-    pub closing_idle: watch::Sender<bool>,
+    /// How far the stop of the process is.
+    pub shutdown: Shutdown,
 }
 
 impl Host {
@@ -201,8 +200,7 @@
             open_caller_connections: Cell::new(0),
             large_replies_in_progress: Cell::new(0),
             source_calls: Cell::new(0),
-            stopping: watch::Sender::new(false),
-            closing_idle: watch::Sender::new(false),
+            shutdown: Shutdown::default(),
             settings: RefCell::new(settings),
         })
     }
@@ -234,7 +232,7 @@
 
     /// Whether the process is to stop.
     pub fn is_stopping(&self) -> bool {
-        *self.stopping.borrow()
+        self.shutdown.has_begun()
     }
 
     /// Whether this host can serve callers: the routing is known, and the process is not stopping.
--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -96,7 +96,7 @@
 ///
 /// Then the port is closed, too, so that new connections are refused instead of never being read.
 pub async fn accept(host: Rc<Host>, listener: TcpListener) {
-    let mut closing = host.closing_idle.subscribe();
+    let mut closing = host.shutdown.closing_idle();
     loop {
         let accepting = async {
             host.memory.small_requests_have_room().await;
@@ -247,7 +247,7 @@
         let has_room = memory.has_room_for_small_request();
         let is_passed_on = self.pending.back().is_some_and(|last| !last.request.body.is_read());
         let times_out = self.timeout_at();
-        let mut closing = self.host.closing_idle.subscribe();
+        let mut closing = self.host.shutdown.closing_idle();
         let is_closing = *closing.borrow();
         if is_closing && self.is_idle() {
             return Next::Closing;
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -18,7 +18,7 @@
 //! - [`backpressure`]: upstreams' rate limits and backoffs, read from responses and from peers
 //! - [`unread_headers`]: headers of upstreams' responses that nothing reads
 //! - [`event_log`], [`metrics`], [`operator`]: logs, metrics and the state dump, for operators
-//! - [`run`]: start, reload, stop
+//! - [`run`], [`shutdown`]: start and reload, and stop
 //!
 //! A program that embeds it provides a [`source::Source`] and a [`dialect::Dialect`].
 
@@ -45,6 +45,7 @@
 pub mod run;
 pub mod serve;
 pub mod settings;
+pub mod shutdown;
 pub mod source;
 pub mod source_reader;
 pub mod ticket_counter;
--- a/crates/gateway/src/run.rs
+++ b/crates/gateway/src/run.rs
@@ -1,13 +1,9 @@
-//! Start, reload and stop of the process.
-//!
-//! A stop is graceful: readiness fails first, and requests are accepted until the platform had
-//! time to notice. Then idle connections are closed, and the process ends when no request is
-//! open, or just before it would be killed.
+//! Start and reload of the process.
 
 use crate::backpressure;
 use crate::dialect::Dialect;
 use crate::event_log::{EventLog, LogEvent};
-use crate::host::{Host, to_duration};
+use crate::host::Host;
 use crate::ingress;
 use crate::memory::RECEIVE_BUFFER_BYTES;
 use crate::metrics::Metrics;
@@ -17,12 +13,13 @@
 use crate::quarantine;
 use crate::quota;
 use crate::settings::Settings;
+use crate::shutdown;
 use crate::source::Source;
 use crate::source_reader::SourceReader;
 use crate::tunnel;
 use domain::{Incarnation, Millis};
 use error_stack::{Report, ResultExt};
-use published::{Gossip, Member, Reader, StartConditions};
+use published::{Member, Reader, StartConditions};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use std::fmt;
@@ -34,16 +31,6 @@
 use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::spawn_local;
 
-/// Time for the platform to notice that readiness failed: two checks a second apart, and the
-/// network latency.
-const READINESS_NOTICE: Duration = Duration::from_millis(2_300);
-
-/// Time before the kill at which the process ends by itself.
-const STOP_MARGIN_MS: Millis = Millis(350);
-
-/// Time between two checks whether a stop can be completed.
-const STOP_CHECK_INTERVAL: Duration = Duration::from_millis(10);
-
 /// Most connections that wait to be accepted: a second's worth on a busy host.
 const BACKLOG: u32 = 1_024;
 
@@ -217,7 +204,7 @@
 
     /// Stops gracefully.
     pub async fn stop(&self) {
-        stop(&self.host, &self.peers).await;
+        shutdown::stop(&self.host, &self.peers).await;
     }
 }
 
@@ -232,29 +219,6 @@
     host.log.flush();
 }
 
-async fn stop(host: &Rc<Host>, peers: &Rc<Peers>) {
-    let start_ms = host.now_ms();
-    let limit_ms = host.settings.borrow().limits.stop_ms - STOP_MARGIN_MS;
-    let open_requests = host.open_requests.get();
-    host.log.write(&LogEvent::Stopping { open_requests });
-    host.log.write(&LogEvent::Ready { is_ready: false, reason: "stopping" });
-    host.stopping.send_replace(true);
-    peers.run_gossip(Gossip::leave);
-    host.placement.schedulers.borrow_mut().stop_accepting();
-    clock::sleep(READINESS_NOTICE.min(to_duration(limit_ms))).await;
-    host.closing_idle.send_replace(true);
-    let is_busy = || {
-        let open = [&host.open_requests, &host.open_caller_connections, &host.open_tunnels];
-        open.into_iter().any(|open| open.get() > 0)
-    };
-    while is_busy() && host.now_ms().since(start_ms) < limit_ms {
-        clock::sleep(STOP_CHECK_INTERVAL).await;
-    }
-    // There is no await from here on, so no request can be read that would get no response.
-    host.log.write(&LogEvent::Stopped { open_requests: host.open_requests.get() });
-    host.log.flush();
-}
-
 /// Runs periodic maintenance: settings, expired entries, unresponsive peers, idle connections.
 async fn maintain<R: Reload>(host: Rc<Host>, peers: Rc<Peers>, mut reload: R, mut hangup: Signal) {
     let mut round: u32 = 0;
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -22,6 +22,7 @@
 use crate::memory::{HeldBytes, HeldFor, MAX_HELD_BYTES};
 use crate::quota;
 use crate::request_body::{PREFIX_BYTES, RequestBody};
+use crate::shutdown;
 use authentication::authenticate;
 use dispatch::RouteKey;
 use dispatch::attempts::{Cause, Refusal};
@@ -94,6 +95,8 @@
     pub continues_without_caller: Cell<bool>,
     /// Attempts so far.
     pub attempts: Cell<u32>,
+    /// When the last one was sent.
+    pub sent_ms: Cell<Option<Millis>>,
 }
 
 /// A request with its route, its service, and the time by which it must be answered.
@@ -115,7 +118,7 @@
 }
 
 /// Counts a request as open while it exists; logs if the request is dropped unanswered,
-/// which happens when its caller disconnects.
+/// which happens when its caller disconnects or the process ends.
 struct OpenRequestGuard {
     host: Rc<Host>,
     id: String,
@@ -127,7 +130,12 @@
 impl Drop for OpenRequestGuard {
     fn drop(&mut self) {
         self.host.open_requests.set(self.host.open_requests.get().saturating_sub(1));
-        if !self.is_answered {
+        if self.is_answered {
+            return;
+        }
+        if self.host.shutdown.has_ended() {
+            shutdown::log_cut(&self.host, &self.id, self.arrived_ms, &self.progress);
+        } else {
             self.host.metrics.caller_hung_up();
             self.host.log.write(&LogEvent::CallerGone {
                 id: &self.id,
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -143,6 +143,7 @@
         };
         counts.tried.push(selected.upstream.clone());
         self.progress.attempts.set(counts.sent);
+        self.progress.sent_ms.set(Some(now_ms));
         self.progress
             .continues_without_caller
             .set(self.route().idempotency == Idempotency::AtMostOnce);
--- a/crates/gateway/tests/closing.rs
+++ b/crates/gateway/tests/closing.rs
@@ -3,6 +3,7 @@
 
 mod support;
 
+use dispatch::ShutdownSchedule;
 use domain::Millis;
 use gateway::run::Gateway;
 use rstest::rstest;
@@ -13,8 +14,10 @@
 
 /// Begins the part of a stop in which idle connections are closed.
 fn close_idle(gateway: &Gateway) {
-    gateway.host().stopping.send_replace(true);
-    gateway.host().closing_idle.send_replace(true);
+    let host = gateway.host();
+    let time_to_kill_ms = host.settings.borrow().limits.stop_ms;
+    host.shutdown.begin(ShutdownSchedule::begin(host.now_ms(), time_to_kill_ms));
+    host.shutdown.close_idle();
 }
 
 /// The `caller-closed` lines of the log.
