A stopping host sends only what can finish before the process ends

Cause: nothing that sends a request looked at the end of the process.

Change: each decision to send looks at the schedule of the stop, also while a request waits. Due before the end: sent. Due later: sent only until idle connections close, with twice the expected duration left; else refused at once as stopping (503, not run, Retry-After 1 to 2 ms).

--- a/crates/dispatch/src/attempts.rs
+++ b/crates/dispatch/src/attempts.rs
@@ -15,6 +15,9 @@
 /// Attempts beyond the route's limit for a request that provably did not run.
 const EXTRA_ATTEMPTS_IF_NOT_RUN: u32 = 2;
 
+/// `Retry-After` of a host that stops: another one can serve the request at once.
+const STOPPING_RETRY_AFTER_MS: Millis = Millis(1);
+
 /// `Retry-After` where nothing better is known; the caller of this crate adds jitter.
 pub(crate) const DEFAULT_RETRY_AFTER_MS: Millis = Millis(60);
 
@@ -131,6 +134,8 @@
     CrashesUpstreams,
     /// The deadline passed before it was sent.
     Expired,
+    /// The host stops, and might end before the request does.
+    Stopping,
     /// The deadline passed while an upstream had it.
     TimedOut,
 }
@@ -142,6 +147,7 @@
             Cause::NotConfigured | Cause::NoUpstream | Cause::UpstreamsRefused => 503,
             Cause::ZonesEvacuated | Cause::UpstreamsLimited | Cause::NoPath => 503,
             Cause::Expired | Cause::Overloaded | Cause::CrashesUpstreams => 503,
+            Cause::Stopping => 503,
             Cause::KeyUnconfirmed | Cause::QuotaUnconfirmed => 503,
             Cause::UnknownKey => 401,
             Cause::OverQuota => 429,
@@ -177,6 +183,7 @@
             Cause::UpstreamFailed => "upstream-failed",
             Cause::CrashesUpstreams => "crashes-upstreams",
             Cause::Expired => "expired",
+            Cause::Stopping => "stopping",
             Cause::TimedOut => "timed-out",
         }
     }
@@ -210,6 +217,11 @@
         Refusal::not_run_until(Cause::OverQuota, next_request_in_ms)
     }
 
+    /// For a host that stops.
+    pub fn stopping() -> Refusal {
+        Refusal::not_run_until(Cause::Stopping, STOPPING_RETRY_AFTER_MS)
+    }
+
     /// For a quarantined request, until it may be tried again.
     pub fn quarantined(remaining_ms: Millis) -> Refusal {
         Refusal::not_run_until(Cause::CrashesUpstreams, remaining_ms)
--- a/crates/dispatch/tests/attempts.rs
+++ b/crates/dispatch/tests/attempts.rs
@@ -121,6 +121,7 @@
         Cause::UpstreamsRefused,
         Cause::UpstreamFailed,
         Cause::Expired,
+        Cause::Stopping,
         Cause::TimedOut
     )]
     cause: Cause,
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -11,6 +11,7 @@
 mod retry_permit;
 mod routing;
 mod selection;
+mod time_left;
 
 pub use fingerprint::fingerprint;
 pub use response_stream::{ResponseStream, STALL_LIMIT, UpstreamResponse};
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -6,6 +6,7 @@
 use super::response_stream::{ResponseStream, StreamedAttempt, UpstreamResponse};
 use super::retry_permit::RetryPermit;
 use super::selection::Selected;
+use super::time_left::stopping_refusal;
 use super::{Reply, Request, RoutedRequest};
 use crate::backpressure;
 use crate::connection::{
@@ -94,8 +95,11 @@
         error_response: &mut Option<ErrorResponse>,
     ) -> Result<Reply, Refusal> {
         loop {
-            self.wait_for_trial(counts).await?;
-            let (selected, connection) = self.select_in_time(counts).await?;
+            let (selected, connection) = tokio::select! {
+                biased;
+                selected = self.select_after_trial(counts) => selected?,
+                () = self.stop_forbids_sending() => return Err(stopping_refusal(counts)),
+            };
             let attempt = self.begin(selected, connection, counts)?;
             tokio::select! {
                 biased;
@@ -114,6 +118,14 @@
         }
     }
 
+    async fn select_after_trial(
+        &self,
+        counts: &mut AttemptCounts,
+    ) -> Result<(Selected, Connection), Refusal> {
+        self.wait_for_trial(counts).await?;
+        self.select_in_time(counts).await
+    }
+
     /// Admits an attempt and records its start; refuses if time is up or the request is
     /// quarantined.
     fn begin(
--- a/crates/gateway/src/serve/routing.rs
+++ b/crates/gateway/src/serve/routing.rs
@@ -25,7 +25,8 @@
     let stated_ms = stated_wait_ms(host, &request.head);
     let share_ms = Millis((stated_ms.unwrap_or_default().as_f64() * ROUTING_WAIT_SHARE) as u64);
     let wait_ms = ROUTING_WAIT_MS.max(share_ms).min(stated_ms.unwrap_or(Millis::MAX));
-    let until_ms = request.arrived_ms + wait_ms;
+    let last_ms = host.shutdown.schedule().map_or(Millis::MAX, |it| it.last_response_ms());
+    let until_ms = (request.arrived_ms + wait_ms).min(last_ms);
     while host.table.borrow().is_none() && host.now_ms() < until_ms {
         tokio::select! {
             () = host.state_updated.notified() => {}
--- a/crates/gateway/src/serve/selection.rs
+++ b/crates/gateway/src/serve/selection.rs
@@ -6,6 +6,7 @@
 
 use super::RoutedRequest;
 use super::attempt::AttemptCounts;
+use super::time_left::deadline_refusal;
 use crate::connection::Connection;
 use crate::event_log::{ChosenBy, LogEvent};
 use crate::host::to_duration;
@@ -343,19 +344,4 @@
             std::future::pending::<()>().await;
         }
     }
-
-    /// Refuses the request if its deadline has passed.
-    pub(super) fn check_time(&self, now_ms: Millis, counts: &AttemptCounts) -> Result<(), Refusal> {
-        match now_ms < self.end_ms {
-            true => Ok(()),
-            false => Err(deadline_refusal(counts)),
-        }
-    }
-}
-
-fn deadline_refusal(counts: &AttemptCounts) -> Refusal {
-    match counts.may_have_run() > 0 {
-        true => Refusal::may_have_run(Cause::TimedOut),
-        false => Refusal::not_run(Cause::Expired),
-    }
 }
--- a/crates/gateway/src/shutdown.rs
+++ b/crates/gateway/src/shutdown.rs
@@ -53,6 +53,11 @@
         *self.schedule.borrow()
     }
 
+    /// Changes once the stop begins.
+    pub fn subscribe(&self) -> watch::Receiver<Option<ShutdownSchedule>> {
+        self.schedule.subscribe()
+    }
+
     /// Whether the stop has begun.
     pub fn has_begun(&self) -> bool {
         self.schedule.borrow().is_some()
--- a/crates/gateway/tests/docs.rs
+++ b/crates/gateway/tests/docs.rs
@@ -91,6 +91,7 @@
         Cause::UpstreamsRefused,
         Cause::CrashesUpstreams,
         Cause::Expired,
+        Cause::Stopping,
         Cause::UpstreamFailed,
         Cause::TimedOut
     )]
