A stopping host refuses what it no longer waits for

What callers saw: a request of which a part had arrived was waited for until the process ended, and got no response.

Cause: the wait for the rest of a request looked at the limits for callers only, not at the end of the process, after which nothing can be sent.

Change: a body is waited for while its request may still be sent, a head until the last responses have to be ready; then 503, stopping, behind the responses before it.

--- a/crates/gateway/src/ingress.rs
+++ b/crates/gateway/src/ingress.rs
@@ -15,6 +15,7 @@
 mod reading;
 mod render;
 mod responding;
+mod stopping;
 mod streaming;
 
 pub use caller::Caller;
@@ -230,7 +231,7 @@
         if !std::mem::replace(&mut self.was_late, true) {
             return;
         }
-        self.refused = Some(Refusal::not_run(Cause::SlowRequest));
+        self.refused = Some(self.late_refusal());
         // Nothing more is waited for, whatever else is still being served.
         self.partial = None;
         self.head_started = None;
@@ -282,6 +283,12 @@
 
     /// When the wait for the caller times out.
     fn timeout_at(&self) -> Moment {
+        let times_out = self.limits_end_wait_at();
+        self.stop_ends_wait_at().map_or(times_out, |stop| stop.min(times_out))
+    }
+
+    /// When the limits for callers end the wait.
+    fn limits_end_wait_at(&self) -> Moment {
         let limits = self.limits();
         match self.head_started {
             Some(since) if self.partial.is_none() => since + to_duration(limits.head_timeout_ms),
