gateway: drawn stops, in which requests become ready in six ways at any moment

Each call gets a whole, true response before the process ends, or was not read; excused is what was at work since before idle connections were closed, for a caller that would have waited on.

--- a/crates/gateway/tests/support/caller.rs
+++ b/crates/gateway/tests/support/caller.rs
@@ -42,6 +42,12 @@
         Caller { stream: TcpStream::connect(address).await.unwrap(), buffer: Vec::new() }
     }
 
+    /// None if the host doesn't accept the connection.
+    pub async fn try_connect(address: SocketAddr) -> Option<Caller> {
+        let stream = TcpStream::connect(address).await.ok()?;
+        Some(Caller { stream, buffer: Vec::new() })
+    }
+
     /// A caller that connects from another address of this machine.
     pub async fn connect_from(own: Ipv4Addr, address: SocketAddr) -> Caller {
         let socket = TcpSocket::new_v4().unwrap();
--- a/crates/gateway/tests/support/upstream.rs
+++ b/crates/gateway/tests/support/upstream.rs
@@ -152,6 +152,8 @@
     id: String,
     address: SocketAddr,
     script: RefCell<VecDeque<Behaviour>>,
+    /// What it does with requests of these ids, instead of the script.
+    scripts_by_id: RefCell<HashMap<String, VecDeque<Behaviour>>>,
     requests: RefCell<Vec<ReceivedRequest>>,
     load: RefCell<String>,
     /// Further header lines of its responses to requests, each with its line end.
@@ -222,6 +224,7 @@
             id: id.to_owned(),
             address: listener.local_addr().unwrap(),
             script: RefCell::default(),
+            scripts_by_id: RefCell::default(),
             requests: RefCell::default(),
             load: RefCell::new("0,0,6,100".to_owned()),
             extra_headers: RefCell::default(),
@@ -369,6 +372,20 @@
         self.state.script.borrow_mut().extend(behaviours);
     }
 
+    /// Sets what it does, one time after the other, with a request of this id.
+    pub fn set_script_of(&self, id: &str, behaviours: impl IntoIterator<Item = Behaviour>) {
+        let script = behaviours.into_iter().collect();
+        self.state.scripts_by_id.borrow_mut().insert(id.to_owned(), script);
+    }
+
+    fn next_behaviour(&self, id: &str) -> Behaviour {
+        let of_id = match self.state.scripts_by_id.borrow_mut().get_mut(id) {
+            Some(script) => script.pop_front(),
+            None => self.state.script.borrow_mut().pop_front(),
+        };
+        of_id.unwrap_or(Behaviour::Respond)
+    }
+
     /// From now on it responds to all requests.
     pub fn clear_script(&self) {
         self.state.script.borrow_mut().clear();
@@ -508,7 +525,7 @@
             }
             let behaviour = match self.state.crashes_on.borrow().as_ref() {
                 Some(target) if *target == head.target => Behaviour::Crash(WORK_BEFORE_CRASH_MS),
-                _ => self.state.script.borrow_mut().pop_front().unwrap_or(Behaviour::Respond),
+                _ => self.next_behaviour(head.fields.get("x-request-id").unwrap_or_default()),
             };
             let field = |name: &str| head.fields.get(name).unwrap_or_default().to_owned();
             let all = |name: &str| {
