A probe takes 8 KiB of a response's body at most

Cause: responses to probes were collected up to 16 MiB each, outside all accounts, though nothing reads their bodies.

Change: what is expected of a response says how long its body may be. Strays in front of it may be of any length, as before, and are dropped as they come.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -15,8 +15,8 @@
 mod unsent;
 
 pub use exchange::{
-    ExchangeError, Expected, LongResponse, Naming, ReadTimeouts, Received, Response, Sent,
-    Streaming,
+    ExchangeError, Expected, LongResponse, MAX_BODY_BYTES, Naming, ReadTimeouts, Received,
+    Response, Sent, Streaming,
 };
 pub use long_body::{BodyPart, LongBody};
 pub use unsent::Unsent;
--- a/crates/gateway/src/connection/exchange.rs
+++ b/crates/gateway/src/connection/exchange.rs
@@ -9,6 +9,9 @@
 /// Longest body that is collected whole while responses fill much of the memory.
 const MIN_WHOLE_BYTES: usize = 8 * 1024;
 
+/// Longest body of a response whose length nothing else limits.
+pub const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+
 /// Why an exchange brought no complete response. The variants are logged under these names.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ExchangeError {
@@ -98,6 +101,8 @@
 pub struct Expected<'a> {
     /// Whether the response may have a body.
     pub has_body: bool,
+    /// Longest body that is collected whole.
+    pub max_body_bytes: usize,
     /// How the response names its request; none if responses never do.
     pub naming: Option<Naming<'a>>,
     /// Read timeouts; none if something else limits the time of the exchange.
--- a/crates/gateway/src/connection/response_reader.rs
+++ b/crates/gateway/src/connection/response_reader.rs
@@ -1,11 +1,8 @@
 //! Reads the response to a request, and tells it from responses to others.
 
-use super::{Answered, ExchangeError, Expected, Response, Sent, Streaming};
+use super::{Answered, ExchangeError, Expected, MAX_BODY_BYTES, Response, Sent, Streaming};
 use crate::http1::{BodyProgress, BodyReader, Framing, HeadError, ResponseHead, read_response};
 
-/// Largest body of a response that is collected whole.
-const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
-
 /// Responses to earlier requests that are skipped before the exchange fails.
 const MAX_STRAYS: u32 = 4;
 
@@ -38,9 +35,7 @@
             if self.head.is_none() {
                 let head = read_response(buffer, self.expected.has_body).map_err(malformed)?;
                 let Some(head) = head else { return Ok(None) };
-                let may_stream = self.streaming_of(&head).is_some();
-                let max_bytes = if may_stream { usize::MAX } else { MAX_BODY_BYTES };
-                self.body = Some(BodyReader::new(head.framing, max_bytes));
+                self.body = Some(BodyReader::new(head.framing, self.max_body_bytes(&head)));
                 self.head = Some(head);
             }
             let owner = self.head.as_ref().map(|head| self.owner_of(head));
@@ -99,6 +94,15 @@
         is_whole.then(|| Response { head, body: body.into_body() })
     }
 
+    /// Longest body of a response. Strays may be responses to anything.
+    fn max_body_bytes(&self, head: &ResponseHead) -> usize {
+        match self.owner_of(head) {
+            Owner::This if self.streaming.is_some() => usize::MAX,
+            Owner::This => self.expected.max_body_bytes,
+            Owner::Other | Owner::Unknown => MAX_BODY_BYTES,
+        }
+    }
+
     /// The request that a response belongs to.
     fn owner_of(&self, head: &ResponseHead) -> Owner {
         let Some(naming) = self.expected.naming else { return Owner::This };
--- a/crates/gateway/src/probe/health_check.rs
+++ b/crates/gateway/src/probe/health_check.rs
@@ -18,6 +18,9 @@
 /// Longest wait for the response to a probe; after it the upstream counts as unresponsive.
 const PROBE_LIMIT: Duration = Duration::from_millis(400);
 
+/// Longest body of a response to a probe; none of it is read.
+const MAX_PROBE_BODY_BYTES: usize = 8 * 1024;
+
 /// Longest wait on an idle connection while no upstream responds to this host: the connection may
 /// be dead.
 const POOLED_LIMIT: Duration = Duration::from_millis(50);
@@ -215,7 +218,8 @@
     host.metrics.probe_sent();
     let request = format!("GET {path} HTTP/1.1\r\nhost: upstream\r\n\r\n");
     let naming = Some(host.dialect.naming(Sent::Probe));
-    let expected = Expected { has_body: true, naming, read_timeouts: None };
+    let max_body_bytes = MAX_PROBE_BODY_BYTES;
+    let expected = Expected { has_body: true, max_body_bytes, naming, read_timeouts: None };
     let response = connection.exchange(request.as_bytes(), expected).await;
     let response = response.map_err(|_| ProbeFailure::Unreachable)?;
     links::record_response(host, upstream, connection);
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -10,8 +10,8 @@
 use super::{Reply, Request, RoutedRequest};
 use crate::backpressure;
 use crate::connection::{
-    Connection, ExchangeError, Expected, LongBody, LongResponse, Path, Received, Response, Sent,
-    Streaming, Unsent,
+    Connection, ExchangeError, Expected, LongBody, LongResponse, MAX_BODY_BYTES, Path, Received,
+    Response, Sent, Streaming, Unsent,
 };
 use crate::event_log::{LogEvent, ResponseTo, RetryCharge};
 use crate::host::to_duration;
@@ -256,6 +256,7 @@
         } = attempt;
         let expected = Expected {
             has_body: self.request.head.method != "HEAD",
+            max_body_bytes: MAX_BODY_BYTES,
             naming: Some(self.host.dialect.naming(Sent::Request(&self.id))),
             read_timeouts: None,
         };
--- a/crates/gateway/src/tunnel/client.rs
+++ b/crates/gateway/src/tunnel/client.rs
@@ -91,7 +91,8 @@
         "CONNECT {upstream} HTTP/1.1\r\nhost: {upstream}\r\n\
          {PROTOCOL_HEADER}: {PROTOCOL}\r\n{TUNNEL_HEADER}: {id}\r\n\r\n"
     );
-    let expected = Expected { has_body: false, naming: None, read_timeouts: None };
+    let expected =
+        Expected { has_body: false, max_body_bytes: 0, naming: None, read_timeouts: None };
     let opening = async {
         let opened = Connection::open(address, Some(host.own_ip()), RELAY_LIMIT).await;
         let mut connection = opened.map_err(|_| TunnelProblem::RelayUnreachable)?;
--- a/crates/gateway/tests/stray_responses.rs
+++ b/crates/gateway/tests/stray_responses.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use gateway::connection::{Connection, ExchangeError, Expected};
+use gateway::connection::{Connection, ExchangeError, Expected, MAX_BODY_BYTES};
 use gateway::dialect::Dialect;
 use rstest::rstest;
 use std::io::{Read, Write};
@@ -122,7 +122,8 @@
         let mut connection = Connection::open(address, None, Duration::from_secs(5)).await.unwrap();
         let mut exchange = async |id| {
             let naming = Some(dialect.naming(gateway::connection::Sent::Request(id)));
-            let expected = Expected { has_body: true, naming, read_timeouts: None };
+            let max_body_bytes = MAX_BODY_BYTES;
+            let expected = Expected { has_body: true, max_body_bytes, naming, read_timeouts: None };
             let request = format!("GET / HTTP/1.1\r\nx-request-id: {id}\r\n\r\n");
             connection.exchange(request.as_bytes(), expected).await.map(|got| got.head.status)
         };
--- a/crates/gateway/tests/support/upstream.rs
+++ b/crates/gateway/tests/support/upstream.rs
@@ -56,6 +56,8 @@
     Long(LongBody),
     /// A failure of its own with a body of this many bytes.
     LongFailure(usize),
+    /// Bytes until the connection is closed.
+    Endless(Endless),
     /// Bytes that are not HTTP.
     Garbage,
     /// The same response twice.
@@ -83,6 +85,64 @@
     pub end: BodyEnd,
 }
 
+/// What never ends of a response.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Endless {
+    /// Interim responses before it.
+    Interim,
+    /// A header line.
+    HeaderLine,
+    /// Header lines.
+    HeaderLines,
+    /// Chunks of its body.
+    Chunks,
+    /// Chunks of a byte each.
+    SmallChunks,
+    /// The extension of a chunk.
+    ChunkExtension,
+    /// Trailers behind its body.
+    Trailers,
+    /// A body without a length.
+    Body,
+    /// Bytes behind it.
+    Rest,
+}
+
+impl Endless {
+    /// What comes before that, with these header lines.
+    fn begin(self, lines: &str) -> String {
+        let head = format!("HTTP/1.1 200 OK\r\n{lines}");
+        match self {
+            Endless::Interim => String::new(),
+            Endless::HeaderLine => format!("{head}x-line: "),
+            Endless::HeaderLines => head,
+            Endless::Chunks | Endless::SmallChunks => {
+                format!("{head}transfer-encoding: chunked\r\n\r\n")
+            }
+            Endless::ChunkExtension => format!("{head}transfer-encoding: chunked\r\n\r\n5;x="),
+            Endless::Trailers => format!("{head}transfer-encoding: chunked\r\n\r\n0\r\n"),
+            Endless::Body => format!("{head}\r\n"),
+            Endless::Rest => format!("{head}content-length: 0\r\n\r\n"),
+        }
+    }
+
+    /// About 16 KB of it.
+    fn repeated(self) -> Vec<u8> {
+        let unit = match self {
+            Endless::Interim => "HTTP/1.1 102 Processing\r\n\r\n",
+            Endless::HeaderLine | Endless::ChunkExtension | Endless::Body | Endless::Rest => "x",
+            Endless::HeaderLines | Endless::Trailers => "x-line: y\r\n",
+            Endless::Chunks => "400\r\n",
+            Endless::SmallChunks => "1\r\nx\r\n",
+        };
+        let unit = match self {
+            Endless::Chunks => format!("{unit}{}\r\n", "x".repeat(0x400)),
+            _ => unit.to_owned(),
+        };
+        unit.repeat(16 * 1024 / unit.len()).into_bytes()
+    }
+}
+
 /// How a long body ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum BodyEnd {
@@ -164,6 +224,7 @@
     /// Its process is gone, though its port isn't.
     is_silent: Cell<bool>,
     repeats_health: Cell<bool>,
+    endless_health: Cell<Option<Endless>>,
     work_ms: Cell<u64>,
     probes: Cell<u32>,
     connections: Cell<u32>,
@@ -232,6 +293,7 @@
             is_healthy: Cell::new(true),
             is_silent: Cell::new(false),
             repeats_health: Cell::new(false),
+            endless_health: Cell::new(None),
             work_ms: Cell::new(0),
             probes: Cell::new(0),
             connections: Cell::new(0),
@@ -444,6 +506,11 @@
         self.state.is_healthy.set(is_healthy);
     }
 
+    /// From now on its responses to probes never end.
+    pub fn set_endless_health(&self, endless: Option<Endless>) {
+        self.state.endless_health.set(endless);
+    }
+
     /// From now on it sends each response to a probe twice.
     pub fn repeat_health(&self) {
         self.state.repeats_health.set(true);
@@ -514,6 +581,10 @@
                     return std::future::pending().await;
                 }
                 self.state.probes.update(|count| count + 1);
+                if let Some(endless) = self.state.endless_health.get() {
+                    let lines = format!("x-upstream: {}\r\n", self.state.id);
+                    return self.send_endlessly(&mut stream, endless, &lines).await;
+                }
                 if stream.write_all(&self.health()).await.is_err() {
                     return;
                 }
@@ -654,6 +725,11 @@
                 stream.write_all(UNNAMED).await.is_ok()
             }
             Behaviour::Long(body) => self.respond_long(stream, body, id).await,
+            Behaviour::Endless(endless) => {
+                let lines = format!("x-request-id: {id}\r\nx-upstream-seal: s\r\n");
+                self.send_endlessly(stream, endless, &lines).await;
+                false
+            }
             Behaviour::LongFailure(bytes) => {
                 let head = format!(
                     "HTTP/1.1 500 X\r\nx-request-id: {id}\r\nx-upstream-seal: s\r\n\
@@ -707,6 +783,16 @@
         }
     }
 
+    async fn send_endlessly(&self, stream: &mut TcpStream, endless: Endless, lines: &str) {
+        let _ = stream.write_all(endless.begin(lines).as_bytes()).await;
+        let repeated = endless.repeated();
+        while stream.write_all(&repeated).await.is_ok() {
+            self.state.written.update(|written| written + repeated.len());
+            tokio::task::yield_now().await;
+        }
+        self.state.abandoned.update(|count| count + 1);
+    }
+
     async fn respond_long(&self, stream: &mut TcpStream, long: LongBody, id: &str) -> bool {
         let framing = match long.framing {
             Framing::Length(length) => format!("content-length: {length}\r\n"),
