--- a/crates/gateway/src/connection/response_reader.rs
+++ b/crates/gateway/src/connection/response_reader.rs
@@ -1,7 +1,9 @@
 //! Reads the response to a request, and tells it from responses to others.
 
 use super::{Answered, ExchangeError, Expected, MAX_BODY_BYTES, Response, Sent, Streaming};
-use crate::http1::{BodyProgress, BodyReader, Framing, HeadError, ResponseHead, read_response};
+use crate::http1::{
+    BodyProgress, BodyReader, Framing, HeadError, ResponseHead, ResponseHeadReader,
+};
 
 /// Responses to earlier requests that are skipped before the exchange fails.
 const MAX_STRAYS: u32 = 4;
@@ -13,6 +15,7 @@
     answered: Answered,
     /// None if all responses are collected whole.
     streaming: Option<Streaming<'a>>,
+    head_reader: ResponseHeadReader,
     head: Option<ResponseHead>,
     body: Option<BodyReader>,
     strays: u32,
@@ -24,7 +27,15 @@
         answered: Answered,
         streaming: Option<Streaming<'a>>,
     ) -> ResponseReader<'a> {
-        ResponseReader { expected, answered, streaming, head: None, body: None, strays: 0 }
+        ResponseReader {
+            expected,
+            answered,
+            streaming,
+            head_reader: ResponseHeadReader::new(expected.has_body),
+            head: None,
+            body: None,
+            strays: 0,
+        }
     }
 
     pub(super) fn read_from(
@@ -33,7 +44,7 @@
     ) -> Result<Option<Response>, ExchangeError> {
         loop {
             if self.head.is_none() {
-                let head = read_response(buffer, self.expected.has_body).map_err(malformed)?;
+                let head = self.head_reader.read_from(buffer).map_err(malformed)?;
                 let Some(head) = head else { return Ok(None) };
                 self.body = Some(BodyReader::new(head.framing, self.max_body_bytes(&head)));
                 self.head = Some(head);
--- a/crates/gateway/src/http1/mod.rs
+++ b/crates/gateway/src/http1/mod.rs
@@ -17,5 +17,5 @@
 pub use body::{BodyProgress, BodyReader, Framing};
 pub use head::{HeadError, HeadFields};
 pub use request::{RequestError, RequestHead, read_request};
-pub use response::{ResponseHead, read_response};
+pub use response::{ResponseHead, ResponseHeadReader};
 pub use write::{HeaderChanges, HopByHop, ResponseWriter, write_request_head};
--- a/crates/gateway/tests/http1.rs
+++ b/crates/gateway/tests/http1.rs
@@ -2,8 +2,8 @@
 #![allow(clippy::unwrap_used)]
 
 use gateway::http1::{
-    BodyProgress, BodyReader, Framing, HeadError, HeaderChanges, RequestError, read_request,
-    read_response, write_request_head,
+    BodyProgress, BodyReader, Framing, HeadError, HeaderChanges, RequestError, ResponseHeadReader,
+    read_request, write_request_head,
 };
 use rstest::rstest;
 
@@ -166,7 +166,10 @@
     #[case] framing: Framing,
     #[case] keeps: bool,
 ) {
-    let head = read_response(&mut text.as_bytes().to_vec(), has_body).unwrap().unwrap();
+    let head = ResponseHeadReader::new(has_body)
+        .read_from(&mut text.as_bytes().to_vec())
+        .unwrap()
+        .unwrap();
     assert_eq!((head.framing, head.keeps_alive), (framing, keeps));
 }
 
@@ -175,7 +178,7 @@
 #[case::no_beginning_of_http("HTTQ")]
 #[case::two_lengths("HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\n")]
 fn malformed_responses_are_refused(#[case] text: &str) {
-    assert!(read_response(&mut text.as_bytes().to_vec(), true).is_err());
+    assert!(ResponseHeadReader::new(true).read_from(&mut text.as_bytes().to_vec()).is_err());
 }
 
 /// Guards against trailers without end, which a caller may send for as long as it likes.
--- a/crates/gateway/tests/long_responses.rs
+++ b/crates/gateway/tests/long_responses.rs
@@ -4,7 +4,7 @@
 mod support;
 
 use domain::ByteCount;
-use gateway::http1::{BodyProgress, BodyReader, Framing, ResponseHead, read_response};
+use gateway::http1::{BodyProgress, BodyReader, Framing, ResponseHead, ResponseHeadReader};
 use gateway::memory::{HeldFor, HostMemory, MAX_HELD_BYTES};
 use gateway::run::Gateway;
 use rstest::rstest;
@@ -45,7 +45,7 @@
 async fn receive(stream: &mut TcpStream, buffer: &mut Vec<u8>) -> (ResponseHead, Vec<u8>, bool) {
     let receiving = async {
         let head = loop {
-            match read_response(buffer, true).unwrap() {
+            match ResponseHeadReader::new(true).read_from(buffer).unwrap() {
                 Some(head) => break head,
                 None => assert!(stream.read_buf(buffer).await.unwrap() > 0, "no head"),
             }
--- a/crates/gateway/tests/support/bodies.rs
+++ b/crates/gateway/tests/support/bodies.rs
@@ -4,7 +4,7 @@
 use super::upstream::StandInUpstream;
 use super::{WAIT_TIMEOUT, caller_address, routing, wait_until};
 use domain::{ByteCount, Millis};
-use gateway::http1::{BodyProgress, BodyReader, ResponseHead, read_response};
+use gateway::http1::{BodyProgress, BodyReader, ResponseHead, ResponseHeadReader};
 use gateway::memory::HostMemory;
 use gateway::run::Gateway;
 use std::cell::Cell;
@@ -110,7 +110,7 @@
 ) -> Option<(ResponseHead, Vec<u8>)> {
     let receiving = async {
         let head = loop {
-            match read_response(buffer, true).unwrap() {
+            match ResponseHeadReader::new(true).read_from(buffer).unwrap() {
                 Some(head) => break head,
                 None if stream.read_buf(buffer).await.ok()? == 0 => return None,
                 None => {}
--- a/crates/gateway/tests/support/caller.rs
+++ b/crates/gateway/tests/support/caller.rs
@@ -1,7 +1,7 @@
 //! A caller's connection.
 
 use super::WAIT_TIMEOUT;
-use gateway::http1::{BodyProgress, BodyReader, read_response};
+use gateway::http1::{BodyProgress, BodyReader, ResponseHeadReader};
 use std::net::{Ipv4Addr, SocketAddr};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
@@ -72,7 +72,10 @@
 
     async fn read(&mut self) -> Option<CallerResponse> {
         let head = loop {
-            match read_response(&mut self.buffer, true).expect("a malformed response") {
+            match ResponseHeadReader::new(true)
+                .read_from(&mut self.buffer)
+                .expect("a malformed response")
+            {
                 Some(head) => break head,
                 None => self.fill().await?,
             }
--- a/crates/gateway/tests/unread_headers.rs
+++ b/crates/gateway/tests/unread_headers.rs
@@ -3,7 +3,7 @@
 
 use domain::{Millis, UpstreamId};
 use gateway::dialect::Dialect;
-use gateway::http1::{HeadFields, read_response};
+use gateway::http1::{HeadFields, ResponseHeadReader};
 use gateway::unread_headers::{UnreadHeader, UnreadHeaderLog};
 use rstest::rstest;
 
@@ -11,7 +11,7 @@
 
 fn fields(lines: &str) -> HeadFields {
     let mut bytes = format!("HTTP/1.1 200 OK\r\n{lines}content-length: 0\r\n\r\n").into_bytes();
-    read_response(&mut bytes, true).unwrap().unwrap().fields
+    ResponseHeadReader::new(true).read_from(&mut bytes).unwrap().unwrap().fields
 }
 
 fn headers_to_log(
