A body that is passed on has to be read when its request is due

Cause: a request's time ended with the head of its response; then only 5 s without a byte ended it.

Change: what was not read when the request is due is broken off, visibly; the upstream is told by the close. The six tests of bodies without end failed before, the upstream not told after 10 s.

--- a/crates/gateway/src/event_log/values.rs
+++ b/crates/gateway/src/event_log/values.rs
@@ -36,6 +36,10 @@
     UpstreamStalled,
     /// The caller took nothing for too long.
     CallerStalled,
+    /// The upstream had not sent all of it when the request was due.
+    UpstreamTimedOut,
+    /// The same, as the caller had not taken what was sent.
+    CallerTimedOut,
     /// The caller disconnected.
     CallerGone,
 }
--- a/crates/gateway/src/ingress/responding.rs
+++ b/crates/gateway/src/ingress/responding.rs
@@ -8,7 +8,7 @@
 use crate::memory::HeldBytes;
 use crate::serve::{Reply, UpstreamResponse};
 use clock::Moment;
-use dispatch::attempts::{Cause, Refusal};
+use dispatch::attempts::Refusal;
 use std::time::Duration;
 
 /// Longest time to write a response to a caller.
@@ -34,15 +34,14 @@
                 self.last_active = Moment::now();
                 match ended {
                     Ok(()) => return should_close.then_some(SessionEnd::LastResponse),
-                    Err(broken) if broken.is_upstreams() && broken.written_bytes == 0 => {
-                        pending.break_off(broken);
-                        self.host.metrics.request_refused("", Cause::UpstreamFailed);
-                        Reply::Refused(Refusal::may_have_run(Cause::UpstreamFailed))
-                    }
                     Err(broken) => {
-                        let cause = broken.cause;
+                        let (cause, refusal_cause) = (broken.cause, broken.refusal_cause());
                         pending.break_off(broken);
-                        return Some(self.end_after_break(cause, framing));
+                        let Some(refusal_cause) = refusal_cause else {
+                            return Some(self.end_after_break(cause, framing));
+                        };
+                        self.host.metrics.request_refused("", refusal_cause);
+                        Reply::Refused(Refusal::may_have_run(refusal_cause))
                     }
                 }
             }
--- a/crates/gateway/src/ingress/streaming.rs
+++ b/crates/gateway/src/ingress/streaming.rs
@@ -1,7 +1,9 @@
 //! Passes a long response on to its caller, in pieces and with back-pressure.
 //!
 //! The upstream is read only while what is held for the response stays within its bound and the
-//! host has memory left. So a slow caller delays its own upstream only.
+//! host has memory left. So a slow caller delays its own upstream only. What was not read when the
+//! request is due isn't waited for: the upstream is told by the end of its connection, the caller by
+//! the missing rest.
 
 use super::Caller;
 use crate::connection::{BodyPart, LongBody};
@@ -10,6 +12,7 @@
 use crate::memory::HeldBytes;
 use crate::serve::{ResponseStream, STALL_LIMIT};
 use clock::Moment;
+use dispatch::attempts::Cause;
 use std::collections::VecDeque;
 use std::io::ErrorKind;
 
@@ -46,6 +49,8 @@
     /// Whether one more piece is read though no memory is left, as the response has waited for it
     /// for [`STALL_LIMIT`]. Applies only while there is nothing to write.
     may_exceed_bound: bool,
+    /// When the body must have been read.
+    due: Moment,
     /// When bytes were last read, or the upstream could not be read.
     last_read: Moment,
     /// When bytes were last written, or there was nothing to write.
@@ -62,9 +67,14 @@
 }
 
 impl BrokenTransfer {
-    /// Whether its upstream is the cause.
-    pub(super) fn is_upstreams(&self) -> bool {
-        matches!(self.cause, BreakCause::UpstreamBroke | BreakCause::UpstreamStalled)
+    /// The cause of a refusal in its place, if the caller got nothing and waits for it.
+    pub(super) fn refusal_cause(&self) -> Option<Cause> {
+        match self.cause {
+            _ if self.written_bytes > 0 => None,
+            BreakCause::UpstreamBroke | BreakCause::UpstreamStalled => Some(Cause::UpstreamFailed),
+            BreakCause::UpstreamTimedOut | BreakCause::CallerTimedOut => Some(Cause::TimedOut),
+            BreakCause::CallerStalled | BreakCause::CallerGone => None,
+        }
     }
 }
 
@@ -80,9 +90,11 @@
         waits_for_whole: bool,
     ) -> Transfer<'a> {
         let now = Moment::now();
+        let due = rest.due();
         let mut transfer = Transfer {
             caller,
             framing,
+            due,
             rest: Some(rest),
             out: head.into(),
             held,
@@ -111,6 +123,9 @@
             if self.rest.is_none() && self.out.is_empty() {
                 break Ok(());
             }
+            if let Some(cause) = self.overdue() {
+                break Err(cause);
+            }
             if let Err(cause) = self.wait().await {
                 break Err(cause);
             }
@@ -192,6 +207,15 @@
         self.rest.is_some() && may_grow
     }
 
+    /// Why the body was not read whole when it was due.
+    fn overdue(&self) -> Option<BreakCause> {
+        match self.rest.is_some() && self.due <= Moment::now() {
+            true if self.may_read() => Some(BreakCause::UpstreamTimedOut),
+            true => Some(BreakCause::CallerTimedOut),
+            false => None,
+        }
+    }
+
     /// Waits until there may be something to write or to read.
     async fn wait(&mut self) -> Result<(), BreakCause> {
         let now = Moment::now();
@@ -228,8 +252,10 @@
                 () = self.held.memory().responses_freed(), if rest.is_some() && !may_read => {}
             }
         };
-        match clock::timeout_at(stalled_at, progress).await {
+        let until = if rest.is_some() { stalled_at.min(self.due) } else { stalled_at };
+        match clock::timeout_at(until, progress).await {
             Ok(()) => Ok(()),
+            Err(_) if until < stalled_at => Ok(()),
             Err(_) if has_output && self.last_written <= self.last_read => {
                 Err(BreakCause::CallerStalled)
             }
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -312,6 +312,7 @@
                     outcome,
                     sent_ms,
                     head_ms: ended_ms,
+                    due_ms: self.end_ms,
                     guard: Some(guard),
                     request: Rc::clone(&self.request),
                     entry: entry.clone(),
--- a/crates/gateway/src/serve/response_stream.rs
+++ b/crates/gateway/src/serve/response_stream.rs
@@ -12,6 +12,7 @@
 use crate::http1::ResponseHead;
 use crate::memory::HeldBytes;
 use crate::quarantine::{self, BrokenAttempt, Trial};
+use clock::Moment;
 use dispatch::scheduler::Outcome;
 use dispatch::{AttemptFailure, RouteKey};
 use domain::{Millis, RequestFingerprint, ServiceName, UpstreamId};
@@ -69,6 +70,8 @@
     pub(super) sent_ms: Millis,
     /// When the head was complete.
     pub(super) head_ms: Millis,
+    /// When the body must be complete.
+    pub(super) due_ms: Millis,
     /// None once the attempt has ended.
     pub(super) guard: Option<AttemptGuard>,
     pub(super) request: Rc<Request>,
@@ -131,6 +134,11 @@
         self.body.held_bytes()
     }
 
+    /// When the body must be complete.
+    pub fn due(&self) -> Moment {
+        Moment::now() + self.attempt.host.clock.time_until(self.attempt.due_ms)
+    }
+
     /// Returns once there may be something to read.
     pub async fn ready(&self) {
         self.body.ready().await;
@@ -168,15 +176,21 @@
         }
         self.attempt.end(match cause {
             BreakCause::UpstreamBroke => Some(AttemptFailure::Disconnected),
-            BreakCause::UpstreamStalled => Some(AttemptFailure::TimedOut),
-            BreakCause::CallerStalled | BreakCause::CallerGone => None,
+            BreakCause::UpstreamStalled | BreakCause::UpstreamTimedOut => {
+                Some(AttemptFailure::TimedOut)
+            }
+            BreakCause::CallerStalled | BreakCause::CallerTimedOut | BreakCause::CallerGone => None,
         });
     }
 
     /// Reads the rest for a caller that disconnected, so that a request that runs at most once
-    /// isn't cancelled by the upstream.
+    /// isn't cancelled by the upstream; until it is due.
     pub async fn discard(mut self) {
+        let due = self.due();
         loop {
+            if due <= Moment::now() {
+                return self.break_off(BreakCause::UpstreamTimedOut, 0);
+            }
             if self.send().is_err() {
                 return self.break_off(BreakCause::UpstreamBroke, 0);
             }
@@ -189,7 +203,9 @@
                 BodyPart::Last(_) => return self.finish(),
                 BodyPart::Broken => return self.break_off(BreakCause::UpstreamBroke, 0),
             }
-            if clock::timeout(STALL_LIMIT, self.ready()).await.is_err() {
+            let stalled = Moment::now() + STALL_LIMIT;
+            let ready = clock::timeout_at(stalled.min(due), self.ready()).await;
+            if ready.is_err() && stalled < due {
                 return self.break_off(BreakCause::UpstreamStalled, 0);
             }
         }
--- a/crates/gateway/tests/endless_responses.rs
+++ b/crates/gateway/tests/endless_responses.rs
@@ -9,9 +9,11 @@
 use support::caller::{Caller, get};
 use support::upstream::{Behaviour, Endless, StandInUpstream};
 use support::{LogsOnFailure, caller_address, on_one_thread, ready, wait_until};
+use tokio::io::AsyncReadExt;
 
-/// How long the caller of an endless response waits.
+/// How long the caller of an endless response waits, and the time to end it.
 const DEADLINE: Duration = Duration::from_millis(600);
+const SLACK: Duration = Duration::from_millis(250);
 
 /// Most bytes that the sender of a malformed response gets rid of: what is read of it, and the
 /// sockets' buffers on both sides.
@@ -34,6 +36,52 @@
     (upstream, gateway, logs)
 }
 
+/// Reads until the connection ends.
+async fn read_to_end(caller: &mut Caller) {
+    let mut bytes = vec![0; 64 * 1024];
+    while matches!(caller.stream.read(&mut bytes).await, Ok(read) if read > 0) {}
+}
+
+/// Guards against a response whose body never ends, and which the host passes on past the time that
+/// its caller and its route allow.
+#[rstest]
+#[case::chunks(Endless::Chunks)]
+#[case::chunks_of_a_byte(Endless::SmallChunks)]
+#[case::without_a_length(Endless::Body)]
+fn a_body_without_end_is_broken_off_at_the_deadline(#[case] endless: Endless) {
+    on_one_thread(async move {
+        let (upstream, gateway, _logs) = start_with(endless).await;
+        let mut caller = Caller::connect(caller_address(&gateway)).await;
+        let begun = Instant::now();
+        caller.send(&order("endless")).await;
+        let ended = tokio::time::timeout(DEADLINE + SLACK, read_to_end(&mut caller)).await;
+        assert!(ended.is_ok(), "its caller still gets bytes");
+        assert!(begun.elapsed() > DEADLINE - SLACK);
+        wait_until("the upstream is told", || upstream.abandoned() == 1).await;
+        assert!(begun.elapsed() < DEADLINE + SLACK);
+    });
+}
+
+/// Guards against reading on for ever for a caller that left an order with an endless response.
+#[rstest]
+#[case::chunks(Endless::Chunks)]
+#[case::chunks_of_a_byte(Endless::SmallChunks)]
+#[case::without_a_length(Endless::Body)]
+fn a_body_without_end_is_not_read_on_for_a_caller_that_left(#[case] endless: Endless) {
+    on_one_thread(async move {
+        let (upstream, gateway, _logs) = start_with(endless).await;
+        let mut caller = Caller::connect(caller_address(&gateway)).await;
+        let begun = Instant::now();
+        caller.send(&order("endless")).await;
+        wait_until("it responds", || upstream.written() > 0).await;
+        drop(caller);
+        wait_until("the upstream is told", || upstream.abandoned() == 1).await;
+        assert!(begun.elapsed() < DEADLINE + SLACK, "{:?}", begun.elapsed());
+        let is_free = || gateway.host().open_requests.get() == 0;
+        wait_until("no request is open", is_free).await;
+    });
+}
+
 /// Guards against reading bytes that are no response until the deadline.
 #[rstest]
 #[case::interim_responses(Endless::Interim)]
