An upstream may be silent for as long as the request has time

Cause: a response that is passed on in pieces was broken off after 5 s without a byte, to get rid of upstreams that are gone.

--- a/crates/gateway/src/connection/long_body.rs
+++ b/crates/gateway/src/connection/long_body.rs
@@ -1,8 +1,19 @@
 //! Reads the body of a long response in pieces, whenever its reader asks for the next one.
+//!
+//! An upstream may work in silence for as long as the request has time. It is told from one that is
+//! gone by keep-alive probes, which the kernel of its machine acknowledges.
 
 use super::unsent::SendStep;
 use super::{Connection, ExchangeEnd, LongResponse, READ_BYTES, Unsent};
 use crate::http1::{BodyProgress, BodyReader, Framing};
+use socket2::{SockRef, TcpKeepalive};
+use std::time::Duration;
+
+/// Silence after which the other machine is probed, and time between two probes.
+const KEEPALIVE: TcpKeepalive = TcpKeepalive::new()
+    .with_time(Duration::from_secs(2))
+    .with_interval(Duration::from_secs(1))
+    .with_retries(3);
 
 /// The rest of a long response.
 #[derive(Debug)]
@@ -39,6 +50,8 @@
         let LongResponse { mut body, unsent, end, .. } = response;
         let first = body.take();
         let step = SendStep::Blocked;
+        // If it fails, a machine that is gone is noticed when the request is due.
+        let _ = SockRef::from(&connection.stream).set_tcp_keepalive(&KEEPALIVE);
         (LongBody { connection, reader: body, unsent, step, end }, first)
     }
 
@@ -67,16 +80,14 @@
         }
     }
 
-    /// Sends what is left of the request, as far as possible without waiting; returns whether any
-    /// of it was sent.
+    /// Sends what is left of the request, as far as possible without waiting.
     ///
     /// # Errors
     ///
     /// If the connection broke.
-    pub fn send(&mut self) -> std::io::Result<bool> {
-        let before = self.unsent.sent_bytes();
+    pub fn send(&mut self) -> std::io::Result<()> {
         self.step = self.unsent.send(&self.connection.stream)?;
-        Ok(self.unsent.sent_bytes() > before)
+        Ok(())
     }
 
     /// Reads once what has arrived.
@@ -97,6 +108,8 @@
 
     /// The connection after the body was read whole.
     pub fn into_connection(mut self) -> Connection {
+        // If it fails, an idle connection is probed, too.
+        let _ = SockRef::from(&self.connection.stream).set_keepalive(false);
         self.connection.finish(self.end, self.unsent.is_all_sent());
         self.connection
     }
--- a/crates/gateway/src/connection/unsent.rs
+++ b/crates/gateway/src/connection/unsent.rs
@@ -55,11 +55,6 @@
         Unsent { head, sent_of_head: 0, body, sent_bytes: 0 }
     }
 
-    /// Number of bytes that were sent.
-    pub fn sent_bytes(&self) -> usize {
-        self.sent_bytes
-    }
-
     /// Whether any byte was sent.
     pub fn is_begun(&self) -> bool {
         self.sent_bytes > 0
--- a/crates/gateway/src/event_log/values.rs
+++ b/crates/gateway/src/event_log/values.rs
@@ -32,8 +32,6 @@
 pub enum BreakCause {
     /// The upstream's connection broke, or the body's framing is malformed.
     UpstreamBroke,
-    /// The upstream sent nothing for too long.
-    UpstreamStalled,
     /// The caller took nothing for too long.
     CallerStalled,
     /// The upstream had not sent all of it when the request was due.
--- a/crates/gateway/src/ingress/streaming.rs
+++ b/crates/gateway/src/ingress/streaming.rs
@@ -10,15 +10,20 @@
 use crate::event_log::BreakCause;
 use crate::http1::{Framing, RequestHead};
 use crate::memory::HeldBytes;
-use crate::serve::{ResponseStream, STALL_LIMIT};
+use crate::serve::ResponseStream;
 use clock::Moment;
 use dispatch::attempts::Cause;
 use std::collections::VecDeque;
 use std::io::ErrorKind;
+use std::time::Duration;
 
 /// Most bytes by which one read makes a response grow: a piece, and the framing of a last chunk.
 const MAX_GROWTH_BYTES: usize = LongBody::READ_BYTES + 32;
 
+/// A response is broken off if its caller takes nothing for this time, and goes on without memory
+/// for it if it has waited for that long.
+const STALL_LIMIT: Duration = Duration::from_secs(5);
+
 /// Steps of a transfer before other tasks get a turn; each reads one piece at most.
 const STEPS_PER_TURN: u32 = 4;
 
@@ -51,8 +56,6 @@
     may_exceed_bound: bool,
     /// When the body must have been read.
     due: Moment,
-    /// When bytes were last read, or the upstream could not be read.
-    last_read: Moment,
     /// When bytes were last written, or there was nothing to write.
     last_written: Moment,
 }
@@ -71,7 +74,7 @@
     pub(super) fn refusal_cause(&self) -> Option<Cause> {
         match self.cause {
             _ if self.written_bytes > 0 => None,
-            BreakCause::UpstreamBroke | BreakCause::UpstreamStalled => Some(Cause::UpstreamFailed),
+            BreakCause::UpstreamBroke => Some(Cause::UpstreamFailed),
             BreakCause::UpstreamTimedOut | BreakCause::CallerTimedOut => Some(Cause::TimedOut),
             BreakCause::CallerStalled | BreakCause::CallerGone => None,
         }
@@ -101,7 +104,6 @@
             waits_for_whole,
             written_bytes: 0,
             may_exceed_bound: false,
-            last_read: now,
             last_written: now,
         };
         transfer.push(&first);
@@ -148,11 +150,7 @@
     /// Sends what is left of the request.
     fn send(&mut self) -> Result<(), BreakCause> {
         let Some(rest) = &mut self.rest else { return Ok(()) };
-        if rest.send().map_err(|_| BreakCause::UpstreamBroke)? {
-            // The upstream may respond only to what it has received.
-            self.last_read = Moment::now();
-        }
-        Ok(())
+        rest.send().map_err(|_| BreakCause::UpstreamBroke)
     }
 
     fn write(&mut self) -> Result<(), BreakCause> {
@@ -179,7 +177,6 @@
         match rest.read() {
             BodyPart::Pending => {}
             BodyPart::Bytes(bytes) => {
-                self.last_read = Moment::now();
                 self.may_exceed_bound = false;
                 self.push(&bytes);
             }
@@ -221,14 +218,10 @@
         let now = Moment::now();
         let has_output = self.may_write();
         let may_read = self.may_read();
-        // Only the time for which a side could make progress counts.
         if !has_output {
             self.last_written = now;
         }
-        if !may_read {
-            self.last_read = now;
-        }
-        let stalled_at = self.last_written.min(self.last_read) + STALL_LIMIT;
+        let until = self.wait_until(has_output, may_read);
         let rest = self.rest.as_ref();
         let readable = async {
             match rest {
@@ -252,14 +245,13 @@
                 () = self.held.memory().responses_freed(), if rest.is_some() && !may_read => {}
             }
         };
-        let until = if rest.is_some() { stalled_at.min(self.due) } else { stalled_at };
-        match clock::timeout_at(until, progress).await {
+        let ready = clock::timeout_at(until, progress).await;
+        let is_due = rest.is_some() && self.due <= Moment::now();
+        match ready {
             Ok(()) => Ok(()),
-            Err(_) if until < stalled_at => Ok(()),
-            Err(_) if has_output && self.last_written <= self.last_read => {
-                Err(BreakCause::CallerStalled)
-            }
-            Err(_) if may_read => Err(BreakCause::UpstreamStalled),
+            // What follows is decided by [`Transfer::overdue`].
+            Err(_) if is_due => Ok(()),
+            Err(_) if has_output => Err(BreakCause::CallerStalled),
             // The response only waits for memory, which a response that is pipelined behind it may
             // hold.
             Err(_) => {
@@ -269,6 +261,16 @@
         }
     }
 
+    /// Until when the next wait lasts at most. An upstream may be silent until the body is due.
+    fn wait_until(&self, has_output: bool, may_read: bool) -> Moment {
+        let stalled = self.last_written + STALL_LIMIT;
+        match self.rest {
+            Some(_) if may_read && !has_output => self.due,
+            Some(_) => stalled.min(self.due),
+            None => stalled,
+        }
+    }
+
     /// Adds bytes of the body, in the framing for the caller.
     fn push(&mut self, bytes: &[u8]) {
         if bytes.is_empty() {
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -14,7 +14,7 @@
 mod time_left;
 
 pub use fingerprint::fingerprint;
-pub use response_stream::{ResponseStream, STALL_LIMIT, UpstreamResponse};
+pub use response_stream::{ResponseStream, UpstreamResponse};
 
 use crate::event_log::LogEvent;
 use crate::host::Host;
--- a/crates/gateway/src/serve/response_stream.rs
+++ b/crates/gateway/src/serve/response_stream.rs
@@ -20,11 +20,6 @@
 use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
-
-/// A response is broken off if its upstream sends nothing, or its caller takes nothing, for this
-/// time.
-pub const STALL_LIMIT: Duration = Duration::from_secs(5);
 
 /// A load report that is older than this when the body ends is no longer recorded.
 const REPORT_CURRENT_MS: Millis = Millis(100);
@@ -150,7 +145,7 @@
     }
 
     /// See [`LongBody::send`].
-    pub fn send(&mut self) -> std::io::Result<bool> {
+    pub fn send(&mut self) -> std::io::Result<()> {
         self.body.send()
     }
 
@@ -176,9 +171,7 @@
         }
         self.attempt.end(match cause {
             BreakCause::UpstreamBroke => Some(AttemptFailure::Disconnected),
-            BreakCause::UpstreamStalled | BreakCause::UpstreamTimedOut => {
-                Some(AttemptFailure::TimedOut)
-            }
+            BreakCause::UpstreamTimedOut => Some(AttemptFailure::TimedOut),
             BreakCause::CallerStalled | BreakCause::CallerTimedOut | BreakCause::CallerGone => None,
         });
     }
@@ -203,11 +196,8 @@
                 BodyPart::Last(_) => return self.finish(),
                 BodyPart::Broken => return self.break_off(BreakCause::UpstreamBroke, 0),
             }
-            let stalled = Moment::now() + STALL_LIMIT;
-            let ready = clock::timeout_at(stalled.min(due), self.ready()).await;
-            if ready.is_err() && stalled < due {
-                return self.break_off(BreakCause::UpstreamStalled, 0);
-            }
+            // Whether it is overdue is looked at first of all.
+            let _ = clock::timeout_at(due, self.ready()).await;
         }
     }
 }
