No order is sent behind a probe that was answered without a name

Cause: a full upstream rejects a probe without naming anybody. A late copy of that could not be told from the rejection of an order that was sent on the connection meanwhile.

Change: such a connection carries no request that runs at most once; it opens another one. Requests that may be repeated use it as before.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -7,7 +7,8 @@
 //! A response on a kept connection may belong to an earlier request: upstreams repeat responses,
 //! and send late ones. So nothing is sent on a connection with unread bytes; a response that names
 //! another request is skipped; and one that names none is taken only where no earlier request was
-//! answered.
+//! answered. A rejected probe names nobody, and a copy of the rejection could not be told from that
+//! of a request: no request that runs at most once is sent behind it.
 
 mod exchange;
 mod long_body;
@@ -26,7 +27,7 @@
 use crate::tunnel::Tunnel;
 use clock::Moment;
 use domain::Millis;
-use published::RunStart;
+use published::{Idempotency, RunStart};
 use response_reader::ResponseReader;
 use std::io::{self, ErrorKind};
 use std::mem::MaybeUninit;
@@ -74,6 +75,8 @@
     is_reusable: bool,
     is_doubtful: bool,
     answered: Answered,
+    /// Whether a probe was answered without a name.
+    has_unnamed_answer: bool,
     run: RunStart,
 }
 
@@ -114,6 +117,7 @@
             is_reusable: true,
             is_doubtful: false,
             answered: Answered::Nothing,
+            has_unnamed_answer: false,
             run: RunStart::default(),
         })
     }
@@ -130,6 +134,7 @@
             last_used: Moment::now(),
             idle_limit: DEFAULT_IDLE,
             answered: Answered::Nothing,
+            has_unnamed_answer: false,
             ..self
         }
     }
@@ -175,6 +180,15 @@
         self.is_doubtful
     }
 
+    /// Whether a request may be sent on it: the response to one that runs at most once must not be
+    /// taken for another's.
+    pub fn suits(&self, idempotency: Idempotency) -> bool {
+        match idempotency {
+            Idempotency::Idempotent => true,
+            Idempotency::AtMostOnce => !self.has_unnamed_answer,
+        }
+    }
+
     /// Whether it may be returned to the pool.
     pub fn is_reusable(&self) -> bool {
         self.is_reusable
@@ -323,6 +337,7 @@
         self.last_used = Moment::now();
         self.idle_limit = end.idle_limit;
         self.answered = end.answered;
+        self.has_unnamed_answer |= end.is_unnamed;
         self.is_reusable = end.may_reuse && is_all_sent && self.buffer.is_empty();
         self.is_doubtful = end.is_doubtful;
         release_if_empty(&mut self.buffer);
@@ -336,6 +351,8 @@
     idle_limit: Duration,
     /// What was answered on the connection, including this response.
     answered: Answered,
+    /// Whether this is the response to a probe, and names nobody.
+    is_unnamed: bool,
     /// Whether nothing in the head prevents another exchange.
     may_reuse: bool,
     /// Whether the status is an error.
@@ -346,6 +363,8 @@
     fn new(head: &ResponseHead, expected: &Expected<'_>, before: Answered) -> ExchangeEnd {
         let request = expected.naming.filter(|naming| naming.sent != Sent::Probe);
         let is_named = request.is_none_or(|naming| head.fields.get(naming.header).is_some());
+        let probe = expected.naming.filter(|naming| naming.sent == Sent::Probe);
+        let is_unnamed = probe.is_some_and(|naming| head.fields.get(naming.probe_header).is_none());
         let answered = match (request, before) {
             (Some(_), _) => Answered::Named,
             (None, Answered::Nothing) => Answered::Probes,
@@ -354,6 +373,7 @@
         ExchangeEnd {
             idle_limit: stated_idle(head).unwrap_or(DEFAULT_IDLE),
             answered,
+            is_unnamed,
             may_reuse: head.keeps_alive && is_named,
             is_doubtful: head.status >= 400,
         }
--- a/crates/gateway/src/probe/connect.rs
+++ b/crates/gateway/src/probe/connect.rs
@@ -32,7 +32,7 @@
 ) -> Result<Connection, ProbeFailure> {
     let run = host.upstreams.borrow().current_run(upstream);
     let pooled = host.pool.borrow_mut().take(upstream, run);
-    match pooled {
+    match pooled.filter(|connection| connection.suits(idempotency)) {
         Some(connection)
             if is_trusted(&connection, idempotency)
                 && !connection.is_doubtful()
@@ -41,7 +41,8 @@
             return Ok(connection);
         }
         Some(connection) => {
-            if let Some(connection) = verify(host, (upstream, run), connection).await {
+            let verified = verify(host, (upstream, run), connection).await;
+            if let Some(connection) = verified.filter(|it| it.suits(idempotency)) {
                 return Ok(connection);
             }
         }
@@ -49,7 +50,10 @@
     }
     let opened = open(host, (upstream, run), Check::IfDoubtful).await;
     opened
-        .map(|opened| opened.connection)
+        .and_then(|opened| match opened.connection.suits(idempotency) {
+            true => Ok(opened.connection),
+            false => Err(ProbeFailure::Unwell),
+        })
         .inspect_err(|failure| record_failure(host, (upstream, run), *failure))
 }
 
--- a/crates/gateway/src/serve/selection.rs
+++ b/crates/gateway/src/serve/selection.rs
@@ -68,7 +68,8 @@
             let selected = self.select_upstream(begun_ms, counts).await?;
             self.check_time(self.host.now_ms(), counts)?;
             let Some(mut selected) = selected else { break };
-            let connection = match selected.connection.take() {
+            let probed = selected.connection.take();
+            let connection = match probed.filter(|it| it.suits(self.route().idempotency)) {
                 Some(connection) => Ok(connection),
                 None => {
                     probe::connect(&self.host, &selected.upstream, self.route().idempotency).await
--- a/crates/gateway/tests/stray_responses.rs
+++ b/crates/gateway/tests/stray_responses.rs
@@ -48,6 +48,28 @@
     });
 }
 
+/// Guards against taking the copy of a rejected probe, which names nobody, for proof that an order
+/// on the same connection did not run: it would run twice, or be refused though it ran.
+#[rstest]
+fn the_copy_of_a_rejected_probe_proves_nothing_about_an_order(#[values(1, 10, 30)] pause_ms: u64) {
+    on_one_thread(async move {
+        let upstream = StandInUpstream::start("i-1").await;
+        let (gateway, _published) = ready(&[&upstream]).await;
+        upstream.reject_health_twice(pause_ms);
+        for number in 0..10 {
+            let id = format!("id-{number}");
+            let mut caller = Caller::connect(caller_address(&gateway)).await;
+            let got = caller.exchange(&post("/once/x", &id, "{}")).await;
+            // A late run would be seen by then.
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            let runs = upstream.requests().iter().filter(|request| request.id == id).count();
+            let is_promised = matches!(got.status, 408 | 421 | 429 | 503);
+            assert!(runs <= 1 && !(is_promised && runs > 0), "{number}: {got:?}, {runs} runs");
+            assert_eq!(got.status, 200, "{got:?}");
+        }
+    });
+}
+
 /// Guards against taking an unnamed refusal, which may be another request's, for proof that an
 /// at-most-once request did not run.
 #[test]
--- a/crates/gateway/tests/support/upstream.rs
+++ b/crates/gateway/tests/support/upstream.rs
@@ -227,6 +227,8 @@
     is_silent: Cell<bool>,
     repeats_health: Cell<bool>,
     endless_health: Cell<Option<Endless>>,
+    /// Rejects probes without a name, and sends each rejection again after this time.
+    rejects_health_twice_ms: Cell<Option<u64>>,
     work_ms: Cell<u64>,
     probes: Cell<u32>,
     connections: Cell<u32>,
@@ -296,6 +298,7 @@
             is_silent: Cell::new(false),
             repeats_health: Cell::new(false),
             endless_health: Cell::new(None),
+            rejects_health_twice_ms: Cell::new(None),
             work_ms: Cell::new(0),
             probes: Cell::new(0),
             connections: Cell::new(0),
@@ -513,6 +516,12 @@
         self.state.endless_health.set(endless);
     }
 
+    /// From now on it rejects probes without a name, and sends each rejection again after this time,
+    /// in milliseconds, whatever has arrived by then.
+    pub fn reject_health_twice(&self, pause_ms: u64) {
+        self.state.rejects_health_twice_ms.set(Some(pause_ms));
+    }
+
     /// From now on it sends each response to a probe twice.
     pub fn repeat_health(&self) {
         self.state.repeats_health.set(true);
@@ -587,6 +596,13 @@
                     let lines = format!("x-upstream: {}\r\n", self.state.id);
                     return self.send_endlessly(&mut stream, endless, &lines).await;
                 }
+                if let Some(pause_ms) = self.state.rejects_health_twice_ms.get() {
+                    let rejection = self.refusal("");
+                    let _ = stream.write_all(&rejection).await;
+                    tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+                    let _ = stream.write_all(&rejection).await;
+                    continue;
+                }
                 if stream.write_all(&self.health()).await.is_err() {
                     return;
                 }
