An order whose upstream reads slowly has its time

Cause: TCP_USER_TIMEOUT, which is to notice machines that are gone, also counts the time for which the other side's window is closed, however it acknowledges.

Change: the exchange of a request that runs at most once with a body that does not fit the sockets gives the other side as long as the request has time.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -26,9 +26,9 @@
 use crate::memory::{RECEIVE_BUFFER_BYTES, release_if_empty};
 use crate::tunnel::Tunnel;
 use clock::Moment;
-use domain::Millis;
 use published::{Idempotency, RunStart};
 use response_reader::ResponseReader;
+use socket2::SockRef;
 use std::io::{self, ErrorKind};
 use std::mem::MaybeUninit;
 use std::net::{IpAddr, SocketAddr};
@@ -45,8 +45,8 @@
 const READS_PER_TURN: u32 = 4;
 
 /// A connection ends if sent bytes aren't acknowledged for this time, as when the other machine has
-/// lost power.
-const UNACKNOWLEDGED_MS: Millis = Millis(3_000);
+/// lost power; or if its window is closed for so long.
+const UNACKNOWLEDGED: Duration = Duration::from_secs(3);
 
 /// Idle time after which a connection isn't reused, if the upstream states no `keep-alive` timeout.
 const DEFAULT_IDLE: Duration = Duration::from_secs(8);
@@ -77,6 +77,8 @@
     answered: Answered,
     /// Whether a probe was answered without a name.
     has_unnamed_answer: bool,
+    /// Whether the present exchange waits longer than others for a window to open.
+    awaits_window: bool,
     run: RunStart,
 }
 
@@ -106,8 +108,7 @@
         let connecting = clock::timeout(within, socket.connect(address));
         let stream = connecting.await.map_err(|_| io::Error::from(ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
-        let unacknowledged = Duration::from_millis(UNACKNOWLEDGED_MS.0);
-        socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(unacknowledged))?;
+        SockRef::from(&stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
         Ok(Connection {
             path: Path::Direct,
             stream,
@@ -118,6 +119,7 @@
             is_doubtful: false,
             answered: Answered::Nothing,
             has_unnamed_answer: false,
+            awaits_window: false,
             run: RunStart::default(),
         })
     }
@@ -194,6 +196,15 @@
         self.is_reusable
     }
 
+    /// Lets the other side keep its window closed for this time in the next exchange: it may read
+    /// slowly. A machine that is gone is noticed as late.
+    pub fn await_window(&mut self, longest: Duration) {
+        let longest = longest.max(UNACKNOWLEDGED);
+        // If it fails, the exchange ends earlier.
+        self.awaits_window =
+            SockRef::from(&self.stream).set_tcp_user_timeout(Some(longest)).is_ok();
+    }
+
     /// Sends a request and waits for its complete response. If the future is dropped midway, the
     /// connection must be dropped, too; most upstreams take that as a cancellation.
     pub async fn exchange(
@@ -300,7 +311,7 @@
     /// Asks the kernel: the runtime learns of it only when it next waits for events.
     fn is_silent(&self) -> bool {
         let mut byte = [MaybeUninit::uninit()];
-        let peeked = socket2::SockRef::from(&self.stream).peek(&mut byte);
+        let peeked = SockRef::from(&self.stream).peek(&mut byte);
         self.buffer.is_empty() && matches!(peeked, Err(e) if e.kind() == ErrorKind::WouldBlock)
     }
 
@@ -335,6 +346,10 @@
     /// a copy.
     fn finish(&mut self, end: ExchangeEnd, is_all_sent: bool) {
         self.last_used = Moment::now();
+        if std::mem::take(&mut self.awaits_window) {
+            // If it fails, a machine that is gone is noticed later.
+            let _ = SockRef::from(&self.stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED));
+        }
         self.idle_limit = end.idle_limit;
         self.answered = end.answered;
         self.has_unnamed_answer |= end.is_unnamed;
--- a/crates/gateway/src/connection/unsent.rs
+++ b/crates/gateway/src/connection/unsent.rs
@@ -55,6 +55,11 @@
         Unsent { head, sent_of_head: 0, body, sent_bytes: 0 }
     }
 
+    /// Whether a body follows that may be longer than what the sockets buffer.
+    pub fn has_long_body(&self) -> bool {
+        matches!(self.body, UnsentBody::Of { .. })
+    }
+
     /// Whether any byte was sent.
     pub fn is_begun(&self) -> bool {
         self.sent_bytes > 0
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -263,6 +263,10 @@
         if self.request.body.is_awaited() {
             guard.release_slot();
         }
+        // Where it can be sent again, another upstream may read it faster.
+        if unsent.has_long_body() && self.route().idempotency == Idempotency::AtMostOnce {
+            connection.await_window(self.host.clock.time_until(self.end_ms));
+        }
         let held = self.host.memory.hold(HeldFor::Responses);
         let streaming = Streaming { held: &held };
         let is_direct = *connection.path() == Path::Direct;
--- a/crates/gateway/tests/support/upstream.rs
+++ b/crates/gateway/tests/support/upstream.rs
@@ -70,6 +70,8 @@
     EarlyResponse,
     /// A response that repeats the body while it arrives.
     Echo,
+    /// A complete response to a body that it begins to read after this time, in milliseconds.
+    LateReader(u64),
     /// A crash of its process this time, in milliseconds, after it started to run the request.
     Crash(u64),
     /// A crash after which its port accepts connections for this time, in milliseconds.
@@ -641,6 +643,9 @@
             if matches!(behaviour, Behaviour::Echo) {
                 return self.echo(&mut stream, &mut buffer, head.framing, &request.id).await;
             }
+            if let Behaviour::LateReader(ms) = behaviour {
+                tokio::time::sleep(Duration::from_millis(ms)).await;
+            }
             let mut body = BodyReader::new(head.framing, MAX_BODY_BYTES);
             while body.read_from(&mut buffer) != Ok(BodyProgress::Whole) {
                 match stream.read_buf(&mut buffer).await {
@@ -698,7 +703,10 @@
         tokio::time::sleep(Duration::from_millis(self.state.work_ms.get())).await;
         let complete = self.response(200, id, true);
         let bytes = match behaviour {
-            Behaviour::Respond | Behaviour::EarlyResponse | Behaviour::Echo => complete,
+            Behaviour::Respond
+            | Behaviour::EarlyResponse
+            | Behaviour::Echo
+            | Behaviour::LateReader(_) => complete,
             Behaviour::Slow(ms) => {
                 let mut byte = [0];
                 tokio::select! {
