--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -11,6 +11,7 @@
 //! of a request: no request that runs at most once is sent behind it.
 
 mod exchange;
+mod exchange_end;
 mod long_body;
 mod response_reader;
 mod unsent;
@@ -22,10 +23,10 @@
 pub use long_body::{BodyPart, LongBody};
 pub use unsent::Unsent;
 
-use crate::http1::ResponseHead;
 use crate::memory::{RECEIVE_BUFFER_BYTES, release_if_empty};
 use crate::tunnel::Tunnel;
 use clock::Moment;
+use exchange_end::{Answered, DEFAULT_IDLE, ExchangeEnd};
 use published::{Idempotency, RunStart};
 use response_reader::ResponseReader;
 use socket2::SockRef;
@@ -48,13 +49,6 @@
 /// lost power; or if its window is closed for so long.
 const UNACKNOWLEDGED: Duration = Duration::from_secs(3);
 
-/// Idle time after which a connection isn't reused, if the upstream states no `keep-alive` timeout.
-const DEFAULT_IDLE: Duration = Duration::from_secs(8);
-
-/// Share of a stated idle time for which a connection is reused. One that was idle for long is
-/// probed first, so an early close costs no request.
-const IDLE_SHARE: f64 = 0.9;
-
 /// How a connection leads to its upstream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Path {
@@ -82,16 +76,6 @@
     run: RunStart,
 }
 
-/// What was answered on a connection so far.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Answered {
-    Nothing,
-    /// Requests without an id.
-    Probes,
-    /// A request, by a response that names it.
-    Named,
-}
-
 impl Connection {
     /// Opens a connection, with a timeout; from this address of the host, or any of them.
     pub async fn open(
@@ -359,49 +343,6 @@
     }
 }
 
-/// What the head of a response says about the next exchange on its connection.
-#[derive(Debug, Clone, Copy)]
-struct ExchangeEnd {
-    /// How long the connection may be idle.
-    idle_limit: Duration,
-    /// What was answered on the connection, including this response.
-    answered: Answered,
-    /// Whether this is the response to a probe, and names nobody.
-    is_unnamed: bool,
-    /// Whether nothing in the head prevents another exchange.
-    may_reuse: bool,
-    /// Whether the status is an error.
-    is_doubtful: bool,
-}
-
-impl ExchangeEnd {
-    fn new(head: &ResponseHead, expected: &Expected<'_>, before: Answered) -> ExchangeEnd {
-        let request = expected.naming.filter(|naming| naming.sent != Sent::Probe);
-        let is_named = request.is_none_or(|naming| head.fields.get(naming.header).is_some());
-        let probe = expected.naming.filter(|naming| naming.sent == Sent::Probe);
-        let is_unnamed = probe.is_some_and(|naming| head.fields.get(naming.probe_header).is_none());
-        let answered = match (request, before) {
-            (Some(_), _) => Answered::Named,
-            (None, Answered::Nothing) => Answered::Probes,
-            (None, answered) => answered,
-        };
-        ExchangeEnd {
-            idle_limit: stated_idle(head).unwrap_or(DEFAULT_IDLE),
-            answered,
-            is_unnamed,
-            may_reuse: head.keeps_alive && is_named,
-            is_doubtful: head.status >= 400,
-        }
-    }
-}
-
 fn broken(was_sent: bool) -> ExchangeError {
     if was_sent { ExchangeError::Broken } else { ExchangeError::NotSent }
 }
-
-fn stated_idle(head: &ResponseHead) -> Option<Duration> {
-    let value = head.fields.get("keep-alive")?;
-    let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
-    let seconds: f64 = seconds.trim().parse().ok()?;
-    (0.0..1e6).contains(&seconds).then(|| Duration::from_secs_f64(seconds * IDLE_SHARE))
-}
--- a/crates/gateway/src/serve.rs
+++ b/crates/gateway/src/serve.rs
@@ -4,6 +4,7 @@
 mod attempt;
 mod attempt_end;
 mod attempt_guard;
+mod attempt_request;
 mod authentication;
 mod fingerprint;
 mod rejection;
--- a/crates/gateway/src/serve/attempt.rs
+++ b/crates/gateway/src/serve/attempt.rs
@@ -2,29 +2,26 @@
 
 use super::attempt_end::{EndedAttempt, ErrorResponse, failure_of};
 use super::attempt_guard::AttemptGuard;
-use super::authentication::is_withheld;
 use super::response_stream::{ResponseStream, StreamedAttempt, UpstreamResponse};
 use super::retry_permit::RetryPermit;
 use super::selection::Selected;
 use super::time_left::stopping_refusal;
-use super::{Reply, Request, RoutedRequest};
+use super::{Reply, RoutedRequest};
 use crate::backpressure;
 use crate::connection::{
     Connection, ExchangeError, Expected, LongBody, LongResponse, MAX_BODY_BYTES, Path, Received,
     Response, Sent, Streaming, Unsent,
 };
-use crate::event_log::{LogEvent, ResponseTo, RetryCharge};
+use crate::event_log::{ResponseTo, RetryCharge};
 use crate::host::to_duration;
-use crate::http1::{HeaderChanges, ResponseHead, write_request_head};
 use crate::links;
 use crate::memory::{HeldBytes, HeldFor};
 use crate::probe;
 use crate::quarantine::{self, BrokenAttempt, Trial};
-use crate::request_body::{PREFIX_BYTES, RequestBody};
-use dispatch::attempts::{self, AttemptResult, Cause, Refusal, ResponseSummary};
+use dispatch::MAX_SILENCE_MS;
+use dispatch::attempts::{AttemptResult, Cause, Refusal};
 use dispatch::backpressure::Backpressure;
 use dispatch::scheduler::Outcome;
-use dispatch::{MAX_SILENCE_MS, RouteKey};
 use domain::{Millis, UpstreamId};
 use published::{Idempotency, Route};
 use std::rc::Rc;
@@ -176,74 +173,6 @@
         Ok(Attempt { selected, connection, unsent, held, guard, sent_ms: now_ms, trial })
     }
 
-    fn log_attempt(
-        &self,
-        selected: &Selected,
-        connection: &Connection,
-        now_ms: Millis,
-        counts: &AttemptCounts,
-    ) {
-        let charge = (counts.sent > 1).then_some(counts.charge);
-        self.host.metrics.attempt_sent(&self.service, charge);
-        let (is_other_zone, warmth) = {
-            let upstreams = self.host.upstreams.borrow();
-            let known = upstreams.get(&selected.upstream);
-            (
-                upstreams.is_in_other_zone(&selected.upstream),
-                known.map(|known| known.warmth(now_ms)),
-            )
-        };
-        self.host.log.write(&LogEvent::Chosen {
-            id: &self.id,
-            upstream: &selected.upstream,
-            expected_work: rounded(selected.work),
-            cost: rounded(selected.cost),
-            by: selected.by.clone(),
-            report_age_ms: selected.report_age_ms,
-            waited_ms: now_ms.since(selected.begun_ms),
-            is_other_zone,
-            warmth,
-        });
-        self.host.log.write(&LogEvent::Sent {
-            id: &self.id,
-            upstream: &selected.upstream,
-            sending: counts.sent,
-            charge,
-            left_ms: self.end_ms.since(now_ms),
-            tunnel: match connection.path() {
-                Path::Direct => None,
-                Path::Tunnel(tunnel) => Some(&tunnel.id),
-            },
-        });
-    }
-
-    /// Returns the head of an attempt, which includes a small body, and the request if its body
-    /// follows.
-    fn encode(&self, upstream: &UpstreamId, now_ms: Millis) -> (Vec<u8>, Option<Rc<Request>>) {
-        let left_ms = self.end_ms.since(now_ms).0.max(1).to_string();
-        let dialect = &self.host.dialect;
-        let mut added = vec![
-            (dialect.deadline_ms, left_ms.as_str()),
-            (dialect.expected_upstream, upstream.as_str()),
-        ];
-        if let Some(organisation) = &self.organisation {
-            added.push((dialect.organisation, organisation.name.as_str()));
-        }
-        let is_dropped = |name: &str, value: &[u8]| is_withheld(&self.table, dialect, name, value);
-        let changes = HeaderChanges { added: &added, is_dropped: &is_dropped };
-        let Request { head, body, .. } = &*self.request;
-        let mut bytes = write_request_head(head, body.framing(), &changes);
-        match body {
-            RequestBody::Whole(segments) if segments.len() <= PREFIX_BYTES => {
-                bytes.extend_from_slice(&segments.prefix(PREFIX_BYTES));
-                (bytes, None)
-            }
-            RequestBody::Whole(_) | RequestBody::Streamed(_) => {
-                (bytes, Some(Rc::clone(&self.request)))
-            }
-        }
-    }
-
     async fn send(&self, attempt: Attempt) -> EndedAttempt {
         let Attempt {
             selected,
@@ -378,52 +307,6 @@
             () = guard.upstream_restarted() => Err(ExchangeError::Broken),
         }
     }
-
-    /// Tells how an attempt ended by the result of its exchange, and logs a response that names no
-    /// request.
-    fn attempt_result(
-        &self,
-        upstream: &UpstreamId,
-        result: Result<Received, ExchangeError>,
-    ) -> (AttemptResult, Option<Received>) {
-        match result {
-            Ok(received) => {
-                (AttemptResult::Answered(self.summarize(received.head())), Some(received))
-            }
-            Err(ExchangeError::NotSent) => (AttemptResult::NotSent, None),
-            Err(ExchangeError::Unnamed) => {
-                self.host.log.write(&LogEvent::AnswerUnnamed { id: &self.id, upstream });
-                (AttemptResult::Broken, None)
-            }
-            Err(ExchangeError::Broken | ExchangeError::Silent | ExchangeError::Garbled) => {
-                (AttemptResult::Broken, None)
-            }
-        }
-    }
-
-    /// Records whether the route's last delivered response was long.
-    fn record_length(&self, received: Option<&Received>, end: AttemptResult) {
-        if let (Some(received), AttemptResult::Answered(summary)) = (received, end)
-            && attempts::is_final(summary)
-        {
-            let route = RouteKey::of(&self.route().name);
-            let is_long = received.is_long();
-            self.host.long_routes.borrow_mut().record_response(route, is_long);
-        }
-    }
-
-    fn summarize(&self, head: &ResponseHead) -> ResponseSummary {
-        let fields = &head.fields;
-        let dialect = &self.host.dialect;
-        let status = head.status;
-        let not_run = status == backpressure::MISDIRECTED || fields.get(dialect.not_run).is_some();
-        let is_plain = fields.get("content-encoding").is_none();
-        ResponseSummary {
-            status,
-            not_run,
-            is_sealed: fields.get(dialect.seal).is_some() && is_plain,
-        }
-    }
 }
 
 /// A long response, whose rest is read while it is passed on.
@@ -437,8 +320,3 @@
     let (body, first) = LongBody::new(connection, response);
     UpstreamResponse { head, body: first, held, rest: Some(ResponseStream::new(body, attempt)) }
 }
-
-/// Rounds to two decimal places for logs.
-fn rounded(figure: f64) -> f64 {
-    (figure * 100.0).round() / 100.0
-}
--- a/crates/gateway/src/serve/attempt_end.rs
+++ b/crates/gateway/src/serve/attempt_end.rs
@@ -3,12 +3,17 @@
 use super::attempt::AttemptCounts;
 use super::retry_permit::RetryPermit;
 use super::{Reply, RoutedRequest, UpstreamResponse};
+use crate::backpressure;
+use crate::connection::{ExchangeError, Received};
 use crate::event_log::{LogEvent, RetryCharge};
 use crate::host::to_duration;
+use crate::http1::ResponseHead;
 use crate::quarantine::Trial;
-use dispatch::AttemptFailure;
-use dispatch::attempts::{self, AttemptResult, AttemptState, Cause, NextStep, Refusal};
+use dispatch::attempts::{
+    self, AttemptResult, AttemptState, Cause, NextStep, Refusal, ResponseSummary,
+};
 use dispatch::retry_budget::RetryAccount;
+use dispatch::{AttemptFailure, RouteKey};
 use domain::{Millis, UpstreamId};
 
 /// An attempt that ended.
@@ -29,6 +34,52 @@
 }
 
 impl RoutedRequest {
+    /// Tells how an attempt ended by the result of its exchange, and logs a response that names no
+    /// request.
+    pub(super) fn attempt_result(
+        &self,
+        upstream: &UpstreamId,
+        result: Result<Received, ExchangeError>,
+    ) -> (AttemptResult, Option<Received>) {
+        match result {
+            Ok(received) => {
+                (AttemptResult::Answered(self.summarize(received.head())), Some(received))
+            }
+            Err(ExchangeError::NotSent) => (AttemptResult::NotSent, None),
+            Err(ExchangeError::Unnamed) => {
+                self.host.log.write(&LogEvent::AnswerUnnamed { id: &self.id, upstream });
+                (AttemptResult::Broken, None)
+            }
+            Err(ExchangeError::Broken | ExchangeError::Silent | ExchangeError::Garbled) => {
+                (AttemptResult::Broken, None)
+            }
+        }
+    }
+
+    /// Records whether the route's last delivered response was long.
+    pub(super) fn record_length(&self, received: Option<&Received>, end: AttemptResult) {
+        if let (Some(received), AttemptResult::Answered(summary)) = (received, end)
+            && attempts::is_final(summary)
+        {
+            let route = RouteKey::of(&self.route().name);
+            let is_long = received.is_long();
+            self.host.long_routes.borrow_mut().record_response(route, is_long);
+        }
+    }
+
+    fn summarize(&self, head: &ResponseHead) -> ResponseSummary {
+        let fields = &head.fields;
+        let dialect = &self.host.dialect;
+        let status = head.status;
+        let not_run = status == backpressure::MISDIRECTED || fields.get(dialect.not_run).is_some();
+        let is_plain = fields.get("content-encoding").is_none();
+        ResponseSummary {
+            status,
+            not_run,
+            is_sealed: fields.get(dialect.seal).is_some() && is_plain,
+        }
+    }
+
     /// Returns the request's outcome, or none if it is to be retried.
     pub(super) fn handle_end(
         &self,
