The newest word that an upstream leaves counts, whatever its clock says

Cause: entries are ordered by the run's start, a clock's reading, so all that the second run wrote was ignored as late words of the first.

Change: an entry that is newer by the source and says leaving marks the entry of the later run as leaving, in whichever order a host sees them. A late word of a former run is taken back by the present run's next write.

--- a/crates/dispatch/src/shutdown.rs
+++ b/crates/dispatch/src/shutdown.rs
@@ -1,4 +1,4 @@
-//! The schedule of a planned stop, and what a request can still be sent for.
+//! The schedule of a planned stop, and until when it lets requests be sent.
 //!
 //! What is sent has to be answered before the process ends. That is certain for a request whose
 //! final response is due by then. One that is due later is sent only early in the stop, and only if
--- a/crates/published/src/state/entries.rs
+++ b/crates/published/src/state/entries.rs
@@ -1,5 +1,10 @@
 //! Upstreams' entries: each is replaced only by a newer one, and a removal leaves a tombstone for a
 //! while, so that an older write that arrives late doesn't bring the entry back.
+//!
+//! Runs are ordered by the clocks of their machines, which may step back, writes by the source. A
+//! write that is newer by the source, and of an earlier run by its clock, is either the late one of
+//! a run that has ended, or that of the present one. If it says that the upstream is leaving, that
+//! counts: if it was a late one, the present run's next write takes it back.
 
 use super::{PublishedState, REREGISTRATION_GRACE_MS};
 use crate::{
@@ -53,10 +58,16 @@
         let (id, revision) = (entry.value.id.clone(), entry.revision);
         let is_removed = self.removed.get(&id).is_some_and(|tombstone| tombstone.covers(&entry));
         let current = self.upstreams.get(&id);
-        if is_removed || current.is_some_and(|current| !replaces(&entry, current)) {
-            return;
-        }
-        let entry = with_known_start(entry, current);
+        let entry = match current {
+            _ if is_removed => return,
+            Some(current) if replaces(&entry, current) && says_leaving(current, &entry) => {
+                leaving(&entry, current.revision)
+            }
+            Some(current) if replaces(&entry, current) => with_known_start(entry, current),
+            Some(current) if says_leaving(&entry, current) => leaving(current, revision),
+            Some(_) => return,
+            None => entry,
+        };
         match current {
             Some(current) if entry.value.is_later_run_than(&current.value) => {
                 state_changes.push(StateChange::UpstreamRestarted {
@@ -157,12 +168,26 @@
     !current.value.is_later_run_than(&entry.value) && entry.revision >= current.revision
 }
 
+/// Whether an entry of an earlier run, which is newer by the source than that of the later run, says
+/// that the upstream leaves.
+fn says_leaving(earlier: &Entry<Arc<Upstream>>, later: &Entry<Arc<Upstream>>) -> bool {
+    let modes = (earlier.value.mode, later.value.mode);
+    earlier.revision > later.revision && modes == (UpstreamMode::Draining, UpstreamMode::Ready)
+}
+
+/// An entry, leaving as of this revision.
+fn leaving(entry: &Entry<Arc<Upstream>>, revision: Revision) -> Entry<Arc<Upstream>> {
+    let mut value = Arc::clone(&entry.value);
+    Arc::make_mut(&mut value).mode = UpstreamMode::Draining;
+    Entry { revision, value }
+}
+
 /// Adds the start of the run to an entry that lacks it, if the current entry has it.
 fn with_known_start(
     mut entry: Entry<Arc<Upstream>>,
-    current: Option<&Entry<Arc<Upstream>>>,
+    current: &Entry<Arc<Upstream>>,
 ) -> Entry<Arc<Upstream>> {
-    let known = current.map(|current| current.value.run).unwrap_or_default();
+    let known = current.value.run;
     if entry.value.run.0.is_none() && known.0.is_some() {
         Arc::make_mut(&mut entry.value).run = known;
     }
--- a/crates/published/tests/restart.rs
+++ b/crates/published/tests/restart.rs
@@ -5,10 +5,11 @@
 
 use domain::Millis;
 use published::{
-    Change, PublishedState, REREGISTRATION_GRACE_MS, RemovalCause, Revision, RunStart,
-    SOURCE_OUTAGE_MS, Snapshot, StateChange,
+    Change, Item, PublishedState, REREGISTRATION_GRACE_MS, RemovalCause, Revision, RunStart,
+    SOURCE_OUTAGE_MS, Snapshot, StateChange, UpstreamMode,
 };
 use rstest::rstest;
+use std::sync::Arc;
 use support::{draining, id, of_run, overwritten, removal, removed, snapshot, written};
 
 fn start(start_ms: u64) -> RunStart {
@@ -65,6 +66,72 @@
     assert_eq!(run_after(changes), run);
 }
 
+/// An entry of a run that says that it is leaving.
+fn leaving_run(revision: u64, start_ms: u64) -> Change {
+    let Change::Written(mut entry) = of_run(revision, "a", start_ms) else { unreachable!() };
+    if let Item::Upstream(upstream) = &mut entry.value {
+        Arc::make_mut(upstream).mode = UpstreamMode::Draining;
+    }
+    Change::Written(entry)
+}
+
+/// Guards against an upstream that gets requests though the source has acknowledged that it leaves:
+/// its clock was set back before it restarted, so its entries look like those of an earlier run.
+#[rstest]
+#[case::set_back(
+    vec![of_run(1, "a", 200), of_run(2, "a", 100), leaving_run(3, 100)],
+    Some(UpstreamMode::Draining),
+)]
+#[case::set_back_and_only_its_last_write_is_seen(
+    vec![of_run(1, "a", 200), leaving_run(3, 100)],
+    Some(UpstreamMode::Draining),
+)]
+#[case::set_back_and_out_of_order(
+    vec![leaving_run(3, 100), of_run(1, "a", 200)],
+    Some(UpstreamMode::Draining),
+)]
+#[case::set_back_and_gone(
+    vec![of_run(1, "a", 200), leaving_run(3, 100), removed(4, "a")],
+    None,
+)]
+#[case::an_older_write_that_is_late(
+    vec![of_run(5, "a", 200), leaving_run(3, 100)],
+    Some(UpstreamMode::Ready),
+)]
+#[case::a_late_write_of_the_former_run_is_taken_back(
+    vec![of_run(1, "a", 200), leaving_run(2, 100), of_run(3, "a", 200)],
+    Some(UpstreamMode::Ready),
+)]
+#[case::a_later_run_that_leaves(
+    vec![of_run(1, "a", 100), leaving_run(2, 200)],
+    Some(UpstreamMode::Draining),
+)]
+fn the_newest_word_that_an_upstream_leaves_counts(
+    #[case] changes: Vec<Change>,
+    #[case] expected: Option<UpstreamMode>,
+) {
+    let mut state = PublishedState::default();
+    for change in changes {
+        state.apply_changes(Millis(10), Revision(0), Revision(0), vec![change]);
+    }
+    assert_eq!(state.upstream(&id("a")).map(|entry| entry.value.mode), expected);
+}
+
+/// Guards against hosts that go on differing on whether an upstream leaves, as one of them has seen
+/// its earlier entries and the other has not.
+#[test]
+fn hosts_that_saw_different_entries_agree_that_an_upstream_leaves() {
+    let mut informed = PublishedState::default();
+    informed.apply_snapshot(Millis(10), snapshot(1, vec![of_run(1, "a", 200)]));
+    informed.apply_changes(Millis(11), Revision(1), Revision(3), vec![leaving_run(3, 100)]);
+    let mut started = PublishedState::default();
+    started.apply_snapshot(Millis(12), snapshot(3, vec![leaving_run(3, 100)]));
+    let known = started.known_revisions().without_upstreams();
+    started.apply_catch_up(Millis(13), informed.catch_up(known));
+    assert_eq!(started.upstream(&id("a")), informed.upstream(&id("a")));
+    assert_eq!(started.upstream(&id("a")).unwrap().value.mode, UpstreamMode::Draining);
+}
+
 #[test]
 fn a_restart_is_reported_once_with_both_starts() {
     let mut state = PublishedState::default();
