Beyond 16 MiB a body is read at 8 MiB/s

Cause: a body was read as fast as it came, with a turn for others after 64 KiB.

Change: beyond 16 MiB each turn is followed by a pause of 8 ms.

--- a/crates/gateway/src/connection/long_body.rs
+++ b/crates/gateway/src/connection/long_body.rs
@@ -20,6 +20,8 @@
 pub struct LongBody {
     connection: Connection,
     reader: BodyReader,
+    /// Bytes read, with their framing.
+    read_bytes: u64,
     /// The rest of the request.
     unsent: Unsent,
     /// How sending it went last.
@@ -52,7 +54,7 @@
         let step = SendStep::Blocked;
         // If it fails, a machine that is gone is noticed when the request is due.
         let _ = SockRef::from(&connection.stream).set_tcp_keepalive(&KEEPALIVE);
-        (LongBody { connection, reader: body, unsent, step, end }, first)
+        (LongBody { connection, reader: body, read_bytes: 0, unsent, step, end }, first)
     }
 
     /// Bytes that were received and not yet returned. What is left of the request doesn't count: it
@@ -61,6 +63,11 @@
         self.connection.buffer.len()
     }
 
+    /// Bytes that were read of it, with their framing.
+    pub fn read_bytes(&self) -> u64 {
+        self.read_bytes
+    }
+
     /// Returns once there may be something to read.
     pub async fn ready(&self) {
         // The next read finds the error.
@@ -92,7 +99,12 @@
 
     /// Reads once what has arrived.
     pub fn read(&mut self) -> BodyPart {
-        match self.connection.read_some() {
+        let read = self.connection.read_some();
+        match read {
+            Ok(Some(bytes)) => self.read_bytes += bytes as u64,
+            Ok(None) | Err(_) => {}
+        }
+        match read {
             Ok(None) => BodyPart::Pending,
             Ok(Some(0)) if self.reader.framing() == Framing::UntilClose => {
                 BodyPart::Last(Vec::new())
--- a/crates/gateway/src/ingress/streaming.rs
+++ b/crates/gateway/src/ingress/streaming.rs
@@ -24,9 +24,6 @@
 /// for it if it has waited for that long.
 const STALL_LIMIT: Duration = Duration::from_secs(5);
 
-/// Steps of a transfer before other tasks get a turn; each reads one piece at most.
-const STEPS_PER_TURN: u32 = 4;
-
 /// How the response to a request is framed for its caller, if its upstream frames it so. Callers of
 /// HTTP/1.0 don't know chunks.
 pub(super) fn framing_for(request: &RequestHead, upstream: Framing) -> Framing {
@@ -112,12 +109,10 @@
 
     /// Passes the response on to its end.
     pub(super) async fn run(mut self) -> Result<(), BrokenTransfer> {
-        let mut steps = 0;
         let ended = loop {
-            steps += 1;
-            if steps == STEPS_PER_TURN {
-                steps = 0;
-                tokio::task::yield_now().await;
+            match &mut self.rest {
+                Some(rest) => rest.pace().await,
+                None => tokio::task::yield_now().await,
             }
             if let Err(cause) = self.step() {
                 break Err(cause);
--- a/crates/gateway/src/serve/response_stream.rs
+++ b/crates/gateway/src/serve/response_stream.rs
@@ -20,6 +20,15 @@
 use std::fmt;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
+
+/// Bytes of a response that are read as fast as it comes. Few responses are longer, and those without
+/// an end must leave the processor to others.
+const FULL_PACE_BYTES: u64 = 16 * 1024 * 1024;
+
+/// Reads in a turn, of 16 KiB at most each, and the pause after it at a moderate pace.
+const READS_PER_TURN: u32 = 4;
+const TURN_PAUSE: Duration = Duration::from_millis(8);
 
 /// A load report that is older than this when the body ends is no longer recorded.
 const REPORT_CURRENT_MS: Millis = Millis(100);
@@ -42,6 +51,8 @@
 pub struct ResponseStream {
     body: LongBody,
     attempt: StreamedAttempt,
+    /// Reads since the last pause.
+    reads: u32,
 }
 
 impl fmt::Debug for ResponseStream {
@@ -121,7 +132,7 @@
 
 impl ResponseStream {
     pub(super) fn new(body: LongBody, attempt: StreamedAttempt) -> Box<ResponseStream> {
-        Box::new(ResponseStream { body, attempt })
+        Box::new(ResponseStream { body, attempt, reads: 0 })
     }
 
     /// See [`LongBody::held_bytes`].
@@ -151,12 +162,25 @@
 
     /// Reads once what has arrived.
     pub fn read(&mut self) -> BodyPart {
+        self.reads += 1;
         self.body.read()
     }
 
+    /// Gives other tasks a turn after some reads, and pauses then beyond [`FULL_PACE_BYTES`].
+    pub async fn pace(&mut self) {
+        if self.reads < READS_PER_TURN {
+            return;
+        }
+        self.reads = 0;
+        match self.body.read_bytes() > FULL_PACE_BYTES {
+            true => clock::sleep(TURN_PAUSE).await,
+            false => tokio::task::yield_now().await,
+        }
+    }
+
     /// Ends the attempt after the last byte, and returns the connection to the pool.
     pub fn finish(self) {
-        let ResponseStream { body, mut attempt } = self;
+        let ResponseStream { body, mut attempt, .. } = self;
         attempt.host.pool.borrow_mut().put(&attempt.upstream, body.into_connection());
         attempt.end(None);
         attempt.record_served();
@@ -190,7 +214,7 @@
             match self.read() {
                 BodyPart::Pending => {}
                 BodyPart::Bytes(_) => {
-                    tokio::task::yield_now().await;
+                    self.pace().await;
                     continue;
                 }
                 BodyPart::Last(_) => return self.finish(),
--- a/crates/gateway/tests/endless_responses.rs
+++ b/crates/gateway/tests/endless_responses.rs
@@ -82,6 +82,30 @@
     });
 }
 
+/// Guards against a sender without end that takes the host from all others until its request is due:
+/// beyond 16 MiB it is read at 8 MiB/s.
+#[rstest]
+#[case::its_caller_reads(true)]
+#[case::its_caller_has_left(false)]
+fn a_body_without_end_is_read_at_a_moderate_pace(#[case] is_awaited: bool) {
+    on_one_thread(async move {
+        let (upstream, gateway, _logs) = start_with(Endless::Chunks).await;
+        let mut caller = Caller::connect(caller_address(&gateway)).await;
+        // The route allows 1.2 s.
+        caller.send(&order("endless").replace("Deadline-Ms: 600", "Deadline-Ms: 1200")).await;
+        wait_until("it responds", || upstream.written() > 0).await;
+        if is_awaited {
+            read_to_end(&mut caller).await;
+        } else {
+            drop(caller);
+        }
+        wait_until("the upstream is told", || upstream.abandoned() == 1).await;
+        // What is read in full, a second's worth at that pace, and the sockets' buffers.
+        let most = (16 + 8 + 8) << 20;
+        assert!(upstream.written() < most, "{}", upstream.written());
+    });
+}
+
 /// Guards against reading bytes that are no response until the deadline.
 #[rstest]
 #[case::interim_responses(Endless::Interim)]
