--- a/crates/gateway/src/connection/long_body.rs
+++ b/crates/gateway/src/connection/long_body.rs
@@ -100,9 +100,8 @@
     /// Reads once what has arrived.
     pub fn read(&mut self) -> BodyPart {
         let read = self.connection.read_some();
-        match read {
-            Ok(Some(bytes)) => self.read_bytes += bytes as u64,
-            Ok(None) | Err(_) => {}
+        if let Ok(Some(bytes)) = read {
+            self.read_bytes += bytes as u64;
         }
         match read {
             Ok(None) => BodyPart::Pending,
